Add the design and a request path through separate processes

Cause: the repository was empty, and later work needs a path that carries real requests before any mechanism is added to it.

Change: docs/design.md states requirements, modules, state owners, messages and failure handling. Stand-ins of the key-value service (etcd v3 JSON gateway), instance list, engine and plain service speak over loopback.

Ruled out: the etcd client library, whose own retries of writes hide whether a write took effect; httputil.ReverseProxy, which the requirements exclude.

Rates are divided evenly over known instances and every instance watches the store; both are replaced next.

--- /dev/null
+++ b/e2e/path_test.go
@@ -0,0 +1,59 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"heatherloom/internal/standin"
+)
+
+func chat(n int, stream bool) string {
+	return fmt.Sprintf(`{"model":"lantern","stream":%t,"messages":[{"role":"user","content":"question %d"}]}`, stream, n)
+}
+
+var _ = Describe("the request path through separate processes", func() {
+	// Guards against an answer of another request and against a stream that is cut
+	// or delivered in part on its way through one or two entry instances.
+	It("serves completions, streams, reads and writes in both regions", func() {
+		s := newSite()
+		s.configure()
+		s.engine("engine-b", "b")
+		s.service("ledger-a", "a")
+		_, a := s.entry("entry-a", "a")
+		_, b := s.entry("entry-b", "b")
+
+		waitForRoute(a)
+		waitForRoute(b)
+		for i, url := range []string{a, b} {
+			plain := call(url, http.MethodPost, "/v1/chat/completions", chat(i, false))
+			Expect(plain.status).To(Equal(http.StatusOK), plain.body)
+			Expect(plain.header.Get("X-Request-Id")).NotTo(BeEmpty())
+			Expect(plain.body).To(ContainSubstring(standin.ExpectedText([]byte(chat(i, false)))))
+
+			stream := call(url, http.MethodPost, "/v1/chat/completions", chat(i, true))
+			Expect(stream.status).To(Equal(http.StatusOK), stream.body)
+			Expect(stream.body).To(HaveSuffix("data: [DONE]\n\n"))
+
+			write := call(url, http.MethodPost, "/orders", fmt.Sprintf(`{"order":%d}`, i))
+			Expect(write.status).To(Equal(http.StatusOK), write.body)
+			read := call(url, http.MethodGet, "/orders/7", "")
+			Expect(read.status).To(Equal(http.StatusOK), read.body)
+		}
+	})
+})
+
+// waitForRoute waits until an entry instance knows the peers and upstreams that it
+// needs for both a completion and a read.
+func waitForRoute(url string) {
+	GinkgoHelper()
+	Eventually(func() []int {
+		return []int{
+			call(url, http.MethodPost, "/v1/chat/completions", chat(0, false)).status,
+			call(url, http.MethodGet, "/orders/1", "").status,
+		}
+	}, 10*time.Second, "100ms").Should(Equal([]int{http.StatusOK, http.StatusOK}))
+}
--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"heatherloom/internal/routing"
+)
+
+const (
+	// TickInterval is the time between two runs of the systems.
+	TickInterval = 50 * time.Millisecond
+	// inboxCapacity holds several ticks of events at the design size.
+	inboxCapacity = 4096
+)
+
+// Loop runs the control goroutine.
+type Loop struct {
+	tables   *tables
+	inbox    chan Event
+	snapshot atomic.Pointer[routing.Snapshot]
+}
+
+// NewLoop returns a loop whose first snapshot is not ready.
+func NewLoop(id Identity) *Loop {
+	l := &Loop{tables: newTables(id), inbox: make(chan Event, inboxCapacity)}
+	l.publish(time.Now())
+	return l
+}
+
+// Post hands an event to the control goroutine. It blocks while the inbox is full
+// and gives up when ctx ends.
+func (l *Loop) Post(ctx context.Context, e Event) {
+	select {
+	case l.inbox <- e:
+	case <-ctx.Done():
+	}
+}
+
+// Snapshot returns the latest snapshot. It never returns nil.
+func (l *Loop) Snapshot() *routing.Snapshot { return l.snapshot.Load() }
+
+// Run ticks until ctx ends.
+func (l *Loop) Run(ctx context.Context) {
+	ticker := time.NewTicker(TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			l.tick(now)
+		}
+	}
+}
+
+// tick drains the inbox, runs the systems and publishes a snapshot.
+func (l *Loop) tick(now time.Time) {
+	l.drainInbox(now)
+	for _, system := range systems {
+		system(l.tables, now)
+	}
+	l.publish(now)
+}
+
+func (l *Loop) drainInbox(now time.Time) {
+	for range inboxCapacity {
+		select {
+		case e := <-l.inbox:
+			e.apply(l.tables, now)
+		default:
+			return
+		}
+	}
+}
+
+func (l *Loop) publish(now time.Time) {
+	l.snapshot.Store(buildSnapshot(l.tables, now))
+}
--- /dev/null
+++ b/internal/gateway/auth.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"strings"
+
+	"heatherloom/internal/errkind"
+	"heatherloom/internal/opconfig"
+)
+
+const bearerPrefix = "Bearer "
+
+// authenticate finds the client account whose key came with the request.
+func (s *server) authenticate(c *call) (opconfig.Account, *errkind.Error) {
+	if !c.snapshot.Ready {
+		return opconfig.Account{}, errkind.New(errkind.NotReady, "this instance has no configuration yet")
+	}
+	header := c.r.Header.Get("Authorization")
+	secret, ok := strings.CutPrefix(header, bearerPrefix)
+	if !ok || secret == "" {
+		return opconfig.Account{}, errkind.New(errkind.KeyMissing, "the request needs a header Authorization: Bearer KEY")
+	}
+	key, ok := c.snapshot.Config.Keys[opconfig.HashKey(secret)]
+	if !ok {
+		return opconfig.Account{}, errkind.New(errkind.KeyUnknown, "the key is not known")
+	}
+	if key.Withdrawn {
+		return opconfig.Account{}, errkind.New(errkind.KeyWithdrawn, "key %q was withdrawn", key.ID)
+	}
+	account, ok := c.snapshot.Config.Accounts[key.Account]
+	if !ok || account.Suspended {
+		return opconfig.Account{}, errkind.New(errkind.KeyWithdrawn, "the client account of key %q is not active", key.ID)
+	}
+	c.account = account.Name
+	return account, nil
+}
--- /dev/null
+++ b/internal/gateway/service.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"heatherloom/internal/dispatch"
+	"heatherloom/internal/errkind"
+	"heatherloom/internal/opconfig"
+)
+
+// service serves the operator-defined routes to plain services.
+func (s *server) service(c *call) *errkind.Error {
+	if !c.snapshot.Ready {
+		return errkind.New(errkind.NotReady, "this instance has no configuration yet")
+	}
+	route, ok := matchRoute(c.snapshot.Config.Routes, c.r.URL.Path)
+	if !ok {
+		return errkind.New(errkind.UnknownRoute, "no route serves the path %q", c.r.URL.Path)
+	}
+	var account opconfig.Account
+	if !route.Open {
+		admitted, err := s.admit(c)
+		if err != nil {
+			return err
+		}
+		account = admitted
+	}
+	deadline, err := s.deadline(c)
+	if err != nil {
+		return err
+	}
+	if err := readBody(c); err != nil {
+		return err
+	}
+	return s.serve(c, &dispatch.Request{
+		ID:          c.id,
+		Account:     account.Name,
+		Method:      c.r.Method,
+		Path:        upstreamPath(c.r),
+		Header:      upstreamHeader(c.r.Header),
+		Body:        c.body,
+		Target:      route.Service,
+		Repeatable:  repeatable(route, c.r.Method),
+		BoundRegion: boundRegion(account, route),
+		Deadline:    deadline,
+	})
+}
+
+// matchRoute returns the route with the longest prefix of path.
+func matchRoute(routes map[string]opconfig.Route, path string) (opconfig.Route, bool) {
+	for prefix := strings.TrimSuffix(path, "/"); prefix != ""; {
+		if route, ok := routes[prefix]; ok {
+			return route, true
+		}
+		prefix = prefix[:strings.LastIndexByte(prefix, '/')]
+	}
+	route, ok := routes["/"]
+	return route, ok
+}
+
+// repeatable reports whether the call is idempotent. A route that lists no
+// idempotent methods uses the safe methods of HTTP.
+func repeatable(route opconfig.Route, method string) bool {
+	if len(route.Idempotent) > 0 {
+		return slices.Contains(route.Idempotent, method)
+	}
+	return method == http.MethodGet || method == http.MethodHead
+}
+
+// boundRegion returns the region that the request must not leave. The home of the
+// client account goes before the home of the route.
+func boundRegion(a opconfig.Account, route opconfig.Route) string {
+	if a.Home != "" {
+		return a.Home
+	}
+	return route.Home
+}
+
+// modelList is the answer of GET /v1/models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists the models that callers may name.
+func (s *server) models(c *call) *errkind.Error {
+	if _, err := s.authenticate(c); err != nil {
+		return err
+	}
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for name := range c.snapshot.Config.Models {
+		list.Data = append(list.Data, modelItem{ID: name, Object: "model", OwnedBy: "heatherloom"})
+	}
+	slices.SortFunc(list.Data, func(a, b modelItem) int { return strings.Compare(a.ID, b.ID) })
+	return writeJSON(c, list)
+}
+
+// entriesValidity is how long a caller may use an answer of GET /v1/entries.
+const entriesValidity = 5 * time.Second
+
+// entryList is the answer of GET /v1/entries, in the order in which to try them.
+type entryList struct {
+	Entries         []entryItem `json:"entries"`
+	ValidForSeconds int64       `json:"valid_for_seconds"`
+}
+
+type entryItem struct {
+	ID     string `json:"id"`
+	URL    string `json:"url"`
+	Region string `json:"region"`
+}
+
+// entries answers which entry instances to use: those of the own region first.
+func (s *server) entries(c *call) *errkind.Error {
+	list := entryList{ValidForSeconds: int64(entriesValidity.Seconds()), Entries: []entryItem{}}
+	if !c.snapshot.Draining {
+		list.Entries = append(list.Entries, entryItem{ID: c.snapshot.SelfID, URL: "http://" + c.r.Host, Region: c.snapshot.Region})
+	}
+	for _, p := range c.snapshot.Peers {
+		if !p.Draining {
+			list.Entries = append(list.Entries, entryItem{ID: p.ID, URL: p.CallerURL, Region: p.Region})
+		}
+	}
+	slices.SortStableFunc(list.Entries, func(a, b entryItem) int {
+		return distance(c, a) - distance(c, b)
+	})
+	return writeJSON(c, list)
+}
+
+func distance(c *call, e entryItem) int {
+	if e.Region == c.snapshot.Region {
+		return 0
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/opconfig/delta.go
@@ -0,0 +1,113 @@
+package opconfig
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// Table names a table of the configuration in a Change.
+type Table string
+
+// The tables of a Config.
+const (
+	TableAccounts Table = "accounts"
+	TableKeys     Table = "keys"
+	TableModels   Table = "models"
+	TableRoutes   Table = "routes"
+	TableMoves    Table = "moves"
+	TableLeaving  Table = "leaving"
+)
+
+// Change sets or removes one record.
+type Change struct {
+	Table Table `json:"table"`
+	// ID is the index of the record in its table.
+	ID string `json:"id"`
+	// Record is the JSON of the record; empty if the record is removed.
+	Record json.RawMessage `json:"record,omitempty"`
+}
+
+// Set returns a Change that stores record, which must be of the table's type.
+func Set(table Table, id string, record any) (Change, error) {
+	raw, err := json.Marshal(record)
+	if err != nil {
+		return Change{}, eris.Wrapf(err, "encode %s record %q", table, id)
+	}
+	return Change{Table: table, ID: id, Record: raw}, nil
+}
+
+// Remove returns a Change that removes a record.
+func Remove(table Table, id string) Change {
+	return Change{Table: table, ID: id}
+}
+
+// Delta is the set of changes of one accepted apply.
+type Delta struct {
+	// Revision that the configuration has after the delta.
+	Revision int64 `json:"revision"`
+	// ApplyID identifies the apply that wrote the delta, so that an operator whose
+	// answer was lost can recognise it.
+	ApplyID string   `json:"apply_id"`
+	Changes []Change `json:"changes"`
+}
+
+// RevisionError reports a delta that does not follow the configuration it is
+// applied to.
+type RevisionError struct {
+	Have, Got int64
+}
+
+// Error implements error.
+func (e *RevisionError) Error() string {
+	return fmt.Sprintf("delta of revision %d does not follow revision %d", e.Got, e.Have)
+}
+
+// Apply returns the configuration after the delta. The receiver is not changed.
+// It returns a *RevisionError if the delta does not follow the receiver.
+func (c *Config) Apply(d Delta) (*Config, error) {
+	if d.Revision != c.Revision+1 {
+		return nil, &RevisionError{Have: c.Revision, Got: d.Revision}
+	}
+	next := c.clone()
+	next.Revision = d.Revision
+	for _, change := range d.Changes {
+		if err := next.apply(change); err != nil {
+			return nil, err
+		}
+	}
+	return next, nil
+}
+
+func (c *Config) apply(ch Change) error {
+	switch ch.Table {
+	case TableAccounts:
+		return applyChange(c.Accounts, ch)
+	case TableKeys:
+		return applyChange(c.Keys, ch)
+	case TableModels:
+		return applyChange(c.Models, ch)
+	case TableRoutes:
+		return applyChange(c.Routes, ch)
+	case TableMoves:
+		return applyChange(c.Moves, ch)
+	case TableLeaving:
+		return applyChange(c.Leaving, ch)
+	default:
+		return eris.Errorf("unknown table %q in configuration delta", ch.Table)
+	}
+}
+
+func applyChange[T any](table map[string]T, ch Change) error {
+	if len(ch.Record) == 0 {
+		delete(table, ch.ID)
+		return nil
+	}
+	var record T
+	if err := json.Unmarshal(ch.Record, &record); err != nil {
+		return eris.Wrapf(err, "decode %s record %q", ch.Table, ch.ID)
+	}
+	table[ch.ID] = record
+	return nil
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,174 @@
+// Package peer carries the messages between entry instances with connect-go.
+package peer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"heatherloom/internal/control"
+	"heatherloom/internal/dispatch"
+	"heatherloom/internal/errkind"
+	"heatherloom/internal/peer/peerv1"
+	"heatherloom/internal/peer/peerv1/peerv1connect"
+	"heatherloom/internal/routing"
+)
+
+// ConfigSource answers peers that ask for configuration.
+type ConfigSource interface {
+	// Since returns what brings a configuration at revision from to the latest one.
+	Since(from int64) (*peerv1.PullConfigResponse, error)
+}
+
+// EventSource answers requests for recent events.
+type EventSource interface {
+	// Since returns events, encoded as JSON, with a clock reading above since.
+	Since(since uint64) [][]byte
+}
+
+// Server serves the peer listener.
+type Server struct {
+	peerv1connect.UnimplementedPeerServiceHandler
+	Identity   control.Identity
+	Loop       *control.Loop
+	Dispatcher *dispatch.Dispatcher
+	Config     ConfigSource
+	Events     EventSource
+	// Secret authenticates peers.
+	Secret string
+}
+
+// Handler returns the HTTP handler of the peer listener.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	path, handler := peerv1connect.NewPeerServiceHandler(s, connect.WithInterceptors(authInterceptor{secret: s.Secret}))
+	mux.Handle(path, handler)
+	return mux
+}
+
+// Heartbeat records the sender and answers with this instance's own row.
+func (s *Server) Heartbeat(ctx context.Context, req *connect.Request[peerv1.HeartbeatRequest]) (*connect.Response[peerv1.HeartbeatResponse], error) {
+	postMember(ctx, s.Loop, req.Msg.GetSelf())
+	snapshot := s.Loop.Snapshot()
+	return connect.NewResponse(&peerv1.HeartbeatResponse{
+		Self:  SelfMember(s.Identity, snapshot),
+		Known: knownMembers(snapshot),
+	}), nil
+}
+
+// PullConfig answers with the configuration after the caller's revision.
+func (s *Server) PullConfig(_ context.Context, req *connect.Request[peerv1.PullConfigRequest]) (*connect.Response[peerv1.PullConfigResponse], error) {
+	resp, err := s.Config.Since(req.Msg.GetFromRevision())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// PullEvents answers with the recent events of this instance.
+func (s *Server) PullEvents(_ context.Context, req *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error) {
+	return connect.NewResponse(&peerv1.PullEventsResponse{Events: s.Events.Since(req.Msg.GetSince())}), nil
+}
+
+// Forward serves a request of another region's entry instance.
+func (s *Server) Forward(ctx context.Context, req *connect.Request[peerv1.ForwardRequest], stream *connect.ServerStream[peerv1.ForwardResponse]) error {
+	request := requestOf(req.Msg)
+	err := s.serveForward(ctx, request, streamSink{stream})
+	return stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_End{End: endOf(err)}})
+}
+
+func (s *Server) serveForward(ctx context.Context, r *dispatch.Request, sink dispatch.Sink) *errkind.Error {
+	for _, id := range r.Visited {
+		if id == s.Identity.ID {
+			return errkind.New(errkind.LoopDetected, "instance %q already handled the request", id)
+		}
+	}
+	return s.Dispatcher.Dispatch(ctx, r, sink)
+}
+
+func requestOf(m *peerv1.ForwardRequest) *dispatch.Request {
+	return &dispatch.Request{
+		ID:          m.GetRequestId(),
+		Account:     m.GetAccount(),
+		Method:      m.GetMethod(),
+		Path:        m.GetPath(),
+		Header:      unflatten(m.GetHeaders()),
+		Body:        m.GetBody(),
+		Target:      m.GetTarget(),
+		Stream:      m.GetStream(),
+		Repeatable:  m.GetRepeatable(),
+		BoundRegion: m.GetBoundRegion(),
+		Visited:     m.GetVisited(),
+		Deadline:    time.Unix(0, m.GetDeadline()),
+	}
+}
+
+func endOf(err *errkind.Error) *peerv1.ForwardEnd {
+	if err == nil {
+		return &peerv1.ForwardEnd{Complete: true}
+	}
+	return &peerv1.ForwardEnd{
+		Kind:         string(err.Kind),
+		Ran:          string(err.Ran),
+		Message:      err.Message,
+		RetryAfterMs: err.Wait().Milliseconds(),
+	}
+}
+
+// streamSink sends an answer as parts of a Forward stream.
+type streamSink struct {
+	stream *connect.ServerStream[peerv1.ForwardResponse]
+}
+
+func (s streamSink) Head(status int, header http.Header) error {
+	head := &peerv1.ForwardHead{Status: int32(status), Headers: flatten(header)}
+	return s.stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Head{Head: head}})
+}
+
+func (s streamSink) Data(p []byte) error {
+	return s.stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Data{Data: p}})
+}
+
+// SelfMember returns this instance's row as it announces itself.
+func SelfMember(id control.Identity, s *routing.Snapshot) *peerv1.Member {
+	return &peerv1.Member{
+		Id:             id.ID,
+		Region:         id.Region,
+		FailureDomain:  id.FailureDomain,
+		PeerAddress:    id.PeerAddress,
+		CallerUrl:      id.CallerURL,
+		OperatorUrl:    id.OperatorURL,
+		Incarnation:    id.Incarnation,
+		ConfigRevision: s.Config.Revision,
+		Draining:       s.Draining,
+	}
+}
+
+func knownMembers(s *routing.Snapshot) []*peerv1.Member {
+	members := make([]*peerv1.Member, 0, len(s.Peers))
+	for _, p := range s.Peers {
+		members = append(members, &peerv1.Member{Id: p.ID, PeerAddress: p.PeerAddress, FailureDomain: p.FailureDomain, Region: p.Region})
+	}
+	return members
+}
+
+func postMember(ctx context.Context, loop *control.Loop, m *peerv1.Member) {
+	if m.GetId() == "" {
+		return
+	}
+	loop.Post(ctx, control.HeartbeatEvent{
+		Incarnation: m.GetIncarnation(),
+		Peer: routing.Peer{
+			ID:             m.GetId(),
+			Region:         m.GetRegion(),
+			FailureDomain:  m.GetFailureDomain(),
+			PeerAddress:    m.GetPeerAddress(),
+			CallerURL:      m.GetCallerUrl(),
+			OperatorURL:    m.GetOperatorUrl(),
+			Draining:       m.GetDraining(),
+			ConfigRevision: m.GetConfigRevision(),
+		},
+	})
+}
--- /dev/null
+++ b/internal/platform/etcdgw/wire/wire.go
@@ -0,0 +1,160 @@
+// Package wire holds the JSON messages of the etcd v3 gateway that the store
+// adapter and its stand-in exchange. The published gRPC gateway encodes 64-bit
+// integers as strings and byte fields as base64.
+package wire
+
+// Paths of the gateway.
+const (
+	PathRange     = "/v3/kv/range"
+	PathTxn       = "/v3/kv/txn"
+	PathGrant     = "/v3/lease/grant"
+	PathKeepAlive = "/v3/lease/keepalive"
+	PathRevoke    = "/v3/lease/revoke"
+	PathWatch     = "/v3/watch"
+)
+
+// Header is part of every response.
+type Header struct {
+	Revision int64 `json:"revision,string,omitempty"`
+}
+
+// KeyValue is one stored key.
+type KeyValue struct {
+	Key         []byte `json:"key,omitempty"`
+	Value       []byte `json:"value,omitempty"`
+	ModRevision int64  `json:"mod_revision,string,omitempty"`
+	Lease       int64  `json:"lease,string,omitempty"`
+}
+
+// RangeRequest reads one key, or the keys in [Key, RangeEnd).
+type RangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+// RangeResponse answers a RangeRequest.
+type RangeResponse struct {
+	Header Header     `json:"header"`
+	Kvs    []KeyValue `json:"kvs,omitempty"`
+}
+
+// Compare requires that a key's modification revision equals ModRevision; 0
+// requires that the key does not exist.
+type Compare struct {
+	Key         []byte `json:"key"`
+	Target      string `json:"target"`
+	Result      string `json:"result"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+// Values of Compare.Target and Compare.Result in use.
+const (
+	TargetMod   = "MOD"
+	ResultEqual = "EQUAL"
+)
+
+// PutRequest writes a key.
+type PutRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	Lease int64  `json:"lease,string,omitempty"`
+}
+
+// DeleteRequest deletes a key.
+type DeleteRequest struct {
+	Key []byte `json:"key"`
+}
+
+// RequestOp is one operation of a transaction; exactly one field is set.
+type RequestOp struct {
+	Put    *PutRequest    `json:"requestPut,omitempty"`
+	Delete *DeleteRequest `json:"requestDeleteRange,omitempty"`
+}
+
+// TxnRequest performs Success if every comparison holds.
+type TxnRequest struct {
+	Compare []Compare   `json:"compare,omitempty"`
+	Success []RequestOp `json:"success,omitempty"`
+}
+
+// TxnResponse answers a TxnRequest.
+type TxnResponse struct {
+	Header    Header `json:"header"`
+	Succeeded bool   `json:"succeeded,omitempty"`
+}
+
+// LeaseRequest grants, renews or revokes a lease.
+type LeaseRequest struct {
+	// TTL is in seconds.
+	TTL int64 `json:"TTL,string,omitempty"`
+	ID  int64 `json:"ID,string,omitempty"`
+}
+
+// LeaseResponse answers a LeaseRequest. A TTL of 0 in the answer to a keep-alive
+// means that the lease has ended.
+type LeaseResponse struct {
+	Header Header `json:"header"`
+	ID     int64  `json:"ID,string,omitempty"`
+	TTL    int64  `json:"TTL,string,omitempty"`
+}
+
+// KeepAliveResponse is one message of the keep-alive stream.
+type KeepAliveResponse struct {
+	Result LeaseResponse `json:"result"`
+}
+
+// WatchCreate starts a watch of the keys in [Key, RangeEnd).
+type WatchCreate struct {
+	Key           []byte `json:"key"`
+	RangeEnd      []byte `json:"range_end,omitempty"`
+	StartRevision int64  `json:"start_revision,string,omitempty"`
+}
+
+// WatchRequest starts a watch.
+type WatchRequest struct {
+	Create WatchCreate `json:"create_request"`
+}
+
+// EventDelete is the type of a deletion; a write has no type.
+const EventDelete = "DELETE"
+
+// Event is one change.
+type Event struct {
+	Type string   `json:"type,omitempty"`
+	Kv   KeyValue `json:"kv"`
+}
+
+// WatchResult is the content of one message of the watch stream.
+type WatchResult struct {
+	Header          Header  `json:"header"`
+	Created         bool    `json:"created,omitempty"`
+	Canceled        bool    `json:"canceled,omitempty"`
+	CompactRevision int64   `json:"compact_revision,string,omitempty"`
+	Events          []Event `json:"events,omitempty"`
+}
+
+// WatchResponse is one message of the watch stream.
+type WatchResponse struct {
+	Result WatchResult `json:"result"`
+}
+
+// Status is the gateway's error answer.
+type Status struct {
+	Code    int    `json:"code"`
+	Message string `json:"message"`
+}
+
+// CodeNotFound is the gRPC status code of a lease that has ended.
+const CodeNotFound = 5
+
+// PrefixEnd returns the end of the range of keys that start with prefix.
+func PrefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
--- /dev/null
+++ b/internal/platform/httpsd/client.go
@@ -0,0 +1,117 @@
+// Package httpsd reads the platform's instance list in the format of Prometheus
+// HTTP service discovery.
+package httpsd
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"heatherloom/internal/platform"
+)
+
+// Labels of a target group that the gateway reads.
+const (
+	LabelID            = "instance_id"
+	LabelRole          = "role"
+	LabelRegion        = "region"
+	LabelFailureDomain = "failure_domain"
+	LabelState         = "state"
+	LabelService       = "service"
+	// LabelModels is a comma-separated list of model@version.
+	LabelModels = "models"
+)
+
+const (
+	callTimeout      = 3 * time.Second
+	maxResponseBytes = 16 << 20
+)
+
+// TargetGroup is one element of the service discovery answer.
+type TargetGroup struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+// Client is a platform.InstanceList.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+var _ platform.InstanceList = (*Client)(nil)
+
+// New returns a client of the list at url.
+func New(url string) *Client {
+	return &Client{url: url, http: &http.Client{Timeout: callTimeout}}
+}
+
+// Instances implements platform.InstanceList. Groups without an id or a target
+// are left out.
+func (c *Client) Instances(ctx context.Context) ([]platform.Instance, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "build instance list request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, eris.Wrap(err, "read instance list")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("read instance list: status %d", resp.StatusCode)
+	}
+	var groups []TargetGroup
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&groups); err != nil {
+		return nil, eris.Wrap(err, "decode instance list")
+	}
+	instances := make([]platform.Instance, 0, len(groups))
+	for _, g := range groups {
+		if len(g.Targets) == 0 || g.Labels[LabelID] == "" {
+			continue
+		}
+		instances = append(instances, instanceOf(g))
+	}
+	return instances, nil
+}
+
+func instanceOf(g TargetGroup) platform.Instance {
+	return platform.Instance{
+		ID:            g.Labels[LabelID],
+		Role:          platform.Role(g.Labels[LabelRole]),
+		Region:        g.Labels[LabelRegion],
+		FailureDomain: g.Labels[LabelFailureDomain],
+		Address:       g.Targets[0],
+		State:         platform.InstanceState(g.Labels[LabelState]),
+		Service:       g.Labels[LabelService],
+		Models:        splitList(g.Labels[LabelModels]),
+	}
+}
+
+func splitList(s string) []string {
+	if s == "" {
+		return nil
+	}
+	return strings.Split(s, ",")
+}
+
+// GroupOf returns the target group that lists an instance.
+func GroupOf(i platform.Instance) TargetGroup {
+	return TargetGroup{
+		Targets: []string{i.Address},
+		Labels: map[string]string{
+			LabelID:            i.ID,
+			LabelRole:          string(i.Role),
+			LabelRegion:        i.Region,
+			LabelFailureDomain: i.FailureDomain,
+			LabelState:         string(i.State),
+			LabelService:       i.Service,
+			LabelModels:        strings.Join(i.Models, ","),
+		},
+	}
+}
--- /dev/null
+++ b/internal/routing/snapshot.go
@@ -0,0 +1,100 @@
+// Package routing decides which upstream or which entry instance of another region
+// serves a request.
+//
+// It reads an immutable Snapshot and the request, and knows no HTTP and no clock.
+// A pick passes in one direction through filters, scorers and a picker.
+package routing
+
+import (
+	"sync/atomic"
+	"time"
+
+	"heatherloom/internal/opconfig"
+	"heatherloom/internal/platform"
+)
+
+// Upstream is an engine or a plain service that this instance can reach directly.
+type Upstream struct {
+	ID            string
+	Address       string
+	Region        string
+	FailureDomain string
+	Role          platform.Role
+	// Targets are the models, as model@version, or the service that it serves.
+	Targets []string
+	// Leaving upstreams get no new work.
+	Leaving bool
+	// Down upstreams failed recently and get no work until a probe succeeds.
+	Down bool
+	// Load is the latest report; it lags behind.
+	Load platform.Load
+	// Counters are shared by all snapshots in which the upstream appears.
+	Counters *Counters
+}
+
+// Counters are the live figures of an upstream, updated by traffic.
+type Counters struct {
+	// InFlight is the number of attempts of this instance that run now.
+	InFlight atomic.Int64
+	// Failures counts failed attempts since the last success.
+	Failures atomic.Int64
+}
+
+// Peer is an entry instance that this instance knows.
+type Peer struct {
+	ID            string
+	Region        string
+	FailureDomain string
+	PeerAddress   string
+	CallerURL     string
+	OperatorURL   string
+	Draining      bool
+	// LastHeard is the time of the last heartbeat by the local clock.
+	LastHeard time.Time
+	// ConfigRevision is the configuration that the peer has in force.
+	ConfigRevision int64
+}
+
+// Split divides the traffic of a target between two versions.
+type Split struct {
+	// Running carries the traffic that Candidate does not.
+	Running string
+	// Candidate is the version under rollout; empty if there is none.
+	Candidate string
+	// Share is the part of the requests, from 0 to 1, that belongs to Candidate.
+	Share float64
+}
+
+// Snapshot is the state that traffic reads. It is immutable after publication.
+type Snapshot struct {
+	// Region and FailureDomain are those of this instance.
+	Region        string
+	FailureDomain string
+	SelfID        string
+	Config        *opconfig.Config
+	Upstreams     []Upstream
+	// ByTarget lists, for each model@version and service, indexes into Upstreams.
+	ByTarget map[string][]int32
+	// Peers are the other entry instances that were heard from recently.
+	Peers []Peer
+	// Splits is indexed by model or service name.
+	Splits map[string]Split
+	// Remote lists, for each target, indexes into Peers whose region serves it.
+	Remote map[string][]int32
+	// Ready is false until a configuration is in force.
+	Ready bool
+	// Draining is true after the instance was told to stop.
+	Draining bool
+	// Published is the time of publication.
+	Published time.Time
+}
+
+// Index fills ByTarget from Upstreams. It is called once before publication.
+func (s *Snapshot) Index() {
+	s.ByTarget = make(map[string][]int32)
+	for i := range s.Upstreams {
+		for _, target := range s.Upstreams[i].Targets {
+			s.ByTarget[target] = append(s.ByTarget[target], int32(i))
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,174 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// EngineFaults are the fault switches of an engine.
+type EngineFaults struct {
+	// Fail answers every request with status 500.
+	Fail bool `json:"fail"`
+	// CutAfterTokens breaks a stream after so many tokens; 0 for never.
+	CutAfterTokens int `json:"cut_after_tokens"`
+	// Silent accepts requests and never answers.
+	Silent bool `json:"silent"`
+	// Crossed answers with the id of another request.
+	Crossed bool `json:"crossed"`
+	// CrashOn breaks the connection for each request whose body contains the text.
+	CrashOn string `json:"crash_on"`
+	// DelayMS delays the first token, in milliseconds.
+	DelayMS int64 `json:"delay_ms"`
+}
+
+// Engine is a stand-in of a model engine with the OpenAI-compatible API. Its
+// answer is a function of the request body, so that a test can tell whether a
+// caller received the answer to its own request.
+type Engine struct {
+	*Server
+
+	mu      sync.Mutex
+	faults  EngineFaults
+	running atomic.Int64
+	// TokenInterval is the time between two tokens of a stream.
+	tokenInterval time.Duration
+}
+
+// answerTokens is the length of each answer.
+const answerTokens = 16
+
+// StartEngine starts a stand-in at address.
+func StartEngine(address string, tokenInterval time.Duration) (*Engine, error) {
+	e := &Engine{tokenInterval: tokenInterval}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.complete)
+	mux.HandleFunc("POST /v1/completions", e.complete)
+	mux.HandleFunc("GET /metrics", e.metrics)
+	mux.HandleFunc("POST /standin/faults", e.serveFaults)
+	server, err := listen(address, mux)
+	if err != nil {
+		return nil, err
+	}
+	e.Server = server
+	return e, nil
+}
+
+// SetFaults replaces the fault switches.
+func (e *Engine) SetFaults(f EngineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+func (e *Engine) currentFaults() EngineFaults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
+func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f EngineFaults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetFaults(f)
+}
+
+func (e *Engine) metrics(w http.ResponseWriter, _ *http.Request) {
+	_, _ = fmt.Fprintf(w, "vllm:num_requests_running %d\nvllm:num_requests_waiting 0\n", e.running.Load())
+}
+
+// ExpectedText returns the text that an engine answers to a request body.
+func ExpectedText(body []byte) string {
+	h := fnv.New64a()
+	_, _ = h.Write(body)
+	seed := h.Sum64()
+	words := make([]string, answerTokens)
+	for i := range words {
+		words[i] = fmt.Sprintf("w%x-%d", seed&0xffffff, i)
+	}
+	return strings.Join(words, " ")
+}
+
+// engineRequest holds the fields of a request that the stand-in reads.
+type engineRequest struct {
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	e.running.Add(1)
+	defer e.running.Add(-1)
+	raw, req, err := decodeBody[engineRequest](w, r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	faults := e.currentFaults()
+	id := r.Header.Get("X-Request-Id")
+	if !injectFaults(w, r, faults, raw) {
+		return
+	}
+	if faults.Crossed {
+		id = "another-request"
+	}
+	w.Header().Set("X-Request-Id", id)
+	answer := completion{id: id, model: req.Model, chat: strings.Contains(r.URL.Path, "chat")}
+	if req.Stream {
+		e.stream(w, r, answer, ExpectedText(raw), faults)
+		return
+	}
+	wait(r, e.tokenInterval*answerTokens)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer.whole(ExpectedText(raw)))
+}
+
+// injectFaults applies the switches that act before the answer. It reports whether
+// the request goes on.
+func injectFaults(w http.ResponseWriter, r *http.Request, f EngineFaults, body []byte) bool {
+	if f.CrashOn != "" && strings.Contains(string(body), f.CrashOn) {
+		panic(http.ErrAbortHandler)
+	}
+	if f.Silent {
+		<-r.Context().Done()
+		return false
+	}
+	wait(r, time.Duration(f.DelayMS)*time.Millisecond)
+	if f.Fail {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		http.Error(w, "engine failure", http.StatusInternalServerError)
+		return false
+	}
+	return true
+}
+
+func wait(r *http.Request, d time.Duration) {
+	select {
+	case <-r.Context().Done():
+	case <-time.After(d):
+	}
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, answer completion, text string, f EngineFaults) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(w)
+	for i, token := range strings.SplitAfter(text, " ") {
+		if f.CutAfterTokens > 0 && i >= f.CutAfterTokens {
+			panic(http.ErrAbortHandler)
+		}
+		raw, _ := json.Marshal(answer.part(token))
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, raw); err != nil {
+			return
+		}
+		_ = controller.Flush()
+		wait(r, e.tokenInterval)
+	}
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+}
--- /dev/null
+++ b/internal/standin/instances.go
@@ -0,0 +1,106 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"heatherloom/internal/platform"
+	"heatherloom/internal/platform/httpsd"
+)
+
+type listedInstance struct {
+	instance platform.Instance
+	since    time.Time
+	removed  bool
+}
+
+// InstanceList is a stand-in of the platform's instance list. Changes show after Lag.
+type InstanceList struct {
+	*Server
+
+	mu      sync.Mutex
+	lag     time.Duration
+	history []listedInstance
+}
+
+// StartInstanceList starts a stand-in at address.
+func StartInstanceList(address string) (*InstanceList, error) {
+	l := &InstanceList{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /instances", l.serveList)
+	mux.HandleFunc("POST /instances", l.serveSet)
+	server, err := listen(address, mux)
+	if err != nil {
+		return nil, err
+	}
+	l.Server = server
+	return l, nil
+}
+
+// SetLag sets how late changes show.
+func (l *InstanceList) SetLag(lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = lag
+}
+
+// Set adds or replaces an instance.
+func (l *InstanceList) Set(i platform.Instance) {
+	l.record(listedInstance{instance: i, since: time.Now()})
+}
+
+// Remove takes an instance off the list.
+func (l *InstanceList) Remove(id string) {
+	l.record(listedInstance{instance: platform.Instance{ID: id}, since: time.Now(), removed: true})
+}
+
+func (l *InstanceList) record(change listedInstance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.history = append(l.history, change)
+}
+
+// visible returns the list as it was Lag ago.
+func (l *InstanceList) visible(now time.Time) []platform.Instance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	latest := map[string]listedInstance{}
+	var order []string
+	for _, change := range l.history {
+		if now.Sub(change.since) < l.lag {
+			continue
+		}
+		id := change.instance.ID
+		if _, ok := latest[id]; !ok {
+			order = append(order, id)
+		}
+		latest[id] = change
+	}
+	var instances []platform.Instance
+	for _, id := range order {
+		if !latest[id].removed {
+			instances = append(instances, latest[id].instance)
+		}
+	}
+	return instances
+}
+
+func (l *InstanceList) serveList(w http.ResponseWriter, _ *http.Request) {
+	groups := []httpsd.TargetGroup{}
+	for _, instance := range l.visible(time.Now()) {
+		groups = append(groups, httpsd.GroupOf(instance))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(groups)
+}
+
+func (l *InstanceList) serveSet(w http.ResponseWriter, r *http.Request) {
+	var instance platform.Instance
+	if err := json.NewDecoder(r.Body).Decode(&instance); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.Set(instance)
+}
