Divide rates over slots with loans between instances

Cause: every instance admitted an even part of each client account's rate by its own count of peers. Instances that see different peers admit too much together, and an account whose traffic arrives at one instance is refused within its rate.

Change: package quota divides an account's rate over slots named by the operators' configuration.

Ruled out: a rate allocator under a short store lease. It leaves nothing in a store outage, and a successor cannot account for outstanding grants.

--- a/internal/opconfig/config.go
+++ b/internal/opconfig/config.go
@@ -81,6 +81,14 @@
 	Since    time.Time `json:"since"`
 }
 
+// Domain is a failure domain and the number of slots over which rates are divided
+// in it, see package quota. It should be at least the number of its entry instances.
+type Domain struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	Slots  int    `json:"slots"`
+}
+
 // Config is one revision of the operators' configuration. It is immutable; Apply
 // returns a new value.
 type Config struct {
@@ -95,6 +103,8 @@
 	Moves map[string]Move
 	// Leaving is indexed by Leaving.Instance.
 	Leaving map[string]Leaving
+	// Domains is indexed by Domain.Name.
+	Domains map[string]Domain
 }
 
 // New returns an empty configuration at revision 0.
@@ -106,6 +116,7 @@
 		Routes:   map[string]Route{},
 		Moves:    map[string]Move{},
 		Leaving:  map[string]Leaving{},
+		Domains:  map[string]Domain{},
 	}
 }
 
@@ -119,5 +130,6 @@
 		Routes:   maps.Clone(c.Routes),
 		Moves:    maps.Clone(c.Moves),
 		Leaving:  maps.Clone(c.Leaving),
+		Domains:  maps.Clone(c.Domains),
 	}
 }
--- a/internal/opconfig/delta.go
+++ b/internal/opconfig/delta.go
@@ -18,6 +18,7 @@
 	TableRoutes   Table = "routes"
 	TableMoves    Table = "moves"
 	TableLeaving  Table = "leaving"
+	TableDomains  Table = "domains"
 )
 
 // Change sets or removes one record.
@@ -94,6 +95,8 @@
 		return applyChange(c.Moves, ch)
 	case TableLeaving:
 		return applyChange(c.Leaving, ch)
+	case TableDomains:
+		return applyChange(c.Domains, ch)
 	default:
 		return eris.Errorf("unknown table %q in configuration delta", ch.Table)
 	}
--- /dev/null
+++ b/internal/quota/ledger_test.go
@@ -0,0 +1,261 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"heatherloom/internal/opconfig"
+)
+
+// referenceBucket checks a sequence of admissions against the limit of the whole
+// account: it never runs empty if and only if every window of length t holds at
+// most burst + rate*t admissions.
+type referenceBucket struct {
+	limit  Limit
+	tokens float64
+	last   time.Time
+}
+
+func (r *referenceBucket) admit(at time.Time) bool {
+	r.tokens = min(r.tokens+at.Sub(r.last).Seconds()*r.limit.Rate, r.limit.Burst)
+	r.last = at
+	r.tokens--
+	return r.tokens > -1e-6
+}
+
+// instance is one simulated entry instance. Its slot is its position.
+type instance struct {
+	ledger *Ledger
+	view   View
+	// frozenUntil is the end of a pause of the whole process.
+	frozenUntil time.Time
+	// island separates instances that cannot reach each other.
+	island int
+}
+
+// pendingLoan is a reply on its way to the borrower.
+type pendingLoan struct {
+	borrower int
+	arrives  time.Time
+	sentAt   time.Time
+	request  LoanRequest
+	reply    LoanReply
+	lost     bool
+}
+
+type simulation struct {
+	rng       *rand.Rand
+	now       time.Time
+	account   opconfig.Account
+	config    *opconfig.Config
+	division  *Division
+	instances []*instance
+	pending   []pendingLoan
+	reference referenceBucket
+	admitted  int
+	refused   int
+	violation string
+}
+
+const simulatedSlots = 8
+
+func newSimulation(seed uint64, account opconfig.Account) *simulation {
+	config := opconfig.New()
+	config.Domains["hobart-1"] = opconfig.Domain{Name: "hobart-1", Region: "hobart", Slots: 4}
+	config.Domains["burnie-1"] = opconfig.Domain{Name: "burnie-1", Region: "burnie", Slots: 4}
+	s := &simulation{
+		rng:       rand.New(rand.NewPCG(seed, 0)),
+		now:       time.Unix(1_700_000_000, 0),
+		account:   account,
+		config:    config,
+		division:  NewDivision(config),
+		reference: referenceBucket{limit: Limit{Rate: account.Rate, Burst: account.Burst}, tokens: account.Burst},
+	}
+	s.reference.last = s.now
+	for i := range simulatedSlots {
+		s.instances = append(s.instances, &instance{})
+		s.restart(i)
+	}
+	return s
+}
+
+// restart replaces the process that holds slot i. Its bucket starts empty.
+func (s *simulation) restart(i int) {
+	inst := s.instances[i]
+	inst.ledger = NewLedger(fmt.Sprintf("instance-%d-%d", i, s.now.UnixNano()))
+	inst.view = View{Division: s.division, Own: s.division.slots[i], Held: true, Since: s.now}
+	inst.frozenUntil = time.Time{}
+}
+
+// step advances the time and delivers replies that have arrived.
+func (s *simulation) step(d time.Duration) {
+	s.now = s.now.Add(d)
+	kept := s.pending[:0]
+	for _, p := range s.pending {
+		inst := s.instances[p.borrower]
+		if s.now.Before(p.arrives) || s.now.Before(inst.frozenUntil) {
+			kept = append(kept, p)
+			continue
+		}
+		inst.ledger.Receive(s.now, p.sentAt, p.request, p.reply, !p.lost)
+	}
+	s.pending = kept
+}
+
+// request sends one request of the account to instance i.
+func (s *simulation) request(i int) {
+	inst := s.instances[i]
+	if s.now.Before(inst.frozenUntil) {
+		return
+	}
+	decision := inst.ledger.Admit(s.now, inst.view, s.account)
+	switch {
+	case decision.Admitted:
+		s.admitted++
+		if !s.reference.admit(s.now) && s.violation == "" {
+			s.violation = fmt.Sprintf("limit exceeded after %d admissions", s.admitted)
+		}
+	case decision.Borrow:
+		s.borrow(i, decision.Ask)
+		s.refused++
+	default:
+		s.refused++
+	}
+}
+
+func (s *simulation) borrow(i int, slot Slot) {
+	inst := s.instances[i]
+	request, ok := inst.ledger.Ask(s.now, s.account.Name, slot, 1)
+	if !ok {
+		return
+	}
+	lender := s.lender(slot)
+	p := pendingLoan{borrower: i, sentAt: s.now, request: request, arrives: s.now.Add(s.delay())}
+	reachable := lender.island == inst.island && !s.now.Before(lender.frozenUntil)
+	if reachable {
+		p.reply = lender.ledger.Lend(s.now, lender.view, s.account, request)
+	}
+	p.lost = !reachable || s.rng.IntN(20) == 0
+	s.pending = append(s.pending, p)
+}
+
+func (s *simulation) lender(slot Slot) *instance {
+	for _, inst := range s.instances {
+		if inst.view.Own == slot {
+			return inst
+		}
+	}
+	panic("no instance holds slot " + slot.ID())
+}
+
+func (s *simulation) delay() time.Duration {
+	if s.rng.IntN(30) == 0 {
+		return time.Duration(s.rng.IntN(3000)) * time.Millisecond
+	}
+	return time.Duration(1+s.rng.IntN(60)) * time.Millisecond
+}
+
+// fault kills, freezes or cuts off instances.
+func (s *simulation) fault() {
+	i := s.rng.IntN(len(s.instances))
+	switch s.rng.IntN(4) {
+	case 0:
+		s.restart(i)
+	case 1:
+		s.instances[i].frozenUntil = s.now.Add(time.Duration(s.rng.IntN(20_000)) * time.Millisecond)
+	case 2:
+		s.instances[i].island = s.rng.IntN(3)
+	case 3:
+		for _, inst := range s.instances {
+			inst.island = 0
+		}
+	}
+}
+
+// TestLimitHoldsUnderFailures guards against any window in which all instances
+// together admit more than burst + rate*t, with kills, pauses, partitions, lost and
+// late loans, and demand that moves between instances.
+func TestLimitHoldsUnderFailures(t *testing.T) {
+	for seed := uint64(1); seed <= 40; seed++ {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		account := opconfig.Account{Name: "derwent", Rate: 1 + 200*rng.Float64(), Burst: 1 + 100*rng.Float64()}
+		s := newSimulation(seed, account)
+		busy := 0
+		for step := range 40_000 {
+			s.step(time.Duration(1+s.rng.IntN(4)) * time.Millisecond)
+			if step%500 == 0 {
+				busy = s.rng.IntN(len(s.instances))
+				s.fault()
+			}
+			for range s.rng.IntN(3) {
+				s.request(busy)
+			}
+			s.request(s.rng.IntN(len(s.instances)))
+		}
+		if s.violation != "" {
+			t.Fatalf("seed %d, rate %.2f, burst %.2f: %s", seed, account.Rate, account.Burst, s.violation)
+		}
+		if s.admitted == 0 {
+			t.Fatalf("seed %d: nothing was admitted", seed)
+		}
+	}
+}
+
+// TestDemandAtOneInstanceIsServed guards against wrongful refusals when all of an
+// account's traffic, at 90% of its rate, arrives at one of eight instances.
+func TestDemandAtOneInstanceIsServed(t *testing.T) {
+	account := opconfig.Account{Name: "derwent", Rate: 100, Burst: 40}
+	s := newSimulation(7, account)
+	s.step(time.Second)
+	interval := time.Duration(float64(time.Second) / (0.9 * account.Rate))
+	requests, admitted := 2000, 0
+	for range requests {
+		s.step(interval)
+		if admitsWithin(s, 0, 300*time.Millisecond) {
+			admitted++
+		}
+	}
+	if s.violation != "" {
+		t.Fatal(s.violation)
+	}
+	if admitted < requests {
+		t.Fatalf("%d of %d requests were refused within the rate", requests-admitted, requests)
+	}
+}
+
+// admitsWithin repeats an admission that waits for loans, as the gateway does.
+func admitsWithin(s *simulation, i int, limit time.Duration) bool {
+	before := s.admitted
+	for waited := time.Duration(0); waited < limit; waited += 5 * time.Millisecond {
+		s.request(i)
+		if s.admitted > before {
+			return true
+		}
+		s.step(5 * time.Millisecond)
+	}
+	return false
+}
+
+// TestRestartRenewsNoBurst guards against instances that begin with a full bucket
+// after a restart, which would renew a burst that is spent already.
+func TestRestartRenewsNoBurst(t *testing.T) {
+	s := newSimulation(3, opconfig.Account{Name: "derwent", Rate: 8, Burst: 80})
+	s.step(time.Minute)
+	for range 5 {
+		for i := range s.instances {
+			for range 20 {
+				s.request(i)
+			}
+			s.restart(i)
+		}
+		s.step(10 * time.Millisecond)
+	}
+	if s.violation != "" {
+		t.Fatal(s.violation)
+	}
+	if s.admitted < 40 {
+		t.Fatalf("%d requests were admitted, the burst of 80 was not usable before the restarts", s.admitted)
+	}
+}
--- /dev/null
+++ b/internal/quota/slots.go
@@ -0,0 +1,144 @@
+// Package quota divides each client account's rate and burst over the entry
+// instances so that all of them together never exceed it.
+//
+// The rate is divided over slots, not over instances. The set of slots is part of
+// the operators' configuration; which instance holds a slot is decided by a claim
+// in the platform's key-value service that outlives long outages. An instance
+// admits from the buckets of its own slot, and borrows single tokens from the
+// holders of other slots where demand and division differ. Tokens are taken from
+// the lender before the borrower may spend them, so no failure creates tokens: a
+// crash, a partition or a pause can only make them unavailable.
+//
+// The package knows no network and reads no clock.
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"heatherloom/internal/opconfig"
+)
+
+// Slot is one part of the division of rates. It belongs to a failure domain.
+type Slot struct {
+	Domain string
+	Region string
+	// Index counts from 0 within the failure domain.
+	Index int
+}
+
+// ID returns the text form of the slot, as domain/index.
+func (s Slot) ID() string { return s.Domain + "/" + strconv.Itoa(s.Index) }
+
+// Slots returns every slot that the configuration defines, in a fixed order.
+func Slots(c *opconfig.Config) []Slot {
+	var slots []Slot
+	for _, d := range c.Domains {
+		for i := range d.Slots {
+			slots = append(slots, Slot{Domain: d.Name, Region: d.Region, Index: i})
+		}
+	}
+	slices.SortFunc(slots, func(a, b Slot) int {
+		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Index, b.Index))
+	})
+	return slots
+}
+
+// Division answers how the accounts' rates are divided over a set of slots. It is
+// immutable and safe for concurrent use.
+type Division struct {
+	slots    []Slot
+	byRegion map[string][]int32
+	all      []int32
+	hashes   []uint64
+}
+
+// NewDivision returns the division over the slots of a configuration.
+func NewDivision(c *opconfig.Config) *Division {
+	d := &Division{slots: Slots(c), byRegion: map[string][]int32{}}
+	for i, slot := range d.slots {
+		d.all = append(d.all, int32(i))
+		d.byRegion[slot.Region] = append(d.byRegion[slot.Region], int32(i))
+		d.hashes = append(d.hashes, xxhash.Sum64String(slot.ID()))
+	}
+	return d
+}
+
+// maxSpread bounds the slots of one client account: the number of entry instances
+// that GET /v1/entries answers.
+const maxSpread = 8
+
+// Spread returns over how many slots the account's rate is divided. Each part of
+// the burst holds at least one token, since a smaller part could never admit a request.
+func Spread(a opconfig.Account, available int) int {
+	return max(min(int(a.Burst), maxSpread, available), 1)
+}
+
+// Holders returns the slots over which the account's rate is divided, best first
+// by rendezvous hashing. A home-bound account uses only slots of its home region.
+// The result is empty if there are no such slots.
+func (d *Division) Holders(a opconfig.Account) []Slot {
+	candidates := d.all
+	if a.Home != "" {
+		candidates = d.byRegion[a.Home]
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	ranked := d.rank(a.Name, candidates)
+	spread := Spread(a, len(ranked))
+	holders := make([]Slot, 0, spread)
+	for _, i := range ranked[:spread] {
+		holders = append(holders, d.slots[i])
+	}
+	return holders
+}
+
+// rank orders slots by rendezvous hash and then interleaves regions, so that a
+// region that is cut off keeps a part of the rate of as many accounts as possible.
+func (d *Division) rank(account string, candidates []int32) []int32 {
+	seed := xxhash.Sum64String(account)
+	ranked := slices.Clone(candidates)
+	slices.SortFunc(ranked, func(a, b int32) int {
+		return cmp.Compare(mix(seed, d.hashes[b]), mix(seed, d.hashes[a]))
+	})
+	seen := map[string]int{}
+	round := make(map[int32]int, len(ranked))
+	for _, i := range ranked {
+		region := d.slots[i].Region
+		round[i] = seen[region]
+		seen[region]++
+	}
+	slices.SortStableFunc(ranked, func(a, b int32) int { return cmp.Compare(round[a], round[b]) })
+	return ranked
+}
+
+// mix combines two hashes; the constants are those of the SplitMix64 finalizer.
+func mix(a, b uint64) uint64 {
+	x := a ^ b
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
+
+// Limit is a part of a client account's rate and burst.
+type Limit struct {
+	// Rate is in requests per second.
+	Rate float64
+	// Burst is in requests.
+	Burst float64
+}
+
+// Share returns the part of the account's limit that belongs to a slot; it is zero
+// for a slot that is not among the account's holders.
+func (d *Division) Share(a opconfig.Account, slot Slot) Limit {
+	holders := d.Holders(a)
+	if !slices.Contains(holders, slot) {
+		return Limit{}
+	}
+	parts := float64(len(holders))
+	return Limit{Rate: a.Rate / parts, Burst: a.Burst / parts}
+}
