Add help, examples and nearest-word hints to every subcommand

Cause: -h exited with status 2 and printed no summary or examples, an unknown word listed the commands without a hint, and flags after an argument were taken for arguments.

Change: newFlagSet and parseFlags in cmd/heatherloom/help.go print the help, accept flags and required arguments in any order, and name the nearest flag. runTable does the same for tables of commands. check and version are new.

Ruled out: package flag alone, which stops at the first argument and prints the whole usage for each error; a command framework, which the house style excludes.

Conclusion: another subcommand takes one file and one line of the table.

--- a/cmd/heatherloom/main.go
+++ b/cmd/heatherloom/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 )
 
@@ -13,7 +14,8 @@
 	exitUsage   = 2
 )
 
-// command is one subcommand.
+// command is one subcommand. Its run gets the arguments after its name and returns
+// the exit status of the process.
 type command struct {
 	name    string
 	summary string
@@ -23,6 +25,8 @@
 func commands() []command {
 	return []command{
 		{"serve", "run an entry instance", runServe},
+		{"check", "check a settings file and print every fault in it", runCheck},
+		{"version", "print the version of this binary", runVersion},
 		{"standin", "run a stand-in of an outside part, for development and tests", runStandin},
 	}
 }
@@ -32,23 +36,38 @@
 }
 
 func run(args []string) int {
+	return runTable("", commands(), args)
+}
+
+// runTable runs the command of the table that the first argument names. parent is
+// the name of the command that the table belongs to; empty for the main table.
+func runTable(parent string, table []command, args []string) int {
 	if len(args) == 0 {
-		usage()
+		printCommands(os.Stderr, parent, table)
 		return exitUsage
 	}
-	for _, c := range commands() {
+	if isHelp(args[0]) {
+		printCommands(os.Stdout, parent, table)
+		return exitOK
+	}
+	for _, c := range table {
 		if c.name == args[0] {
 			return c.run(args[1:])
 		}
 	}
-	fmt.Fprintf(os.Stderr, "heatherloom: unknown command %q\n", args[0])
-	usage()
+	names := make([]string, 0, len(table))
+	for _, c := range table {
+		names = append(names, c.name)
+	}
+	fmt.Fprintf(os.Stderr, "%s: unknown command %q; did you mean %q?\n", commandLine(parent), args[0], nearest(args[0], names))
+	printCommands(os.Stderr, parent, table)
 	return exitUsage
 }
 
-func usage() {
-	fmt.Fprintln(os.Stderr, "usage: heatherloom COMMAND [flags]")
-	for _, c := range commands() {
-		fmt.Fprintf(os.Stderr, "  %-10s %s\n", c.name, c.summary)
+func printCommands(w io.Writer, parent string, table []command) {
+	fmt.Fprintf(w, "usage: %s COMMAND [flags]\n\ncommands:\n", commandLine(parent))
+	for _, c := range table {
+		fmt.Fprintf(w, "  %-10s %s\n", c.name, c.summary)
 	}
+	fmt.Fprintf(w, "\nRun '%s COMMAND -h' for the flags and examples of a command.\n", commandLine(parent))
 }
--- a/cmd/heatherloom/serve.go
+++ b/cmd/heatherloom/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"os/signal"
@@ -12,23 +11,20 @@
 	"github.com/sirupsen/logrus"
 
 	"heatherloom/internal/node"
-	"heatherloom/internal/settings"
 )
 
 // shutdownTimeout bounds the wait for running requests after a signal.
 const shutdownTimeout = 10 * time.Minute
 
 func runServe(args []string) int {
-	flags := flag.NewFlagSet("serve", flag.ContinueOnError)
+	flags := newFlagSet("serve", "Runs an entry instance until SIGTERM or an interrupt, then lets its requests end.",
+		"serve -config /etc/heatherloom/hobart-1.ini")
 	path := flags.String("config", "heatherloom.ini", "settings `FILE`")
-	if err := flags.Parse(args); err != nil {
-		return exitUsage
+	if _, status, done := parseFlags(flags, args); done {
+		return status
 	}
-	s, problems := settings.Load(*path)
-	if len(problems) > 0 {
-		for _, p := range problems {
-			fmt.Fprintln(os.Stderr, p)
-		}
+	s, ok := loadSettings(*path)
+	if !ok {
 		return exitUsage
 	}
 	log := logrus.New()
--- a/cmd/heatherloom/standin.go
+++ b/cmd/heatherloom/standin.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"time"
@@ -15,12 +14,14 @@
 }
 
 func runStandin(args []string) int {
-	flags := flag.NewFlagSet("standin", flag.ContinueOnError)
+	flags := newFlagSet("standin", "Runs a stand-in of an outside part on loopback until SIGTERM or an interrupt.",
+		"standin -kind store -listen 127.0.0.1:2379",
+		"standin -kind engine -token-interval 20ms")
 	kind := flags.String("kind", "", "store, instances, engine or service")
 	listen := flags.String("listen", "127.0.0.1:0", "`ADDRESS` as host:port")
 	token := flags.Duration("token-interval", 5*time.Millisecond, "time between two tokens of an engine")
-	if err := flags.Parse(args); err != nil {
-		return exitUsage
+	if _, status, done := parseFlags(flags, args); done {
+		return status
 	}
 	server, err := startStandin(*kind, *listen, *token)
 	if err != nil {
--- /dev/null
+++ b/cmd/heatherloom/version.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"runtime/debug"
+)
+
+func runVersion(args []string) int {
+	flags := newFlagSet("version", "Prints the module version, the commit and the Go version of this binary.", "version")
+	if _, status, done := parseFlags(flags, args); done {
+		return status
+	}
+	version, commit := buildVersion()
+	fmt.Printf("%s version=%s commit=%s go=%s\n", programName, version, commit, runtime.Version())
+	return exitOK
+}
+
+// buildVersion returns what the Go toolchain recorded in the binary; "unknown" where
+// it recorded nothing.
+func buildVersion() (version, commit string) {
+	version, commit = "unknown", "unknown"
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return version, commit
+	}
+	if info.Main.Version != "" {
+		version = info.Main.Version
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			commit = setting.Value
+		}
+	}
+	return version, commit
+}
