Report every fault of a settings file with its line and what is allowed

Cause: Load reported no line numbers, ignored unknown and repeated keys, took any host:port for an address, and ended at the first syntax fault. A value was cut at # or ; without a message.

Change: keys.go holds one line per key with its default and its parser.

Conclusion: a new key is a field, a line of the table and a row of the page.

--- a/cmd/heatherloom/serve.go
+++ b/cmd/heatherloom/serve.go
@@ -6,16 +6,12 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"heatherloom/internal/node"
 )
 
-// shutdownTimeout bounds the wait for running requests after a signal.
-const shutdownTimeout = 10 * time.Minute
-
 func runServe(args []string) int {
 	flags := newFlagSet("serve", "Runs an entry instance until SIGTERM or an interrupt, then lets its requests end.",
 		"serve -config /etc/heatherloom/hobart-1.ini")
@@ -35,7 +31,7 @@
 	}
 	log.WithFields(logrus.Fields{"event": "started", "instance": s.Instance.ID, "caller": n.CallerAddress, "peer": n.PeerAddress}).Info("entry instance started")
 	waitForSignal()
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.Shutdown.Timeout)
 	defer cancel()
 	if err := n.Shutdown(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "heatherloom:", err)
--- /dev/null
+++ b/internal/settings/keys.go
@@ -0,0 +1,45 @@
+package settings
+
+import (
+	"strings"
+	"time"
+)
+
+// required stands in place of a default for keys that have none.
+const required = "required"
+
+const (
+	minShutdownTimeout = time.Second
+	maxShutdownTimeout = time.Hour
+)
+
+// key is one key of the settings file.
+type key struct {
+	// name is section.key.
+	name string
+	// preset is the text of the default, or required.
+	preset string
+	// field parses the text of a value and stores it in its field of Settings.
+	field field
+}
+
+// section returns the part of the name before the dot.
+func (k key) section() string {
+	section, _, _ := strings.Cut(k.name, ".")
+	return section
+}
+
+// keys are all keys of the settings file, in the order of docs/settings.md.
+var keys = []key{
+	{"instance.id", required, in(identifier, func(s *Settings) *string { return &s.Instance.ID })},
+	{"instance.region", required, in(identifier, func(s *Settings) *string { return &s.Instance.Region })},
+	{"instance.failure_domain", required, in(identifier, func(s *Settings) *string { return &s.Instance.FailureDomain })},
+	{"listeners.caller", required, in(address, func(s *Settings) *string { return &s.Listeners.Caller })},
+	{"listeners.peer", required, in(address, func(s *Settings) *string { return &s.Listeners.Peer })},
+	{"listeners.operator", required, in(address, func(s *Settings) *string { return &s.Listeners.Operator })},
+	{"platform.store", required, in(baseURL, func(s *Settings) *string { return &s.Platform.Store })},
+	{"platform.instances", required, in(webURL, func(s *Settings) *string { return &s.Platform.Instances })},
+	{"peer.secret", required, in(secret, func(s *Settings) *string { return &s.Peer.Secret })},
+	{"peer.seeds", "", in(listOf(address), func(s *Settings) *[]string { return &s.Peer.Seeds })},
+	{"shutdown.timeout", "10m", in(duration(minShutdownTimeout, maxShutdownTimeout), func(s *Settings) *time.Duration { return &s.Shutdown.Timeout })},
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,102 +1,98 @@
 // Package settings reads the INI settings of one process. They are read once at
 // start-up; the operators' configuration is separate, see package opconfig.
+//
+// A key is a field of its section's type and one line of the table in keys.go, and
+// docs/settings.md describes it; tests fail if one of the three is missing.
 package settings
 
 import (
 	"fmt"
-	"net"
-
-	"gopkg.in/ini.v1"
+	"strings"
+	"time"
 )
 
 // Settings are the settings of an entry instance.
 type Settings struct {
-	Instance  Instance  `ini:"instance"`
-	Listeners Listeners `ini:"listeners"`
-	Platform  Platform  `ini:"platform"`
-	Peer      Peer      `ini:"peer"`
+	Instance  Instance
+	Listeners Listeners
+	Platform  Platform
+	Peer      Peer
+	Shutdown  Shutdown
 }
 
 // Instance is the section [instance].
 type Instance struct {
-	ID            string `ini:"id"`
-	Region        string `ini:"region"`
-	FailureDomain string `ini:"failure_domain"`
+	// ID names the instance in logs, status and the instance list. Required; it is
+	// unique among all instances.
+	ID string
+	// Region is the region that the instance serves. Required; routing and home
+	// regions of client accounts refer to it.
+	Region string
+	// FailureDomain is the part of the region that fails as one. Required.
+	FailureDomain string
 }
 
-// Listeners is the section [listeners]. Addresses are host:port with an IP number.
+// Listeners is the section [listeners]. Addresses are an IP number and a port; port
+// 0 takes a free one. They are announced to other instances, so that 0.0.0.0 and ::
+// are not allowed, and they differ from each other.
 type Listeners struct {
-	Caller   string `ini:"caller"`
-	Peer     string `ini:"peer"`
-	Operator string `ini:"operator"`
+	// Caller is the address of the caller API. Required.
+	Caller string
+	// Peer is the address for other entry instances. Required.
+	Peer string
+	// Operator is the address of status, drain and metrics. Required.
+	Operator string
 }
 
 // Platform is the section [platform].
 type Platform struct {
-	// Store is the base URL of the key-value service.
-	Store string `ini:"store"`
-	// Instances is the URL of the instance list.
-	Instances string `ini:"instances"`
+	// Store is the base URL of the key-value service, http or https without a path.
+	// Required.
+	Store string
+	// Instances is the URL of the instance list, http or https. Required.
+	Instances string
 }
 
 // Peer is the section [peer].
 type Peer struct {
-	// Secret authenticates entry instances to each other.
-	Secret string `ini:"secret"`
-	// Seeds are peer addresses to announce to at start-up.
-	Seeds []string `ini:"seeds" delim:","`
+	// Secret authenticates entry instances to each other; all of them have the same.
+	// Required, at least 16 characters. It is never printed.
+	Secret string
+	// Seeds are the peer addresses to announce to at start-up. Default none, with
+	// which the instance learns its peers from their heartbeats alone.
+	Seeds []string
+}
+
+// Shutdown is the section [shutdown].
+type Shutdown struct {
+	// Timeout bounds the wait for running requests after a signal. Default 10m, from
+	// 1s to 1h; requests that still run then are cut.
+	Timeout time.Duration
 }
 
 // Problem is one fault of a settings file.
 type Problem struct {
-	File    string
-	Line    int
-	Key     string
+	File string
+	// Line starts at 1; 0 if the file could not be read.
+	Line int
+	// Key is section.key; empty if the fault is not about one key.
+	Key string
+	// Message says what is wrong and what is allowed. It never contains a secret.
 	Message string
 }
 
-// String formats the problem as file:line: key: message.
+// String formats the problem as file:line: key: message, without the parts that are
+// not known.
 func (p Problem) String() string {
-	return fmt.Sprintf("%s:%d: %s: %s", p.File, p.Line, p.Key, p.Message)
-}
-
-// Load reads the file and returns every fault in it.
-func Load(path string) (Settings, []Problem) {
-	var s Settings
-	file, err := ini.Load(path)
-	if err != nil {
-		return s, []Problem{{File: path, Message: err.Error()}}
-	}
-	if err := file.MapTo(&s); err != nil {
-		return s, []Problem{{File: path, Message: err.Error()}}
-	}
-	return s, s.check(path)
-}
-
-func (s Settings) check(path string) []Problem {
-	var problems []Problem
-	required := map[string]string{
-		"instance.id":             s.Instance.ID,
-		"instance.region":         s.Instance.Region,
-		"instance.failure_domain": s.Instance.FailureDomain,
-		"platform.store":          s.Platform.Store,
-		"platform.instances":      s.Platform.Instances,
-		"peer.secret":             s.Peer.Secret,
-	}
-	for key, value := range required {
-		if value == "" {
-			problems = append(problems, Problem{File: path, Key: key, Message: "a value is required"})
-		}
-	}
-	addresses := map[string]string{
-		"listeners.caller":   s.Listeners.Caller,
-		"listeners.peer":     s.Listeners.Peer,
-		"listeners.operator": s.Listeners.Operator,
+	var b strings.Builder
+	b.WriteString(p.File)
+	if p.Line > 0 {
+		fmt.Fprintf(&b, ":%d", p.Line)
 	}
-	for key, value := range addresses {
-		if _, _, err := net.SplitHostPort(value); err != nil {
-			problems = append(problems, Problem{File: path, Key: key, Message: "must be host:port"})
-		}
+	b.WriteString(": ")
+	if p.Key != "" {
+		b.WriteString(p.Key + ": ")
 	}
-	return problems
+	b.WriteString(p.Message)
+	return b.String()
 }
--- /dev/null
+++ b/internal/settings/values.go
@@ -0,0 +1,149 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// minSecretLength is the least number of characters of a shared secret.
+const minSecretLength = 16
+
+var identifierPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// errEmpty reports a key without a value.
+var errEmpty = errors.New("a value is required")
+
+// field stores the text of a value in its place, or returns what is allowed.
+type field interface {
+	set(s *Settings, text string) error
+	// place returns the pointer to the field of s.
+	place(s *Settings) any
+}
+
+type typedField[T any] struct {
+	parse func(string) (T, error)
+	at    func(*Settings) *T
+}
+
+// in returns the field at the given place whose values parse accepts.
+func in[T any](parse func(string) (T, error), at func(*Settings) *T) field {
+	return typedField[T]{parse: parse, at: at}
+}
+
+func (f typedField[T]) set(s *Settings, text string) error {
+	value, err := f.parse(text)
+	if err != nil {
+		return err
+	}
+	*f.at(s) = value
+	return nil
+}
+
+func (f typedField[T]) place(s *Settings) any { return f.at(s) }
+
+// identifier accepts names of instances, regions and failure domains.
+func identifier(text string) (string, error) {
+	if text == "" {
+		return "", errEmpty
+	}
+	if !identifierPattern.MatchString(text) {
+		return "", fmt.Errorf("%q is not a name; allowed are 1 to 63 letters, digits, dots, hyphens and underscores, with a letter or digit first", text)
+	}
+	return text, nil
+}
+
+// address accepts an IP number and a port that other instances can connect to.
+func address(text string) (string, error) {
+	if text == "" {
+		return "", errEmpty
+	}
+	parsed, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return "", fmt.Errorf("%q is not an address; allowed is an IP number and a port from 0 to 65535, as in 10.1.0.7:8443 or [fd00::7]:8443", text)
+	}
+	if parsed.Addr().IsUnspecified() {
+		return "", fmt.Errorf("%q cannot be announced to other instances; allowed is the IP number that they connect to", text)
+	}
+	return text, nil
+}
+
+// webURL accepts an http or https URL.
+func webURL(text string) (string, error) {
+	if text == "" {
+		return "", errEmpty
+	}
+	parsed, err := url.Parse(text)
+	if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		return "", errors.New("the value is not a URL; allowed is http or https with a host, as in http://10.1.0.2:2379")
+	}
+	return text, nil
+}
+
+// baseURL accepts an http or https URL without path and query, to which paths are added.
+func baseURL(text string) (string, error) {
+	if _, err := webURL(text); err != nil {
+		return "", err
+	}
+	trimmed := strings.TrimSuffix(text, "/")
+	parsed, err := url.Parse(trimmed)
+	if err != nil || parsed.Path != "" || parsed.RawQuery != "" || parsed.Fragment != "" {
+		return "", errors.New("the URL has a path, query or fragment; allowed is only scheme, host and port, as in http://10.1.0.2:2379")
+	}
+	return trimmed, nil
+}
+
+// secret accepts a shared secret. Its errors do not contain the value.
+func secret(text string) (string, error) {
+	if text == "" {
+		return "", errEmpty
+	}
+	if len(text) < minSecretLength {
+		return "", fmt.Errorf("the secret is too short; allowed are at least %d characters", minSecretLength)
+	}
+	return text, nil
+}
+
+// duration accepts a Go duration within bounds.
+func duration(lowest, highest time.Duration) func(string) (time.Duration, error) {
+	return func(text string) (time.Duration, error) {
+		if text == "" {
+			return 0, errEmpty
+		}
+		value, err := time.ParseDuration(text)
+		if err != nil {
+			return 0, fmt.Errorf("%q is not a duration; allowed is a number with a unit, as in 500ms, 30s or 10m, from %s to %s", text, lowest, highest)
+		}
+		if value < lowest || value > highest {
+			return 0, fmt.Errorf("%q is out of range; allowed is from %s to %s", text, lowest, highest)
+		}
+		return value, nil
+	}
+}
+
+// listOf accepts values separated by commas, none of them twice; an empty text is an
+// empty list.
+func listOf(parse func(string) (string, error)) func(string) ([]string, error) {
+	return func(text string) ([]string, error) {
+		if text == "" {
+			return nil, nil
+		}
+		var values []string
+		for part := range strings.SplitSeq(text, ",") {
+			value, err := parse(strings.TrimSpace(part))
+			if err != nil {
+				return nil, err
+			}
+			if slices.Contains(values, value) {
+				return nil, fmt.Errorf("%q occurs twice; allowed is each value once", value)
+			}
+			values = append(values, value)
+		}
+		return values, nil
+	}
+}
