Add the operators' sheet: check, diff, apply and status

Cause: operators could change the configuration only through code.

Change: internal/sheet parses the CSV and reports every fault by row and column, lists the changes against a configuration, and gives the state of each row. internal/operatorapi holds the types of GET /v1/status; internal/fleetstatus asks the instances and the peers that they name. Removals by absence need -allow-removals. A withdrawn key that a sheet has as active needs -allow-reinstated, because an old export would make a revoked key valid again. A row with state none says that a type has no records, which absence cannot say.

Ruled out: repeating cells in messages, since a misplaced cell may be a key; line numbers in place of rows, which differ after a quoted line break; refusing past deadlines that were accepted before, which blocks the sheet in the afternoon.

Conclusion: a sheet goes from check to status. GET /v1/status is not served yet, so status was tested against a listener of the tests.

--- a/cmd/heatherloom/command_test.go
+++ b/cmd/heatherloom/command_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"os"
 	"os/exec"
 	"testing"
 	"time"
@@ -76,3 +77,18 @@
 		Expect(r.stdout).To(MatchRegexp(`^heatherloom version=\S+ commit=\S+ go=go1`))
 	})
 })
+
+// captureStderr returns what fn writes to standard error.
+func captureStderr(fn func()) string {
+	GinkgoHelper()
+	file, err := os.CreateTemp(GinkgoT().TempDir(), "stderr")
+	Expect(err).NotTo(HaveOccurred())
+	defer file.Close()
+	before := os.Stderr
+	defer func() { os.Stderr = before }()
+	os.Stderr = file
+	fn()
+	raw, err := os.ReadFile(file.Name())
+	Expect(err).NotTo(HaveOccurred())
+	return string(raw)
+}
--- /dev/null
+++ b/cmd/heatherloom/sheet.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/url"
+	"os"
+	"time"
+
+	"heatherloom/internal/configsync"
+	"heatherloom/internal/opconfig"
+	"heatherloom/internal/platform"
+	"heatherloom/internal/platform/etcdgw"
+	"heatherloom/internal/sheet"
+)
+
+// sheetTimeout bounds a sheet command. It covers 920 instances that do not answer.
+const sheetTimeout = time.Minute
+
+func sheetCommands() []command {
+	return []command{
+		{"check", "check a sheet and print every fault in it", runSheetCheck},
+		{"diff", "print what a sheet would change", runSheetDiff},
+		{"apply", "make a sheet the accepted configuration", runSheetApply},
+		{"status", "print how far each row of a sheet has come", runSheetStatus},
+	}
+}
+
+func runSheet(args []string) int {
+	return runTable("sheet", sheetCommands(), args)
+}
+
+func storeFlag(flags *flag.FlagSet) *string {
+	return flags.String("store", "", "base `URL` of the key-value service; required")
+}
+
+// openStore returns the key-value service at the URL. It prints a fault of the URL.
+func openStore(command, address string) (platform.Store, bool) {
+	parsed, err := url.Parse(address)
+	if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		fmt.Fprintf(os.Stderr, "%s: -store is missing or not a URL; allowed is http or https with a host, as in http://10.1.0.2:2379\n", commandLine(command))
+		return nil, false
+	}
+	return etcdgw.New(address), true
+}
+
+// loadConfig reads the accepted configuration. It prints a failure.
+func loadConfig(ctx context.Context, command string, store platform.Store) (*opconfig.Config, bool) {
+	config, err := configsync.Load(ctx, store)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: the configuration cannot be read: %v\n", commandLine(command), err)
+		return nil, false
+	}
+	return config, true
+}
+
+// readSheet parses a sheet file. It prints the faults.
+func readSheet(path string, known sheet.Known) (sheet.Sheet, bool) {
+	file, err := os.Open(path)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: the sheet cannot be read: %v\n", path, err)
+		return sheet.Sheet{}, false
+	}
+	defer file.Close()
+	s, problems := sheet.Parse(file, known)
+	for _, problem := range problems {
+		fmt.Fprintf(os.Stderr, "%s: %s\n", path, problem)
+	}
+	return s, len(problems) == 0
+}
+
+func printChanges(changes []sheet.Change) {
+	for _, change := range changes {
+		fmt.Println(change)
+	}
+}
--- /dev/null
+++ b/cmd/heatherloom/sheet_status.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"heatherloom/internal/fleetstatus"
+	"heatherloom/internal/operatorapi"
+	"heatherloom/internal/sheet"
+)
+
+func runSheetStatus(args []string) int {
+	flags := newFlagSet("sheet status FILE",
+		"Prints for each row whether it is accepted, in force on how many instances, done, or\ntaken back and why. With -operator it asks these instances and all peers that they\nname. Exits with status 1 if a row is not accepted or taken back, or if an instance\ndoes not answer.",
+		"sheet status morning.csv -store http://10.1.0.2:2379 -operator http://10.1.0.7:9090,http://10.2.0.7:9090")
+	address := storeFlag(flags)
+	operators := flags.String("operator", "", "base `URL,...` of operator listeners; without it only the key-value service is asked")
+	values, status, done := parseFlags(flags, args)
+	if done {
+		return status
+	}
+	store, ok := openStore("sheet status", *address)
+	if !ok {
+		return exitUsage
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), sheetTimeout)
+	defer cancel()
+	config, ok := loadConfig(ctx, "sheet status", store)
+	if !ok {
+		return exitFailure
+	}
+	s, ok := readSheet(values[0], sheet.Known{Config: config})
+	if !ok {
+		return exitUsage
+	}
+	instances := fleetstatus.Collect(ctx, splitList(*operators))
+	answers, silent := splitAnswers(instances)
+	fmt.Printf("%s: revision %d is accepted; %d of %d instances answered\n", values[0], config.Revision, len(answers), len(instances))
+	for _, instance := range silent {
+		fmt.Printf("instance %s does not answer at %s: %v\n", instance.Name(), instance.URL, instance.Err)
+	}
+	result := sheet.Status(config, s, answers, len(instances))
+	for _, row := range result {
+		fmt.Println(row)
+	}
+	if len(silent) > 0 || hasFailed(result) {
+		return exitFailure
+	}
+	return exitOK
+}
+
+func splitList(text string) []string {
+	return strings.FieldsFunc(text, func(c rune) bool { return c == ',' || c == ' ' })
+}
+
+func splitAnswers(instances []fleetstatus.Instance) (answers []operatorapi.Status, silent []fleetstatus.Instance) {
+	for _, instance := range instances {
+		if instance.Status == nil {
+			silent = append(silent, instance)
+			continue
+		}
+		answers = append(answers, *instance.Status)
+	}
+	return answers, silent
+}
+
+func hasFailed(rows []sheet.RowStatus) bool {
+	for _, row := range rows {
+		if row.State == sheet.RowNotAccepted || row.State == sheet.RowTakenBack {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/sheet/parser.go
@@ -0,0 +1,205 @@
+package sheet
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"heatherloom/internal/opconfig"
+)
+
+// rowType describes the rows of one type.
+type rowType struct {
+	name  string
+	table opconfig.Table
+	// required and optional are the columns of the type besides type and note.
+	required []string
+	optional []string
+	// read stores the record of a row whose columns were checked.
+	read func(*parser, row)
+}
+
+func (t rowType) columns() []string {
+	return slices.Concat([]string{columnType}, t.required, t.optional, []string{columnNote})
+}
+
+// rowTypes are all row types.
+func rowTypes() []rowType {
+	return []rowType{
+		{"account", opconfig.TableAccounts, []string{columnName, columnRate, columnBurst}, []string{columnHome, columnState}, (*parser).readAccount},
+		{"key", opconfig.TableKeys, []string{columnName, columnAccount, columnKey}, []string{columnState}, (*parser).readKey},
+		{"model", opconfig.TableModels, []string{columnName, columnVersion}, nil, (*parser).readModel},
+		{"route", opconfig.TableRoutes, []string{columnName, columnService}, []string{columnMethods, columnOpen, columnHome}, (*parser).readRoute},
+		{"version", opconfig.TableMoves, []string{columnName, columnVersion, columnDeadline}, nil, (*parser).readVersion},
+		{"leaving", opconfig.TableLeaving, []string{columnName}, nil, (*parser).readLeaving},
+	}
+}
+
+// typeOf returns the row type of a table.
+func typeOf(table opconfig.Table) string {
+	for _, t := range rowTypes() {
+		if t.table == table {
+			return t.name
+		}
+	}
+	return string(table)
+}
+
+// stateNone in a row with no other cell than its type says that the sheet states the
+// type and that there are no records of it.
+const stateNone = "none"
+
+// parser collects the rows and faults of one sheet.
+type parser struct {
+	known    Known
+	sheet    Sheet
+	problems []Problem
+	// first holds the row that first used an identity; see claim.
+	first map[string]int
+	// empty holds the row that states that a table has no records.
+	empty map[opconfig.Table]int
+	// references are checked after all rows are read.
+	references []reference
+}
+
+// reference is a cell that must name a record of another row or of the configuration.
+type reference struct {
+	row    int
+	column string
+	table  opconfig.Table
+	name   string
+}
+
+func (p *parser) report(row int, column, format string, args ...any) {
+	p.problems = append(p.problems, Problem{Row: row, Column: column, Message: fmt.Sprintf(format, args...)})
+}
+
+func (p *parser) readRow(r row) {
+	types := rowTypes()
+	at := slices.IndexFunc(types, func(t rowType) bool { return t.name == strings.ToLower(r.cells[columnType]) })
+	if at < 0 {
+		p.report(r.number, columnType, "missing or unknown row type; allowed are %s", typeNames(types))
+		return
+	}
+	t := types[at]
+	p.sheet.Stated[t.table] = true
+	if p.isEmptyStatement(r) {
+		p.empty[t.table] = r.number
+		return
+	}
+	p.checkColumns(r, t)
+	t.read(p, r)
+}
+
+func typeNames(types []rowType) string {
+	var names []string
+	for _, t := range types {
+		names = append(names, t.name)
+	}
+	return strings.Join(names, ", ")
+}
+
+func (p *parser) isEmptyStatement(r row) bool {
+	for column := range r.cells {
+		if column != columnType && column != columnState && column != columnNote {
+			return false
+		}
+	}
+	return strings.ToLower(r.cells[columnState]) == stateNone
+}
+
+func (p *parser) checkColumns(r row, t rowType) {
+	for _, column := range t.required {
+		if r.cells[column] == "" {
+			p.report(r.number, column, "the cell is empty; %s rows require %s", t.name, strings.Join(t.required, ", "))
+		}
+	}
+	for _, column := range columns {
+		if r.cells[column] != "" && !slices.Contains(t.columns(), column) {
+			p.report(r.number, column, "%s rows do not use this column; allowed are %s", t.name, strings.Join(t.columns(), ", "))
+		}
+	}
+}
+
+// claim records that the row uses an identity, which is unique in the sheet. It
+// reports a repeated one in column. An empty cell has no identity.
+func (p *parser) claim(r row, column, kind, id string) {
+	if id == "" {
+		return
+	}
+	full := kind + "\x00" + id
+	if first, ok := p.first[full]; ok {
+		p.report(r.number, column, "the %s is that of row %d; allowed is one row for each", kind, first)
+		return
+	}
+	p.first[full] = r.number
+}
+
+// addRow records the row of a record that was read.
+func (p *parser) addRow(r row, table opconfig.Table, id, name string) {
+	p.sheet.Rows = append(p.sheet.Rows, Row{Number: r.number, Type: typeOf(table), Name: name, Table: table, ID: id})
+}
+
+// checkEmpty reports rows of a type that another row states to have no records.
+func (p *parser) checkEmpty() {
+	for _, r := range p.sheet.Rows {
+		if empty, ok := p.empty[r.Table]; ok {
+			p.report(r.Number, columnType, "row %d states that there are no %s rows; allowed is either", empty, r.Type)
+		}
+	}
+}
+
+// checkReferences reports keys of unknown accounts and versions of unknown models and
+// services.
+func (p *parser) checkReferences() {
+	for _, ref := range p.references {
+		if ref.table == opconfig.TableAccounts {
+			accounts, ok := p.namesOf(opconfig.TableAccounts)
+			if ok && !accounts[ref.name] {
+				p.report(ref.row, ref.column, "unknown client account; allowed are the names of account rows, or of accounts in force if the sheet has no account rows")
+			}
+			continue
+		}
+		models, haveModels := p.namesOf(opconfig.TableModels)
+		services, haveServices := p.namesOf(opconfig.TableRoutes)
+		if (haveModels || haveServices) && !models[ref.name] && !services[ref.name] {
+			p.report(ref.row, ref.column, "unknown model or service; allowed are the names of model rows and the services of route rows, or those in force for types that the sheet does not have")
+		}
+	}
+}
+
+// namesOf returns the names that references to a table may use: accounts, models, or
+// the services of routes. It returns false if they are not known.
+func (p *parser) namesOf(table opconfig.Table) (map[string]bool, bool) {
+	config := p.sheet.Records
+	if !p.sheet.Stated[table] {
+		config = p.known.Config
+	}
+	if config == nil {
+		return nil, false
+	}
+	return namesIn(config, table), true
+}
+
+func namesIn(config *opconfig.Config, table opconfig.Table) map[string]bool {
+	names := map[string]bool{}
+	switch table {
+	case opconfig.TableAccounts:
+		for name := range config.Accounts {
+			names[name] = true
+		}
+	case opconfig.TableModels:
+		for name := range config.Models {
+			names[name] = true
+		}
+	case opconfig.TableRoutes:
+		for _, route := range config.Routes {
+			names[route.Service] = true
+		}
+	}
+	return names
+}
+
+func sortProblems(problems []Problem) {
+	slices.SortStableFunc(problems, func(a, b Problem) int { return a.Row - b.Row })
+}
--- /dev/null
+++ b/internal/sheet/sheet_test.go
@@ -0,0 +1,246 @@
+package sheet
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"heatherloom/internal/opconfig"
+	"heatherloom/internal/operatorapi"
+)
+
+func TestSheet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "sheet")
+}
+
+const (
+	header = "type,name,account,key,state,rate,burst,home,service,methods,open,version,deadline,note\n"
+	plain  = "sk-derwent-0000001"
+	// full has one row of each type.
+	full = header +
+		"account,derwent,,,,10,20,hobart,,,,,,\n" +
+		"key,buoy,derwent," + plain + ",,,,,,,,,,\n" +
+		"model,lantern,,,,,,,,,,1,,\n" +
+		"route,/orders,,,,,,hobart,ledger,get head,no,,,\n" +
+		"version,lantern,,,,,,,,,,2,2026-12-04T16:00+11:00,\n" +
+		"leaving,engine-3,,,,,,,,,,,,disk fault\n"
+)
+
+var now = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func parse(text string) (Sheet, []string) {
+	s, problems := Parse(strings.NewReader(text), Known{Now: now})
+	var lines []string
+	for _, p := range problems {
+		lines = append(lines, p.String())
+	}
+	return s, lines
+}
+
+func mustParse(text string, known Known) Sheet {
+	GinkgoHelper()
+	s, problems := Parse(strings.NewReader(text), known)
+	Expect(problems).To(BeEmpty())
+	return s
+}
+
+// applied returns the configuration after the sheet.
+func applied(config *opconfig.Config, s Sheet) *opconfig.Config {
+	GinkgoHelper()
+	delta := opconfig.Delta{Revision: config.Revision + 1}
+	for _, change := range Diff(config, s) {
+		delta.Changes = append(delta.Changes, change.Record)
+	}
+	next, err := config.Apply(delta)
+	Expect(err).NotTo(HaveOccurred())
+	return next
+}
+
+func diffLines(config *opconfig.Config, text string) []string {
+	GinkgoHelper()
+	var lines []string
+	for _, change := range Diff(config, mustParse(text, Known{Now: now, Config: config})) {
+		lines = append(lines, strings.Join(strings.Fields(change.String()), " "))
+	}
+	return lines
+}
+
+var _ = Describe("Parse", func() {
+	// Guards against a field that is dropped or converted wrongly.
+	It("converts one row of each type", func() {
+		records := mustParse(full, Known{Now: now}).Records
+		hash := opconfig.HashKey(plain)
+		Expect(records.Accounts).To(Equal(map[string]opconfig.Account{"derwent": {Name: "derwent", Rate: 10, Burst: 20, Home: "hobart"}}))
+		Expect(records.Keys).To(Equal(map[string]opconfig.Key{hash: {Hash: hash, ID: "buoy", Account: "derwent"}}))
+		Expect(records.Models).To(Equal(map[string]opconfig.Model{"lantern": {Name: "lantern", Version: "1"}}))
+		Expect(records.Routes).To(Equal(map[string]opconfig.Route{"/orders": {Prefix: "/orders", Service: "ledger", Idempotent: []string{"GET", "HEAD"}, Home: "hobart"}}))
+		Expect(records.Moves).To(Equal(map[string]opconfig.Move{"lantern@2": {Target: "lantern", Version: "2", Deadline: time.Date(2026, 12, 4, 5, 0, 0, 0, time.UTC)}}))
+		Expect(records.Leaving).To(Equal(map[string]opconfig.Leaving{"engine-3": {Instance: "engine-3", Since: now}}))
+	})
+
+	// Guards against sheets of spreadsheet programs that are refused or read differently.
+	It("accepts a byte order mark, CRLF, quotes, blank rows and any order of columns", func() {
+		text := "\ufeff\r\n Name ,TYPE,\"rate\",burst,note,\r\n,,,,,\r\n\r\n\"derwent\",Account,\"10\",20,\"two\r\nlines, \"\"quoted\"\"\",\r\nbad,account,1,,,\r\n"
+		s, problems := parse(text)
+		Expect(s.Records.Accounts).To(HaveKeyWithValue("derwent", opconfig.Account{Name: "derwent", Rate: 10, Burst: 20}))
+		Expect(s.Rows[0].Number).To(Equal(5))
+		Expect(problems).To(Equal([]string{"row 6, column burst: the cell is empty; account rows require name, rate, burst"}))
+	})
+
+	It("takes a hash in place of a key", func() {
+		hash := opconfig.HashKey(plain)
+		text := "type,name,account,key\nkey,buoy,derwent,sha256:" + strings.ToUpper(hash) + "\n"
+		Expect(mustParse(text, Known{Now: now}).Records.Keys).To(HaveKey(hash))
+	})
+
+	// Guards against a fault that is not reported, or not at its row and column, or
+	// without what is allowed.
+	DescribeTable("reports a fault by row and column",
+		func(text string, want ...string) {
+			if !strings.HasPrefix(text, "type") && text != "" {
+				text = header + text
+			}
+			_, problems := parse(text)
+			Expect(problems).To(HaveLen(len(want)), strings.Join(problems, "\n"))
+			for i := range want {
+				Expect(problems[i]).To(HavePrefix(want[i]))
+				Expect(problems[i]).To(ContainSubstring("allowed"))
+			}
+		},
+		Entry("empty file", "", "the sheet is empty; allowed is a header"),
+		Entry("no rows", "type,name\n", "the sheet has no rows"),
+		Entry("unknown column", "type,name,colour\n", "row 1, column C: unknown column; allowed are type, name"),
+		Entry("column twice", "type,name,Name\n", "row 1, column C: column name occurs twice"),
+		Entry("column missing", "type,rate\n", "row 1, column name: the column is missing"),
+		Entry("cell beyond the header", "type,name\nleaving,a,b\n", "row 2, column C: the cell has no column name"),
+		Entry("not UTF-8", "leaving,a,,,,,,,,,,,,\xff\n", "row 2, column note: the cell is not UTF-8"),
+		Entry("broken quotes", "leaving,a\"b\nleaving,\"c", "row 2: the row is not CSV: bare", "row 3: the row is not CSV: extraneous or missing"),
+		Entry("unknown type", "acount,a\n", "row 2, column type: missing or unknown row type; allowed are account, key"),
+		Entry("foreign column", "leaving,a,,,,5\n", "row 2, column rate: leaving rows do not use this column"),
+		Entry("bad numbers", "account,a,,,,ten,-1\n", "row 2, column rate: the cell is not a number in range", "row 2, column burst: the cell is not a number"),
+		Entry("numbers of programs", "account,a,,,,1e3,0x10\naccount,b,,,,NaN,\"1,5\"\n", "row 2, column rate", "row 2, column burst", "row 3, column rate", "row 3, column burst"),
+		Entry("rates out of range", "account,a,,,,0,0.5\naccount,b,,,,1000001,1\n", "row 2, column rate", "row 2, column burst: the burst is below", "row 3, column rate"),
+		Entry("name over two lines", "account,\"a\nb\",,,,1,1\n", "row 2, column name: the cell is not a name"),
+		Entry("bad region", "account,a,,,,1,1,a b\n", "row 2, column home: the cell is not an identifier"),
+		Entry("bad state", "account,a,,,withdrawn,1,1\n", "row 2, column state: unknown word; allowed are active, suspended"),
+		Entry("duplicate account", "account,a,,,,1,1\naccount,a,,,,2,1\n", "row 3, column name: the account is that of row 2"),
+		Entry("unknown account", "account,a,,,,1,1\nkey,k,b,"+plain+"\n", "row 3, column account: unknown client account"),
+		Entry("short key", "key,k,b,secret\n", "row 2, column key: the cell is not a key; allowed are at least 16"),
+		Entry("broken hash", "key,k,b,sha256:12\n", "row 2, column key: the hash is broken"),
+		Entry("same key twice", "key,k,b,"+plain+"\nkey,k,b,sha256:"+opconfig.HashKey(plain)+"\n", "row 3, column name: the key name", "row 3, column key: the key is that of row 2"),
+		Entry("bad model version", "model,m,,,,,,,,,,1@2\n", "row 2, column version: the cell is not an identifier"),
+		Entry("bad prefixes", "route,orders,,,,,,,l\nroute,/a/,,,,,,,l\nroute,/v1/models,,,,,,,l\n", "row 2, column name: the cell is not a path", "row 3, column name", "row 4, column name: the caller API"),
+		Entry("bad methods", "route,/a,,,,,,,l,GET GET\nroute,/b,,,,,,,l,FETCH\n", "row 2, column methods", "row 3, column methods"),
+		Entry("bad open", "route,/a,,,,,,,l,,maybe\n", "row 2, column open: unknown word"),
+		Entry("unknown target", "model,m,,,,,,,,,,1\nversion,n,,,,,,,,,,2,2026-12-05T00:00Z\n", "row 3, column name: unknown model or service"),
+		Entry("unreadable deadline", "version,m,,,,,,,,,,2,tomorrow\n", "row 2, column deadline: the cell is not a time; allowed is RFC 3339"),
+		Entry("past deadline", "version,m,,,,,,,,,,2,2026-12-03T23:59:59Z\n", "row 2, column deadline: the deadline has passed"),
+		Entry("two rollouts of a model", "version,m,,,,,,,,,,2,2026-12-05T00:00Z\nversion,m,,,,,,,,,,3,2026-12-05T00:00Z\n", "row 3, column name: the model or service is that of row 2"),
+		Entry("none beside a row", "leaving,a\nleaving,,,,none\n", "row 2, column type: row 3 states that there are no leaving rows"),
+	)
+
+	// Guards against an afternoon in which the morning's sheet is refused because a
+	// rollout of it ended.
+	It("accepts a past deadline that was accepted before", func() {
+		config := applied(opconfig.New(), mustParse(full, Known{Now: now}))
+		Expect(diffLines(config, full)).To(BeEmpty())
+		_, problems := Parse(strings.NewReader(full), Known{Now: now.Add(10 * time.Hour), Config: config})
+		Expect(problems).To(BeEmpty())
+		_, problems = Parse(strings.NewReader(strings.Replace(full, "16:00", "16:01", 1)), Known{Now: now.Add(10 * time.Hour), Config: config})
+		Expect(problems).To(HaveLen(1))
+	})
+
+	It("checks references against the configuration for types that the sheet lacks", func() {
+		config := applied(opconfig.New(), mustParse(full, Known{Now: now}))
+		text := "type,name,account,key,version,deadline\nkey,k,absent," + plain + ",,\nversion,ledger,,,7,2026-12-05T00:00Z\nversion,absent,,,7,2026-12-05T00:00Z\n"
+		_, problems := Parse(strings.NewReader(text), Known{Now: now, Config: config})
+		Expect(problems).To(HaveLen(2))
+		Expect(problems[0].Row).To(Equal(2))
+		Expect(problems[1].Row).To(Equal(4))
+	})
+})
+
+var _ = Describe("Diff", func() {
+	var config *opconfig.Config
+	BeforeEach(func() { config = applied(opconfig.New(), mustParse(full, Known{Now: now})) })
+
+	It("lists a record of each type", func() {
+		Expect(diffLines(opconfig.New(), full)).To(Equal([]string{
+			"add account derwent burst=20 home=hobart rate=10",
+			"add key buoy account=derwent",
+			"add model lantern version=1",
+			"add route /orders home=hobart idempotent=GET,HEAD service=ledger",
+			"add version lantern@2 deadline=2026-12-04T05:00:00Z target=lantern version=2",
+			"add leaving engine-3 since=2026-12-04T00:00:00Z",
+		}))
+	})
+
+	// Guards against a sheet that changes what it does not state, and against one that
+	// leaves what it no longer has.
+	DescribeTable("compares only the types that the sheet has",
+		func(text string, want ...string) {
+			Expect(diffLines(config, text)).To(HaveExactElements(want))
+		},
+		Entry("unchanged key", "type,name,account,key\nkey,buoy,derwent,"+plain+"\n"),
+		Entry("changed rate", "type,name,rate,burst,home\naccount,derwent,15,20,hobart\n", "change account derwent rate=10->15"),
+		Entry("new key in place of the old", "type,name,account,key\nkey,buoy,derwent,sk-derwent-0000002\n",
+			"add key buoy account=derwent", "withdraw key buoy withdrawn=none->true"),
+		Entry("explicit withdrawal", "type,name,account,key,state\nkey,buoy,derwent,"+plain+",withdrawn\n", "withdraw key buoy withdrawn=none->true"),
+		Entry("removed account", "type,name,rate,burst\naccount,other,1,1\n",
+			"remove account derwent", "add account other burst=1 rate=1", "withdraw key buoy withdrawn=none->true"),
+		Entry("removed model", "type,name,version\nmodel,other,1\n", "remove model lantern", "add model other version=1", "remove version lantern@2"),
+		Entry("no leaving instance any more", "type,name,state\nleaving,,none\n", "remove leaving engine-3"),
+		Entry("leaving since the morning", "type,name\nleaving,engine-3\n"),
+	)
+
+	// Guards against a withdrawn key that an old sheet makes valid again unnoticed.
+	It("reports a withdrawn key that would become valid again", func() {
+		text := "type,name,account,key,state\nkey,buoy,derwent," + plain + ",withdrawn\n"
+		config = applied(config, mustParse(text, Known{Now: now}))
+		Expect(diffLines(config, full)).To(Equal([]string{"reinstate key buoy withdrawn=true->none"}))
+	})
+
+	// Guards against a removal that passes as an explicit change.
+	It("tells removals by absence from explicit withdrawals", func() {
+		explicit := Diff(config, mustParse("type,name,account,key,state\nkey,buoy,derwent,"+plain+",withdrawn\n", Known{}))
+		Expect(explicit).To(HaveLen(1))
+		Expect(explicit[0].ByAbsence).To(BeFalse())
+		absent := Diff(config, mustParse("type,name,state\nkey,,none\n", Known{}))
+		Expect(absent).To(HaveLen(1))
+		Expect(absent[0].ByAbsence).To(BeTrue())
+	})
+})
+
+var _ = Describe("Status", func() {
+	rollout := func(state operatorapi.RolloutState, step int, reason string) []operatorapi.Rollout {
+		return []operatorapi.Rollout{{Target: "lantern", Version: "2", State: state, Step: step, Reason: reason}}
+	}
+	// Guards against a rollout or a row that is reported as further than it is.
+	DescribeTable("reports the state of each row",
+		func(answers []operatorapi.Status, total int, account, version string) {
+			s := mustParse(full, Known{Now: now})
+			rows := Status(applied(opconfig.New(), s), s, answers, total)
+			Expect(rows).To(HaveLen(6))
+			Expect(rows[0].String()).To(Equal("row 2 account derwent: " + account))
+			Expect(rows[4].String()).To(Equal("row 6 version lantern@2: " + version))
+		},
+		Entry("no instance asked", nil, 0, "accepted", "accepted"),
+		Entry("old revision", []operatorapi.Status{{}}, 2, "accepted, in force on 0 of 2 instances", "accepted, in force on 0 of 2 instances"),
+		Entry("one of two", []operatorapi.Status{{ConfigRevision: 1}}, 2, "in force on 1 of 2 instances", "in force on 1 of 2 instances"),
+		Entry("step", []operatorapi.Status{{ConfigRevision: 1, Rollouts: rollout("share", 5, "")}, {ConfigRevision: 1, Rollouts: rollout("share", 1, "")}}, 2,
+			"done, in force on 2 of 2 instances", "in force on 2 of 2 instances: the version has 5% of the traffic"),
+		Entry("done", []operatorapi.Status{{ConfigRevision: 1, Rollouts: rollout("done", 100, "")}}, 1, "done, in force on 1 of 1 instances", "done, in force on 1 of 1 instances"),
+		Entry("taken back", []operatorapi.Status{{ConfigRevision: 1, Rollouts: rollout("taken_back", 5, "errors on /orders")}, {ConfigRevision: 1, Rollouts: rollout("share", 25, "")}}, 2,
+			"done, in force on 2 of 2 instances", "taken back: errors on /orders"),
+	)
+
+	It("reports rows that differ from the configuration", func() {
+		s := mustParse(full, Known{Now: now})
+		config := applied(opconfig.New(), mustParse(strings.Replace(full, ",10,20,", ",10,30,", 1), Known{Now: now}))
+		Expect(Status(config, s, nil, 0)[0].String()).To(Equal("row 2 account derwent: not accepted: burst=30->20"))
+	})
+})
--- /dev/null
+++ b/internal/sheet/status.go
@@ -0,0 +1,158 @@
+package sheet
+
+import (
+	"cmp"
+	"fmt"
+
+	"heatherloom/internal/opconfig"
+	"heatherloom/internal/operatorapi"
+)
+
+// RowState says how far a row has come.
+type RowState string
+
+// The states of a row.
+const (
+	// RowNotAccepted rows differ from the accepted configuration.
+	RowNotAccepted RowState = "not accepted"
+	// RowAccepted rows are in force on no instance that answered.
+	RowAccepted RowState = "accepted"
+	// RowInForce rows are in force on some instances, or are rollouts under way.
+	RowInForce RowState = "in force"
+	// RowDone rows are in force on all instances; for a version, the rollout completed.
+	RowDone RowState = "done"
+	// RowTakenBack versions were rolled back.
+	RowTakenBack RowState = "taken back"
+)
+
+// RowStatus is the state of one row.
+type RowStatus struct {
+	Row   Row
+	State RowState
+	// Applied is the number of instances that have the row in force, out of Total.
+	Applied, Total int
+	// Detail is the difference of a row that is not accepted, the step of a rollout
+	// under way, or the reason of one that was taken back.
+	Detail string
+}
+
+// String formats the state on one line.
+func (s RowStatus) String() string {
+	text := string(s.State)
+	if s.State != RowNotAccepted && s.State != RowTakenBack {
+		if s.State == RowInForce {
+			text += fmt.Sprintf(" on %d of %d instances", s.Applied, s.Total)
+		} else if s.Total > 0 {
+			text += fmt.Sprintf(", in force on %d of %d instances", s.Applied, s.Total)
+		}
+	}
+	if s.Detail != "" {
+		text += ": " + s.Detail
+	}
+	return fmt.Sprintf("row %d %s %s: %s", s.Row.Number, s.Row.Type, s.Row.Name, text)
+}
+
+// Status returns the state of each row. config is the accepted configuration,
+// answers are those of the instances that answered, and total counts all instances.
+// A row counts as in force on an instance that has config's revision or a later one.
+func Status(config *opconfig.Config, s Sheet, answers []operatorapi.Status, total int) []RowStatus {
+	pending := map[opconfig.Table]map[string]Change{}
+	for _, change := range Diff(config, s) {
+		if pending[change.Record.Table] == nil {
+			pending[change.Record.Table] = map[string]Change{}
+		}
+		pending[change.Record.Table][change.Record.ID] = change
+	}
+	applied := 0
+	for _, answer := range answers {
+		if answer.ConfigRevision >= config.Revision {
+			applied++
+		}
+	}
+	rollouts := mergeRollouts(answers)
+	var result []RowStatus
+	for _, row := range s.Rows {
+		status := RowStatus{Row: row, Applied: applied, Total: total}
+		change, differs := pending[row.Table][row.ID]
+		rollout, known := rollouts[row.ID]
+		switch {
+		case row.Table == opconfig.TableMoves && known && final(rollout.State):
+			status.setRollout(rollout)
+		case differs:
+			status.State = RowNotAccepted
+			status.Detail = cmp.Or(change.Detail, string(change.Action))
+		case row.Table == opconfig.TableMoves:
+			status.setProgress()
+			status.setRollout(rollout)
+		default:
+			status.setProgress()
+		}
+		result = append(result, status)
+	}
+	return result
+}
+
+// setProgress sets the state that the revisions of the instances give.
+func (s *RowStatus) setProgress() {
+	switch {
+	case s.Applied == 0:
+		s.State = RowAccepted
+	case s.Applied < s.Total:
+		s.State = RowInForce
+	default:
+		s.State = RowDone
+	}
+}
+
+// setRollout replaces RowDone by the state of the rollout. A rollout that no instance
+// reports leaves the row in force.
+func (s *RowStatus) setRollout(r operatorapi.Rollout) {
+	switch r.State {
+	case operatorapi.RolloutTakenBack:
+		s.State = RowTakenBack
+		s.Detail = cmp.Or(r.Reason, "no reason given")
+		return
+	case operatorapi.RolloutDone:
+		s.State = RowDone
+		return
+	case operatorapi.RolloutShare:
+		s.Detail = fmt.Sprintf("the version has %d%% of the traffic", r.Step)
+	case "":
+	default:
+		s.Detail = "the rollout is " + string(r.State)
+	}
+	if s.State == RowDone {
+		s.State = RowInForce
+	}
+}
+
+func final(state operatorapi.RolloutState) bool {
+	return state == operatorapi.RolloutDone || state == operatorapi.RolloutTakenBack
+}
+
+// progress orders the states of a rollout; instances learn of a state at different
+// times, and the furthest one is the newest.
+var progress = map[operatorapi.RolloutState]int{
+	operatorapi.RolloutPlanned:   1,
+	operatorapi.RolloutLoading:   2,
+	operatorapi.RolloutShare:     3,
+	operatorapi.RolloutFinishing: 4,
+	operatorapi.RolloutDone:      5,
+	operatorapi.RolloutTakenBack: 6,
+}
+
+// mergeRollouts returns the furthest state of each rollout by its move id.
+func mergeRollouts(answers []operatorapi.Status) map[string]operatorapi.Rollout {
+	merged := map[string]operatorapi.Rollout{}
+	for _, answer := range answers {
+		for _, r := range answer.Rollouts {
+			id := opconfig.Move{Target: r.Target, Version: r.Version}.ID()
+			before := merged[id]
+			later := cmp.Or(cmp.Compare(progress[r.State], progress[before.State]), cmp.Compare(r.Step, before.Step))
+			if later > 0 {
+				merged[id] = r
+			}
+		}
+	}
+	return merged
+}
