Encode the configuration in shards and copy only what a delta changes

Cause: at 44,000 client accounts with one key each, one delta copied both large tables: 6.4 ms and 10.5 MB of garbage per change. A base, which a starting instance needs once deltas are deleted, had no encoding.

Change: the accounts and keys are ordered tables (tidwall/btree) whose copies share nodes; the small tables stay maps.

Ruled out: maps sharded by hash, which need own code and give no order; the order makes equal configurations encode to equal shards.

--- a/internal/gateway/auth.go
+++ b/internal/gateway/auth.go
@@ -19,14 +19,14 @@
 	if !ok || secret == "" {
 		return opconfig.Account{}, errkind.New(errkind.KeyMissing, "the request needs a header Authorization: Bearer KEY")
 	}
-	key, ok := c.snapshot.Config.Keys[opconfig.HashKey(secret)]
+	key, ok := c.snapshot.Config.Keys.Get(opconfig.HashKey(secret))
 	if !ok {
 		return opconfig.Account{}, errkind.New(errkind.KeyUnknown, "the key is not known")
 	}
 	if key.Withdrawn {
 		return opconfig.Account{}, errkind.New(errkind.KeyWithdrawn, "key %q was withdrawn", key.ID)
 	}
-	account, ok := c.snapshot.Config.Accounts[key.Account]
+	account, ok := c.snapshot.Config.Accounts.Get(key.Account)
 	if !ok || account.Suspended {
 		return opconfig.Account{}, errkind.New(errkind.KeyWithdrawn, "the client account of key %q is not active", key.ID)
 	}
--- /dev/null
+++ b/internal/opconfig/base_test.go
@@ -0,0 +1,140 @@
+package opconfig
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a base that loses or alters records, and against shards that the
+// store refuses for their size.
+func TestBaseKeepsEveryRecord(t *testing.T) {
+	config := fullConfig(t, testAccounts)
+	config.Models["lantern"] = Model{Name: "lantern", Version: "<2&>"}
+	config.Routes["/orders"] = Route{Prefix: "/orders", Service: "ledger", Idempotent: []string{"GET"}}
+	config.Moves["lantern@3"] = Move{Target: "lantern", Version: "3", Deadline: time.Unix(1e9, 0).UTC()}
+	config.Leaving["engine-1"] = Leaving{Instance: "engine-1", Since: time.Unix(2e9, 0).UTC()}
+	base, err := config.EncodeBase()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, shard := range base.Shards {
+		if len(shard) > MaxShardBytes {
+			t.Errorf("shard %d has %d bytes", i, len(shard))
+		}
+	}
+	decoded, err := DecodeBase(base)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := decoded.EncodeBase()
+	if err != nil || !reflect.DeepEqual(base, again) {
+		t.Errorf("the decoded base encodes differently, error %v", err)
+	}
+}
+
+// Guards against accepting a base that was cut, altered or mixed with another one.
+func TestDecodeBaseRejectsDamage(t *testing.T) {
+	damage := map[string]func(*Base){
+		"altered byte":     func(b *Base) { b.Shards[0] = bytes.Replace(b.Shards[0], []byte("12.5"), []byte("92.5"), 1) },
+		"missing shard":    func(b *Base) { b.Shards = b.Shards[1:] },
+		"exchanged shards": func(b *Base) { b.Shards[0], b.Shards[1] = b.Shards[1], b.Shards[0] },
+		"wrong count":      func(b *Base) { b.Manifest.Records-- },
+	}
+	for name, apply := range damage {
+		base, err := fullConfig(t, testAccounts).EncodeBase()
+		if err != nil {
+			t.Fatal(err)
+		}
+		apply(&base)
+		if _, err := DecodeBase(base); err == nil {
+			t.Errorf("%s: the base was accepted", name)
+		}
+	}
+}
+
+// Guards against a delta that shows in the configuration it was applied to, which
+// traffic reads at the same time, and against a wrong result. Run with -race.
+func TestApplyLeavesTheReceiverUnchanged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		model := map[string]Account{}
+		config := New()
+		for range rapid.IntRange(1, 40).Draw(t, "deltas") {
+			before, next := config, map[string]Account{}
+			for id, a := range model {
+				next[id] = a
+			}
+			delta := Delta{Revision: config.Revision + 1, Changes: drawChanges(t, next)}
+			var readers sync.WaitGroup
+			readers.Go(func() { expectAccounts(t, before, model) })
+			readers.Go(func() { _, _ = before.Apply(delta) })
+			config = mustApply(t, before, delta)
+			readers.Wait()
+			expectAccounts(t, before, model)
+			expectAccounts(t, config, next)
+			model = next
+		}
+	})
+}
+
+func mustApply(t *rapid.T, c *Config, d Delta) *Config {
+	next, err := c.Apply(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+func drawChanges(t *rapid.T, model map[string]Account) []Change {
+	var changes []Change
+	for range rapid.IntRange(1, 30).Draw(t, "changes") {
+		id := fmt.Sprint("a", rapid.IntRange(0, 300).Draw(t, "id"))
+		if rapid.Bool().Draw(t, "remove") {
+			delete(model, id)
+			changes = append(changes, Remove(TableAccounts, id))
+			continue
+		}
+		model[id] = Account{Name: id, Rate: float64(rapid.IntRange(0, 9).Draw(t, "rate"))}
+		change, err := Set(TableAccounts, id, model[id])
+		if err != nil {
+			t.Fatal(err)
+		}
+		changes = append(changes, change)
+	}
+	return changes
+}
+
+func expectAccounts(t *rapid.T, c *Config, want map[string]Account) {
+	got := map[string]Account{}
+	for id, a := range c.Accounts.All() {
+		got[id] = a
+	}
+	if !reflect.DeepEqual(got, want) || c.Accounts.Len() != len(want) {
+		t.Errorf("accounts at revision %d are %v, want %v", c.Revision, got, want)
+	}
+}
+
+// Guards against accepting records that the gateway cannot act on.
+func TestValidateNamesEveryFault(t *testing.T) {
+	config := New()
+	config.Accounts = NewRecords(map[string]Account{"a": {Name: "b"}, "c": {Name: "c", Rate: math.NaN(), Burst: math.Inf(1)}})
+	hash := HashKey("secret")
+	config.Keys = NewRecords(map[string]Key{hash: {Hash: hash, ID: "k", Account: "gone"}, "short": {Hash: "short", ID: "k", Account: "c"}})
+	config.Routes["/x/"] = Route{Prefix: "/x/", Service: "ledger"}
+	config.Moves["m@1"] = Move{Target: "m", Version: "1", Deadline: time.Unix(1, 0)}
+	var got []string
+	for _, fault := range config.Validate() {
+		got = append(got, string(fault.Table)+" "+fault.ID)
+	}
+	want := "accounts a,accounts c,accounts c,keys " + hash + ",keys short,routes /x/,moves m@1"
+	if strings.Join(got, ",") != want {
+		t.Errorf("faults are %v, want %v", got, want)
+	}
+}
--- a/internal/opconfig/config.go
+++ b/internal/opconfig/config.go
@@ -85,9 +85,10 @@
 // returns a new value.
 type Config struct {
 	Revision int64
-	Accounts map[string]Account
+	// Accounts is indexed by Account.Name.
+	Accounts *Records[Account]
 	// Keys is indexed by Key.Hash.
-	Keys   map[string]Key
+	Keys   *Records[Key]
 	Models map[string]Model
 	// Routes is indexed by Route.Prefix.
 	Routes map[string]Route
@@ -100,8 +101,8 @@
 // New returns an empty configuration at revision 0.
 func New() *Config {
 	return &Config{
-		Accounts: map[string]Account{},
-		Keys:     map[string]Key{},
+		Accounts: NewRecords[Account](nil),
+		Keys:     NewRecords[Key](nil),
 		Models:   map[string]Model{},
 		Routes:   map[string]Route{},
 		Moves:    map[string]Move{},
@@ -109,12 +110,13 @@
 	}
 }
 
-// clone copies the tables so that the copy can be changed.
+// clone returns a copy that can be changed. A table in a map is copied whole: they
+// hold few records, and the two large tables share their nodes.
 func (c *Config) clone() *Config {
 	return &Config{
 		Revision: c.Revision,
-		Accounts: maps.Clone(c.Accounts),
-		Keys:     maps.Clone(c.Keys),
+		Accounts: c.Accounts.clone(),
+		Keys:     c.Keys.clone(),
 		Models:   maps.Clone(c.Models),
 		Routes:   maps.Clone(c.Routes),
 		Moves:    maps.Clone(c.Moves),
--- a/internal/opconfig/delta.go
+++ b/internal/opconfig/delta.go
@@ -83,9 +83,9 @@
 func (c *Config) apply(ch Change) error {
 	switch ch.Table {
 	case TableAccounts:
-		return applyChange(c.Accounts, ch)
+		return applyRecord(c.Accounts, ch)
 	case TableKeys:
-		return applyChange(c.Keys, ch)
+		return applyRecord(c.Keys, ch)
 	case TableModels:
 		return applyChange(c.Models, ch)
 	case TableRoutes:
@@ -99,15 +99,36 @@
 	}
 }
 
+func applyRecord[T any](table *Records[T], ch Change) error {
+	if len(ch.Record) == 0 {
+		table.remove(ch.ID)
+		return nil
+	}
+	record, err := decodeRecord[T](ch)
+	if err != nil {
+		return err
+	}
+	table.set(ch.ID, record)
+	return nil
+}
+
 func applyChange[T any](table map[string]T, ch Change) error {
 	if len(ch.Record) == 0 {
 		delete(table, ch.ID)
 		return nil
 	}
-	var record T
-	if err := json.Unmarshal(ch.Record, &record); err != nil {
-		return eris.Wrapf(err, "decode %s record %q", ch.Table, ch.ID)
+	record, err := decodeRecord[T](ch)
+	if err != nil {
+		return err
 	}
 	table[ch.ID] = record
 	return nil
 }
+
+func decodeRecord[T any](ch Change) (T, error) {
+	var record T
+	if err := json.Unmarshal(ch.Record, &record); err != nil {
+		return record, eris.Wrapf(err, "decode %s record %q", ch.Table, ch.ID)
+	}
+	return record, nil
+}
--- /dev/null
+++ b/internal/opconfig/validate.go
@@ -0,0 +1,115 @@
+package opconfig
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+)
+
+// Fault is one fault of a configuration.
+type Fault struct {
+	Table Table
+	// ID is the index of the record in its table.
+	ID      string
+	Message string
+}
+
+// Error implements error.
+func (f Fault) Error() string { return fmt.Sprintf("%s %q: %s", f.Table, f.ID, f.Message) }
+
+// Validate returns every fault of the configuration, ordered by table and id. A
+// configuration with faults must not be accepted.
+func (c *Config) Validate() []Fault {
+	v := &validator{config: c}
+	for id, a := range c.Accounts.All() {
+		v.account(id, a)
+	}
+	for id, k := range c.Keys.All() {
+		v.key(id, k)
+	}
+	for id, m := range sorted(c.Models) {
+		v.check(m.Name == id && id != "", TableModels, id, "the name must equal the index and not be empty")
+	}
+	for id, r := range sorted(c.Routes) {
+		v.route(id, r)
+	}
+	for id, m := range sorted(c.Moves) {
+		v.move(id, m)
+	}
+	for id, l := range sorted(c.Leaving) {
+		v.check(l.Instance == id && id != "", TableLeaving, id, "the instance must equal the index and not be empty")
+	}
+	return v.faults
+}
+
+type validator struct {
+	config *Config
+	faults []Fault
+}
+
+func (v *validator) check(ok bool, table Table, id, message string) {
+	if !ok {
+		v.faults = append(v.faults, Fault{Table: table, ID: id, Message: message})
+	}
+}
+
+func (v *validator) account(id string, a Account) {
+	v.check(a.Name == id && id != "", TableAccounts, id, "the name must equal the index and not be empty")
+	v.check(finite(a.Rate), TableAccounts, id, "the rate must be a finite number of requests per second, at least 0")
+	v.check(finite(a.Burst), TableAccounts, id, "the burst must be a finite number of requests, at least 0")
+}
+
+// finite reports whether x is neither negative, infinite nor NaN.
+func finite(x float64) bool { return x >= 0 && !math.IsInf(x, 1) }
+
+// hashLength is the length of a hexadecimal SHA-256.
+const hashLength = 64
+
+func (v *validator) key(id string, k Key) {
+	v.check(k.Hash == id && len(id) == hashLength, TableKeys, id, "the hash must equal the index and be a hexadecimal SHA-256")
+	v.check(k.ID != "", TableKeys, id, "the key needs an id")
+	_, ok := v.config.Accounts.Get(k.Account)
+	v.check(ok, TableKeys, id, fmt.Sprintf("the client account %q does not exist", k.Account))
+}
+
+func (v *validator) route(id string, r Route) {
+	wellFormed := strings.HasPrefix(id, "/") && (id == "/" || !strings.HasSuffix(id, "/"))
+	v.check(r.Prefix == id && wellFormed, TableRoutes, id, "the prefix must equal the index, start with / and not end with /")
+	v.check(r.Service != "", TableRoutes, id, "the route needs a service")
+}
+
+func (v *validator) move(id string, m Move) {
+	v.check(m.ID() == id, TableMoves, id, "the target and version must equal the index")
+	v.check(m.Target != "" && m.Version != "", TableMoves, id, "the move needs a target and a version")
+	v.check(!m.Deadline.IsZero(), TableMoves, id, "the move needs a deadline")
+	v.check(v.targetExists(m.Target), TableMoves, id, fmt.Sprintf("no model or service %q exists", m.Target))
+}
+
+func (v *validator) targetExists(target string) bool {
+	if _, ok := v.config.Models[target]; ok {
+		return true
+	}
+	for _, r := range v.config.Routes {
+		if r.Service == target {
+			return true
+		}
+	}
+	return false
+}
+
+// Validate returns an error if the delta does not build on c or if the
+// configuration after it has faults that c does not have.
+func (d Delta) Validate(c *Config) error {
+	next, err := c.Apply(d)
+	if err != nil {
+		return err
+	}
+	before := c.Validate()
+	for _, fault := range next.Validate() {
+		if !slices.Contains(before, fault) {
+			return fault
+		}
+	}
+	return nil
+}
