Write bases, keep the two latest and read only the deltas that are missing

Cause: every reader listed all deltas since revision 0 on each change, the log grew without bound, and an apply above 1 MB could not be stored at all.

Change: an apply above 256 KB and each 1,024th revision write a base. A shard write requires the head to be unmoved, and the head requires the shards to be as written, so that two operators who write the same base keys cannot mix their shards. Older deltas and bases are deleted in one transaction. Readers range over the missing deltas and fall back to the base. An apply whose answer was lost reads back by the delta's or the manifest's apply id until its context ends, then reports ErrOutcomeUnknown; before, an outage after a lost answer was reported as a failed apply. platform.Store gets Range and deletion of a range, in the etcd adapter and the stand-in.

Ruled out: shard keys with the apply id, which change the documented layout.

Conclusion: the store holds a bounded log, and reads cost what changed.

--- /dev/null
+++ b/internal/configsync/layout.go
@@ -0,0 +1,42 @@
+package configsync
+
+import (
+	"fmt"
+)
+
+// Keys of the configuration in the key-value service.
+const (
+	Prefix      = "/heatherloom/config/"
+	headKey     = Prefix + "head"
+	deltaPrefix = Prefix + "delta/"
+	basePrefix  = Prefix + "base/"
+)
+
+const (
+	// maxDeltaBytes bounds one encoded delta; a larger apply writes a base instead.
+	maxDeltaBytes = 256 << 10
+	// deltasPerBase is the number of revisions after which an apply writes a base.
+	deltasPerBase = 1024
+	// deltasPerRead bounds one range read of deltas to 32 MB.
+	deltasPerRead = 128
+	// shardsPerRead bounds one range read of shards to 4 MB.
+	shardsPerRead = 8
+)
+
+// Head names the latest accepted revision.
+type Head struct {
+	Revision int64 `json:"revision"`
+	// BaseRevision is the revision of the base that the deltas build on; 0 for an
+	// empty configuration.
+	BaseRevision int64  `json:"base_revision"`
+	ApplyID      string `json:"apply_id"`
+}
+
+// deltaKey and baseKey sort in the order of the revisions.
+func deltaKey(revision int64) string { return fmt.Sprintf("%s%020d", deltaPrefix, revision) }
+
+func baseKey(revision int64) string { return fmt.Sprintf("%s%020d/", basePrefix, revision) }
+
+func manifestKey(revision int64) string { return baseKey(revision) + "manifest" }
+
+func shardKey(revision int64, n int) string { return fmt.Sprintf("%sshard/%06d", baseKey(revision), n) }
--- a/internal/configsync/publisher.go
+++ b/internal/configsync/publisher.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
@@ -15,156 +16,236 @@
 	"heatherloom/internal/platform"
 )
 
-// Keys of the configuration in the key-value service.
-const (
-	Prefix      = "/heatherloom/config/"
-	headKey     = Prefix + "head"
-	deltaPrefix = Prefix + "delta/"
-)
-
-// Head names the latest accepted revision.
-type Head struct {
-	Revision int64 `json:"revision"`
-	// BaseRevision is the revision of the base that the deltas build on; 0 for an
-	// empty configuration.
-	BaseRevision int64  `json:"base_revision"`
-	ApplyID      string `json:"apply_id"`
-}
-
-func deltaKey(revision int64) string {
-	return fmt.Sprintf("%s%020d", deltaPrefix, revision)
-}
-
 // ConflictError reports that another operator's apply came first.
 type ConflictError struct {
 	// Revision is the latest accepted revision.
 	Revision int64
 	// Changes are what was accepted since the revision that the apply built on.
 	Changes []opconfig.Change
+	// Incomplete is true if a base replaced some of the changes, so that Changes
+	// does not hold all of them.
+	Incomplete bool
 }
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("another operator's changes were accepted first, as revision %d", e.Revision)
+	return fmt.Sprintf("another operator's changes were accepted first; the latest revision is %d", e.Revision)
 }
 
+// ErrOutcomeUnknown reports that the answer to an apply was lost and that the key-value
+// service could not tell whether the apply was accepted.
+var ErrOutcomeUnknown = errors.New("it is not known whether the apply was accepted")
+
+// readBackInterval is the pause before the head is read again after a lost answer.
+const readBackInterval = 100 * time.Millisecond
+
 // Publisher writes revisions to the key-value service.
 type Publisher struct {
 	Store platform.Store
 }
 
+// apply is one apply in progress.
+type apply struct {
+	store platform.Store
+	from  int64
+	delta opconfig.Delta
+	raw   []byte
+	// lost is true after an answer was lost, when the apply may have been accepted.
+	lost bool
+	// wroteBase is true once the shards of a base are written, and previousBase is
+	// the revision of the base before it.
+	wroteBase    bool
+	previousBase int64
+}
+
 // Apply accepts changes on top of revision from by compare-and-swap and returns
 // the new revision. It returns a *ConflictError if another apply came first. After
-// an answer was lost it reads back whether its own write took effect.
+// an answer was lost it reads back whether its own write took effect, and returns
+// ErrOutcomeUnknown if ctx ends before the key-value service answers.
+//
+// Changes that do not decode are refused. The caller checks the configuration that
+// they lead to with opconfig.Delta.Validate.
 func (p *Publisher) Apply(ctx context.Context, from int64, changes []opconfig.Change) (int64, error) {
 	delta := opconfig.Delta{Revision: from + 1, ApplyID: uuid.NewString(), Changes: changes}
+	if _, err := opconfig.New().Apply(opconfig.Delta{Revision: 1, Changes: changes}); err != nil {
+		return 0, err
+	}
+	raw, err := json.Marshal(delta)
+	if err != nil {
+		return 0, eris.Wrap(err, "encode delta")
+	}
+	a := &apply{store: p.Store, from: from, delta: delta, raw: raw}
 	for {
-		head, version, err := readHead(ctx, p.Store)
+		done, err := a.attempt(ctx)
 		if err != nil {
 			return 0, err
 		}
-		if head.ApplyID == delta.ApplyID {
-			return head.Revision, nil
-		}
-		if head.Revision != from {
-			return p.afterConflict(ctx, from, delta.ApplyID)
-		}
-		ok, err := p.commit(ctx, head, version, delta)
-		if errors.Is(err, platform.ErrUnavailable) {
-			continue
-		}
-		if err != nil {
-			return 0, err
-		}
-		if ok {
+		if done {
 			return delta.Revision, nil
 		}
+		sleep(ctx, readBackInterval)
 	}
 }
 
-func (p *Publisher) commit(ctx context.Context, head Head, version int64, delta opconfig.Delta) (bool, error) {
-	rawDelta, err := json.Marshal(delta)
+// attempt reads the head and writes once. It returns false if another attempt must
+// read back the outcome.
+func (a *apply) attempt(ctx context.Context) (bool, error) {
+	head, version, err := readHead(ctx, a.store)
 	if err != nil {
-		return false, eris.Wrap(err, "encode delta")
+		return false, a.unreadable(ctx, err)
+	}
+	if head.ApplyID == a.delta.ApplyID {
+		a.cleanUp(ctx)
+		return true, nil
+	}
+	if head.Revision != a.from {
+		return a.afterConflict(ctx, head)
+	}
+	ok, err := a.commit(ctx, head, version)
+	if errors.Is(err, platform.ErrUnavailable) {
+		a.lost = true
+		return false, nil
+	}
+	return ok, err
+}
+
+// unreadable decides about an apply whose head cannot be read: one that sent no
+// write fails at once, one that lost an answer goes on until ctx ends.
+func (a *apply) unreadable(ctx context.Context, err error) error {
+	if !a.lost {
+		return err
+	}
+	if ctx.Err() != nil || !errors.Is(err, platform.ErrUnavailable) {
+		return errors.Join(ErrOutcomeUnknown, err)
+	}
+	return nil
+}
+
+// commit writes the delta, or a base where the limits demand one, together with the head.
+func (a *apply) commit(ctx context.Context, head Head, version int64) (bool, error) {
+	next := Head{Revision: a.delta.Revision, BaseRevision: head.BaseRevision, ApplyID: a.delta.ApplyID}
+	conditions := []platform.Condition{{Key: headKey, Version: version}}
+	var writes []platform.Write
+	if len(a.raw) <= maxDeltaBytes {
+		writes = append(writes, platform.Write{Key: deltaKey(next.Revision), Value: a.raw})
+	}
+	if a.needsBase(head) {
+		next.BaseRevision = next.Revision
+		written, manifest, err := a.writeShards(ctx, head, version)
+		if err != nil || manifest == nil {
+			return false, err
+		}
+		conditions = append(conditions, written...)
+		writes = append(writes, platform.Write{Key: manifestKey(next.Revision), Value: manifest})
 	}
-	next := Head{Revision: delta.Revision, BaseRevision: head.BaseRevision, ApplyID: delta.ApplyID}
 	rawHead, err := json.Marshal(next)
 	if err != nil {
 		return false, eris.Wrap(err, "encode head")
 	}
-	ok, _, err := p.Store.Commit(ctx,
-		[]platform.Condition{{Key: headKey, Version: version}},
-		[]platform.Write{{Key: headKey, Value: rawHead}, {Key: deltaKey(delta.Revision), Value: rawDelta}},
-	)
+	ok, _, err := a.store.Commit(ctx, conditions, append(writes, platform.Write{Key: headKey, Value: rawHead}))
+	if ok {
+		a.cleanUp(ctx)
+	}
 	return ok, err
 }
 
-// afterConflict tells an own apply that took effect before others from one that
-// lost the race.
-func (p *Publisher) afterConflict(ctx context.Context, from int64, applyID string) (int64, error) {
-	deltas, err := readDeltas(ctx, p.Store, from)
+func (a *apply) needsBase(head Head) bool {
+	return len(a.raw) > maxDeltaBytes || a.delta.Revision-head.BaseRevision >= deltasPerBase
+}
+
+// writeShards writes the shards of the base after the delta and returns conditions
+// that hold while they stay as written, and the manifest. The manifest is nil if the
+// head moved meanwhile. Another operator may write the same shard keys: each write
+// requires the head to be unmoved, so that no shard of an accepted base is replaced.
+func (a *apply) writeShards(ctx context.Context, head Head, version int64) ([]platform.Condition, []byte, error) {
+	base, err := a.encodeBase(ctx, head)
 	if err != nil {
-		return 0, err
+		return nil, nil, err
 	}
-	conflict := &ConflictError{}
-	for _, d := range deltas {
-		if d.ApplyID == applyID {
-			return d.Revision, nil
+	unmoved := platform.Condition{Key: headKey, Version: version}
+	var written []platform.Condition
+	for n, shard := range base.Shards {
+		key := shardKey(a.delta.Revision, n)
+		ok, at, err := a.store.Commit(ctx, []platform.Condition{unmoved}, []platform.Write{{Key: key, Value: shard}})
+		if err != nil || !ok {
+			return nil, nil, err
 		}
-		conflict.Revision = d.Revision
-		conflict.Changes = append(conflict.Changes, d.Changes...)
+		written = append(written, platform.Condition{Key: key, Version: at})
 	}
-	return 0, conflict
+	a.wroteBase, a.previousBase = true, head.BaseRevision
+	manifest, err := json.Marshal(base.Manifest)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "encode manifest")
+	}
+	return written, manifest, nil
 }
 
-func readHead(ctx context.Context, store platform.Store) (Head, int64, error) {
-	entry, err := store.Get(ctx, headKey)
+func (a *apply) encodeBase(ctx context.Context, head Head) (opconfig.Base, error) {
+	config, _, err := catchUpTo(ctx, a.store, opconfig.New(), head)
 	if err != nil {
-		return Head{}, 0, eris.Wrap(err, "read configuration head")
+		return opconfig.Base{}, err
 	}
-	if entry.Version == 0 {
-		return Head{}, 0, nil
+	next, err := config.Apply(a.delta)
+	if err != nil {
+		return opconfig.Base{}, err
 	}
-	var head Head
-	if err := json.Unmarshal(entry.Value, &head); err != nil {
-		return Head{}, 0, eris.Wrap(err, "decode configuration head")
+	base, err := next.EncodeBase()
+	base.Manifest.ApplyID = a.delta.ApplyID
+	return base, err
+}
+
+// cleanUp deletes what the two latest bases make needless, if this apply wrote the
+// latest one. A failure leaves the work to the next base.
+func (a *apply) cleanUp(ctx context.Context) {
+	if !a.wroteBase {
+		return
 	}
-	return head, entry.Version, nil
+	_, _, _ = a.store.Commit(ctx, nil, []platform.Write{
+		{Key: deltaKey(0), End: deltaKey(a.previousBase + 1), Delete: true},
+		{Key: baseKey(0), End: baseKey(a.previousBase), Delete: true},
+	})
 }
 
-// readDeltas returns the deltas after revision from in order.
-func readDeltas(ctx context.Context, store platform.Store, from int64) ([]opconfig.Delta, error) {
-	entries, err := store.List(ctx, deltaPrefix)
+// afterConflict tells an own apply that took effect before others from one that
+// lost the race.
+func (a *apply) afterConflict(ctx context.Context, head Head) (bool, error) {
+	deltas, err := readDeltas(ctx, a.store, a.from, head.Revision)
 	if err != nil {
-		return nil, eris.Wrap(err, "read configuration deltas")
+		return false, a.unreadable(ctx, err)
 	}
-	var deltas []opconfig.Delta
-	for _, entry := range entries {
-		if entry.Key <= deltaKey(from) {
-			continue
-		}
-		var delta opconfig.Delta
-		if err := json.Unmarshal(entry.Value, &delta); err != nil {
-			return nil, eris.Wrapf(err, "decode configuration delta %q", entry.Key)
+	conflict := &ConflictError{Revision: head.Revision, Incomplete: !contiguous(deltas, a.from, head.Revision)}
+	for _, d := range deltas {
+		if d.ApplyID == a.delta.ApplyID {
+			a.cleanUp(ctx)
+			return true, nil
 		}
-		deltas = append(deltas, delta)
+		conflict.Changes = append(conflict.Changes, d.Changes...)
 	}
-	return deltas, nil
+	if !a.lost || (len(deltas) > 0 && deltas[0].Revision == a.delta.Revision) {
+		return false, conflict
+	}
+	return a.afterBase(ctx, conflict)
 }
 
-// Load reads the latest accepted configuration from the key-value service.
-func Load(ctx context.Context, store platform.Store) (*opconfig.Config, error) {
-	deltas, err := readDeltas(ctx, store, 0)
+// afterBase decides by the manifest about an apply whose revision has no delta.
+func (a *apply) afterBase(ctx context.Context, conflict *ConflictError) (bool, error) {
+	manifest, err := readManifest(ctx, a.store, a.delta.Revision)
+	if errors.Is(err, errBaseMissing) {
+		return false, errors.Join(ErrOutcomeUnknown, err)
+	}
 	if err != nil {
-		return nil, err
+		return false, a.unreadable(ctx, err)
 	}
-	config := opconfig.New()
-	for _, delta := range deltas {
-		next, err := config.Apply(delta)
-		if err != nil {
-			return nil, err
-		}
-		config = next
+	if manifest.ApplyID != a.delta.ApplyID {
+		return false, conflict
+	}
+	a.cleanUp(ctx)
+	return true, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
-	return config, nil
 }
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -53,10 +53,3 @@
 	s.Loop.Post(ctx, control.ConfigEvent{Config: config})
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/platform/etcdgw/client.go
+++ b/internal/platform/etcdgw/client.go
@@ -57,8 +57,16 @@
 
 // List implements platform.Store.
 func (c *Client) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	return c.readRange(ctx, wire.RangeRequest{Key: []byte(prefix), RangeEnd: wire.PrefixEnd(prefix)})
+}
+
+// Range implements platform.Store.
+func (c *Client) Range(ctx context.Context, start, end string, limit int) ([]platform.Entry, error) {
+	return c.readRange(ctx, wire.RangeRequest{Key: []byte(start), RangeEnd: []byte(end), Limit: int64(limit)})
+}
+
+func (c *Client) readRange(ctx context.Context, req wire.RangeRequest) ([]platform.Entry, error) {
 	var resp wire.RangeResponse
-	req := wire.RangeRequest{Key: []byte(prefix), RangeEnd: wire.PrefixEnd(prefix)}
 	if err := c.call(ctx, wire.PathRange, req, &resp); err != nil {
 		return nil, err
 	}
@@ -92,7 +100,7 @@
 
 func operationOf(w platform.Write) wire.RequestOp {
 	if w.Delete {
-		return wire.RequestOp{Delete: &wire.DeleteRequest{Key: []byte(w.Key)}}
+		return wire.RequestOp{Delete: &wire.DeleteRequest{Key: []byte(w.Key), RangeEnd: []byte(w.End)}}
 	}
 	return wire.RequestOp{Put: &wire.PutRequest{Key: []byte(w.Key), Value: w.Value, Lease: w.Lease}}
 }
--- a/internal/platform/etcdgw/wire/wire.go
+++ b/internal/platform/etcdgw/wire/wire.go
@@ -26,10 +26,12 @@
 	Lease       int64  `json:"lease,string,omitempty"`
 }
 
-// RangeRequest reads one key, or the keys in [Key, RangeEnd).
+// RangeRequest reads one key, or the first Limit keys in [Key, RangeEnd); a limit
+// of 0 reads all.
 type RangeRequest struct {
 	Key      []byte `json:"key"`
 	RangeEnd []byte `json:"range_end,omitempty"`
+	Limit    int64  `json:"limit,string,omitempty"`
 }
 
 // RangeResponse answers a RangeRequest.
@@ -60,9 +62,10 @@
 	Lease int64  `json:"lease,string,omitempty"`
 }
 
-// DeleteRequest deletes a key.
+// DeleteRequest deletes one key, or the keys in [Key, RangeEnd).
 type DeleteRequest struct {
-	Key []byte `json:"key"`
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
 }
 
 // RequestOp is one operation of a transaction; exactly one field is set.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -28,6 +28,8 @@
 	Lease int64
 	// Delete removes the key instead of writing it.
 	Delete bool
+	// End, together with Delete, removes all keys in [Key, End); empty for one key.
+	End string
 }
 
 // Condition requires a key to have the given version; 0 requires that it does not exist.
@@ -56,6 +58,9 @@
 	Get(ctx context.Context, key string) (Entry, error)
 	// List returns all entries below a prefix in key order.
 	List(ctx context.Context, prefix string) ([]Entry, error)
+	// Range returns the first limit entries in [start, end) in key order; a limit of
+	// 0 returns all.
+	Range(ctx context.Context, start, end string, limit int) ([]Entry, error)
 	// Commit performs all writes if all conditions hold and reports whether it did.
 	// version is the store revision after the call.
 	Commit(ctx context.Context, conditions []Condition, writes []Write) (ok bool, version int64, err error)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -172,6 +172,9 @@
 		}
 	}
 	sort.Slice(resp.Kvs, func(i, j int) bool { return string(resp.Kvs[i].Key) < string(resp.Kvs[j].Key) })
+	if req.Limit > 0 && int64(len(resp.Kvs)) > req.Limit {
+		resp.Kvs = resp.Kvs[:req.Limit]
+	}
 	return resp, nil
 }
 
@@ -196,7 +199,7 @@
 
 func (s *Store) applyOp(op wire.RequestOp) {
 	if op.Delete != nil {
-		s.delete(string(op.Delete.Key))
+		s.deleteRange(*op.Delete)
 		return
 	}
 	kv := wire.KeyValue{Key: op.Put.Key, Value: op.Put.Value, ModRevision: s.revision, Lease: op.Put.Lease}
@@ -208,6 +211,18 @@
 	s.log = append(s.log, storeEvent{revision: s.revision, event: wire.Event{Kv: kv}})
 }
 
+func (s *Store) deleteRange(req wire.DeleteRequest) {
+	if len(req.RangeEnd) == 0 {
+		s.delete(string(req.Key))
+		return
+	}
+	for key := range s.keys {
+		if key >= string(req.Key) && key < string(req.RangeEnd) {
+			s.delete(key)
+		}
+	}
+}
+
 func (s *Store) detach(key string) {
 	if lease := s.leases[s.keys[key].Lease]; lease != nil {
 		delete(lease.keys, key)
