Distribute the configuration through two watchers per domain and peers

Cause: every instance watched the store, which its rates do not allow at 920 instances, and no instance could start or hear of a withdrawal without the store. Every instance also sent heartbeats to every other one.

Change: internal/membership holds the rendezvous hash (Owner, Watchers, Entries), member expiry with incarnations and the heartbeat targets: the own failure domain, one member in each of two others, seeds until a member is known. A heartbeat names four members that its sender heard itself, so that a member that nobody picked at random for 5 s is not dropped. By calculation, not measured: without it, at three members per domain, (4/9)^5 = 1.7% of windows. Watchers announce a new revision to their domain; others pull deltas or a base from a peer that is ahead. A start asks neighbors first and compares with the store for at most 2 s. A watcher reads the head every 3 s as well, because a watch may go silent. The age is taken from answers only and counted from the start of the call. GET /v1/entries uses the new ordering, at most 8.

Ruled out: counting peers of the own region as contact, because an isolated region would then admit revoked keys without limit; counting the store alone, because an outage of the store would then stop all regions after 90 min.

The bytes per second of heartbeats were not measured.

--- /dev/null
+++ b/internal/configsync/source.go
@@ -0,0 +1,104 @@
+package configsync
+
+import (
+	"encoding/json"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"heatherloom/internal/control"
+	"heatherloom/internal/opconfig"
+	"heatherloom/internal/peer/peerv1"
+)
+
+// Source answers peers that ask for configuration. It implements peer.ConfigSource.
+type Source struct {
+	Loop *control.Loop
+
+	// mu lets one caller encode a base, which takes 0.25 s at the design size, while
+	// the others wait for it.
+	mu   sync.Mutex
+	base opconfig.Base
+}
+
+// Since returns the deltas after revision from if this instance holds them all,
+// and the whole configuration otherwise.
+func (s *Source) Since(from int64) (*peerv1.PullConfigResponse, error) {
+	snapshot := s.Loop.Snapshot()
+	config := snapshot.Config
+	if from >= config.Revision {
+		return &peerv1.PullConfigResponse{Revision: config.Revision}, nil
+	}
+	if from > 0 && len(snapshot.ConfigDeltas) > 0 && snapshot.ConfigDeltas[0].Revision <= from+1 {
+		return deltasResponse(snapshot.ConfigDeltas, from)
+	}
+	return s.baseResponse(config)
+}
+
+func deltasResponse(deltas []opconfig.Delta, from int64) (*peerv1.PullConfigResponse, error) {
+	resp := &peerv1.PullConfigResponse{Revision: deltas[len(deltas)-1].Revision}
+	for _, d := range deltas {
+		if d.Revision <= from {
+			continue
+		}
+		raw, err := json.Marshal(d)
+		if err != nil {
+			return nil, eris.Wrapf(err, "encode delta of revision %d", d.Revision)
+		}
+		resp.Deltas = append(resp.Deltas, raw)
+	}
+	return resp, nil
+}
+
+func (s *Source) baseResponse(config *opconfig.Config) (*peerv1.PullConfigResponse, error) {
+	base, err := s.encoded(config)
+	if err != nil {
+		return nil, err
+	}
+	manifest, err := json.Marshal(base.Manifest)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode manifest")
+	}
+	return &peerv1.PullConfigResponse{Revision: config.Revision, Base: manifest, BaseShards: base.Shards}, nil
+}
+
+func (s *Source) encoded(config *opconfig.Config) (opconfig.Base, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.base.Manifest.Revision == config.Revision {
+		return s.base, nil
+	}
+	base, err := config.EncodeBase()
+	if err != nil {
+		return base, err
+	}
+	s.base = base
+	return base, nil
+}
+
+// decodePull returns the configuration that a peer's answer leads to and the deltas
+// that it holds. An answer that leads no further than have returns have.
+func decodePull(have *opconfig.Config, resp *peerv1.PullConfigResponse) (*opconfig.Config, []opconfig.Delta, error) {
+	if resp.GetRevision() <= have.Revision {
+		return have, nil, nil
+	}
+	if len(resp.GetBase()) > 0 {
+		var base opconfig.Base
+		if err := json.Unmarshal(resp.GetBase(), &base.Manifest); err != nil {
+			return nil, nil, eris.Wrap(err, "decode manifest of a peer")
+		}
+		base.Shards = resp.GetBaseShards()
+		config, err := opconfig.DecodeBase(base)
+		return config, nil, err
+	}
+	deltas := make([]opconfig.Delta, 0, len(resp.GetDeltas()))
+	for _, raw := range resp.GetDeltas() {
+		var delta opconfig.Delta
+		if err := json.Unmarshal(raw, &delta); err != nil {
+			return nil, nil, eris.Wrap(err, "decode delta of a peer")
+		}
+		deltas = append(deltas, delta)
+	}
+	config, err := applyAll(have, deltas)
+	return config, deltas, err
+}
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"heatherloom/internal/membership"
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/platform"
 	"heatherloom/internal/routing"
@@ -17,14 +18,46 @@
 // is not higher than the one in force is ignored.
 type ConfigEvent struct {
 	Config *opconfig.Config
+	// Deltas lead to Config in order; empty if it was read as a base.
+	Deltas []opconfig.Delta
+	// Confirmed is when Config was known to be the latest revision; zero if it is
+	// not known.
+	Confirmed time.Time
 }
 
 func (e ConfigEvent) apply(t *tables, _ time.Time) {
 	if e.Config.Revision > t.config.Revision {
 		t.config = e.Config
+		t.history.extend(e.Config.Revision, e.Deltas)
 	}
+	t.confirm(e.Config.Revision, e.Confirmed)
 }
 
+// ConfirmedEvent reports that the key-value service named Revision as the latest
+// one at the time At.
+type ConfirmedEvent struct {
+	Revision int64
+	At       time.Time
+}
+
+func (e ConfirmedEvent) apply(t *tables, _ time.Time) { t.confirm(e.Revision, e.At) }
+
+// confirm records that revision was the latest one at the given time. It counts
+// only if this instance has that revision or a later one.
+func (t *tables) confirm(revision int64, at time.Time) {
+	if revision <= t.config.Revision && at.After(t.confirmed) {
+		t.confirmed = at
+	}
+}
+
+// DirectoryEvent brings the client accounts that the client directory marks as
+// inactive. They are treated as suspended until the next reading.
+type DirectoryEvent struct {
+	Inactive map[string]struct{}
+}
+
+func (e DirectoryEvent) apply(t *tables, _ time.Time) { t.inactive = e.Inactive }
+
 // InstancesEvent brings a reading of the platform's instance list.
 type InstancesEvent struct {
 	Instances []platform.Instance
@@ -32,7 +65,11 @@
 
 func (e InstancesEvent) apply(t *tables, _ time.Time) {
 	listed := make(map[string]bool, len(e.Instances))
+	t.entries = map[string]platform.Instance{}
 	for _, instance := range e.Instances {
+		if instance.Role == platform.RoleEntry && instance.ID != t.identity.ID {
+			t.entries[instance.ID] = instance
+		}
 		if instance.Role == platform.RoleEntry || instance.Region != t.identity.Region {
 			continue
 		}
@@ -55,23 +92,70 @@
 	row.instance = instance
 }
 
+// KnownMember is a member that another member heard from.
+type KnownMember struct {
+	Peer        routing.Peer
+	Incarnation int64
+	// Silent is the time since the other member heard from it.
+	Silent time.Duration
+}
+
 // HeartbeatEvent reports that an entry instance was heard from.
 type HeartbeatEvent struct {
 	Peer        routing.Peer
 	Incarnation int64
+	// Asked is when this instance sent the heartbeat that the peer answered; zero if
+	// the peer sent one itself. Only an answer proves when there was contact, because
+	// a message may wait while this process is paused.
+	Asked time.Time
+	// Confirmed is when the peer's configuration was known to be the latest one, by
+	// the local clock; zero if it is not known.
+	Confirmed time.Time
+	// Known are members that the peer heard from.
+	Known []KnownMember
 }
 
 func (e HeartbeatEvent) apply(t *tables, now time.Time) {
 	if e.Peer.ID == t.identity.ID {
 		return
 	}
-	row, ok := t.members[e.Peer.ID]
-	if ok && e.Incarnation < row.incarnation {
+	outcome := t.members.Hear(now, memberOf(e.Peer, e.Incarnation))
+	if outcome == membership.Outdated {
 		return
 	}
-	peer := e.Peer
-	peer.LastHeard = now
-	t.members[peer.ID] = &memberRow{peer: peer, incarnation: e.Incarnation}
+	t.contact(e.Peer, e.Asked)
+	if row := t.confirmations[e.Peer.ID]; e.Confirmed.After(row.at) {
+		t.confirmations[e.Peer.ID] = confirmation{revision: e.Peer.ConfigRevision, at: e.Confirmed}
+	}
+	for _, known := range e.Known {
+		if known.Peer.ID != t.identity.ID {
+			t.members.HearOf(now, now.Add(-known.Silent), memberOf(known.Peer, known.Incarnation))
+		}
+	}
+}
+
+// contact records an answer that ends isolation: one from another region or, where
+// no other region is known, from another failure domain.
+func (t *tables) contact(p routing.Peer, asked time.Time) {
+	t.otherRegion = t.otherRegion || p.Region != t.identity.Region
+	outside := p.Region != t.identity.Region || (!t.otherRegion && p.FailureDomain != t.identity.FailureDomain)
+	if outside && asked.After(t.contacted) {
+		t.contacted = asked
+	}
+}
+
+func memberOf(p routing.Peer, incarnation int64) membership.Member {
+	return membership.Member{
+		ID:             p.ID,
+		Region:         p.Region,
+		FailureDomain:  p.FailureDomain,
+		PeerAddress:    p.PeerAddress,
+		CallerURL:      p.CallerURL,
+		OperatorURL:    p.OperatorURL,
+		Incarnation:    incarnation,
+		ConfigRevision: p.ConfigRevision,
+		Draining:       p.Draining,
+	}
 }
 
 // LoadEvent brings an upstream's report of its load.
--- /dev/null
+++ b/internal/control/isolation_test.go
@@ -0,0 +1,118 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"heatherloom/internal/opconfig"
+	"heatherloom/internal/platform"
+	"heatherloom/internal/routing"
+)
+
+type clockedLoop struct {
+	*Loop
+	t     *testing.T
+	start time.Time
+}
+
+func newClockedLoop(t *testing.T) clockedLoop {
+	return clockedLoop{NewLoop(Identity{ID: "self", Region: "hobart", FailureDomain: "hobart-1"}), t, time.Now()}
+}
+
+// at ticks after the events, the given time after the start.
+func (l clockedLoop) at(offset time.Duration, events ...Event) *routing.Snapshot {
+	for _, e := range events {
+		l.Post(context.Background(), e)
+	}
+	l.tick(l.start.Add(offset))
+	return l.Snapshot()
+}
+
+func configAt(revision int64) *opconfig.Config {
+	config := opconfig.New()
+	config.Revision = revision
+	return config
+}
+
+func answer(l clockedLoop, id, region string, asked, confirmed time.Duration, revision int64) HeartbeatEvent {
+	return HeartbeatEvent{
+		Peer:  routing.Peer{ID: id, Region: region, FailureDomain: region + "-1", ConfigRevision: revision},
+		Asked: l.start.Add(asked), Confirmed: l.start.Add(confirmed),
+	}
+}
+
+// Guards against an isolated instance that admits revoked keys for longer than the
+// limit, also while peers of its own region answer, and against refusing during an
+// outage of the store alone.
+func TestIsolationEndsAtTheLimit(t *testing.T) {
+	l := newClockedLoop(t)
+	l.at(time.Second, ConfigEvent{Config: configAt(3), Confirmed: l.start})
+	neighbor := answer(l, "n", "hobart", 80*time.Minute, 0, 3)
+	if s := l.at(89*time.Minute, neighbor); s.ConfigStale(s.Published) || s.ConfigAge != 89*time.Minute {
+		t.Errorf("after 89 min stale is %v, the age %v", s.ConfigStale(s.Published), s.ConfigAge)
+	}
+	if s := l.at(91 * time.Minute); !s.ConfigStale(s.Published) {
+		t.Error("after 91 min of isolation requests with keys are still admitted")
+	}
+	if s := l.at(92*time.Minute, answer(l, "far", "burnie", 92*time.Minute, 0, 3)); s.ConfigStale(s.Published) || s.ConfigAge != 92*time.Minute {
+		t.Errorf("with a peer of another region stale is %v, the age %v", s.ConfigStale(s.Published), s.ConfigAge)
+	}
+	late := HeartbeatEvent{Peer: routing.Peer{ID: "far", Region: "burnie", ConfigRevision: 3}}
+	if s := l.at(183*time.Minute, late); !s.ConfigStale(s.Published) {
+		t.Error("a message that may have waited ended the isolation")
+	}
+}
+
+// Guards against a configuration that goes back, and against taking a peer's word
+// about a revision that this instance does not have for its own.
+func TestRevisionsOnlyRiseAndConfirmationsNeedTheRevision(t *testing.T) {
+	l := newClockedLoop(t)
+	l.at(0, ConfigEvent{Config: configAt(5), Confirmed: l.start})
+	s := l.at(10*time.Second, ConfigEvent{Config: configAt(4), Confirmed: l.start.Add(9 * time.Second)},
+		answer(l, "far", "burnie", 10*time.Second, 10*time.Second, 6))
+	if s.Config.Revision != 5 || s.ConfigAge != time.Second {
+		t.Errorf("revision %d, age %v; want 5 and 1 s", s.Config.Revision, s.ConfigAge)
+	}
+	if s := l.at(12*time.Second, ConfigEvent{Config: configAt(6)}); s.Config.Revision != 6 || s.ConfigAge != 2*time.Second {
+		t.Errorf("revision %d, age %v; want 6 and 2 s", s.Config.Revision, s.ConfigAge)
+	}
+}
+
+// Guards against answering a peer with deltas that leave a gap.
+func TestHistoryIsContiguous(t *testing.T) {
+	l := newClockedLoop(t)
+	delta := func(from, to int64) ConfigEvent {
+		e := ConfigEvent{Config: configAt(to)}
+		for r := from; r <= to; r++ {
+			e.Deltas = append(e.Deltas, opconfig.Delta{Revision: r})
+		}
+		return e
+	}
+	expect := func(s *routing.Snapshot, first, n int64) {
+		t.Helper()
+		if got := s.ConfigDeltas; int64(len(got)) != n || (n > 0 && got[0].Revision != first) {
+			t.Errorf("history is %v, want %d deltas from %d", got, n, first)
+		}
+	}
+	expect(l.at(0, delta(1, 3)), 1, 3)
+	expect(l.at(0, delta(2, 5)), 1, 5)
+	expect(l.at(0, delta(8, 9)), 8, 2)
+	expect(l.at(0, ConfigEvent{Config: configAt(12)}), 0, 0)
+	expect(l.at(0, delta(13, 13+maxHistoryDeltas)), 14, maxHistoryDeltas)
+}
+
+// Guards against offering a listed instance that is leaving, and against losing the
+// last copy of the client directory.
+func TestLeavingEntriesAndInactiveAccounts(t *testing.T) {
+	l := newClockedLoop(t)
+	s := l.at(0, answer(l, "far", "burnie", 0, 0, 0),
+		InstancesEvent{Instances: []platform.Instance{{ID: "far", Role: platform.RoleEntry, State: platform.InstanceLeaving, Address: "x:1"}}},
+		DirectoryEvent{Inactive: map[string]struct{}{"guild": {}}})
+	if len(s.Peers) != 1 || !s.Peers[0].Draining || len(s.Listed) != 1 {
+		t.Errorf("peers are %v, listed are %v", s.Peers, s.Listed)
+	}
+	if s := l.at(time.Minute); len(s.Inactive) != 1 {
+		t.Error("the copy of the client directory was lost")
+	}
+}
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"heatherloom/internal/membership"
 	"heatherloom/internal/platform"
 	"heatherloom/internal/routing"
 )
@@ -16,17 +17,35 @@
 		Region:        t.identity.Region,
 		FailureDomain: t.identity.FailureDomain,
 		Config:        t.config,
+		ConfigDeltas:  t.history.deltas,
+		Inactive:      t.inactive,
 		Ready:         t.config.Revision > 0,
 		Draining:      t.draining,
 		Published:     now,
 		Splits:        splitsOf(t),
 		Upstreams:     upstreamsOf(t, now),
 		Peers:         peersOf(t),
+		Listed:        listedOf(t),
+		Former:        contactsOf(t.members.Former()),
+	}
+	if !t.confirmed.IsZero() {
+		s.ConfigConfirmed = t.confirmed
+		s.ConfigAge = now.Sub(t.confirmed)
+	}
+	if last := latest(t.confirmed, t.contacted); !last.IsZero() {
+		s.ConfigValidUntil = last.Add(t.identity.MaxIsolation)
 	}
 	s.Index()
 	return s
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func upstreamsOf(t *tables, now time.Time) []routing.Upstream {
 	upstreams := make([]routing.Upstream, 0, len(t.upstreams))
 	for id, row := range t.upstreams {
@@ -56,14 +75,45 @@
 }
 
 func peersOf(t *tables) []routing.Peer {
-	peers := make([]routing.Peer, 0, len(t.members))
-	for _, row := range t.members {
-		peers = append(peers, row.peer)
+	live := t.members.Live()
+	peers := make([]routing.Peer, 0, len(live))
+	for _, m := range live {
+		_, leaving := t.config.Leaving[m.ID]
+		peers = append(peers, routing.Peer{
+			ID:             m.ID,
+			Region:         m.Region,
+			FailureDomain:  m.FailureDomain,
+			PeerAddress:    m.PeerAddress,
+			CallerURL:      m.CallerURL,
+			OperatorURL:    m.OperatorURL,
+			Incarnation:    m.Incarnation,
+			Draining:       m.Draining || leaving || t.entries[m.ID].State == platform.InstanceLeaving,
+			Suspect:        m.Suspect,
+			LastHeard:      m.LastHeard,
+			HeardDirectly:  m.Direct,
+			ConfigRevision: m.ConfigRevision,
+			Confirmed:      t.confirmations[m.ID].at,
+		})
 	}
-	slices.SortFunc(peers, func(a, b routing.Peer) int { return strings.Compare(a.ID, b.ID) })
 	return peers
 }
 
+func listedOf(t *tables) []membership.Contact {
+	contacts := make([]membership.Contact, 0, len(t.entries))
+	for _, i := range t.entries {
+		contacts = append(contacts, membership.Contact{FailureDomain: i.FailureDomain, PeerAddress: i.Address})
+	}
+	return contacts
+}
+
+func contactsOf(members []membership.Member) []membership.Contact {
+	contacts := make([]membership.Contact, 0, len(members))
+	for _, m := range members {
+		contacts = append(contacts, membership.Contact{FailureDomain: m.FailureDomain, PeerAddress: m.PeerAddress})
+	}
+	return contacts
+}
+
 func splitsOf(t *tables) map[string]routing.Split {
 	splits := make(map[string]routing.Split, len(t.config.Models))
 	for name, model := range t.config.Models {
--- a/internal/control/systems.go
+++ b/internal/control/systems.go
@@ -10,12 +10,11 @@
 // systems run in this order on each tick.
 var systems = []system{
 	expireMembers,
+	confirmConfig,
 	judgeHealth,
 }
 
 const (
-	// memberTimeout is the silence after which a member is dropped.
-	memberTimeout = 5 * time.Second
 	// failuresToPause is the number of failed attempts in a row that pause an upstream.
 	failuresToPause = 3
 	// pauseDuration is the time without work after repeated failures. The first
@@ -24,9 +23,16 @@
 )
 
 func expireMembers(t *tables, now time.Time) {
-	for id, row := range t.members {
-		if now.Sub(row.peer.LastHeard) > memberTimeout {
-			delete(t.members, id)
+	t.members.Expire(now)
+}
+
+// confirmConfig takes over what peers state about the latest revision. A statement
+// about a revision that this instance does not have yet counts once it has it.
+func confirmConfig(t *tables, now time.Time) {
+	for id, row := range t.confirmations {
+		t.confirm(row.revision, row.at)
+		if now.Sub(row.at) > t.identity.MaxIsolation {
+			delete(t.confirmations, id)
 		}
 	}
 }
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"heatherloom/internal/membership"
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/platform"
 	"heatherloom/internal/routing"
@@ -22,8 +23,14 @@
 	OperatorURL   string
 	// Incarnation is the start time of the process in Unix nanoseconds.
 	Incarnation int64
+	// MaxIsolation is the age of the configuration from which requests with keys are
+	// refused; 0 for DefaultMaxIsolation.
+	MaxIsolation time.Duration
 }
 
+// DefaultMaxIsolation exceeds the hour for which regions occasionally lose contact.
+const DefaultMaxIsolation = 90 * time.Minute
+
 // upstreamRow is one engine or plain service of the instance list.
 type upstreamRow struct {
 	instance platform.Instance
@@ -35,10 +42,10 @@
 	countedFailures int64
 }
 
-// memberRow is one entry instance that was heard from.
-type memberRow struct {
-	peer        routing.Peer
-	incarnation int64
+// confirmation is a peer's statement that revision was the latest one at a time.
+type confirmation struct {
+	revision int64
+	at       time.Time
 }
 
 // tables hold the control state. Only the loop goroutine touches them.
@@ -46,15 +53,32 @@
 	identity  Identity
 	config    *opconfig.Config
 	upstreams map[string]*upstreamRow
-	members   map[string]*memberRow
-	draining  bool
+	members   *membership.Table
+	// entries are the other entry instances of the instance list by id.
+	entries map[string]platform.Instance
+	// confirmations are indexed by the id of the peer.
+	confirmations map[string]confirmation
+	// confirmed is when config was last known to be the latest revision.
+	confirmed time.Time
+	// contacted is the last contact with a peer outside the region.
+	contacted time.Time
+	// otherRegion is true once a peer of another region was heard from.
+	otherRegion bool
+	history     history
+	// inactive are the client accounts that the client directory marks as inactive.
+	inactive map[string]struct{}
+	draining bool
 }
 
 func newTables(id Identity) *tables {
+	if id.MaxIsolation == 0 {
+		id.MaxIsolation = DefaultMaxIsolation
+	}
 	return &tables{
-		identity:  id,
-		config:    opconfig.New(),
-		upstreams: map[string]*upstreamRow{},
-		members:   map[string]*memberRow{},
+		identity:      id,
+		config:        opconfig.New(),
+		upstreams:     map[string]*upstreamRow{},
+		members:       membership.NewTable(),
+		confirmations: map[string]confirmation{},
 	}
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -8,6 +8,7 @@
 
 	"heatherloom/internal/dispatch"
 	"heatherloom/internal/errkind"
+	"heatherloom/internal/membership"
 	"heatherloom/internal/opconfig"
 )
 
@@ -119,26 +120,25 @@
 	Region string `json:"region"`
 }
 
-// entries answers which entry instances to use: those of the own region first.
+// entries answers which entry instances the client account should use.
 func (s *server) entries(c *call) *errkind.Error {
-	list := entryList{ValidForSeconds: int64(entriesValidity.Seconds()), Entries: []entryItem{}}
-	if !c.snapshot.Draining {
-		list.Entries = append(list.Entries, entryItem{ID: c.snapshot.SelfID, URL: "http://" + c.r.Host, Region: c.snapshot.Region})
-	}
+	members := []membership.Member{{ID: c.snapshot.SelfID, CallerURL: "http://" + c.r.Host, Region: c.snapshot.Region, Draining: c.snapshot.Draining}}
 	for _, p := range c.snapshot.Peers {
-		if !p.Draining {
-			list.Entries = append(list.Entries, entryItem{ID: p.ID, URL: p.CallerURL, Region: p.Region})
-		}
+		members = append(members, membership.Member{ID: p.ID, CallerURL: p.CallerURL, Region: p.Region, Draining: p.Draining})
+	}
+	list := entryList{ValidForSeconds: int64(entriesValidity.Seconds()), Entries: []entryItem{}}
+	for _, m := range membership.Entries(s.accountOf(c), c.snapshot.Region, members) {
+		list.Entries = append(list.Entries, entryItem{ID: m.ID, URL: m.CallerURL, Region: m.Region})
 	}
-	slices.SortStableFunc(list.Entries, func(a, b entryItem) int {
-		return distance(c, a) - distance(c, b)
-	})
 	return writeJSON(c, list)
 }
 
-func distance(c *call, e entryItem) int {
-	if e.Region == c.snapshot.Region {
-		return 0
+// accountOf returns the client account whose key came with the request; empty if
+// there is no valid key, which the list of entry instances does not need.
+func (s *server) accountOf(c *call) string {
+	account, err := s.authenticate(c)
+	if err != nil {
+		return ""
 	}
-	return 1
+	return account.Name
 }
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,145 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+func members(n int, domain, region string) []Member {
+	var all []Member
+	for i := range n {
+		id := fmt.Sprintf("%s-%d", domain, i)
+		all = append(all, Member{ID: id, FailureDomain: domain, Region: region, PeerAddress: id + ":1"})
+	}
+	return all
+}
+
+// Guards against moving keys of members that stay when one leaves, and against an
+// uneven share of keys.
+func TestOwnerMovesOnlyTheKeysOfALeavingMember(t *testing.T) {
+	ids := []string{"a", "b", "c", "d", "e"}
+	counts := map[string]int{}
+	for i := range 10_000 {
+		key := fmt.Sprint("account-", i)
+		before, after := Owner(key, ids), Owner(key, ids[:4])
+		counts[before]++
+		if before != "e" && before != after {
+			t.Fatalf("%s moved from %s to %s", key, before, after)
+		}
+	}
+	for id, n := range counts {
+		if n < 1800 || n > 2200 {
+			t.Errorf("%s owns %d of 10000 keys, want about 2000", id, n)
+		}
+	}
+}
+
+// Guards against a failure domain without watchers, or with more than two, or with
+// different ones for two instances that list the members in another order.
+func TestWatchersAreTheSameTwoLiveMembers(t *testing.T) {
+	all := append(members(7, "hobart-1", "hobart"), members(7, "burnie-1", "burnie")...)
+	want := Watchers("hobart-1", all)
+	slices.Reverse(all)
+	if got := Watchers("hobart-1", all); len(got) != 2 || !slices.Equal(got, want) {
+		t.Fatalf("watchers are %v and %v", got, want)
+	}
+	for i := range all {
+		all[i].Suspect = all[i].ID == want[0]
+	}
+	if got := Watchers("hobart-1", all); len(got) != 2 || got[0] != want[1] {
+		t.Errorf("after %s fell silent the watchers are %v, want %s first", want[0], got, want[1])
+	}
+}
+
+// Guards against sending callers to draining instances, to another region first,
+// and all client accounts to the same instance.
+func TestEntriesPreferTheOwnRegion(t *testing.T) {
+	all := append(members(5, "burnie-1", "burnie"), members(6, "hobart-1", "hobart")...)
+	all[5].Draining = true
+	first := map[string]bool{}
+	for i := range 100 {
+		got := Entries(fmt.Sprint("account-", i), "hobart", all)
+		if len(got) != MaxEntries || got[4].Region != "hobart" || got[5].Region != "burnie" {
+			t.Fatalf("entries are %v", got)
+		}
+		if slices.ContainsFunc(got, func(m Member) bool { return m.Draining }) {
+			t.Fatal("a draining instance is listed")
+		}
+		first[got[0].ID] = true
+	}
+	if len(first) != 5 {
+		t.Errorf("client accounts start at %d instances, want 5", len(first))
+	}
+}
+
+// Guards against late messages of an ended process, against keeping a silent
+// member, and against gossip that keeps a dead member alive.
+func TestTableExpiryAndIncarnations(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	table := NewTable()
+	a := Member{ID: "a", Incarnation: 5}
+	expect := func(got, want Outcome) {
+		t.Helper()
+		if got != want {
+			t.Errorf("outcome is %v, want %v", got, want)
+		}
+	}
+	expect(table.Hear(at(0), a), Joined)
+	table.Expire(at(3.1))
+	if live := table.Live(); len(live) != 1 || !live[0].Suspect {
+		t.Errorf("after 3.1 s the members are %v, want a suspect one", live)
+	}
+	expect(table.HearOf(at(3.2), at(2), a), Known)
+	table.Expire(at(3.2))
+	if live := table.Live(); live[0].Suspect || !live[0].Direct.Equal(at(0)) {
+		t.Errorf("after gossip the member is %v", live[0])
+	}
+	table.Expire(at(7.1))
+	expect(table.HearOf(at(7.1), at(2), a), Known)
+	if len(table.Live()) != 0 || len(table.Former()) != 1 {
+		t.Error("the silent member was not dropped, or gossip brought it back")
+	}
+	expect(table.Hear(at(8), Member{ID: "a", Incarnation: 4}), Outdated)
+	expect(table.Hear(at(8), Member{ID: "a", Incarnation: 6}), Restarted)
+	expect(table.HearOf(at(9), at(8.5), a), Outdated)
+}
+
+// Guards against a failure domain that hears nothing, against more heartbeats than
+// the budget allows, and against two sides of a partition that never meet again.
+func TestTargets(t *testing.T) {
+	contacts := func(domain string, n int) []Contact {
+		var all []Contact
+		for i := range n {
+			all = append(all, Contact{FailureDomain: domain, PeerAddress: fmt.Sprintf("%s:%d", domain, i)})
+		}
+		return all
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	v := View{Self: Contact{"a", "a:0"}, Seeds: []string{"s:1", "s:2"}}
+	if got := Targets(v, rng); len(got) != 2 {
+		t.Errorf("with no member the targets are %v, want both seeds", got)
+	}
+	v.Live = contacts("a", 3)
+	if got := Targets(v, rng); len(got) != 3 {
+		t.Errorf("cut off, the targets are %v, want two members and one seed", got)
+	}
+	v.Live = append(v.Live, append(contacts("b", 4), contacts("c", 4)...)...)
+	v.Listed = append(contacts("d", 4), contacts("a", 5)...)
+	seen := map[string]bool{}
+	for range 200 {
+		got := Targets(v, rng)
+		if len(got) != 6 || slices.Contains(got, "a:0") {
+			t.Fatalf("targets are %v, want four of the own domain and two others", got)
+		}
+		for _, address := range got {
+			seen[address] = true
+		}
+	}
+	if len(seen) != 4+12 {
+		t.Errorf("%d addresses were reached, want 16", len(seen))
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,6 +81,7 @@
 		return err
 	}
 	server := &peer.Server{Identity: identity, Loop: n.loop, Dispatcher: dispatcher, Secret: s.Peer.Secret}
+	server.Config = &configsync.Source{Loop: n.loop}
 	n.serve(caller, &http.Server{Handler: handler}, entry)
 	n.serve(peerListener, &http.Server{Handler: server.Handler(), Protocols: peerProtocols()}, entry)
 	n.runControl(s, entry, identity, peers)
@@ -123,8 +124,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	store := etcdgw.New(s.Platform.Store)
-	syncer := &configsync.Syncer{Store: store, Loop: n.loop, Log: log}
 	heartbeats := &peer.Heartbeater{Identity: identity, Loop: n.loop, Client: peers, Seeds: func() []string { return s.Peer.Seeds }}
+	syncer := &configsync.Syncer{
+		Identity: identity, Store: store, Peers: peers, Loop: n.loop, Announce: heartbeats.Announce, Log: log,
+	}
 	list := httpsd.New(s.Platform.Instances)
 	n.done.Go(func() { n.loop.Run(ctx) })
 	n.done.Go(func() { syncer.Run(ctx) })
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -62,6 +62,15 @@
 	return client
 }
 
+// PullConfig asks the peer at address for the configuration after revision from.
+func (c *Client) PullConfig(ctx context.Context, address string, from int64) (*peerv1.PullConfigResponse, error) {
+	resp, err := c.At(address).PullConfig(ctx, connect.NewRequest(&peerv1.PullConfigRequest{FromRevision: from}))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
 // Forward implements dispatch.Forwarder.
 func (c *Client) Forward(ctx context.Context, p routing.Peer, r *dispatch.Request, sink dispatch.Sink) relay.Result {
 	stream, err := c.At(p.PeerAddress).Forward(ctx, connect.NewRequest(c.forwardRequest(r)))
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -2,18 +2,25 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"heatherloom/internal/control"
+	"heatherloom/internal/membership"
 	"heatherloom/internal/peer/peerv1"
+	"heatherloom/internal/routing"
 )
 
 const (
 	// heartbeatInterval is the time between two heartbeats to one member.
 	heartbeatInterval = time.Second
 	heartbeatTimeout  = time.Second
+	// knownSample is the number of members that a heartbeat names besides the sender.
+	// It is small because every instance may use only 2 KB/s for control.
+	knownSample = 4
 )
 
 // Heartbeater announces this instance to its peers and learns of others.
@@ -29,8 +36,11 @@
 func (h *Heartbeater) Run(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	for {
-		h.round(ctx)
+		for _, address := range membership.Targets(h.view(), rng) {
+			go h.beat(ctx, address)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -39,22 +49,30 @@
 	}
 }
 
-func (h *Heartbeater) round(ctx context.Context) {
-	for address := range h.targets() {
-		go h.beat(ctx, address)
+func (h *Heartbeater) view() membership.View {
+	snapshot := h.Loop.Snapshot()
+	v := membership.View{
+		Self:   membership.Contact{FailureDomain: h.Identity.FailureDomain, PeerAddress: h.Identity.PeerAddress},
+		Listed: snapshot.Listed,
+		Former: snapshot.Former,
+		Seeds:  h.Seeds(),
+	}
+	for _, p := range snapshot.Peers {
+		v.Live = append(v.Live, membership.Contact{FailureDomain: p.FailureDomain, PeerAddress: p.PeerAddress})
 	}
+	return v
 }
 
-func (h *Heartbeater) targets() map[string]struct{} {
-	targets := map[string]struct{}{}
-	for _, address := range h.Seeds() {
-		targets[address] = struct{}{}
-	}
+// Announce sends a heartbeat to the members of the own failure domain at once, so
+// that they learn of a new configuration revision before the next round.
+func (h *Heartbeater) Announce(ctx context.Context) {
+	var beats sync.WaitGroup
 	for _, p := range h.Loop.Snapshot().Peers {
-		targets[p.PeerAddress] = struct{}{}
+		if p.FailureDomain == h.Identity.FailureDomain {
+			beats.Go(func() { h.beat(ctx, p.PeerAddress) })
+		}
 	}
-	delete(targets, h.Identity.PeerAddress)
-	return targets
+	beats.Wait()
 }
 
 // beat sends one heartbeat. A missing answer needs no action: the member expires.
@@ -62,12 +80,94 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	snapshot := h.Loop.Snapshot()
+	started := time.Now()
 	resp, err := h.Client.At(address).Heartbeat(ctx, connect.NewRequest(&peerv1.HeartbeatRequest{
 		Self:  SelfMember(h.Identity, snapshot),
-		Known: knownMembers(snapshot),
+		Known: knownMembers(snapshot, started),
 	}))
 	if err != nil {
 		return
 	}
-	postMember(ctx, h.Loop, resp.Msg.GetSelf())
+	self := resp.Msg.GetSelf()
+	postMember(ctx, h.Loop, self, started, resp.Msg.GetKnown())
+}
+
+// confirmedAt returns when the configuration of a member that answered a call was
+// known to be the latest one; zero if it is not known. Its age counts from the start of the call, so that a slow answer does not
+// make the configuration look younger than it is.
+func confirmedAt(started time.Time, m *peerv1.Member) time.Time {
+	if started.IsZero() || m.GetConfigAgeMs() < 0 {
+		return time.Time{}
+	}
+	return started.Add(-time.Duration(m.GetConfigAgeMs()) * time.Millisecond)
+}
+
+// configAge returns the age of the configuration in milliseconds, -1 if it is not known.
+func configAge(s *routing.Snapshot, now time.Time) int64 {
+	if s.ConfigConfirmed.IsZero() {
+		return -1
+	}
+	// Rounded up, so that the age never shrinks on its way.
+	return now.Sub(s.ConfigConfirmed).Milliseconds() + 1
+}
+
+// knownMembers returns a random few of the members that this instance itself heard
+// from. What others heard is not passed on, so that a dead member is not kept alive.
+func knownMembers(s *routing.Snapshot, now time.Time) []*peerv1.Member {
+	var members []*peerv1.Member
+	for _, i := range rand.Perm(len(s.Peers)) {
+		p := s.Peers[i]
+		silent := now.Sub(p.HeardDirectly)
+		if silent > membership.SuspectAfter || len(members) == knownSample {
+			continue
+		}
+		members = append(members, &peerv1.Member{
+			Id:             p.ID,
+			Region:         p.Region,
+			FailureDomain:  p.FailureDomain,
+			PeerAddress:    p.PeerAddress,
+			CallerUrl:      p.CallerURL,
+			OperatorUrl:    p.OperatorURL,
+			Incarnation:    p.Incarnation,
+			ConfigRevision: p.ConfigRevision,
+			Draining:       p.Draining,
+			SilentMs:       silent.Milliseconds() + 1,
+		})
+	}
+	return members
+}
+
+// postMember hands what a member said about itself and others to control. asked is
+// the start of the call that the member answered; zero if it called itself.
+func postMember(ctx context.Context, loop *control.Loop, m *peerv1.Member, asked time.Time, known []*peerv1.Member) {
+	if m.GetId() == "" {
+		return
+	}
+	event := control.HeartbeatEvent{
+		Peer:        peerOf(m),
+		Incarnation: m.GetIncarnation(),
+		Asked:       asked,
+		Confirmed:   confirmedAt(asked, m),
+	}
+	for _, k := range known {
+		event.Known = append(event.Known, control.KnownMember{
+			Peer:        peerOf(k),
+			Incarnation: k.GetIncarnation(),
+			Silent:      time.Duration(k.GetSilentMs()) * time.Millisecond,
+		})
+	}
+	loop.Post(ctx, event)
+}
+
+func peerOf(m *peerv1.Member) routing.Peer {
+	return routing.Peer{
+		ID:             m.GetId(),
+		Region:         m.GetRegion(),
+		FailureDomain:  m.GetFailureDomain(),
+		PeerAddress:    m.GetPeerAddress(),
+		CallerURL:      m.GetCallerUrl(),
+		OperatorURL:    m.GetOperatorUrl(),
+		Draining:       m.GetDraining(),
+		ConfigRevision: m.GetConfigRevision(),
+	}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -50,11 +50,11 @@
 
 // Heartbeat records the sender and answers with this instance's own row.
 func (s *Server) Heartbeat(ctx context.Context, req *connect.Request[peerv1.HeartbeatRequest]) (*connect.Response[peerv1.HeartbeatResponse], error) {
-	postMember(ctx, s.Loop, req.Msg.GetSelf())
+	postMember(ctx, s.Loop, req.Msg.GetSelf(), time.Time{}, req.Msg.GetKnown())
 	snapshot := s.Loop.Snapshot()
 	return connect.NewResponse(&peerv1.HeartbeatResponse{
 		Self:  SelfMember(s.Identity, snapshot),
-		Known: knownMembers(snapshot),
+		Known: knownMembers(snapshot, time.Now()),
 	}), nil
 }
 
@@ -143,32 +143,6 @@
 		Incarnation:    id.Incarnation,
 		ConfigRevision: s.Config.Revision,
 		Draining:       s.Draining,
+		ConfigAgeMs:    configAge(s, time.Now()),
 	}
 }
-
-func knownMembers(s *routing.Snapshot) []*peerv1.Member {
-	members := make([]*peerv1.Member, 0, len(s.Peers))
-	for _, p := range s.Peers {
-		members = append(members, &peerv1.Member{Id: p.ID, PeerAddress: p.PeerAddress, FailureDomain: p.FailureDomain, Region: p.Region})
-	}
-	return members
-}
-
-func postMember(ctx context.Context, loop *control.Loop, m *peerv1.Member) {
-	if m.GetId() == "" {
-		return
-	}
-	loop.Post(ctx, control.HeartbeatEvent{
-		Incarnation: m.GetIncarnation(),
-		Peer: routing.Peer{
-			ID:             m.GetId(),
-			Region:         m.GetRegion(),
-			FailureDomain:  m.GetFailureDomain(),
-			PeerAddress:    m.GetPeerAddress(),
-			CallerURL:      m.GetCallerUrl(),
-			OperatorURL:    m.GetOperatorUrl(),
-			Draining:       m.GetDraining(),
-			ConfigRevision: m.GetConfigRevision(),
-		},
-	})
-}
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"heatherloom/internal/membership"
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/platform"
 )
@@ -48,11 +49,20 @@
 	PeerAddress   string
 	CallerURL     string
 	OperatorURL   string
-	Draining      bool
-	// LastHeard is the time of the last heartbeat by the local clock.
-	LastHeard time.Time
+	// Incarnation is the start time of the process in Unix nanoseconds.
+	Incarnation int64
+	Draining    bool
+	// Suspect peers have been silent for some seconds.
+	Suspect bool
+	// LastHeard is when this instance or one of its peers last heard from the peer,
+	// by the local clock; HeardDirectly is when this instance did.
+	LastHeard     time.Time
+	HeardDirectly time.Time
 	// ConfigRevision is the configuration that the peer has in force.
 	ConfigRevision int64
+	// Confirmed is when the peer's configuration was known to be the latest one;
+	// zero if it is not known.
+	Confirmed time.Time
 }
 
 // Split divides the traffic of a target between two versions.
@@ -72,11 +82,26 @@
 	FailureDomain string
 	SelfID        string
 	Config        *opconfig.Config
-	Upstreams     []Upstream
+	// ConfigDeltas are the latest deltas, in order and ending at Config.Revision.
+	ConfigDeltas []opconfig.Delta
+	// ConfigConfirmed is when Config was last known to be the latest revision, and
+	// ConfigAge the time from then to Published. Both are zero if it is not known.
+	ConfigConfirmed time.Time
+	ConfigAge       time.Duration
+	// ConfigValidUntil is when requests with keys are refused unless the store or a
+	// peer outside the region is reached before; zero for no limit.
+	ConfigValidUntil time.Time
+	// Inactive are client accounts that the client directory marks as inactive.
+	Inactive  map[string]struct{}
+	Upstreams []Upstream
 	// ByTarget lists, for each model@version and service, indexes into Upstreams.
 	ByTarget map[string][]int32
 	// Peers are the other entry instances that were heard from recently.
 	Peers []Peer
+	// Listed are the other entry instances of the instance list, and Former those
+	// that were heard from earlier.
+	Listed []membership.Contact
+	Former []membership.Contact
 	// Splits is indexed by model or service name.
 	Splits map[string]Split
 	// Remote lists, for each target, indexes into Peers whose region serves it.
@@ -89,6 +114,11 @@
 	Published time.Time
 }
 
+// ConfigStale reports whether the configuration is too old to admit keys by it.
+func (s *Snapshot) ConfigStale(now time.Time) bool {
+	return !s.ConfigValidUntil.IsZero() && now.After(s.ConfigValidUntil)
+}
+
 // Index fills ByTarget from Upstreams. It is called once before publication.
 func (s *Snapshot) Index() {
 	s.ByTarget = make(map[string][]int32)
