Add a lease holder with validity by its own clock and fencing tokens

Cause: the rate allocator, the owner of writes and the rollouts need at most one leader per failure domain, and the store's leases expire while a holder is paused or its renewals get no answer.

Change: internal/lease decides from a state and the time; Holder adds the store calls. A renewal without an answer counts as none, a claim without one is read back, and a refused claim is read back too, since an earlier one may have taken effect late. The token is the store version of the key. The two watchers of a failure domain contend; the node gives the lease up on shutdown.

Ruled out: all members as contenders, which multiplies the reads of the key.

--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -224,6 +224,10 @@
 	return 1
 }
 
+// IsWatcher reports whether this instance is one of the two of its failure domain
+// that use the store: they watch it and contend for the leader lease.
+func (s *Syncer) IsWatcher() bool { return s.isWatcher(s.Loop.Snapshot()) }
+
 // isWatcher reports whether this instance watches the store for its failure domain.
 func (s *Syncer) isWatcher(snapshot *routing.Snapshot) bool {
 	members := []membership.Member{{ID: s.Identity.ID, FailureDomain: s.Identity.FailureDomain}}
@@ -236,7 +240,7 @@
 // watchStore watches the store while this instance is a watcher.
 func (s *Syncer) watchStore(ctx context.Context) {
 	for ctx.Err() == nil {
-		if s.isWatcher(s.Loop.Snapshot()) {
+		if s.IsWatcher() {
 			s.watchWhileChosen(ctx)
 		}
 		sleep(ctx, retryInterval)
@@ -251,7 +255,7 @@
 	reads, role := time.NewTicker(headInterval), time.NewTicker(retryInterval)
 	defer reads.Stop()
 	defer role.Stop()
-	for s.isWatcher(s.Loop.Snapshot()) {
+	for s.IsWatcher() {
 		select {
 		case <-ctx.Done():
 			return
--- /dev/null
+++ b/internal/lease/holder.go
@@ -0,0 +1,160 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"heatherloom/internal/platform"
+)
+
+// KeyPrefix is the place of the leases in the key-value service.
+const KeyPrefix = "/heatherloom/lease/"
+
+// DomainKey returns the key of a failure domain's leader lease.
+func DomainKey(domain string) string { return KeyPrefix + "domain/" + domain }
+
+// Holder acquires and renews one lease. It is safe for concurrent use.
+type Holder struct {
+	store platform.Store
+	key   string
+	id    string
+	ttl   time.Duration
+	now   func() time.Time
+
+	// calls is held during a store call; mu only while state is read or replaced, so
+	// that Valid never waits for the store.
+	calls sync.Mutex
+	mu    sync.Mutex
+	state state
+}
+
+// New returns a holder of the lease at key for the instance id. now reads the
+// holder's clock; its readings must not go back.
+func New(store platform.Store, key, id string, ttl time.Duration, now func() time.Time) *Holder {
+	return &Holder{store: store, key: key, id: id, ttl: ttl, now: now}
+}
+
+// Valid reports whether the holder may act now, and its fencing token. The clock is
+// read last, so that a pause before the reading is noticed. A pause after it is not:
+// what is sent to others must carry the token.
+func (h *Holder) Valid() (token int64, ok bool) {
+	s := h.read()
+	return s.token, s.validAt(h.now())
+}
+
+// Until returns the end of validity without a further renewal; zero if the lease is
+// not held.
+func (h *Holder) Until() time.Time {
+	s := h.read()
+	if s.phase != held {
+		return time.Time{}
+	}
+	return s.until
+}
+
+func (h *Holder) read() state {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state
+}
+
+func (h *Holder) replace(s state) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.state = s
+}
+
+// Run acquires the lease while candidate returns true and renews it until ctx ends.
+// A holder that is no longer a candidate keeps the lease, so that it does not move
+// with each change of the membership.
+func (h *Holder) Run(ctx context.Context, candidate func() bool) {
+	for ctx.Err() == nil {
+		if h.read().phase != idle || candidate() {
+			h.Step(ctx)
+		}
+		wait := h.read().due.Sub(h.now())
+		if h.read().phase == idle {
+			wait = max(wait, retryInterval)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+// Step makes the next store call if it is due.
+func (h *Holder) Step(ctx context.Context) {
+	h.calls.Lock()
+	defer h.calls.Unlock()
+	s, started := h.read(), h.now()
+	if started.Before(s.due) {
+		return
+	}
+	a := s.next(started)
+	o := h.call(ctx, a, s)
+	h.replace(s.after(a, started, h.ttl, o))
+}
+
+// Release gives the lease up. The holder is not valid any more when the call starts.
+func (h *Holder) Release(ctx context.Context) {
+	h.calls.Lock()
+	defer h.calls.Unlock()
+	s := h.read()
+	h.replace(idleFrom(h.now().Add(retryInterval)))
+	if s.lease != 0 {
+		h.call(ctx, actRevoke, s)
+	}
+}
+
+func (h *Holder) call(ctx context.Context, a action, s state) outcome {
+	switch a {
+	case actGrant:
+		lease, err := h.store.GrantLease(ctx, h.ttl)
+		return outcome{result: resultOf(err), lease: lease}
+	case actClaim:
+		return h.claim(ctx, s)
+	case actRenew:
+		return outcome{result: resultOf(h.store.RenewLease(ctx, s.lease))}
+	case actRevoke:
+		return outcome{result: resultOf(h.store.RevokeLease(ctx, s.lease))}
+	default:
+		return h.look(ctx, s)
+	}
+}
+
+func (h *Holder) claim(ctx context.Context, s state) outcome {
+	absent := []platform.Condition{{Key: h.key}}
+	ok, version, err := h.store.Commit(ctx, absent, []platform.Write{{Key: h.key, Value: []byte(h.id), Lease: s.lease}})
+	if err == nil && !ok {
+		return outcome{result: resultNo}
+	}
+	return outcome{result: resultOf(err), token: version}
+}
+
+func (h *Holder) look(ctx context.Context, s state) outcome {
+	entry, err := h.store.Get(ctx, h.key)
+	switch {
+	case err != nil:
+		return outcome{result: resultOf(err)}
+	case entry.Version == 0:
+		return outcome{result: resultAbsent}
+	case s.lease != 0 && entry.Lease == s.lease:
+		return outcome{result: resultYes, token: entry.Version}
+	default:
+		return outcome{result: resultNo}
+	}
+}
+
+func resultOf(err error) result {
+	switch {
+	case err == nil:
+		return resultYes
+	case errors.Is(err, platform.ErrLeaseNotFound):
+		return resultEnded
+	default:
+		return resultLost
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"heatherloom/internal/control"
 	"heatherloom/internal/dispatch"
 	"heatherloom/internal/gateway"
+	"heatherloom/internal/lease"
 	"heatherloom/internal/peer"
 	"heatherloom/internal/platform"
 	"heatherloom/internal/platform/etcdgw"
@@ -39,6 +40,7 @@
 	PeerAddress   string
 
 	loop    *control.Loop
+	lease   *lease.Holder
 	servers []*http.Server
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
@@ -132,6 +134,8 @@
 	n.done.Go(func() { n.loop.Run(ctx) })
 	n.done.Go(func() { syncer.Run(ctx) })
 	n.done.Go(func() { heartbeats.Run(ctx) })
+	n.lease = lease.New(store, lease.DomainKey(identity.FailureDomain), identity.ID, lease.DefaultTTL, time.Now)
+	n.done.Go(func() { n.lease.Run(ctx, syncer.IsWatcher) })
 	n.done.Go(func() { pollInstances(ctx, list, n.loop) })
 }
 
@@ -163,5 +167,6 @@
 	}
 	n.cancel()
 	n.done.Wait()
+	n.lease.Release(ctx)
 	return errors.Join(failures...)
 }
