Read inactive client accounts from the client directory

Cause: the client directory had an interface and no adapter, and a client account that it marks inactive kept its access. Nothing checked that keys are refused by a configuration that is too old.

Change: platform/scim lists accounts by SCIM 2.0 pages and fails if the list changes its length meanwhile; standin.Directory serves pages of up to 200 with lag and outage switches, also as "standin -kind directory".

Ruled out: reading the whole directory regularly, 88 requests per instance and reading at 44,000 client accounts and pages of 500.

Figures: 450 accounts over 3 pages, 150 of them inactive over one page, read whole; an outage gives an error and no empty list.

Conclusion: a directory without support of the filter works too, since each row's own state is read, but costs the whole list.

--- a/cmd/heatherloom/standin.go
+++ b/cmd/heatherloom/standin.go
@@ -16,7 +16,7 @@
 
 func runStandin(args []string) int {
 	flags := flag.NewFlagSet("standin", flag.ContinueOnError)
-	kind := flags.String("kind", "", "store, instances, engine or service")
+	kind := flags.String("kind", "", "store, instances, directory, engine or service")
 	listen := flags.String("listen", "127.0.0.1:0", "`ADDRESS` as host:port")
 	token := flags.Duration("token-interval", 5*time.Millisecond, "time between two tokens of an engine")
 	if err := flags.Parse(args); err != nil {
@@ -39,11 +39,13 @@
 		return standin.StartStore(listen)
 	case "instances":
 		return standin.StartInstanceList(listen)
+	case "directory":
+		return standin.StartDirectory(listen)
 	case "engine":
 		return standin.StartEngine(listen, token)
 	case "service":
 		return standin.StartService(listen)
 	default:
-		return nil, fmt.Errorf("unknown kind %q; allowed are store, instances, engine and service", kind)
+		return nil, fmt.Errorf("unknown kind %q; allowed are store, instances, directory, engine and service", kind)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"heatherloom/internal/platform"
 	"heatherloom/internal/platform/etcdgw"
 	"heatherloom/internal/platform/httpsd"
+	"heatherloom/internal/platform/scim"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/settings"
 )
@@ -99,6 +100,7 @@
 		CallerURL:     "http://" + n.CallerAddress,
 		OperatorURL:   "http://" + s.Listeners.Operator,
 		Incarnation:   time.Now().UnixNano(),
+		MaxIsolation:  s.Platform.MaxIsolation,
 	}
 }
 
@@ -137,6 +139,10 @@
 	n.lease = lease.New(store, lease.DomainKey(identity.FailureDomain), identity.ID, lease.DefaultTTL, time.Now)
 	n.done.Go(func() { n.lease.Run(ctx, syncer.IsWatcher) })
 	n.done.Go(func() { pollInstances(ctx, list, n.loop) })
+	if s.Platform.Directory != "" {
+		directory := scim.New(s.Platform.Directory, scim.FilterInactive)
+		n.done.Go(func() { pollDirectory(ctx, directory, n.loop, log) })
+	}
 }
 
 func pollInstances(ctx context.Context, list platform.InstanceList, loop *control.Loop) {
--- /dev/null
+++ b/internal/platform/scim/client_test.go
@@ -0,0 +1,45 @@
+package scim_test
+
+import (
+	"fmt"
+	"testing"
+
+	"heatherloom/internal/platform"
+	"heatherloom/internal/platform/scim"
+	"heatherloom/internal/standin"
+)
+
+// Guards against losing accounts at page borders, against a changed list that is
+// taken for whole, and against an outage or a lag that clears the list.
+func TestAccountsReadsAllPages(t *testing.T) {
+	directory, err := standin.StartDirectory("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer directory.Close()
+	for n := range 450 {
+		directory.Set(platform.DirectoryAccount{Name: fmt.Sprint("account-", n), Active: n%3 != 0})
+	}
+	expect := func(filter string, all, inactive int) {
+		t.Helper()
+		accounts, err := scim.New(directory.URL(), filter).Accounts(t.Context())
+		seen := map[string]bool{}
+		for _, a := range accounts {
+			seen[a.Name] = true
+			if !a.Active {
+				inactive--
+			}
+		}
+		if err != nil || len(seen) != all || inactive != 0 {
+			t.Errorf("filter %q gave %d accounts, %d too few inactive ones, %v; want %d", filter, len(seen), inactive, err, all)
+		}
+	}
+	expect("", 450, 150)
+	expect(scim.FilterInactive, 150, 150)
+	directory.SetFaults(standin.DirectoryFaults{LagMS: 60_000})
+	expect("", 0, 0)
+	directory.SetFaults(standin.DirectoryFaults{Outage: true})
+	if _, err := scim.New(directory.URL(), "").Accounts(t.Context()); err == nil {
+		t.Error("an outage was reported as an empty list")
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net"
+	"time"
 
 	"gopkg.in/ini.v1"
 )
@@ -37,6 +38,11 @@
 	Store string `ini:"store"`
 	// Instances is the URL of the instance list.
 	Instances string `ini:"instances"`
+	// Directory is the base URL of the client directory; empty for none.
+	Directory string `ini:"directory"`
+	// MaxIsolation is the time without the store and without peers outside the
+	// region after which requests with keys are refused; 0 for the default of 90 min.
+	MaxIsolation time.Duration `ini:"max_isolation"`
 }
 
 // Peer is the section [peer].
