Name members in heartbeats where the recipient cannot hear them itself

Cause: a heartbeat and its answer each named four random members, which took more than half of the bytes, and remote members still fell silent at times, because most of the named ones were of the recipient's own failure domain.

Change: only requests name members, two of them, and those of other failure domains than the recipient's go first in three of four heartbeats. The contacts of listed instances are built once per reading of the list instead of per tick.

--- a/internal/configsync/layout.go
+++ b/internal/configsync/layout.go
@@ -17,8 +17,8 @@
 	maxDeltaBytes = 256 << 10
 	// deltasPerBase is the number of revisions after which an apply writes a base.
 	deltasPerBase = 1024
-	// deltasPerRead bounds one range read of deltas to 32 MB.
-	deltasPerRead = 128
+	// deltasPerRead bounds one range read of deltas to 16 MB.
+	deltasPerRead = 64
 	// shardsPerRead bounds one range read of shards to 4 MB.
 	shardsPerRead = 8
 )
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -76,6 +76,7 @@
 		listed[instance.ID] = true
 		t.setUpstream(instance)
 	}
+	t.listed = listedOf(t.entries)
 	for id := range t.upstreams {
 		if !listed[id] {
 			delete(t.upstreams, id)
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -25,7 +25,7 @@
 		Splits:        splitsOf(t),
 		Upstreams:     upstreamsOf(t, now),
 		Peers:         peersOf(t),
-		Listed:        listedOf(t),
+		Listed:        t.listed,
 		Former:        contactsOf(t.members.Former()),
 	}
 	if !t.confirmed.IsZero() {
@@ -98,9 +98,9 @@
 	return peers
 }
 
-func listedOf(t *tables) []membership.Contact {
-	contacts := make([]membership.Contact, 0, len(t.entries))
-	for _, i := range t.entries {
+func listedOf(entries map[string]platform.Instance) []membership.Contact {
+	contacts := make([]membership.Contact, 0, len(entries))
+	for _, i := range entries {
 		contacts = append(contacts, membership.Contact{FailureDomain: i.FailureDomain, PeerAddress: i.Address})
 	}
 	return contacts
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -56,6 +56,8 @@
 	members   *membership.Table
 	// entries are the other entry instances of the instance list by id.
 	entries map[string]platform.Instance
+	// listed are the contacts of entries; snapshots share it.
+	listed []membership.Contact
 	// confirmations are indexed by the id of the peer.
 	confirmations map[string]confirmation
 	// confirmed is when config was last known to be the latest revision.
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,8 +20,8 @@
 	heartbeatInterval = time.Second
 	heartbeatTimeout  = time.Second
 	// knownSample is the number of members that a heartbeat names besides the sender.
-	// It is small because every instance may use only 2 KB/s for control.
-	knownSample = 4
+	// Four of them, in answers too, took more than half of all heartbeat bytes.
+	knownSample = 2
 )
 
 // Heartbeater announces this instance to its peers and learns of others.
@@ -83,13 +84,13 @@
 	started := time.Now()
 	resp, err := h.Client.At(address).Heartbeat(ctx, connect.NewRequest(&peerv1.HeartbeatRequest{
 		Self:  SelfMember(h.Identity, snapshot),
-		Known: knownMembers(snapshot, started),
+		Known: knownMembers(snapshot, started, address),
 	}))
 	if err != nil {
 		return
 	}
 	self := resp.Msg.GetSelf()
-	postMember(ctx, h.Loop, self, started, resp.Msg.GetKnown())
+	postMember(ctx, h.Loop, self, started, nil)
 }
 
 // confirmedAt returns when the configuration of a member that answered a call was
@@ -112,31 +113,53 @@
 }
 
 // knownMembers returns a random few of the members that this instance itself heard
-// from. What others heard is not passed on, so that a dead member is not kept alive.
-func knownMembers(s *routing.Snapshot, now time.Time) []*peerv1.Member {
-	var members []*peerv1.Member
-	for _, i := range rand.Perm(len(s.Peers)) {
-		p := s.Peers[i]
-		silent := now.Sub(p.HeardDirectly)
-		if silent > membership.SuspectAfter || len(members) == knownSample {
-			continue
+// from, without the recipient. What others heard is not passed on, so that a dead
+// member is not kept alive. Members whose failure domain is not the recipient's go
+// first, since the recipient hears its own every second; in one of four heartbeats
+// all are equal, so that members of one domain find each other without an instance list.
+func knownMembers(s *routing.Snapshot, now time.Time, recipient string) []*peerv1.Member {
+	var heard []routing.Peer
+	domain := ""
+	for _, p := range s.Peers {
+		if p.PeerAddress == recipient {
+			domain = p.FailureDomain
+		} else if now.Sub(p.HeardDirectly) <= membership.SuspectAfter {
+			heard = append(heard, p)
 		}
-		members = append(members, &peerv1.Member{
-			Id:             p.ID,
-			Region:         p.Region,
-			FailureDomain:  p.FailureDomain,
-			PeerAddress:    p.PeerAddress,
-			CallerUrl:      p.CallerURL,
-			OperatorUrl:    p.OperatorURL,
-			Incarnation:    p.Incarnation,
-			ConfigRevision: p.ConfigRevision,
-			Draining:       p.Draining,
-			SilentMs:       silent.Milliseconds() + 1,
-		})
+	}
+	rand.Shuffle(len(heard), func(i, j int) { heard[i], heard[j] = heard[j], heard[i] })
+	if rand.IntN(4) > 0 {
+		slices.SortStableFunc(heard, func(a, b routing.Peer) int { return sameDomain(a, domain) - sameDomain(b, domain) })
+	}
+	var members []*peerv1.Member
+	for _, p := range heard[:min(len(heard), knownSample)] {
+		members = append(members, knownMember(p, now))
 	}
 	return members
 }
 
+func sameDomain(p routing.Peer, domain string) int {
+	if p.FailureDomain == domain {
+		return 1
+	}
+	return 0
+}
+
+func knownMember(p routing.Peer, now time.Time) *peerv1.Member {
+	return &peerv1.Member{
+		Id:             p.ID,
+		Region:         p.Region,
+		FailureDomain:  p.FailureDomain,
+		PeerAddress:    p.PeerAddress,
+		CallerUrl:      p.CallerURL,
+		OperatorUrl:    p.OperatorURL,
+		Incarnation:    p.Incarnation,
+		ConfigRevision: p.ConfigRevision,
+		Draining:       p.Draining,
+		SilentMs:       now.Sub(p.HeardDirectly).Milliseconds() + 1,
+	}
+}
+
 // postMember hands what a member said about itself and others to control. asked is
 // the start of the call that the member answered; zero if it called itself.
 func postMember(ctx context.Context, loop *control.Loop, m *peerv1.Member, asked time.Time, known []*peerv1.Member) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -51,11 +51,7 @@
 // Heartbeat records the sender and answers with this instance's own row.
 func (s *Server) Heartbeat(ctx context.Context, req *connect.Request[peerv1.HeartbeatRequest]) (*connect.Response[peerv1.HeartbeatResponse], error) {
 	postMember(ctx, s.Loop, req.Msg.GetSelf(), time.Time{}, req.Msg.GetKnown())
-	snapshot := s.Loop.Snapshot()
-	return connect.NewResponse(&peerv1.HeartbeatResponse{
-		Self:  SelfMember(s.Identity, snapshot),
-		Known: knownMembers(snapshot, time.Now()),
-	}), nil
+	return connect.NewResponse(&peerv1.HeartbeatResponse{Self: SelfMember(s.Identity, s.Loop.Snapshot())}), nil
 }
 
 // PullConfig answers with the configuration after the caller's revision.
