--- a/cmd/heatherloom/sheet_test.go
+++ b/cmd/heatherloom/sheet_test.go
@@ -78,7 +78,8 @@
 		apply := on("apply", morning)
 		Expect(apply.status).To(Equal(exitOK), apply.stderr)
 		Expect(apply.stdout).To(ContainSubstring("accepted as revision 1, 5 changes\n"))
-		Expect(load().Keys).To(HaveKey(opconfig.HashKey(sheetKey)))
+		_, found := load().Keys.Get(opconfig.HashKey(sheetKey))
+		Expect(found).To(BeTrue())
 		again := on("apply", morning)
 		Expect(again.status).To(Equal(exitOK))
 		Expect(again.stdout).To(ContainSubstring("nothing to change; revision 1"))
@@ -100,8 +101,9 @@
 
 		Expect(on("apply", shorter, "-allow-removals").status).To(Equal(exitOK))
 		config := load()
-		Expect(config.Accounts).To(HaveLen(1))
-		Expect(config.Keys[opconfig.HashKey(sheetKey)].Withdrawn).To(BeTrue())
+		Expect(config.Accounts.Len()).To(Equal(1))
+		key, _ := config.Keys.Get(opconfig.HashKey(sheetKey))
+		Expect(key.Withdrawn).To(BeTrue())
 		Expect(config.Models).To(HaveLen(1), "types that the sheet lacks stay")
 
 		r = on("apply", morning, "-allow-removals")
@@ -141,9 +143,10 @@
 		stderr := captureStderr(func() {
 			Expect(applySheet(context.Background(), race, "m.csv", config, sheet.Diff(config, s), consent{})).To(Equal(exitFailure))
 		})
-		Expect(stderr).To(ContainSubstring("not applied, nothing was changed: another operator's changes were accepted first, as revision 1"))
+		Expect(stderr).To(ContainSubstring("not applied, nothing was changed: another operator's changes were accepted first; the latest revision is 1"))
 		Expect(stderr).To(MatchRegexp(`add +account bass +burst=7 rate=7`))
-		Expect(load().Accounts["bass"].Rate).To(Equal(7.0))
+		bass, _ := load().Accounts.Get("bass")
+		Expect(bass.Rate).To(Equal(7.0))
 	})
 
 	// Guards against a sheet that is reported as in force where it is not.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,10 +17,12 @@
 	"heatherloom/internal/control"
 	"heatherloom/internal/dispatch"
 	"heatherloom/internal/gateway"
+	"heatherloom/internal/lease"
 	"heatherloom/internal/peer"
 	"heatherloom/internal/platform"
 	"heatherloom/internal/platform/etcdgw"
 	"heatherloom/internal/platform/httpsd"
+	"heatherloom/internal/platform/scim"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/settings"
 )
@@ -39,6 +41,7 @@
 	PeerAddress   string
 
 	loop    *control.Loop
+	lease   *lease.Holder
 	servers []*http.Server
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
@@ -81,6 +84,7 @@
 		return err
 	}
 	server := &peer.Server{Identity: identity, Loop: n.loop, Dispatcher: dispatcher, Secret: s.Peer.Secret}
+	server.Config = &configsync.Source{Loop: n.loop}
 	n.serve(caller, &http.Server{Handler: handler}, entry)
 	n.serve(peerListener, &http.Server{Handler: server.Handler(), Protocols: peerProtocols()}, entry)
 	n.runControl(s, entry, identity, peers)
@@ -96,6 +100,7 @@
 		CallerURL:     "http://" + n.CallerAddress,
 		OperatorURL:   "http://" + s.Listeners.Operator,
 		Incarnation:   time.Now().UnixNano(),
+		MaxIsolation:  s.Platform.MaxIsolation,
 	}
 }
 
@@ -123,13 +128,21 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	store := etcdgw.New(s.Platform.Store)
-	syncer := &configsync.Syncer{Store: store, Loop: n.loop, Log: log}
 	heartbeats := &peer.Heartbeater{Identity: identity, Loop: n.loop, Client: peers, Seeds: func() []string { return s.Peer.Seeds }}
+	syncer := &configsync.Syncer{
+		Identity: identity, Store: store, Peers: peers, Loop: n.loop, Announce: heartbeats.Announce, Log: log,
+	}
 	list := httpsd.New(s.Platform.Instances)
 	n.done.Go(func() { n.loop.Run(ctx) })
 	n.done.Go(func() { syncer.Run(ctx) })
 	n.done.Go(func() { heartbeats.Run(ctx) })
+	n.lease = lease.New(store, lease.DomainKey(identity.FailureDomain), identity.ID, lease.DefaultTTL, time.Now)
+	n.done.Go(func() { n.lease.Run(ctx, syncer.IsWatcher) })
 	n.done.Go(func() { pollInstances(ctx, list, n.loop) })
+	if s.Platform.Directory != "" {
+		directory := scim.New(s.Platform.Directory, scim.FilterInactive)
+		n.done.Go(func() { pollDirectory(ctx, directory, n.loop, log) })
+	}
 }
 
 func pollInstances(ctx context.Context, list platform.InstanceList, loop *control.Loop) {
@@ -160,5 +173,6 @@
 	}
 	n.cancel()
 	n.done.Wait()
+	n.lease.Release(ctx)
 	return errors.Join(failures...)
 }
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -11,6 +11,8 @@
 const (
 	minShutdownTimeout = time.Second
 	maxShutdownTimeout = time.Hour
+	minIsolation       = time.Minute
+	maxIsolation       = 24 * time.Hour
 )
 
 // key is one key of the settings file.
@@ -39,6 +41,8 @@
 	{"listeners.operator", required, in(address, func(s *Settings) *string { return &s.Listeners.Operator })},
 	{"platform.store", required, in(baseURL, func(s *Settings) *string { return &s.Platform.Store })},
 	{"platform.instances", required, in(webURL, func(s *Settings) *string { return &s.Platform.Instances })},
+	{"platform.directory", "", in(optional(baseURL), func(s *Settings) *string { return &s.Platform.Directory })},
+	{"platform.max_isolation", "90m", in(duration(minIsolation, maxIsolation), func(s *Settings) *time.Duration { return &s.Platform.MaxIsolation })},
 	{"peer.secret", required, in(secret, func(s *Settings) *string { return &s.Peer.Secret })},
 	{"peer.seeds", "", in(listOf(address), func(s *Settings) *[]string { return &s.Peer.Seeds })},
 	{"shutdown.timeout", "10m", in(duration(minShutdownTimeout, maxShutdownTimeout), func(s *Settings) *time.Duration { return &s.Shutdown.Timeout })},
--- a/internal/sheet/cells.go
+++ b/internal/sheet/cells.go
@@ -109,6 +109,19 @@
 	p.addRow(r, opconfig.TableLeaving, leaving.Instance, leaving.Instance)
 }
 
+// maxSlots bounds the slots of one failure domain.
+const maxSlots = 256
+
+func (p *parser) readDomain(r row) {
+	domain := opconfig.Domain{Name: p.id(r, columnName), Region: p.id(r, columnHome), Slots: int(p.number(r, columnSlots))}
+	if text := r.cells[columnSlots]; text != "" && strconv.Itoa(domain.Slots) != text || domain.Slots > maxSlots {
+		p.report(r.number, columnSlots, "the cell is not a number of slots; allowed is a whole number from 1 to %d, at least the number of the domain's entry instances", maxSlots)
+	}
+	p.claim(r, columnName, "failure domain", domain.Name)
+	p.sheet.Records.Domains[domain.Name] = domain
+	p.addRow(r, opconfig.TableDomains, domain.Name, domain.Name)
+}
+
 // name returns the cell if it is a name of a client account or key.
 func (p *parser) name(r row, column string) string {
 	cell := r.cells[column]
--- a/internal/sheet/diff.go
+++ b/internal/sheet/diff.go
@@ -50,27 +50,30 @@
 // are, except that keys of removed client accounts are withdrawn and rollouts of
 // removed models and services are removed.
 func Diff(config *opconfig.Config, s Sheet) []Change {
-	want := desired(config, s)
+	have := TablesOf(config)
+	want := desired(have, s)
 	changes := slices.Concat(
-		diffTable(config, opconfig.TableAccounts, config.Accounts, want.Accounts, s),
-		diffTable(config, opconfig.TableKeys, config.Keys, want.Keys, s),
-		diffTable(config, opconfig.TableModels, config.Models, want.Models, s),
-		diffTable(config, opconfig.TableRoutes, config.Routes, want.Routes, s),
-		diffTable(config, opconfig.TableMoves, config.Moves, want.Moves, s),
-		diffTable(config, opconfig.TableLeaving, config.Leaving, want.Leaving, s),
+		diffTable(config, opconfig.TableAccounts, have.Accounts, want.Accounts, s),
+		diffTable(config, opconfig.TableKeys, have.Keys, want.Keys, s),
+		diffTable(config, opconfig.TableModels, have.Models, want.Models, s),
+		diffTable(config, opconfig.TableRoutes, have.Routes, want.Routes, s),
+		diffTable(config, opconfig.TableMoves, have.Moves, want.Moves, s),
+		diffTable(config, opconfig.TableDomains, have.Domains, want.Domains, s),
+		diffTable(config, opconfig.TableLeaving, have.Leaving, want.Leaving, s),
 	)
 	return changes
 }
 
 // desired returns the tables that the configuration has after the sheet.
-func desired(config *opconfig.Config, s Sheet) *opconfig.Config {
-	want := &opconfig.Config{
+func desired(config Tables, s Sheet) Tables {
+	want := Tables{
 		Accounts: stated(s, opconfig.TableAccounts, s.Records.Accounts, config.Accounts),
 		Keys:     stated(s, opconfig.TableKeys, s.Records.Keys, config.Keys),
 		Models:   stated(s, opconfig.TableModels, s.Records.Models, config.Models),
 		Routes:   stated(s, opconfig.TableRoutes, s.Records.Routes, config.Routes),
 		Moves:    stated(s, opconfig.TableMoves, s.Records.Moves, config.Moves),
 		Leaving:  stated(s, opconfig.TableLeaving, s.Records.Leaving, config.Leaving),
+		Domains:  stated(s, opconfig.TableDomains, s.Records.Domains, config.Domains),
 	}
 	withdrawKeys(want, config)
 	removeMoves(want, config)
@@ -91,7 +94,7 @@
 
 // withdrawKeys keeps keys that the sheet does not have as withdrawn, and withdraws
 // the keys of client accounts that are removed.
-func withdrawKeys(want, config *opconfig.Config) {
+func withdrawKeys(want, config Tables) {
 	for hash, key := range config.Keys {
 		if _, ok := want.Keys[hash]; !ok {
 			key.Withdrawn = true
@@ -109,7 +112,7 @@
 }
 
 // removeMoves removes the rollouts whose model or service is removed.
-func removeMoves(want, config *opconfig.Config) {
+func removeMoves(want, config Tables) {
 	before := targetsOf(config)
 	after := targetsOf(want)
 	for id, move := range want.Moves {
@@ -119,7 +122,7 @@
 	}
 }
 
-func targetsOf(config *opconfig.Config) map[string]bool {
+func targetsOf(config Tables) map[string]bool {
 	targets := namesIn(config, opconfig.TableModels)
 	maps.Copy(targets, namesIn(config, opconfig.TableRoutes))
 	return targets
@@ -152,7 +155,7 @@
 }
 
 func hasRecord(s Sheet, change opconfig.Change) bool {
-	return recordOf(s.Records, change.Table, change.ID) != nil
+	return s.Records.has(change.Table, change.ID)
 }
 
 // encode returns the JSON of a record. The record types of opconfig have no value
@@ -266,9 +269,9 @@
 func recordOf(config *opconfig.Config, table opconfig.Table, id string) json.RawMessage {
 	switch table {
 	case opconfig.TableAccounts:
-		return encodeFrom(config.Accounts, id)
+		return encodeRecord(config.Accounts.Get(id))
 	case opconfig.TableKeys:
-		return encodeFrom(config.Keys, id)
+		return encodeRecord(config.Keys.Get(id))
 	case opconfig.TableModels:
 		return encodeFrom(config.Models, id)
 	case opconfig.TableRoutes:
@@ -277,6 +280,8 @@
 		return encodeFrom(config.Moves, id)
 	case opconfig.TableLeaving:
 		return encodeFrom(config.Leaving, id)
+	case opconfig.TableDomains:
+		return encodeFrom(config.Domains, id)
 	default:
 		return nil
 	}
@@ -284,6 +289,10 @@
 
 func encodeFrom[T any](table map[string]T, id string) json.RawMessage {
 	record, ok := table[id]
+	return encodeRecord(record, ok)
+}
+
+func encodeRecord(record any, ok bool) json.RawMessage {
 	if !ok {
 		return nil
 	}
--- a/internal/sheet/parser.go
+++ b/internal/sheet/parser.go
@@ -31,6 +31,7 @@
 		{"model", opconfig.TableModels, []string{columnName, columnVersion}, nil, (*parser).readModel},
 		{"route", opconfig.TableRoutes, []string{columnName, columnService}, []string{columnMethods, columnOpen, columnHome}, (*parser).readRoute},
 		{"version", opconfig.TableMoves, []string{columnName, columnVersion, columnDeadline}, nil, (*parser).readVersion},
+		{"domain", opconfig.TableDomains, []string{columnName, columnHome, columnSlots}, nil, (*parser).readDomain},
 		{"leaving", opconfig.TableLeaving, []string{columnName}, nil, (*parser).readLeaving},
 	}
 }
@@ -152,16 +153,16 @@
 // checkReferences reports keys of unknown accounts and versions of unknown models and
 // services.
 func (p *parser) checkReferences() {
+	accounts, haveAccounts := p.namesOf(opconfig.TableAccounts)
+	models, haveModels := p.namesOf(opconfig.TableModels)
+	services, haveServices := p.namesOf(opconfig.TableRoutes)
 	for _, ref := range p.references {
 		if ref.table == opconfig.TableAccounts {
-			accounts, ok := p.namesOf(opconfig.TableAccounts)
-			if ok && !accounts[ref.name] {
+			if haveAccounts && !accounts[ref.name] {
 				p.report(ref.row, ref.column, "unknown client account; allowed are the names of account rows, or of accounts in force if the sheet has no account rows")
 			}
 			continue
 		}
-		models, haveModels := p.namesOf(opconfig.TableModels)
-		services, haveServices := p.namesOf(opconfig.TableRoutes)
 		if (haveModels || haveServices) && !models[ref.name] && !services[ref.name] {
 			p.report(ref.row, ref.column, "unknown model or service; allowed are the names of model rows and the services of route rows, or those in force for types that the sheet does not have")
 		}
@@ -171,17 +172,16 @@
 // namesOf returns the names that references to a table may use: accounts, models, or
 // the services of routes. It returns false if they are not known.
 func (p *parser) namesOf(table opconfig.Table) (map[string]bool, bool) {
-	config := p.sheet.Records
-	if !p.sheet.Stated[table] {
-		config = p.known.Config
+	if p.sheet.Stated[table] {
+		return namesIn(p.sheet.Records, table), true
 	}
-	if config == nil {
+	if p.known.Config == nil {
 		return nil, false
 	}
-	return namesIn(config, table), true
+	return namesIn(TablesOf(p.known.Config), table), true
 }
 
-func namesIn(config *opconfig.Config, table opconfig.Table) map[string]bool {
+func namesIn(config Tables, table opconfig.Table) map[string]bool {
 	names := map[string]bool{}
 	switch table {
 	case opconfig.TableAccounts:
--- a/internal/sheet/rows.go
+++ b/internal/sheet/rows.go
@@ -21,7 +21,7 @@
 // row uses may be absent.
 var columns = []string{
 	columnType, columnName, columnAccount, columnKey, columnState, columnRate, columnBurst, columnHome,
-	columnService, columnMethods, columnOpen, columnVersion, columnDeadline, columnNote,
+	columnService, columnMethods, columnOpen, columnVersion, columnDeadline, columnNote, columnSlots,
 }
 
 const (
@@ -39,6 +39,7 @@
 	columnVersion  = "version"
 	columnDeadline = "deadline"
 	columnNote     = "note"
+	columnSlots    = "slots"
 )
 
 // record is one CSV record with its row number.
--- a/internal/sheet/sheet.go
+++ b/internal/sheet/sheet.go
@@ -42,8 +42,8 @@
 // Sheet is a parsed sheet.
 type Sheet struct {
 	Rows []Row
-	// Records holds the records of the rows; its revision is 0.
-	Records *opconfig.Config
+	// Records holds the records of the rows.
+	Records Tables
 	// Stated holds the tables whose row type occurs in the sheet.
 	Stated map[opconfig.Table]bool
 }
@@ -77,7 +77,7 @@
 func Parse(r io.Reader, known Known) (Sheet, []Problem) {
 	p := &parser{
 		known: known,
-		sheet: Sheet{Records: opconfig.New(), Stated: map[opconfig.Table]bool{}},
+		sheet: Sheet{Records: newTables(), Stated: map[opconfig.Table]bool{}},
 		first: map[string]int{},
 		empty: map[opconfig.Table]int{},
 	}
