--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -11,6 +11,9 @@
 	"heatherloom/internal/errkind"
 )
 
+// unreadTimeout bounds the reading of a body that was refused.
+const unreadTimeout = time.Second
+
 // refusalBody is the JSON of a refusal.
 type refusalBody struct {
 	Error refusalDetail `json:"error"`
@@ -48,6 +51,7 @@
 		// Without it net/http holds the refusal back until it has read up to 256 KB of
 		// the body, however slowly that arrives.
 		c.w.Header().Set("Connection", "close")
+		_ = c.sink.control.SetReadDeadline(time.Now().Add(unreadTimeout))
 	}
 	if wait := seconds(err.Wait()); wait > 0 {
 		c.w.Header().Set("Retry-After", strconv.FormatInt(wait, 10))
--- /dev/null
+++ b/internal/gateway/rig_test.go
@@ -0,0 +1,221 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"heatherloom/internal/admission"
+	"heatherloom/internal/control"
+	"heatherloom/internal/dispatch"
+	"heatherloom/internal/gateway"
+	"heatherloom/internal/opconfig"
+	"heatherloom/internal/peer"
+	"heatherloom/internal/platform"
+	"heatherloom/internal/quarantine"
+	"heatherloom/internal/relay"
+	"heatherloom/internal/standin"
+)
+
+const (
+	derwentKey = "sk-derwent-morning"
+	poorKey    = "sk-poor"
+	oldKey     = "sk-old"
+	idleKey    = "sk-idle"
+	peerSecret = "secret"
+)
+
+func testConfig(revision int64) *opconfig.Config {
+	c := opconfig.New()
+	c.Revision = revision
+	c.Accounts["derwent"] = opconfig.Account{Name: "derwent", Rate: 1e6, Burst: 1e6}
+	c.Accounts["poor"] = opconfig.Account{Name: "poor"}
+	c.Accounts["idle"] = opconfig.Account{Name: "idle", Suspended: true}
+	for secret, account := range map[string]string{derwentKey: "derwent", poorKey: "poor", oldKey: "derwent", idleKey: "idle"} {
+		hash := opconfig.HashKey(secret)
+		c.Keys[hash] = opconfig.Key{Hash: hash, ID: account + "-1", Account: account, Withdrawn: secret == oldKey}
+	}
+	c.Models["lantern"] = opconfig.Model{Name: "lantern", Version: "1"}
+	c.Routes["/orders"] = opconfig.Route{Prefix: "/orders", Service: "ledger"}
+	return c
+}
+
+// logBuffer keeps log lines.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// entry is an entry instance without store and instance list.
+type entry struct {
+	loop       *control.Loop
+	dispatcher *dispatch.Dispatcher
+	url        string
+	identity   control.Identity
+	log        *logBuffer
+	peers      *peer.Client
+	peerServer *http.Server
+}
+
+type options struct {
+	limits relay.Limits
+	gate   *admission.Gate
+	write  time.Duration
+}
+
+func shortLimits() relay.Limits {
+	l := relay.DefaultLimits()
+	l.FirstByte = 400 * time.Millisecond
+	l.BetweenBytes = 200 * time.Millisecond
+	return l
+}
+
+// startEntry starts an entry instance of a region with the given upstreams.
+func startEntry(t *testing.T, id, region string, o options, upstreams ...platform.Instance) *entry {
+	t.Helper()
+	caller, peerListener := listen(t), listen(t)
+	if o.limits == (relay.Limits{}) {
+		o.limits = shortLimits()
+	}
+	e := &entry{log: &logBuffer{}, url: "http://" + caller.Addr().String()}
+	e.identity = control.Identity{ID: id, Region: region, FailureDomain: region + "-1", PeerAddress: peerListener.Addr().String(), CallerURL: e.url, Incarnation: 1}
+	e.loop = control.NewLoop(e.identity)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go e.loop.Run(ctx)
+	e.peers = peer.NewClient(id, peerSecret)
+	e.dispatcher = &dispatch.Dispatcher{Snapshot: e.loop.Snapshot, Relay: relay.New(o.limits), Forward: e.peers}
+	e.dispatcher.ReportCrash = func(c quarantine.Crash) { e.loop.Post(ctx, control.CrashEvent{Crash: c}) }
+	logger := logrus.New()
+	logger.SetOutput(e.log)
+	handler, err := gateway.New(gateway.Deps{
+		Snapshot: e.loop.Snapshot, Dispatcher: e.dispatcher, Buckets: admission.NewBuckets(),
+		Log: logrus.NewEntry(logger), Now: time.Now, Gate: o.gate, WriteTimeout: o.write,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	serve(t, caller, &http.Server{Handler: handler})
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &peer.Server{Identity: e.identity, Loop: e.loop, Dispatcher: e.dispatcher, Secret: peerSecret}
+	e.peerServer = &http.Server{Handler: server.Handler(), Protocols: protocols}
+	serve(t, peerListener, e.peerServer)
+	e.loop.Post(ctx, control.ConfigEvent{Config: testConfig(1)})
+	e.loop.Post(ctx, control.InstancesEvent{Instances: upstreams})
+	eventually(t, func() bool { return e.loop.Snapshot().Ready && len(e.loop.Snapshot().Upstreams) == len(upstreams) })
+	e.do(t, http.MethodPost, "/v1/completions", prompt("bucket start", false), derwentKey)
+	return e
+}
+
+// connect lets entry instances hear of each other.
+func connect(t *testing.T, entries ...*entry) {
+	var seeds []string
+	for _, e := range entries {
+		seeds = append(seeds, e.identity.PeerAddress)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for _, e := range entries {
+		h := &peer.Heartbeater{Identity: e.identity, Loop: e.loop, Client: e.peers, Seeds: func() []string { return seeds }}
+		go h.Run(ctx)
+	}
+	for _, e := range entries {
+		eventually(t, func() bool { return len(e.loop.Snapshot().Peers) == len(entries)-1 })
+	}
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func serve(t *testing.T, l net.Listener, s *http.Server) {
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+}
+
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	NewWithT(t).Eventually(ok, 5*time.Second, 10*time.Millisecond).Should(BeTrue())
+}
+
+func startEngine(t *testing.T, id, region string) (*standin.Engine, platform.Instance) {
+	e, err := standin.StartEngine("127.0.0.1:0", time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e, platform.Instance{ID: id, Role: platform.RoleEngine, Region: region, Address: e.Address(), State: platform.InstanceLive, Models: []string{"lantern@1"}}
+}
+
+func startService(t *testing.T, id, region string) (*standin.Service, platform.Instance) {
+	s, err := standin.StartService("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s, platform.Instance{ID: id, Role: platform.RoleService, Region: region, Address: s.Address(), State: platform.InstanceLive, Service: "ledger"}
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+var client = &http.Client{Timeout: 10 * time.Second, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+
+// do sends a request. headers are pairs of name and value.
+func (e *entry) do(t *testing.T, method, path, body, key string, headers ...string) answer {
+	t.Helper()
+	req, err := http.NewRequest(method, e.url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Add(headers[i], headers[i+1])
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(raw), err: err}
+}
+
+func prompt(text string, stream bool) string {
+	if stream {
+		return `{"model":"lantern","stream":true,"prompt":"` + text + `"}`
+	}
+	return `{"model":"lantern","prompt":"` + text + `"}`
+}
--- /dev/null
+++ b/internal/peer/forward_test.go
@@ -0,0 +1,211 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/gomega"
+	"golang.org/x/net/http2"
+
+	"heatherloom/internal/dispatch"
+	"heatherloom/internal/errkind"
+	"heatherloom/internal/peer/peerv1"
+	"heatherloom/internal/peer/peerv1/peerv1connect"
+	"heatherloom/internal/relay"
+	"heatherloom/internal/retry"
+	"heatherloom/internal/routing"
+)
+
+// framePeer speaks HTTP/2 frames, so that a test can reset or refuse a stream.
+type framePeer struct {
+	net.Listener
+	// bodies counts the requests that arrived whole.
+	bodies atomic.Int64
+}
+
+func startFramePeer(t *testing.T, answer func(*http2.Framer, uint32) bool) *framePeer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	p := &framePeer{Listener: listener}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(c, answer)
+		}
+	}()
+	return p
+}
+
+func (p *framePeer) serve(c net.Conn, answer func(*http2.Framer, uint32) bool) {
+	defer c.Close()
+	if _, err := io.ReadFull(c, make([]byte, len(http2.ClientPreface))); err != nil {
+		return
+	}
+	framer := http2.NewFramer(c, c)
+	_ = framer.WriteSettings()
+	for {
+		frame, err := framer.ReadFrame()
+		if err != nil {
+			return
+		}
+		if s, ok := frame.(*http2.SettingsFrame); ok && !s.IsAck() {
+			_ = framer.WriteSettingsAck()
+		}
+		data, ok := frame.(*http2.DataFrame)
+		if !ok || !data.StreamEnded() {
+			continue
+		}
+		p.bodies.Add(1)
+		if !answer(framer, data.StreamID) {
+			return
+		}
+	}
+}
+
+type sink struct {
+	heads int
+	text  string
+}
+
+func (s *sink) Head(int, http.Header) error { s.heads++; return nil }
+func (s *sink) Data(p []byte) error         { s.text += string(p); return nil }
+
+func forward(address string, stream bool) (relay.Result, *sink) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	r := &dispatch.Request{ID: "r1", Method: http.MethodPost, Path: "/orders", Body: []byte("{}"), Stream: stream}
+	if stream {
+		r.Position = &relay.Position{}
+	}
+	out := &sink{}
+	return NewClient("a", "secret").Forward(ctx, routing.Peer{ID: "b", PeerAddress: address}, r, out), out
+}
+
+// Guards against a write that is sent to a peer twice, against "not run" for one
+// that the peer may have run, and against "unknown" where the protocol states that
+// the peer did not process it.
+func TestForwardIsSentOnce(t *testing.T) {
+	reset := func(code http2.ErrCode) func(*http2.Framer, uint32) bool {
+		return func(f *http2.Framer, id uint32) bool { return f.WriteRSTStream(id, code) == nil }
+	}
+	for name, c := range map[string]struct {
+		answer func(*http2.Framer, uint32) bool
+		ran    errkind.Ran
+	}{
+		"refused stream":  {reset(http2.ErrCodeRefusedStream), errkind.RanNo},
+		"protocol error":  {reset(http2.ErrCodeProtocol), errkind.RanUnknown},
+		"internal error":  {reset(http2.ErrCodeInternal), errkind.RanUnknown},
+		"stream canceled": {reset(http2.ErrCodeCancel), errkind.RanUnknown},
+		"goaway before": {func(f *http2.Framer, _ uint32) bool {
+			return f.WriteGoAway(0, http2.ErrCodeNo, nil) == nil
+		}, errkind.RanNo},
+		"goaway after": {func(f *http2.Framer, id uint32) bool {
+			_ = f.WriteGoAway(id, http2.ErrCodeNo, nil)
+			return false
+		}, errkind.RanUnknown},
+		"goaway with misleading text": {func(f *http2.Framer, id uint32) bool {
+			_ = f.WriteGoAway(id, http2.ErrCodeInternal, []byte("REFUSED_STREAM; received from peer"))
+			return false
+		}, errkind.RanUnknown},
+		"connection closed": {func(*http2.Framer, uint32) bool { return false }, errkind.RanUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := startFramePeer(t, c.answer)
+			result, out := forward(p.Addr().String(), false)
+			g.Expect(result.Err).NotTo(BeNil())
+			g.Expect(result.Err.Ran).To(Equal(c.ran), "%v", result.Err)
+			g.Expect(result.Outcome == retry.NotSent).To(Equal(c.ran == errkind.RanNo))
+			g.Expect(p.bodies.Load()).To(BeEquivalentTo(1))
+			g.Expect(out.heads).To(BeZero())
+		})
+	}
+	t.Run("connection refused", func(t *testing.T) {
+		g := NewWithT(t)
+		p := startFramePeer(t, nil)
+		_ = p.Close()
+		result, _ := forward(p.Addr().String(), false)
+		g.Expect(result.Err.Ran).To(Equal(errkind.RanNo))
+	})
+	t.Run("wrong secret", func(t *testing.T) {
+		g := NewWithT(t)
+		result, _ := forward(startPeer(t, "other", nil), false)
+		g.Expect(result.Err.Ran).To(Equal(errkind.RanNo), "%v", result.Err)
+	})
+}
+
+type scripted struct {
+	peerv1connect.UnimplementedPeerServiceHandler
+	parts []*peerv1.ForwardResponse
+}
+
+func (s scripted) Forward(_ context.Context, _ *connect.Request[peerv1.ForwardRequest], stream *connect.ServerStream[peerv1.ForwardResponse]) error {
+	for _, part := range s.parts {
+		if err := stream.Send(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func startPeer(t *testing.T, secret string, parts []*peerv1.ForwardResponse) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	_, handler := peerv1connect.NewPeerServiceHandler(scripted{parts: parts}, connect.WithInterceptors(authInterceptor{secret: secret}))
+	server := &http.Server{Handler: handler, Protocols: protocols}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// Guards against a forwarded answer that is passed on although its end is missing
+// or it ends before [DONE].
+func TestForwardedAnswerWithoutEnd(t *testing.T) {
+	head := func(media string) *peerv1.ForwardResponse {
+		return &peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Head{Head: &peerv1.ForwardHead{
+			Status: 200, Headers: map[string]string{"Content-Type": media}}}}
+	}
+	data := func(text string) *peerv1.ForwardResponse {
+		return &peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Data{Data: []byte(text)}}
+	}
+	end := &peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_End{End: &peerv1.ForwardEnd{Complete: true, Attempts: 1}}}
+	for name, c := range map[string]struct {
+		parts  []*peerv1.ForwardResponse
+		stream bool
+		text   string
+		whole  bool
+	}{
+		"plain":                 {[]*peerv1.ForwardResponse{head("text/plain"), data("ab"), data("c"), end}, false, "abc", true},
+		"plain without end":     {[]*peerv1.ForwardResponse{head("text/plain"), data("abc")}, false, "", false},
+		"end only":              {[]*peerv1.ForwardResponse{end}, false, "", false},
+		"stream":                {[]*peerv1.ForwardResponse{head("text/event-stream"), data("data: x\n\ndata: [DONE]\n\n"), end}, true, "data: x\n\ndata: [DONE]\n\n", true},
+		"stream without [DONE]": {[]*peerv1.ForwardResponse{head("text/event-stream"), data("data: x\n\ndata: y"), end}, true, "data: x\n\n", false},
+		"stream without end":    {[]*peerv1.ForwardResponse{head("text/event-stream"), data("data: x\n\n")}, true, "data: x\n\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			result, out := forward(startPeer(t, "secret", c.parts), c.stream)
+			g.Expect(result.Err == nil).To(Equal(c.whole), "%v", result.Err)
+			g.Expect(out.text).To(Equal(c.text))
+			if !c.whole {
+				g.Expect(result.Err.Ran).NotTo(Equal(errkind.RanNo))
+			}
+		})
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -25,6 +25,8 @@
 	SilentAfterTokens int `json:"silent_after_tokens"`
 	// CrossAfterTokens sends an event of another request after so many tokens; 0 for never.
 	CrossAfterTokens int `json:"cross_after_tokens"`
+	// Endless repeats a large last token until the caller goes.
+	Endless bool `json:"endless"`
 	// NoResume ignores Last-Event-ID and begins each stream at its first token.
 	NoResume bool `json:"no_resume"`
 	// Silent accepts requests and never answers.
@@ -53,6 +55,9 @@
 	tokenInterval time.Duration
 }
 
+// endlessTokenBytes fills the socket buffers of a caller that does not read soon.
+const endlessTokenBytes = 32 << 10
+
 // answerTokens is the length of each answer.
 const answerTokens = 16
 
@@ -94,6 +99,9 @@
 	e.SetFaults(f)
 }
 
+// Running returns how many requests run now.
+func (e *Engine) Running() int64 { return e.running.Load() }
+
 func (e *Engine) metrics(w http.ResponseWriter, _ *http.Request) {
 	_, _ = fmt.Fprintf(w, "vllm:num_requests_running %d\nvllm:num_requests_waiting 0\n", e.running.Load())
 }
@@ -217,5 +225,11 @@
 		_ = controller.Flush()
 		wait(r, e.tokenInterval)
 	}
+	for i := answerTokens; f.Endless && r.Context().Err() == nil; i++ {
+		raw, _ := json.Marshal(answer.part(strings.Repeat("x", endlessTokenBytes)))
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, raw)
+		_ = controller.Flush()
+		wait(r, e.tokenInterval)
+	}
 	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 }
