--- a/internal/control/systems.go
+++ b/internal/control/systems.go
@@ -12,6 +12,7 @@
 	expireMembers,
 	confirmConfig,
 	judgeHealth,
+	expireCrashes,
 }
 
 const (
@@ -37,6 +38,8 @@
 	}
 }
 
+func expireCrashes(t *tables, now time.Time) { t.crashes.Expire(now) }
+
 func judgeHealth(t *tables, now time.Time) {
 	for _, row := range t.upstreams {
 		failures := row.counters.Failures.Load()
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -10,6 +10,7 @@
 	"heatherloom/internal/membership"
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/platform"
+	"heatherloom/internal/quarantine"
 	"heatherloom/internal/routing"
 )
 
@@ -54,6 +55,7 @@
 	config    *opconfig.Config
 	upstreams map[string]*upstreamRow
 	members   *membership.Table
+	crashes   *quarantine.Table
 	// entries are the other entry instances of the instance list by id.
 	entries map[string]platform.Instance
 	// listed are the contacts of entries; snapshots share it.
@@ -82,5 +84,6 @@
 		upstreams:     map[string]*upstreamRow{},
 		members:       membership.NewTable(),
 		confirmations: map[string]confirmation{},
+		crashes:       quarantine.NewTable(),
 	}
 }
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -83,14 +83,15 @@
 	snapshot := h.Loop.Snapshot()
 	started := time.Now()
 	resp, err := h.Client.At(address).Heartbeat(ctx, connect.NewRequest(&peerv1.HeartbeatRequest{
-		Self:  SelfMember(h.Identity, snapshot),
-		Known: knownMembers(snapshot, started, address),
+		Self:    SelfMember(h.Identity, snapshot),
+		Known:   knownMembers(snapshot, started, address),
+		Crashes: crashesOf(snapshot),
 	}))
 	if err != nil {
 		return
 	}
-	self := resp.Msg.GetSelf()
-	postMember(ctx, h.Loop, self, started, nil)
+	postMember(ctx, h.Loop, resp.Msg.GetSelf(), started, nil)
+	postCrashes(ctx, h.Loop, resp.Msg.GetCrashes())
 }
 
 // confirmedAt returns when the configuration of a member that answered a call was
