Record events and metrics on the request path, in control and between peers

Cause: the recorder, the metrics and the clock existed but nothing used them, and an instance could not count or refuse requests for a drain.

The log line of a request is written before its refusal, because breaking off a plain response panics and the line was lost.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -20,6 +20,10 @@
 	tables   *tables
 	inbox    chan Event
 	snapshot atomic.Pointer[routing.Snapshot]
+	observer Observer
+	// configSince is the time in Unix nanoseconds at which the configuration came
+	// into force; 0 before the first one.
+	configSince atomic.Int64
 }
 
 // NewLoop returns a loop whose first snapshot is not ready.
@@ -57,11 +61,13 @@
 
 // tick drains the inbox, runs the systems and publishes a snapshot.
 func (l *Loop) tick(now time.Time) {
+	started, previous := time.Now(), l.Snapshot()
 	l.drainInbox(now)
 	for _, system := range systems {
 		system(l.tables, now)
 	}
 	l.publish(now)
+	l.observe(previous, l.Snapshot(), time.Since(started))
 }
 
 func (l *Loop) drainInbox(now time.Time) {
--- /dev/null
+++ b/internal/control/observe.go
@@ -0,0 +1,95 @@
+package control
+
+import (
+	"cmp"
+	"fmt"
+	"time"
+
+	"heatherloom/internal/routing"
+	"heatherloom/internal/timeline"
+)
+
+// Observer is told what changed on each tick. Its fields may be nil.
+type Observer struct {
+	Timeline *timeline.Recorder
+	// Tick is called with the duration of each tick.
+	Tick func(time.Duration)
+}
+
+// Observe sets the observer. It is called before Run.
+func (l *Loop) Observe(o Observer) { l.observer = o }
+
+// ConfigSince returns the time at which the configuration came into force; zero
+// before the first one.
+func (l *Loop) ConfigSince() time.Time {
+	if at := l.configSince.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
+
+// observe reports the differences of two successive snapshots.
+func (l *Loop) observe(old, new *routing.Snapshot, took time.Duration) {
+	if l.observer.Tick != nil {
+		l.observer.Tick(took)
+	}
+	if new.Config.Revision != old.Config.Revision {
+		l.configSince.Store(new.Published.UnixNano())
+		l.observer.Timeline.Record(timeline.Event{Kind: timeline.KindConfig, Detail: fmt.Sprintf("revision %d", new.Config.Revision)})
+	}
+	walk(old.Peers, new.Peers, func(p *routing.Peer) string { return p.ID }, l.observePeer)
+	walk(old.Upstreams, new.Upstreams, func(u *routing.Upstream) string { return u.ID }, l.observeUpstream)
+}
+
+// walk calls fn for each id of two lists that are sorted by id. The value of a
+// list that lacks the id is nil.
+func walk[T any](old, new []T, id func(*T) string, fn func(old, new *T)) {
+	for len(old) > 0 || len(new) > 0 {
+		order := 0
+		switch {
+		case len(old) == 0:
+			order = 1
+		case len(new) == 0:
+			order = -1
+		default:
+			order = cmp.Compare(id(&old[0]), id(&new[0]))
+		}
+		var before, after *T
+		if order <= 0 {
+			before, old = &old[0], old[1:]
+		}
+		if order >= 0 {
+			after, new = &new[0], new[1:]
+		}
+		fn(before, after)
+	}
+}
+
+func (l *Loop) observePeer(old, new *routing.Peer) {
+	switch {
+	case old == nil:
+		l.observer.Timeline.Record(timeline.Event{Kind: timeline.KindMemberUp, Detail: new.ID + " in region " + new.Region})
+	case new == nil:
+		l.observer.Timeline.Record(timeline.Event{Kind: timeline.KindMemberDown, Detail: old.ID + " in region " + old.Region})
+	case new.Draining && !old.Draining:
+		l.observer.Timeline.Record(timeline.Event{Kind: timeline.KindMemberDraining, Detail: new.ID})
+	}
+}
+
+func (l *Loop) observeUpstream(old, new *routing.Upstream) {
+	record := func(kind timeline.Kind, id, detail string) {
+		l.observer.Timeline.Record(timeline.Event{Kind: kind, Upstream: id, Detail: detail})
+	}
+	switch {
+	case old == nil:
+		record(timeline.KindUpstreamUp, new.ID, "listed")
+	case new == nil:
+		record(timeline.KindUpstreamDown, old.ID, "no longer listed")
+	case new.Down && !old.Down:
+		record(timeline.KindUpstreamDown, new.ID, "repeated failures")
+	case !new.Down && old.Down:
+		record(timeline.KindUpstreamUp, new.ID, "probe allowed")
+	case new.Leaving && !old.Leaving:
+		record(timeline.KindUpstreamLeaving, new.ID, "")
+	}
+}
--- /dev/null
+++ b/internal/control/observe_test.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"heatherloom/internal/opconfig"
+	"heatherloom/internal/platform"
+	"heatherloom/internal/routing"
+	"heatherloom/internal/timeline"
+)
+
+func TestControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "control")
+}
+
+var _ = Describe("the observer", func() {
+	// Guards against a timeline that misses a change of state, or repeats it on
+	// each tick.
+	It("records each change of configuration, members and upstreams once", func() {
+		loop := NewLoop(Identity{ID: "self", Region: "r"})
+		recorder := timeline.NewRecorder("self", timeline.NewClock(time.Now), 1, 64)
+		ticks := 0
+		loop.Observe(Observer{Timeline: recorder, Tick: func(time.Duration) { ticks++ }})
+		now := time.Now()
+		step := func(events ...Event) {
+			for _, e := range events {
+				loop.Post(GinkgoT().Context(), e)
+			}
+			loop.tick(now)
+			loop.tick(now)
+		}
+		config := opconfig.New()
+		config.Revision = 3
+		engines := func(ids ...string) InstancesEvent {
+			var e InstancesEvent
+			for _, id := range ids {
+				e.Instances = append(e.Instances, platform.Instance{ID: id, Role: platform.RoleEngine, Region: "r"})
+			}
+			return e
+		}
+		step(ConfigEvent{Config: config}, engines("e1", "e3"), HeartbeatEvent{Peer: routing.Peer{ID: "p", Region: "r"}})
+		step(engines("e2", "e3"), HeartbeatEvent{Peer: routing.Peer{ID: "p", Region: "r", Draining: true}})
+		loop.tables.upstreams["e3"].counters.Failures.Store(failuresToPause)
+		step()
+		now = now.Add(memberTimeout + time.Second)
+		step()
+
+		var seen []string
+		for _, e := range recorder.Since(0) {
+			seen = append(seen, fmt.Sprint(e.Kind, " ", e.Upstream, e.Detail))
+		}
+		Expect(seen).To(Equal([]string{
+			"config_in_force revision 3", "member_up p in region r", "upstream_up e1listed", "upstream_up e3listed",
+			"member_draining p", "upstream_down e1no longer listed", "upstream_up e2listed",
+			"upstream_down e3repeated failures",
+			"member_down p in region r", "upstream_up e3probe allowed",
+		}))
+		Expect(ticks).To(Equal(8))
+		Expect(loop.ConfigSince()).NotTo(BeZero())
+	})
+})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,6 +11,8 @@
 	"heatherloom/internal/errkind"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/routing"
+	"heatherloom/internal/telemetry"
+	"heatherloom/internal/timeline"
 )
 
 // Request is a request whose client account is known.
@@ -54,6 +56,9 @@
 	Snapshot func() *routing.Snapshot
 	Relay    *relay.Relay
 	Forward  Forwarder
+	// Timeline and Metrics may be nil.
+	Timeline *timeline.Recorder
+	Metrics  *telemetry.Metrics
 }
 
 // Dispatch serves r and delivers its answer to sink. It returns nil if the whole
@@ -72,9 +77,11 @@
 			return nil
 		}
 		tried = append(tried, used)
+		d.recordFailure(r, used, result.Err)
 		if !mayRepeat(ctx, r, result, attempt) {
 			return result.Err
 		}
+		d.Metrics.Retry()
 	}
 }
 
@@ -101,10 +108,16 @@
 	}
 	if choice.Peer >= 0 {
 		peer := snapshot.Peers[choice.Peer]
-		return d.Forward.Forward(ctx, peer, r, sink), peer.ID, nil
+		d.recordForward(r, &peer)
+		result := d.Forward.Forward(ctx, peer, r, sink)
+		d.Metrics.Forward(result.Err)
+		return result, peer.ID, nil
 	}
 	upstream := &snapshot.Upstreams[choice.Upstream]
-	return d.toUpstream(ctx, r, upstream, sink), upstream.ID, nil
+	d.recordPick(r, upstream)
+	result := d.toUpstream(ctx, r, upstream, sink)
+	d.Metrics.Attempt(result.Err)
+	return result, upstream.ID, nil
 }
 
 func (d *Dispatcher) toUpstream(ctx context.Context, r *Request, u *routing.Upstream, sink Sink) relay.Result {
--- /dev/null
+++ b/internal/dispatch/record.go
@@ -0,0 +1,50 @@
+package dispatch
+
+import (
+	"strings"
+
+	"heatherloom/internal/errkind"
+	"heatherloom/internal/invariant"
+	"heatherloom/internal/routing"
+	"heatherloom/internal/timeline"
+)
+
+// Version returns the version of the target; empty for a plain service.
+func (r *Request) Version() string {
+	_, version, _ := strings.Cut(r.Target, "@")
+	return version
+}
+
+func (r *Request) event(kind timeline.Kind, upstream, detail string) timeline.Event {
+	return timeline.Event{
+		Kind:     kind,
+		Request:  r.ID,
+		Account:  r.Account,
+		Version:  r.Version(),
+		Upstream: upstream,
+		Detail:   detail,
+	}
+}
+
+// recordPick records the choice of an upstream and checks what must hold for it.
+func (d *Dispatcher) recordPick(r *Request, u *routing.Upstream) {
+	if r.BoundRegion != "" && r.BoundRegion != u.Region {
+		invariant.Violated(invariant.RegionBinding, "request %s is bound to region %q and was to run in %q", r.ID, r.BoundRegion, u.Region)
+	}
+	d.Timeline.Record(r.event(timeline.KindPicked, u.ID, ""))
+}
+
+// recordForward records the choice of another entry instance and checks that it
+// did not handle the request before.
+func (d *Dispatcher) recordForward(r *Request, p *routing.Peer) {
+	for _, id := range r.Visited {
+		if id == p.ID {
+			invariant.Violated(invariant.NoLoop, "request %s was to return to instance %q", r.ID, id)
+		}
+	}
+	d.Timeline.Record(r.event(timeline.KindForwarded, p.ID, ""))
+}
+
+func (d *Dispatcher) recordFailure(r *Request, used string, err *errkind.Error) {
+	d.Timeline.Record(r.event(timeline.KindAttemptFailed, used, string(err.Kind)+": "+err.Message))
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -69,6 +69,8 @@
 	w       http.ResponseWriter
 	started bool
 	stream  bool
+	// headAt is the time of the first part of the answer.
+	headAt time.Time
 }
 
 // Head implements dispatch.Sink.
@@ -77,6 +79,7 @@
 		s.w.Header()[name] = values
 	}
 	s.started = true
+	s.headAt = time.Now()
 	s.w.WriteHeader(status)
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,10 +19,13 @@
 
 	"heatherloom/internal/admission"
 	"heatherloom/internal/dispatch"
+	"heatherloom/internal/drain"
 	"heatherloom/internal/errkind"
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/routing"
+	"heatherloom/internal/telemetry"
+	"heatherloom/internal/timeline"
 )
 
 const (
@@ -40,6 +43,10 @@
 	Dispatcher *dispatch.Dispatcher
 	Buckets    *admission.Buckets
 	Log        *logrus.Entry
+	// Gate, Timeline and Metrics may be nil.
+	Gate     *drain.Gate
+	Timeline *timeline.Recorder
+	Metrics  *telemetry.Metrics
 	// Now reads the clock.
 	Now func() time.Time
 }
@@ -53,11 +60,11 @@
 	s := &server{Deps: deps}
 	app := iris.New()
 	app.Logger().SetLevel("disable")
-	app.Post("/v1/chat/completions", s.handle(s.inference))
-	app.Post("/v1/completions", s.handle(s.inference))
-	app.Get("/v1/models", s.handle(s.models))
+	app.Post("/v1/chat/completions", s.handle(s.observed(s.inference)))
+	app.Post("/v1/completions", s.handle(s.observed(s.inference)))
+	app.Get("/v1/models", s.handle(s.observed(s.models)))
 	app.Get("/v1/entries", s.handle(s.entries))
-	app.Any("/{path:path}", s.handle(s.service))
+	app.Any("/{path:path}", s.handle(s.observed(s.service)))
 	if err := app.Build(); err != nil {
 		return nil, fmt.Errorf("build the caller listener: %w", err)
 	}
@@ -87,31 +94,36 @@
 		}
 		c.w.Header().Set(relay.HeaderRequestID, c.id)
 		c.sink = &callerSink{w: c.w}
+		if c.snapshot.Draining {
+			// The caller then opens its next connection to another instance.
+			c.w.Header().Set("Connection", "close")
+		}
 		err := fn(c)
+		// Before refuse, which panics to break off a plain response.
+		s.logCall(c, err, s.Now().Sub(started))
 		if err != nil {
 			refuse(c, err)
 		}
-		s.logCall(c, err, s.Now().Sub(started))
 	}
 }
 
 func (s *server) logCall(c *call, err *errkind.Error, took time.Duration) {
 	fields := logrus.Fields{
-		"event":   "request",
-		"request": c.id,
-		"method":  c.r.Method,
-		"path":    c.r.URL.Path,
-		"account": c.account,
-		"ms":      took.Milliseconds(),
+		telemetry.FieldEvent:   "request",
+		telemetry.FieldRequest: c.id,
+		telemetry.FieldMethod:  c.r.Method,
+		telemetry.FieldPath:    c.r.URL.Path,
+		telemetry.FieldAccount: c.account,
+		telemetry.FieldMillis:  took.Milliseconds(),
 	}
 	if err == nil {
 		s.Log.WithFields(fields).Info("request complete")
 		return
 	}
-	fields["kind"] = err.Kind
-	fields["ran"] = err.Ran
+	fields[telemetry.FieldKind] = err.Kind
+	fields[telemetry.FieldRan] = err.Ran
 	if err.Cause != nil {
-		fields["cause"] = err.Cause.Error()
+		fields[telemetry.FieldCause] = err.Cause.Error()
 	}
 	s.Log.WithFields(fields).Info("request refused or cut")
 }
--- /dev/null
+++ b/internal/gateway/observe.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"strings"
+	"time"
+
+	"heatherloom/internal/errkind"
+	"heatherloom/internal/telemetry"
+	"heatherloom/internal/timeline"
+)
+
+// EntriesValidity is how long a caller may use an answer of GET /v1/entries.
+const EntriesValidity = entriesValidity
+
+// observed refuses the request if the instance drains, and records its receipt and
+// outcome. GET /v1/entries is not observed: it is served until the listener closes,
+// so that callers of a draining instance find the others.
+func (s *server) observed(fn func(*call) *errkind.Error) func(*call) *errkind.Error {
+	return func(c *call) *errkind.Error {
+		started := s.Now()
+		// Cloned, since the path shares memory with the whole request line.
+		path := strings.Clone(c.r.URL.Path)
+		s.Timeline.Record(timeline.Event{Kind: timeline.KindReceived, Request: c.id, Detail: path})
+		err := s.gated(c, fn)
+		s.recordEnd(c, err, started)
+		return err
+	}
+}
+
+func (s *server) gated(c *call, fn func(*call) *errkind.Error) *errkind.Error {
+	if err := s.Gate.Enter(); err != nil {
+		return err
+	}
+	defer s.Gate.Leave()
+	return fn(c)
+}
+
+func (s *server) recordEnd(c *call, err *errkind.Error, started time.Time) {
+	s.Metrics.Request(err, s.classOf(c), s.Now().Sub(started))
+	if c.sink.stream && c.sink.started {
+		s.Metrics.FirstToken(c.sink.headAt.Sub(started))
+	}
+	event := timeline.Event{Kind: timeline.KindComplete, Request: c.id, Account: c.account}
+	if err != nil {
+		event.Kind = timeline.KindRefused
+		event.Detail = string(err.Kind) + " ran=" + string(err.Ran) + ": " + err.Message
+	}
+	s.Timeline.Record(event)
+}
+
+func (s *server) classOf(c *call) telemetry.AccountClass {
+	account, ok := c.snapshot.Config.Accounts[c.account]
+	if !ok {
+		return telemetry.ClassNone
+	}
+	return telemetry.ClassOf(account.Rate)
+}
+
+// scheme returns the start of the URL by which the caller reached this listener.
+func (c *call) scheme() string {
+	if c.r.TLS != nil {
+		return "https://"
+	}
+	return "http://"
+}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -123,7 +123,7 @@
 func (s *server) entries(c *call) *errkind.Error {
 	list := entryList{ValidForSeconds: int64(entriesValidity.Seconds()), Entries: []entryItem{}}
 	if !c.snapshot.Draining {
-		list.Entries = append(list.Entries, entryItem{ID: c.snapshot.SelfID, URL: "http://" + c.r.Host, Region: c.snapshot.Region})
+		list.Entries = append(list.Entries, entryItem{ID: c.snapshot.SelfID, URL: c.scheme() + c.r.Host, Region: c.snapshot.Region})
 	}
 	for _, p := range c.snapshot.Peers {
 		if !p.Draining {
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -60,15 +60,21 @@
 	reporter atomic.Pointer[func(Violation)]
 )
 
-// Check reports a violation of name if ok is false. It returns ok. The message is
-// formatted only for a violation.
+// Check reports a violation of name if ok is false. It returns ok. The arguments
+// are allocated in any case; the request path tests the condition itself and calls
+// Violated.
 func Check(ok bool, name Name, format string, args ...any) bool {
 	if !ok {
-		violated(Violation{Name: name, Message: fmt.Sprintf(format, args...)}, testing.Testing())
+		Violated(name, format, args...)
 	}
 	return ok
 }
 
+// Violated reports a violation of name.
+func Violated(name Name, format string, args ...any) {
+	violated(Violation{Name: name, Message: fmt.Sprintf(format, args...)}, testing.Testing())
+}
+
 // violated counts and reports v; it panics with v if fatal is true.
 func violated(v Violation, fatal bool) {
 	counts[v.Name].Add(1)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -14,6 +14,7 @@
 	"heatherloom/internal/peer/peerv1/peerv1connect"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/routing"
+	"heatherloom/internal/timeline"
 )
 
 // pingInterval is the silence after which an HTTP/2 ping checks a connection, and
@@ -28,6 +29,8 @@
 	selfID string
 	secret string
 	http   *http.Client
+	// clock travels with each message; nil for none.
+	clock *timeline.Clock
 
 	mu      sync.Mutex
 	clients map[string]peerv1connect.PeerServiceClient
@@ -49,6 +52,10 @@
 	}
 }
 
+// UseClock makes the client send and adopt readings of clock. It is called before
+// the first message.
+func (c *Client) UseClock(clock *timeline.Clock) { c.clock = clock }
+
 // At returns the service client of the peer listener at address.
 func (c *Client) At(address string) peerv1connect.PeerServiceClient {
 	c.mu.Lock()
@@ -69,7 +76,7 @@
 		return forwardFailure(err, false)
 	}
 	defer stream.Close()
-	return receive(stream, sink)
+	return receive(stream, sink, c.clock)
 }
 
 func (c *Client) forwardRequest(r *dispatch.Request) *peerv1.ForwardRequest {
@@ -86,12 +93,13 @@
 		Target:      r.Target,
 		Stream:      r.Stream,
 		Repeatable:  r.Repeatable,
+		Clock:       uint64(c.clock.Now()),
 	}
 }
 
 // receive delivers the parts of a forwarded answer. The end message proves that
 // the answer is whole.
-func receive(stream *connect.ServerStreamForClient[peerv1.ForwardResponse], sink dispatch.Sink) relay.Result {
+func receive(stream *connect.ServerStreamForClient[peerv1.ForwardResponse], sink dispatch.Sink, clock *timeline.Clock) relay.Result {
 	started := false
 	for stream.Receive() {
 		switch part := stream.Msg().GetPart().(type) {
@@ -105,6 +113,7 @@
 				return callerGone(err)
 			}
 		case *peerv1.ForwardResponse_End:
+			clock.Observe(timeline.Stamp(part.End.GetClock()))
 			return endResult(part.End, started)
 		}
 	}
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -8,6 +8,7 @@
 
 	"heatherloom/internal/control"
 	"heatherloom/internal/peer/peerv1"
+	"heatherloom/internal/timeline"
 )
 
 const (
@@ -65,9 +66,11 @@
 	resp, err := h.Client.At(address).Heartbeat(ctx, connect.NewRequest(&peerv1.HeartbeatRequest{
 		Self:  SelfMember(h.Identity, snapshot),
 		Known: knownMembers(snapshot),
+		Clock: uint64(h.Client.clock.Now()),
 	}))
 	if err != nil {
 		return
 	}
+	h.Client.clock.Observe(timeline.Stamp(resp.Msg.GetClock()))
 	postMember(ctx, h.Loop, resp.Msg.GetSelf())
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,16 +4,19 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"heatherloom/internal/control"
 	"heatherloom/internal/dispatch"
+	"heatherloom/internal/drain"
 	"heatherloom/internal/errkind"
 	"heatherloom/internal/peer/peerv1"
 	"heatherloom/internal/peer/peerv1/peerv1connect"
 	"heatherloom/internal/routing"
+	"heatherloom/internal/timeline"
 )
 
 // ConfigSource answers peers that ask for configuration.
@@ -38,6 +41,9 @@
 	Events     EventSource
 	// Secret authenticates peers.
 	Secret string
+	// Timeline and Gate may be nil.
+	Timeline *timeline.Recorder
+	Gate     *drain.Gate
 }
 
 // Handler returns the HTTP handler of the peer listener.
@@ -50,11 +56,13 @@
 
 // Heartbeat records the sender and answers with this instance's own row.
 func (s *Server) Heartbeat(ctx context.Context, req *connect.Request[peerv1.HeartbeatRequest]) (*connect.Response[peerv1.HeartbeatResponse], error) {
+	s.Timeline.Clock().Observe(timeline.Stamp(req.Msg.GetClock()))
 	postMember(ctx, s.Loop, req.Msg.GetSelf())
 	snapshot := s.Loop.Snapshot()
 	return connect.NewResponse(&peerv1.HeartbeatResponse{
 		Self:  SelfMember(s.Identity, snapshot),
 		Known: knownMembers(snapshot),
+		Clock: uint64(s.Timeline.Clock().Now()),
 	}), nil
 }
 
@@ -74,9 +82,18 @@
 
 // Forward serves a request of another region's entry instance.
 func (s *Server) Forward(ctx context.Context, req *connect.Request[peerv1.ForwardRequest], stream *connect.ServerStream[peerv1.ForwardResponse]) error {
+	s.Timeline.Clock().Observe(timeline.Stamp(req.Msg.GetClock()))
 	request := requestOf(req.Msg)
-	err := s.serveForward(ctx, request, streamSink{stream})
-	return stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_End{End: endOf(err)}})
+	refusal := s.Gate.Enter()
+	if refusal == nil {
+		defer s.Gate.Leave()
+		s.recordForward(timeline.KindForwardIn, request, "from "+strings.Join(request.Visited, ", "))
+		refusal = s.serveForward(ctx, request, streamSink{stream})
+	}
+	end := endOf(refusal)
+	s.recordForward(timeline.KindForwardEnd, request, outcomeOf(refusal))
+	end.Clock = uint64(s.Timeline.Clock().Now())
+	return stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_End{End: end}})
 }
 
 func (s *Server) serveForward(ctx context.Context, r *dispatch.Request, sink dispatch.Sink) *errkind.Error {
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -15,6 +15,7 @@
 	KindAttemptFailed Kind = "attempt_failed"
 	KindForwarded     Kind = "forwarded"
 	KindForwardIn     Kind = "forward_received"
+	KindForwardEnd    Kind = "forward_ended"
 	KindComplete      Kind = "request_complete"
 	KindRefused       Kind = "request_refused"
 	KindConfig        Kind = "config_in_force"
@@ -22,8 +23,11 @@
 	KindMemberDown    Kind = "member_down"
 	KindUpstreamUp    Kind = "upstream_up"
 	KindUpstreamDown  Kind = "upstream_down"
-	KindDrain         Kind = "drain"
-	KindTLS           Kind = "tls_files"
+	// KindUpstreamLeaving means that an upstream gets no new work for good.
+	KindUpstreamLeaving Kind = "upstream_leaving"
+	KindMemberDraining  Kind = "member_draining"
+	KindDrain           Kind = "drain"
+	KindTLS             Kind = "tls_files"
 )
 
 // Event is one thing that happened on one instance. Fields that do not apply are
--- a/internal/timeline/recorder.go
+++ b/internal/timeline/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"sort"
+	"strings"
 	"sync"
 )
 
@@ -16,6 +17,10 @@
 	DefaultStateEvents = 4096
 )
 
+// maxDetailBytes bounds the detail of an event. Details may hold text of callers,
+// such as an unknown model name of up to the body limit of 8 MB.
+const maxDetailBytes = 200
+
 // ring holds the latest events in clock order.
 type ring struct {
 	events  []Event
@@ -84,6 +89,9 @@
 	if r == nil {
 		return
 	}
+	if len(e.Detail) > maxDetailBytes {
+		e.Detail = strings.ToValidUTF8(strings.Clone(e.Detail[:maxDetailBytes]), "")
+	}
 	e.Instance = r.instance
 	e.Wall = r.clock.wall().UTC()
 	// The reading is taken under the lock, so that each ring is in clock order.
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -135,6 +135,13 @@
 		Expect(JSONSource{r}.Since(uint64(events[14].Clock))).To(HaveLen(1))
 	})
 
+	// Guards against a caller whose text fills the memory of the process.
+	It("bounds the detail of an event", func() {
+		r := NewRecorder("a", NewClock(time.Now), 1, 1)
+		r.Record(Event{Detail: strings.Repeat("é", maxDetailBytes)})
+		Expect(len(r.Since(0)[0].Detail)).To(BeNumerically("<=", maxDetailBytes))
+	})
+
 	// Guards against requests that push the start of a drain or a configuration out
 	// of the ring.
 	It("keeps other events while requests overflow", func() {
