Serve the operator listener, drain without cutting requests, add three subcommands

Cause: the operator address of the settings was never opened; a signal closed the listeners while callers still held answers of GET /v1/entries that named the instance, and nothing showed the progress or the merged timeline.

Ruled out: draining for exactly the 5 s validity of /v1/entries (a peer may hear of the drain one or two heartbeats later and hand out the instance until then, so the announced period is 5 s + 2 s); refusing /v1/entries in a drain (callers then could not find the others); a token flag (visible in the process list); operator services without a token (they are refused with 403 while none is set); waiting in Node.Shutdown (development clusters and tests stop nodes often, so Drain is apart).

Change: internal/operator, internal/operatorapi (types and client), node opens the operator listener and drains in phases, serve drains on SIGTERM or POST /v1/drain and ends at once on a second signal, subcommands status, timeline and drain, settings sections [operator] and [log].

Conclusion: I13 holds for caller streams, outgoing and incoming forwards in the e2e tests.

--- a/cmd/heatherloom/main.go
+++ b/cmd/heatherloom/main.go
@@ -23,6 +23,9 @@
 func commands() []command {
 	return []command{
 		{"serve", "run an entry instance", runServe},
+		{"status", "show the state of an entry instance", runStatus},
+		{"timeline", "merge the recent events of all entry instances", runTimeline},
+		{"drain", "take an entry instance out of service", runDrain},
 		{"standin", "run a stand-in of an outside part, for development and tests", runStandin},
 	}
 }
--- a/cmd/heatherloom/serve.go
+++ b/cmd/heatherloom/serve.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"os"
@@ -13,6 +12,7 @@
 
 	"heatherloom/internal/node"
 	"heatherloom/internal/settings"
+	"heatherloom/internal/telemetry"
 )
 
 // shutdownTimeout bounds the wait for running requests after a signal.
@@ -31,17 +31,25 @@
 		}
 		return exitUsage
 	}
-	log := logrus.New()
+	log, err := telemetry.NewLogger(os.Stderr, s.Log.Level)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "heatherloom:", err)
+		return exitUsage
+	}
+	telemetry.LogInvariants(log.WithField(telemetry.FieldInstance, s.Instance.ID))
 	n, err := node.Start(s, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "heatherloom:", err)
 		return exitFailure
 	}
-	log.WithFields(logrus.Fields{"event": "started", "instance": s.Instance.ID, "caller": n.CallerAddress, "peer": n.PeerAddress}).Info("entry instance started")
-	waitForSignal()
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if err := n.Shutdown(ctx); err != nil {
+	log.WithFields(logrus.Fields{
+		telemetry.FieldEvent:    "started",
+		telemetry.FieldInstance: s.Instance.ID,
+		telemetry.FieldCaller:   n.CallerAddress,
+		telemetry.FieldPeer:     n.PeerAddress,
+		telemetry.FieldOperator: n.OperatorAddress,
+	}).Info("entry instance started")
+	if err := serveUntilDrained(n, shutdownTimeout); err != nil {
 		fmt.Fprintln(os.Stderr, "heatherloom:", err)
 		return exitFailure
 	}
--- /dev/null
+++ b/e2e/operator_test.go
@@ -0,0 +1,306 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"heatherloom/internal/operatorapi"
+	"heatherloom/internal/platform"
+	"heatherloom/internal/standin"
+	"heatherloom/internal/timeline"
+)
+
+const operatorToken = "operator-test-token"
+
+// watched is an entry instance whose operator listener a test uses.
+type watched struct {
+	cmd      *exec.Cmd
+	caller   string
+	peer     string
+	operator string
+	// exited receives the result of the process once.
+	exited chan error
+}
+
+// watchedEntry starts an entry instance with an operator token.
+func (s *site) watchedEntry(id, region string) *watched {
+	w := &watched{caller: freeAddress(), peer: freeAddress(), operator: freeAddress(), exited: make(chan error, 1)}
+	s.seeds = append(s.seeds, w.peer)
+	path := filepath.Join(s.dir, id+".ini")
+	text := fmt.Sprintf("[instance]\nid=%s\nregion=%s\nfailure_domain=%s-1\n[listeners]\ncaller=%s\npeer=%s\noperator=%s\n"+
+		"[platform]\nstore=%s\ninstances=%s/instances\n[peer]\nsecret=%s\nseeds=%s\n[operator]\ntoken=%s\n",
+		id, region, region, w.caller, w.peer, w.operator, s.store, s.instances, peerSecret, strings.Join(s.seeds, ","), operatorToken)
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	w.cmd = exec.Command(binary, "serve", "-config", path)
+	w.cmd.Stderr = GinkgoWriter
+	Expect(w.cmd.Start()).To(Succeed())
+	go func() { w.exited <- w.cmd.Wait() }()
+	DeferCleanup(w.kill)
+	Eventually(func() int { return call("http://"+w.caller, http.MethodGet, "/v1/models", "").status }, startTimeout, "50ms").Should(Equal(http.StatusOK))
+	return w
+}
+
+// kill ends the process at once, as a crash does.
+func (w *watched) kill() { _ = w.cmd.Process.Kill() }
+
+func (w *watched) client() *operatorapi.Client {
+	return &operatorapi.Client{URL: "http://" + w.operator, Token: operatorToken, HTTP: httpClient}
+}
+
+// slowEngine lists an engine whose streams take about answer.
+func (s *site) slowEngine(id, region string, tokenInterval time.Duration) {
+	_, url := startStandin("engine", "-token-interval", tokenInterval.String())
+	s.list(platform.Instance{
+		ID: id, Role: platform.RoleEngine, Region: region, FailureDomain: region + "-1",
+		Address: strings.TrimPrefix(url, "http://"), Models: []string{"lantern@1"},
+	})
+}
+
+// command runs a subcommand of the binary with the operator token.
+func command(args ...string) (string, int) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, binary, args...)
+	cmd.Env = append(os.Environ(), "HEATHERLOOM_OPERATOR_TOKEN="+operatorToken)
+	out, _ := cmd.CombinedOutput()
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// outcomes counts what callers received.
+type outcomes struct {
+	mu       sync.Mutex
+	complete int
+	draining int
+	cut      []string
+}
+
+func (o *outcomes) add(a answer, want string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var body struct{ Error struct{ Kind, Ran string } }
+	switch {
+	case a.err == nil && a.status == http.StatusOK && strings.HasSuffix(a.body, "data: [DONE]\n\n") && strings.Count(a.body, "data: ") == strings.Count(want, " ")+2:
+		o.complete++
+	case a.err == nil && json.Unmarshal([]byte(a.body), &body) == nil && body.Error.Kind == "draining" && body.Error.Ran == "no":
+		o.draining++
+	default:
+		o.cut = append(o.cut, fmt.Sprint(a.status, " ", a.err, " ", a.body))
+	}
+}
+
+// drainUnderLoad runs streams through url until stop is closed.
+func drainUnderLoad(url string, stop <-chan struct{}) (*outcomes, *sync.WaitGroup) {
+	const callers = 6
+	var group sync.WaitGroup
+	seen := &outcomes{}
+	for i := range callers {
+		group.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+					body := chat(1000*i+n, true)
+					seen.add(call(url, http.MethodPost, "/v1/chat/completions", body), standin.ExpectedText([]byte(body)))
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+		})
+	}
+	return seen, &group
+}
+
+func entryIDs(url string) []string {
+	var list struct{ Entries []struct{ ID string } }
+	_ = json.Unmarshal([]byte(call(url, http.MethodGet, "/v1/entries", "").body), &list)
+	var ids []string
+	for _, e := range list.Entries {
+		ids = append(ids, e.ID)
+	}
+	return ids
+}
+
+var _ = Describe("the operator listener of separate processes", func() {
+	// Guards against a drain that cuts a stream, refuses callers whose list of entry
+	// instances is still valid, or ends without saying so (I13). The draining
+	// instance forwards each stream to the other region.
+	It("drains under load without cutting a stream", func() {
+		s := newSite()
+		s.configure()
+		s.slowEngine("engine-b", "b", 60*time.Millisecond)
+		a, b := s.watchedEntry("entry-a", "a"), s.watchedEntry("entry-b", "b")
+		s.service("ledger-a", "a")
+		waitForRoute("http://" + a.caller)
+		waitForRoute("http://" + b.caller)
+
+		stop := make(chan struct{})
+		seen, callers := drainUnderLoad("http://"+a.caller, stop)
+		time.Sleep(300 * time.Millisecond)
+		started := time.Now()
+		type result struct {
+			out  string
+			code int
+		}
+		drained := make(chan result, 1)
+		go func() {
+			out, code := command("drain", "-operator", "http://"+a.operator)
+			drained <- result{out, code}
+		}()
+		Eventually(func() []string { return entryIDs("http://" + b.caller) }, 3*time.Second, "50ms").Should(Equal([]string{"entry-b"}))
+		Expect(entryIDs("http://" + a.caller)).To(Equal([]string{"entry-b"}))
+		ready, err := http.Get("http://" + a.operator + "/readyz")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ready.Body.Close()).To(Succeed())
+		Expect(ready.StatusCode).To(Equal(http.StatusServiceUnavailable))
+
+		var phase operatorapi.Drain
+		Eventually(func() string {
+			phase, _ = a.client().Drain(context.Background())
+			return phase.Phase
+		}, 15*time.Second, "10ms").Should(Equal("refusing"))
+		Expect(time.Since(started)).To(BeNumerically(">=", 5*time.Second))
+		Expect(phase.InFlight).To(BeNumerically(">", 0))
+		refused := call("http://"+a.caller, http.MethodPost, "/v1/chat/completions", chat(0, true))
+		Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(refused.body).To(And(ContainSubstring(`"kind":"draining"`), ContainSubstring(`"ran":"no"`)))
+		Expect(entryIDs("http://" + a.caller)).To(Equal([]string{"entry-b"}))
+		close(stop)
+		callers.Wait()
+		var end result
+		Eventually(drained, 15*time.Second).Should(Receive(&end))
+		Expect(end.code).To(BeZero(), end.out)
+		Expect(end.out).To(ContainSubstring("phase=done in_flight=0"))
+		Eventually(a.exited, 10*time.Second).Should(Receive(BeNil()))
+		Expect(seen.cut).To(BeEmpty())
+		Expect(seen.complete).To(BeNumerically(">", 6))
+	})
+
+	// Guards against a drain that cuts streams which other instances forward to the
+	// draining one, and against forwards to an instance that refuses them (I13).
+	It("drains on a signal without a failure of forwarded streams", func() {
+		s := newSite()
+		s.configure()
+		s.slowEngine("engine-a", "a", 60*time.Millisecond)
+		first, second, b := s.watchedEntry("entry-a1", "a"), s.watchedEntry("entry-a2", "a"), s.watchedEntry("entry-b", "b")
+		for _, target := range []*watched{second, b} {
+			Eventually(func() []string { return entryIDs("http://" + target.caller) }, 5*time.Second, "50ms").Should(HaveLen(3))
+		}
+		// The bucket of a client account starts empty on each instance.
+		Eventually(func() int {
+			return call("http://"+b.caller, http.MethodPost, "/v1/chat/completions", chat(0, false)).status
+		}, 5*time.Second, "50ms").Should(Equal(http.StatusOK))
+		stop := make(chan struct{})
+		seen, callers := drainUnderLoad("http://"+b.caller, stop)
+		Eventually(func() int {
+			status, _ := first.client().Status(context.Background())
+			return status.InFlight
+		}, 5*time.Second, "20ms").Should(BeNumerically(">", 0))
+		Expect(first.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Eventually(first.exited, 20*time.Second).Should(Receive(BeNil()))
+		close(stop)
+		callers.Wait()
+		Expect(seen.cut).To(BeEmpty())
+		Expect(seen.draining).To(BeZero())
+		Expect(seen.complete).To(BeNumerically(">", 6))
+	})
+
+	// Guards against an instance that cannot be ended while a request runs.
+	It("ends at once on a second signal", func() {
+		s := newSite()
+		s.configure()
+		a := s.watchedEntry("entry-a", "a")
+		Expect(a.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Eventually(func() string {
+			d, _ := a.client().Drain(context.Background())
+			return d.Phase
+		}, 2*time.Second, "20ms").Should(Equal("announced"))
+		Expect(a.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		var err error
+		Eventually(a.exited, 2*time.Second).Should(Receive(&err))
+		Expect(err).To(MatchError(ContainSubstring("exit status 1")))
+	})
+
+	// Guards against callers that reach operator or peer services, and against
+	// callers who pass for peers.
+	It("does not serve operator or peer paths on the caller listener", func() {
+		s := newSite()
+		s.configure()
+		a := s.watchedEntry("entry-a", "a")
+		for _, path := range []string{"/v1/status", "/v1/events", "/v1/drain", "/metrics", "/healthz", "/readyz", "/peer.v1.PeerService/Heartbeat", "/peer.v1.PeerService/PullEvents"} {
+			for _, method := range []string{http.MethodGet, http.MethodPost} {
+				got := callWithKey("http://"+a.caller, method, path, "{}", operatorToken)
+				Expect(got.status).To(Equal(http.StatusNotFound), path)
+				Expect(got.body).To(ContainSubstring("unknown_route"), path)
+			}
+		}
+		resp, err := http.Post("http://"+a.peer+"/peer.v1.PeerService/PullEvents", "application/json", strings.NewReader("{}"))
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		Expect(resp.StatusCode).To(Equal(http.StatusUnauthorized))
+	})
+
+	// Guards against a merged timeline that misses a step of a forwarded request,
+	// shows it in the wrong order, or hides that an instance did not answer.
+	It("merges the events of a forwarded request and names missing instances", func() {
+		s := newSite()
+		s.configure()
+		s.slowEngine("engine-b", "b", time.Millisecond)
+		s.service("ledger-a", "a")
+		a, b := s.watchedEntry("entry-a", "a"), s.watchedEntry("entry-b", "b")
+		waitForRoute("http://" + a.caller)
+		id := call("http://"+a.caller, http.MethodPost, "/v1/chat/completions", chat(1, true)).header.Get("X-Request-Id")
+		out, code := command("timeline", "-operator", "http://"+a.operator, "-request", id)
+		Expect(code).To(BeZero(), out)
+		var kinds []string
+		for line := range strings.Lines(out) {
+			_, rest, _ := strings.Cut(line, " event=")
+			kind, _, _ := strings.Cut(rest, " ")
+			kinds = append(kinds, kind)
+		}
+		for i, kind := range []timeline.Kind{timeline.KindReceived, timeline.KindForwarded, timeline.KindForwardIn, timeline.KindPicked, timeline.KindForwardEnd, timeline.KindComplete} {
+			Expect(kinds).To(HaveLen(6), out)
+			Expect(kinds[i]).To(Equal(string(kind)), out)
+		}
+
+		b.kill()
+		page := filepath.Join(s.dir, "page.html")
+		out, code = command("timeline", "-operator", "http://"+a.operator, "-html", page)
+		Expect(code).To(Equal(1))
+		Expect(out).To(ContainSubstring("did not answer"))
+		Expect(out).To(ContainSubstring("entry-b"))
+		raw, err := os.ReadFile(page)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(raw)).To(ContainSubstring("<li>entry-b"))
+	})
+
+	// Guards against subcommands that ignore unknown flags or have no help.
+	It("shows the status, and help with examples", func() {
+		s := newSite()
+		s.configure()
+		a := s.watchedEntry("entry-a", "a")
+		out, code := command("status", "-operator", "http://"+a.operator)
+		Expect(code).To(BeZero(), out)
+		Expect(out).To(ContainSubstring("instance entry-a, region a, failure domain a-1: ready"))
+		for _, name := range []string{"status", "timeline", "drain"} {
+			out, code := command(name, "-h")
+			Expect(code).To(BeZero(), out)
+			Expect(out).To(ContainSubstring("heatherloom " + name + " -operator http"))
+			_, code = command(name, "-no-such-flag")
+			Expect(code).To(Equal(2))
+			_, code = command(name)
+			Expect(code).To(Equal(2))
+		}
+	})
+})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,13 +16,17 @@
 	"heatherloom/internal/configsync"
 	"heatherloom/internal/control"
 	"heatherloom/internal/dispatch"
+	"heatherloom/internal/drain"
 	"heatherloom/internal/gateway"
+	"heatherloom/internal/operator"
 	"heatherloom/internal/peer"
 	"heatherloom/internal/platform"
 	"heatherloom/internal/platform/etcdgw"
 	"heatherloom/internal/platform/httpsd"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/settings"
+	"heatherloom/internal/telemetry"
+	"heatherloom/internal/timeline"
 )
 
 const (
@@ -35,58 +39,143 @@
 
 // Node is a running entry instance.
 type Node struct {
-	CallerAddress string
-	PeerAddress   string
+	CallerAddress   string
+	PeerAddress     string
+	OperatorAddress string
 
-	loop    *control.Loop
-	servers []*http.Server
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
+	loop     *control.Loop
+	gate     *drain.Gate
+	timeline *timeline.Recorder
+	// servers are the caller and peer listeners; operator outlives them, so that
+	// the end of a drain can be seen.
+	servers  []*http.Server
+	operator *http.Server
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+}
+
+// listeners are the open sockets of an instance.
+type listeners struct {
+	caller, peer, operator net.Listener
+}
+
+func openListeners(s settings.Listeners) (listeners, error) {
+	var l listeners
+	for _, open := range []struct {
+		name, address string
+		listener      *net.Listener
+	}{
+		{"caller", s.Caller, &l.caller},
+		{"peer", s.Peer, &l.peer},
+		{"operator", s.Operator, &l.operator},
+	} {
+		listener, err := net.Listen("tcp", open.address)
+		if err != nil {
+			l.close()
+			return listeners{}, eris.Wrapf(err, "open the %s listener", open.name)
+		}
+		*open.listener = listener
+	}
+	return l, nil
+}
+
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.caller, l.peer, l.operator} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
 }
 
 // Start starts an entry instance and returns once its listeners are open.
 func Start(s settings.Settings, log *logrus.Logger) (*Node, error) {
-	caller, err := net.Listen("tcp", s.Listeners.Caller)
+	l, err := openListeners(s.Listeners)
 	if err != nil {
-		return nil, eris.Wrap(err, "open the caller listener")
+		return nil, err
 	}
-	peerListener, err := net.Listen("tcp", s.Listeners.Peer)
-	if err != nil {
-		_ = caller.Close()
-		return nil, eris.Wrap(err, "open the peer listener")
+	n := &Node{
+		CallerAddress:   l.caller.Addr().String(),
+		PeerAddress:     l.peer.Addr().String(),
+		OperatorAddress: l.operator.Addr().String(),
+		gate:            drain.NewGate(),
+		timeline: timeline.NewRecorder(s.Instance.ID, timeline.NewClock(time.Now),
+			timeline.DefaultRequestEvents, timeline.DefaultStateEvents),
 	}
-	n := &Node{CallerAddress: caller.Addr().String(), PeerAddress: peerListener.Addr().String()}
-	if err := n.wire(s, log, caller, peerListener); err != nil {
-		_ = caller.Close()
-		_ = peerListener.Close()
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	if err := n.wire(s, log, l); err != nil {
+		n.cancel()
+		l.close()
 		return nil, err
 	}
 	return n, nil
 }
 
-func (n *Node) wire(s settings.Settings, log *logrus.Logger, caller, peerListener net.Listener) error {
-	entry := log.WithField("instance", s.Instance.ID)
+func (n *Node) wire(s settings.Settings, log *logrus.Logger, l listeners) error {
+	entry := log.WithField(telemetry.FieldInstance, s.Instance.ID)
 	identity := n.identity(s)
 	n.loop = control.NewLoop(identity)
+	n.gate.OnPhase = func(p drain.Progress) { n.drainPhase(p, entry) }
+	metrics := n.metrics()
+	n.loop.Observe(control.Observer{Timeline: n.timeline, Tick: metrics.Tick})
 	peers := peer.NewClient(identity.ID, s.Peer.Secret)
-	dispatcher := &dispatch.Dispatcher{Snapshot: n.loop.Snapshot, Relay: relay.New(), Forward: peers}
+	peers.UseClock(n.timeline.Clock())
+	dispatcher := &dispatch.Dispatcher{Snapshot: n.loop.Snapshot, Relay: relay.New(), Forward: peers, Timeline: n.timeline, Metrics: metrics}
 	handler, err := gateway.New(gateway.Deps{
 		Snapshot:   n.loop.Snapshot,
 		Dispatcher: dispatcher,
 		Buckets:    admission.NewBuckets(),
 		Log:        entry,
+		Gate:       n.gate,
+		Timeline:   n.timeline,
+		Metrics:    metrics,
 		Now:        time.Now,
 	})
 	if err != nil {
 		return err
 	}
-	server := &peer.Server{Identity: identity, Loop: n.loop, Dispatcher: dispatcher, Secret: s.Peer.Secret}
-	n.serve(caller, &http.Server{Handler: handler}, entry)
-	n.serve(peerListener, &http.Server{Handler: server.Handler(), Protocols: peerProtocols()}, entry)
+	server := &peer.Server{
+		Identity: identity, Loop: n.loop, Dispatcher: dispatcher, Secret: s.Peer.Secret,
+		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Gate: n.gate,
+	}
+	n.servers = append(n.servers,
+		n.serve(l.caller, &http.Server{Handler: handler}, entry),
+		n.serve(l.peer, &http.Server{Handler: server.Handler(), Protocols: peerProtocols()}, entry))
+	n.operator = n.serve(l.operator, &http.Server{Handler: n.operatorHandler(s, metrics)}, entry)
 	n.runControl(s, entry, identity, peers)
 	return nil
 }
 
+func (n *Node) metrics() *telemetry.Metrics {
+	return telemetry.NewMetrics(telemetry.Sources{
+		InFlight:       func() float64 { return float64(n.gate.Progress().InFlight) },
+		ConfigRevision: func() float64 { return float64(n.loop.Snapshot().Config.Revision) },
+		ConfigAge:      n.configAge,
+		Peers:          func() float64 { return float64(len(n.loop.Snapshot().Peers)) },
+	})
+}
+
+// configAge returns the age of the configuration in seconds; 0 if there is none.
+func (n *Node) configAge() float64 {
+	since := n.loop.ConfigSince()
+	if since.IsZero() {
+		return 0
+	}
+	return time.Since(since).Seconds()
+}
+
+func (n *Node) operatorHandler(s settings.Settings, metrics *telemetry.Metrics) http.Handler {
+	return operator.Handler(operator.Deps{
+		Token:       s.Operator.Token,
+		Snapshot:    n.loop.Snapshot,
+		ConfigSince: n.loop.ConfigSince,
+		Timeline:    n.timeline,
+		Gate:        n.gate,
+		Metrics:     metrics.Handler(),
+		Now:         time.Now,
+	})
+}
+
 func (n *Node) identity(s settings.Settings) control.Identity {
 	return control.Identity{
 		ID:            s.Instance.ID,
@@ -94,7 +183,7 @@
 		FailureDomain: s.Instance.FailureDomain,
 		PeerAddress:   n.PeerAddress,
 		CallerURL:     "http://" + n.CallerAddress,
-		OperatorURL:   "http://" + s.Listeners.Operator,
+		OperatorURL:   "http://" + n.OperatorAddress,
 		Incarnation:   time.Now().UnixNano(),
 	}
 }
@@ -106,22 +195,21 @@
 	return protocols
 }
 
-func (n *Node) serve(listener net.Listener, server *http.Server, log *logrus.Entry) {
+func (n *Node) serve(listener net.Listener, server *http.Server, log *logrus.Entry) *http.Server {
 	server.ReadHeaderTimeout = readHeaderTimeout
 	server.IdleTimeout = callerIdleTimeout
 	server.MaxHeaderBytes = maxHeaderBytes
-	n.servers = append(n.servers, server)
 	n.done.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			log.WithField("event", "listener_closed").WithError(err).Error("listener failed")
+			log.WithField(telemetry.FieldEvent, "listener_closed").WithError(err).Error("listener failed")
 		}
 	})
+	return server
 }
 
 // runControl starts the control goroutine and what feeds it.
 func (n *Node) runControl(s settings.Settings, log *logrus.Entry, identity control.Identity, peers *peer.Client) {
-	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel = cancel
+	ctx := n.ctx
 	store := etcdgw.New(s.Platform.Store)
 	syncer := &configsync.Syncer{Store: store, Loop: n.loop, Log: log}
 	heartbeats := &peer.Heartbeater{Identity: identity, Loop: n.loop, Client: peers, Seeds: func() []string { return s.Peer.Seeds }}
@@ -149,16 +237,3 @@
 
 // Ready reports whether a configuration is in force.
 func (n *Node) Ready() bool { return n.loop.Snapshot().Ready }
-
-// Shutdown takes no new work, ends the requests that run, and stops the instance.
-// It returns an error if ctx ends first.
-func (n *Node) Shutdown(ctx context.Context) error {
-	n.loop.Post(ctx, control.DrainEvent{})
-	var failures []error
-	for _, server := range n.servers {
-		failures = append(failures, server.Shutdown(ctx))
-	}
-	n.cancel()
-	n.done.Wait()
-	return errors.Join(failures...)
-}
--- /dev/null
+++ b/internal/node/shutdown.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"heatherloom/internal/control"
+	"heatherloom/internal/drain"
+	"heatherloom/internal/gateway"
+	"heatherloom/internal/invariant"
+	"heatherloom/internal/telemetry"
+	"heatherloom/internal/timeline"
+)
+
+const (
+	// announceMargin is the time until every peer leaves the instance out of its
+	// answers: two heartbeat intervals, so that one lost heartbeat does no harm.
+	announceMargin = 2 * time.Second
+	// announcedPeriod is how long a draining instance still serves new requests.
+	announcedPeriod = gateway.EntriesValidity + announceMargin
+	// doneLinger keeps the operator listener open after a drain, so that
+	// `heatherloom drain`, which polls every 200 ms, sees its end.
+	doneLinger = time.Second
+)
+
+// drainPhase announces, logs and records a change of the drain phase.
+func (n *Node) drainPhase(p drain.Progress, log *logrus.Entry) {
+	if p.Phase == drain.Announced {
+		n.loop.Post(n.ctx, control.DrainEvent{})
+	}
+	n.timeline.Record(timeline.Event{Kind: timeline.KindDrain, Detail: string(p.Phase) + " by " + p.Reason})
+	log.WithFields(logrus.Fields{
+		telemetry.FieldEvent:    "drain",
+		telemetry.FieldPhase:    p.Phase,
+		telemetry.FieldCause:    p.Reason,
+		telemetry.FieldInFlight: p.InFlight,
+	}).Info("drain phase entered")
+}
+
+// DrainRequested returns a channel that is closed once POST /v1/drain or Drain asked
+// for a drain.
+func (n *Node) DrainRequested() <-chan struct{} { return n.gate.Requested() }
+
+// Drain takes the instance out of service: it announces this, serves until no caller
+// can hold an answer of GET /v1/entries that names the instance, then refuses new
+// requests and waits for the running ones. It returns the error of ctx if ctx ends
+// first. Shutdown follows it.
+func (n *Node) Drain(ctx context.Context, reason string) error {
+	n.gate.Request(reason)
+	return n.gate.Run(ctx, announcedPeriod)
+}
+
+// Shutdown closes the listeners after the requests that run, and stops the instance.
+// Without a Drain before it, callers that hold an older list of entry instances are
+// refused by the network. It returns an error if ctx ends first.
+func (n *Node) Shutdown(ctx context.Context) error {
+	n.gate.Request("shutdown")
+	var failures []error
+	for _, server := range n.servers {
+		failures = append(failures, server.Shutdown(ctx))
+	}
+	if n.gate.Progress().Phase == drain.Drained {
+		invariant.Check(n.gate.Progress().InFlight == 0, invariant.GracefulShutdown, "a request runs after the drain")
+		sleep(ctx, doneLinger)
+	}
+	failures = append(failures, n.operator.Shutdown(ctx))
+	n.cancel()
+	n.done.Wait()
+	return errors.Join(failures...)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/operatorapi/types.go
@@ -0,0 +1,88 @@
+// Package operatorapi holds the messages of the operator listener and a client for
+// them.
+package operatorapi
+
+import "heatherloom/internal/timeline"
+
+// Status is the answer of GET /v1/status.
+type Status struct {
+	Instance         string     `json:"instance"`
+	Region           string     `json:"region"`
+	FailureDomain    string     `json:"failure_domain"`
+	Ready            bool       `json:"ready"`
+	Draining         bool       `json:"draining"`
+	ConfigRevision   int64      `json:"config_revision"`
+	ConfigAgeSeconds float64    `json:"config_age_seconds"`
+	InFlight         int        `json:"in_flight"`
+	Rollouts         []Rollout  `json:"rollouts"`
+	Peers            []Peer     `json:"peers"`
+	Upstreams        []Upstream `json:"upstreams"`
+}
+
+// Rollout is the state of one version rollout as the instance sees it.
+type Rollout struct {
+	// Target is the name of a model or service.
+	Target  string `json:"target"`
+	Version string `json:"version"`
+	// State is planned, loading, share, finishing, done or taken_back.
+	State string `json:"state"`
+	// Step is the share of traffic in state share, for example 5%.
+	Step   string `json:"step"`
+	Reason string `json:"reason"`
+}
+
+// Peer is another live entry instance.
+type Peer struct {
+	ID             string `json:"id"`
+	Region         string `json:"region"`
+	OperatorURL    string `json:"operator_url"`
+	ConfigRevision int64  `json:"config_revision"`
+	Draining       bool   `json:"draining"`
+	// LastHeardSeconds is the time since the last heartbeat.
+	LastHeardSeconds float64 `json:"last_heard_seconds"`
+}
+
+// Upstream is an engine or plain service of the instance's region.
+type Upstream struct {
+	ID       string   `json:"id"`
+	Targets  []string `json:"targets"`
+	Leaving  bool     `json:"leaving"`
+	Down     bool     `json:"down"`
+	InFlight int64    `json:"in_flight"`
+}
+
+// Events is the answer of GET /v1/events.
+type Events struct {
+	Instance string `json:"instance"`
+	// Overwritten is the number of earlier events that are no longer held.
+	Overwritten uint64           `json:"overwritten"`
+	Events      []timeline.Event `json:"events"`
+}
+
+// Drain is the answer of GET and POST /v1/drain.
+type Drain struct {
+	Instance string `json:"instance"`
+	// Phase is serving, announced, refusing or done.
+	Phase  string `json:"phase"`
+	Reason string `json:"reason,omitempty"`
+	// RefusesInSeconds is the time left until new requests are refused.
+	RefusesInSeconds float64 `json:"refuses_in_seconds,omitempty"`
+	// InFlight is the number of requests that the drain still waits for.
+	InFlight int `json:"in_flight"`
+}
+
+// Problem is the answer of a refused call.
+type Problem struct {
+	Error string `json:"error"`
+}
+
+// Readiness is the answer of GET /readyz.
+type Readiness struct {
+	Ready bool `json:"ready"`
+	// Reasons are the causes if Ready is false.
+	Reasons          []string `json:"reasons,omitempty"`
+	Draining         bool     `json:"draining"`
+	ConfigRevision   int64    `json:"config_revision"`
+	ConfigAgeSeconds float64  `json:"config_age_seconds"`
+	Peers            int      `json:"peers"`
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 
 	"gopkg.in/ini.v1"
 )
@@ -15,6 +16,8 @@
 	Listeners Listeners `ini:"listeners"`
 	Platform  Platform  `ini:"platform"`
 	Peer      Peer      `ini:"peer"`
+	Operator  Operator  `ini:"operator"`
+	Log       Log       `ini:"log"`
 }
 
 // Instance is the section [instance].
@@ -47,6 +50,22 @@
 	Seeds []string `ini:"seeds" delim:","`
 }
 
+// Operator is the section [operator].
+type Operator struct {
+	// Token is the credential of the operator listener, at least 16 characters.
+	// While it is empty, every service that demands it is refused.
+	Token string `ini:"token"`
+}
+
+// minTokenLength keeps an operator token from being guessed.
+const minTokenLength = 16
+
+// Log is the section [log].
+type Log struct {
+	// Level is a logrus level: error, warning, info (the default) or debug.
+	Level string `ini:"level"`
+}
+
 // Problem is one fault of a settings file.
 type Problem struct {
 	File    string
@@ -98,5 +117,14 @@
 			problems = append(problems, Problem{File: path, Key: key, Message: "must be host:port"})
 		}
 	}
+	if n := len(s.Operator.Token); n > 0 && n < minTokenLength {
+		problems = append(problems, Problem{File: path, Key: "operator.token", Message: fmt.Sprintf("must have at least %d characters", minTokenLength)})
+	}
+	if !slices.Contains(logLevels, s.Log.Level) {
+		problems = append(problems, Problem{File: path, Key: "log.level", Message: "must be error, warning, info or debug"})
+	}
 	return problems
 }
+
+// logLevels are the allowed values of log.level.
+var logLevels = []string{"", "error", "warning", "info", "debug"}
