Add optional TLS with mutual authentication of peers and rotation of files

Cause: all listeners spoke plain text, and peers proved themselves by the shared secret alone.

Ruled out: InsecureSkipVerify with a check of our own (a dial function with the latest CA needs none); watching file times (two writes within their resolution look alike; contents are compared every 2 s instead); session tickets on the peer listener (a resumed session skips the check against the latest CA); replacing the shared secret (it stays as a second condition).

Change: internal/tlsconfig, settings section [tls], mutual TLS 1.3 on the peer listener and client, server TLS on the caller and operator listeners, https URLs in heartbeats and GET /v1/entries. A broken new file leaves the old ones in use and is logged and recorded once. Open connections keep the certificates they started with.

--- a/e2e/operator_test.go
+++ b/e2e/operator_test.go
@@ -30,25 +30,31 @@
 	caller   string
 	peer     string
 	operator string
+	// scheme is http:// or https://.
+	scheme string
 	// exited receives the result of the process once.
 	exited chan error
 }
 
-// watchedEntry starts an entry instance with an operator token.
-func (s *site) watchedEntry(id, region string) *watched {
-	w := &watched{caller: freeAddress(), peer: freeAddress(), operator: freeAddress(), exited: make(chan error, 1)}
+// watchedEntry starts an entry instance with an operator token. tls is the text of
+// its section [tls]; empty for an instance without TLS.
+func (s *site) watchedEntry(id, region, tls string) *watched {
+	w := &watched{scheme: "http://", caller: freeAddress(), peer: freeAddress(), operator: freeAddress(), exited: make(chan error, 1)}
 	s.seeds = append(s.seeds, w.peer)
 	path := filepath.Join(s.dir, id+".ini")
 	text := fmt.Sprintf("[instance]\nid=%s\nregion=%s\nfailure_domain=%s-1\n[listeners]\ncaller=%s\npeer=%s\noperator=%s\n"+
 		"[platform]\nstore=%s\ninstances=%s/instances\n[peer]\nsecret=%s\nseeds=%s\n[operator]\ntoken=%s\n",
-		id, region, region, w.caller, w.peer, w.operator, s.store, s.instances, peerSecret, strings.Join(s.seeds, ","), operatorToken)
+		id, region, region, w.caller, w.peer, w.operator, s.store, s.instances, peerSecret, strings.Join(s.seeds, ","), operatorToken) + tls
+	if tls != "" {
+		w.scheme = "https://"
+	}
 	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
 	w.cmd = exec.Command(binary, "serve", "-config", path)
 	w.cmd.Stderr = GinkgoWriter
 	Expect(w.cmd.Start()).To(Succeed())
 	go func() { w.exited <- w.cmd.Wait() }()
 	DeferCleanup(w.kill)
-	Eventually(func() int { return call("http://"+w.caller, http.MethodGet, "/v1/models", "").status }, startTimeout, "50ms").Should(Equal(http.StatusOK))
+	Eventually(func() int { return call(w.scheme+w.caller, http.MethodGet, "/v1/models", "").status }, startTimeout, "50ms").Should(Equal(http.StatusOK))
 	return w
 }
 
@@ -56,7 +62,7 @@
 func (w *watched) kill() { _ = w.cmd.Process.Kill() }
 
 func (w *watched) client() *operatorapi.Client {
-	return &operatorapi.Client{URL: "http://" + w.operator, Token: operatorToken, HTTP: httpClient}
+	return &operatorapi.Client{URL: w.scheme + w.operator, Token: operatorToken, HTTP: httpClient}
 }
 
 // slowEngine lists an engine whose streams take about answer.
@@ -140,7 +146,7 @@
 		s := newSite()
 		s.configure()
 		s.slowEngine("engine-b", "b", 60*time.Millisecond)
-		a, b := s.watchedEntry("entry-a", "a"), s.watchedEntry("entry-b", "b")
+		a, b := s.watchedEntry("entry-a", "a", ""), s.watchedEntry("entry-b", "b", "")
 		s.service("ledger-a", "a")
 		waitForRoute("http://" + a.caller)
 		waitForRoute("http://" + b.caller)
@@ -193,7 +199,7 @@
 		s := newSite()
 		s.configure()
 		s.slowEngine("engine-a", "a", 60*time.Millisecond)
-		first, second, b := s.watchedEntry("entry-a1", "a"), s.watchedEntry("entry-a2", "a"), s.watchedEntry("entry-b", "b")
+		first, second, b := s.watchedEntry("entry-a1", "a", ""), s.watchedEntry("entry-a2", "a", ""), s.watchedEntry("entry-b", "b", "")
 		for _, target := range []*watched{second, b} {
 			Eventually(func() []string { return entryIDs("http://" + target.caller) }, 5*time.Second, "50ms").Should(HaveLen(3))
 		}
@@ -220,7 +226,7 @@
 	It("ends at once on a second signal", func() {
 		s := newSite()
 		s.configure()
-		a := s.watchedEntry("entry-a", "a")
+		a := s.watchedEntry("entry-a", "a", "")
 		Expect(a.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
 		Eventually(func() string {
 			d, _ := a.client().Drain(context.Background())
@@ -237,7 +243,7 @@
 	It("does not serve operator or peer paths on the caller listener", func() {
 		s := newSite()
 		s.configure()
-		a := s.watchedEntry("entry-a", "a")
+		a := s.watchedEntry("entry-a", "a", "")
 		for _, path := range []string{"/v1/status", "/v1/events", "/v1/drain", "/metrics", "/healthz", "/readyz", "/peer.v1.PeerService/Heartbeat", "/peer.v1.PeerService/PullEvents"} {
 			for _, method := range []string{http.MethodGet, http.MethodPost} {
 				got := callWithKey("http://"+a.caller, method, path, "{}", operatorToken)
@@ -258,7 +264,7 @@
 		s.configure()
 		s.slowEngine("engine-b", "b", time.Millisecond)
 		s.service("ledger-a", "a")
-		a, b := s.watchedEntry("entry-a", "a"), s.watchedEntry("entry-b", "b")
+		a, b := s.watchedEntry("entry-a", "a", ""), s.watchedEntry("entry-b", "b", "")
 		waitForRoute("http://" + a.caller)
 		id := call("http://"+a.caller, http.MethodPost, "/v1/chat/completions", chat(1, true)).header.Get("X-Request-Id")
 		out, code := command("timeline", "-operator", "http://"+a.operator, "-request", id)
@@ -289,7 +295,7 @@
 	It("shows the status, and help with examples", func() {
 		s := newSite()
 		s.configure()
-		a := s.watchedEntry("entry-a", "a")
+		a := s.watchedEntry("entry-a", "a", "")
 		out, code := command("status", "-operator", "http://"+a.operator)
 		Expect(code).To(BeZero(), out)
 		Expect(out).To(ContainSubstring("instance entry-a, region a, failure domain a-1: ready"))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"heatherloom/internal/settings"
 	"heatherloom/internal/telemetry"
 	"heatherloom/internal/timeline"
+	"heatherloom/internal/tlsconfig"
 )
 
 const (
@@ -53,6 +54,8 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
+	// tls is nil if the listeners do not use TLS.
+	tls *tlsconfig.Source
 }
 
 // listeners are the open sockets of an instance.
@@ -103,7 +106,11 @@
 			timeline.DefaultRequestEvents, timeline.DefaultStateEvents),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	if err := n.wire(s, log, l); err != nil {
+	err = n.loadTLS(s.TLS)
+	if err == nil {
+		err = n.wire(s, log, l)
+	}
+	if err != nil {
 		n.cancel()
 		l.close()
 		return nil, err
@@ -120,6 +127,9 @@
 	n.loop.Observe(control.Observer{Timeline: n.timeline, Tick: metrics.Tick})
 	peers := peer.NewClient(identity.ID, s.Peer.Secret)
 	peers.UseClock(n.timeline.Clock())
+	if n.tls != nil {
+		peers.UseTLS(n.tls.Dial)
+	}
 	dispatcher := &dispatch.Dispatcher{Snapshot: n.loop.Snapshot, Relay: relay.New(), Forward: peers, Timeline: n.timeline, Metrics: metrics}
 	handler, err := gateway.New(gateway.Deps{
 		Snapshot:   n.loop.Snapshot,
@@ -139,9 +149,10 @@
 		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Gate: n.gate,
 	}
 	n.servers = append(n.servers,
-		n.serve(l.caller, &http.Server{Handler: handler}, entry),
-		n.serve(l.peer, &http.Server{Handler: server.Handler(), Protocols: peerProtocols()}, entry))
-	n.operator = n.serve(l.operator, &http.Server{Handler: n.operatorHandler(s, metrics)}, entry)
+		n.serve(l.caller, &http.Server{Handler: handler, TLSConfig: n.callerTLS()}, entry),
+		n.serve(l.peer, &http.Server{Handler: server.Handler(), Protocols: n.peerProtocols(), TLSConfig: n.peerTLS()}, entry))
+	n.operator = n.serve(l.operator, &http.Server{Handler: n.operatorHandler(s, metrics), TLSConfig: n.callerTLS()}, entry)
+	n.followTLS(entry)
 	n.runControl(s, entry, identity, peers)
 	return nil
 }
@@ -182,25 +193,18 @@
 		Region:        s.Instance.Region,
 		FailureDomain: s.Instance.FailureDomain,
 		PeerAddress:   n.PeerAddress,
-		CallerURL:     "http://" + n.CallerAddress,
-		OperatorURL:   "http://" + n.OperatorAddress,
+		CallerURL:     n.scheme() + n.CallerAddress,
+		OperatorURL:   n.scheme() + n.OperatorAddress,
 		Incarnation:   time.Now().UnixNano(),
 	}
 }
 
-func peerProtocols() *http.Protocols {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	return protocols
-}
-
 func (n *Node) serve(listener net.Listener, server *http.Server, log *logrus.Entry) *http.Server {
 	server.ReadHeaderTimeout = readHeaderTimeout
 	server.IdleTimeout = callerIdleTimeout
 	server.MaxHeaderBytes = maxHeaderBytes
 	n.done.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := serveOn(server, listener); !errors.Is(err, http.ErrServerClosed) {
 			log.WithField(telemetry.FieldEvent, "listener_closed").WithError(err).Error("listener failed")
 		}
 	})
--- /dev/null
+++ b/internal/node/tls.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+
+	"heatherloom/internal/settings"
+	"heatherloom/internal/telemetry"
+	"heatherloom/internal/timeline"
+	"heatherloom/internal/tlsconfig"
+)
+
+// loadTLS reads the TLS files if the settings name them.
+func (n *Node) loadTLS(s settings.TLS) error {
+	if !s.Enabled() {
+		return nil
+	}
+	source, err := tlsconfig.Load(tlsconfig.Files{Cert: s.Cert, Key: s.Key, CA: s.CA})
+	n.tls = source
+	return err
+}
+
+// followTLS uses new TLS files when they change, and logs and records each change.
+func (n *Node) followTLS(log *logrus.Entry) {
+	if n.tls == nil {
+		return
+	}
+	n.done.Go(func() {
+		n.tls.Run(n.ctx, func(err error) {
+			entry := log.WithField(telemetry.FieldEvent, "tls_files")
+			if err != nil {
+				entry.WithError(err).Error("new TLS files are not valid; the previous ones stay in use")
+				n.timeline.Record(timeline.Event{Kind: timeline.KindTLS, Detail: "not valid: " + err.Error()})
+				return
+			}
+			entry.WithField(telemetry.FieldExpires, n.tls.Expires().UTC()).Info("new TLS files in use")
+			n.timeline.Record(timeline.Event{Kind: timeline.KindTLS, Detail: "in use"})
+		})
+	})
+}
+
+// scheme returns the start of the URLs of the caller and operator listeners.
+func (n *Node) scheme() string {
+	if n.tls != nil {
+		return "https://"
+	}
+	return "http://"
+}
+
+// callerTLS returns the TLS configuration of the caller and operator listeners; nil
+// for none.
+func (n *Node) callerTLS() *tls.Config {
+	if n.tls == nil {
+		return nil
+	}
+	return n.tls.Server(false, "h2", "http/1.1")
+}
+
+// peerTLS returns the configuration of the peer listener, which demands a
+// certificate of the CA in addition to the shared secret; nil for none.
+func (n *Node) peerTLS() *tls.Config {
+	if n.tls == nil {
+		return nil
+	}
+	return n.tls.Server(true, "h2")
+}
+
+func (n *Node) peerProtocols() *http.Protocols {
+	protocols := new(http.Protocols)
+	if n.tls != nil {
+		protocols.SetHTTP2(true)
+		return protocols
+	}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return protocols
+}
+
+// serveOn serves the listener, over TLS if the server has a configuration for it.
+func serveOn(server *http.Server, listener net.Listener) error {
+	if server.TLSConfig != nil {
+		return server.ServeTLS(listener, "", "")
+	}
+	return server.Serve(listener)
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -29,6 +30,7 @@
 	selfID string
 	secret string
 	http   *http.Client
+	scheme string
 	// clock travels with each message; nil for none.
 	clock *timeline.Clock
 
@@ -48,6 +50,7 @@
 		selfID:  selfID,
 		secret:  secret,
 		http:    &http.Client{Transport: transport},
+		scheme:  "http://",
 		clients: map[string]peerv1connect.PeerServiceClient{},
 	}
 }
@@ -56,13 +59,23 @@
 // the first message.
 func (c *Client) UseClock(clock *timeline.Clock) { c.clock = clock }
 
+// UseTLS makes the client reach peers over TLS connections that dial makes. It is
+// called before the first message.
+func (c *Client) UseTLS(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	transport := c.http.Transport.(*http.Transport)
+	transport.Protocols = new(http.Protocols)
+	transport.Protocols.SetHTTP2(true)
+	transport.DialTLSContext = dial
+	c.scheme = "https://"
+}
+
 // At returns the service client of the peer listener at address.
 func (c *Client) At(address string) peerv1connect.PeerServiceClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	client, ok := c.clients[address]
 	if !ok {
-		client = peerv1connect.NewPeerServiceClient(c.http, "http://"+address,
+		client = peerv1connect.NewPeerServiceClient(c.http, c.scheme+address,
 			connect.WithInterceptors(authInterceptor{secret: c.secret}))
 		c.clients[address] = client
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,7 @@
 	Peer      Peer      `ini:"peer"`
 	Operator  Operator  `ini:"operator"`
 	Log       Log       `ini:"log"`
+	TLS       TLS       `ini:"tls"`
 }
 
 // Instance is the section [instance].
@@ -66,6 +67,20 @@
 	Level string `ini:"level"`
 }
 
+// TLS is the section [tls]. Either all keys or none are set; without them, the
+// listeners do not use TLS. The files are read again when they change.
+type TLS struct {
+	// Cert is the file of the certificate, for the address of each listener.
+	Cert string `ini:"cert"`
+	// Key is the file of its private key.
+	Key string `ini:"key"`
+	// CA is the file of the certificates that peers must descend from.
+	CA string `ini:"ca"`
+}
+
+// Enabled reports whether the listeners use TLS.
+func (t TLS) Enabled() bool { return t.Cert != "" }
+
 // Problem is one fault of a settings file.
 type Problem struct {
 	File    string
@@ -120,6 +135,9 @@
 	if n := len(s.Operator.Token); n > 0 && n < minTokenLength {
 		problems = append(problems, Problem{File: path, Key: "operator.token", Message: fmt.Sprintf("must have at least %d characters", minTokenLength)})
 	}
+	if set := s.TLS.Cert != ""; set != (s.TLS.Key != "") || set != (s.TLS.CA != "") {
+		problems = append(problems, Problem{File: path, Key: "tls", Message: "cert, key and ca must be set together"})
+	}
 	if !slices.Contains(logLevels, s.Log.Level) {
 		problems = append(problems, Problem{File: path, Key: "log.level", Message: "must be error, warning, info or debug"})
 	}
--- a/internal/telemetry/fields.go
+++ b/internal/telemetry/fields.go
@@ -19,5 +19,5 @@
 	FieldInvariant = "invariant"
 	FieldPhase     = "phase"
 	FieldInFlight  = "in_flight"
-	FieldFile      = "file"
+	FieldExpires   = "expires"
 )
