Print help of operator commands on stdout and widen a window of the drain test

Cause: package flag wrote the help to stderr and repeated it for each unknown flag. The drain test makes a call while the instance refuses; its streams ran in step, so that phase could be too short for the call on a busy machine.

Ruled out: a longer refusing phase in the program for the sake of the test.

Change: one line for a usage error; the streams of the test start 160 ms apart, so at least 0.8 s of one is left at any moment.

Conclusion: no failing or flaky test is known.

--- a/cmd/heatherloom/operatorcmd.go
+++ b/cmd/heatherloom/operatorcmd.go
@@ -7,6 +7,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -55,10 +56,15 @@
 
 // parse reads the arguments. If done is true, the command ends with status.
 func (c *operatorCommand) parse(args []string) (status int, done bool) {
+	// Package flag would write the help to stderr, and all of it for each error.
+	c.flags.SetOutput(io.Discard)
 	switch err := c.flags.Parse(args); {
 	case errors.Is(err, flag.ErrHelp):
+		c.flags.SetOutput(os.Stdout)
+		c.flags.Usage()
 		return exitOK, true
 	case err != nil:
+		fmt.Fprintf(os.Stderr, "heatherloom %s: %v; see -h\n", c.flags.Name(), err)
 		return exitUsage, true
 	case c.flags.NArg() > 0:
 		fmt.Fprintf(os.Stderr, "heatherloom %s: unexpected argument %q\n", c.flags.Name(), c.flags.Arg(0))
--- a/e2e/operator_test.go
+++ b/e2e/operator_test.go
@@ -109,10 +109,13 @@
 // drainUnderLoad runs streams through url until stop is closed.
 func drainUnderLoad(url string, stop <-chan struct{}) (*outcomes, *sync.WaitGroup) {
 	const callers = 6
+	// Streams of 1 s that start apart leave most of one to run at any moment.
+	const stagger = 160 * time.Millisecond
 	var group sync.WaitGroup
 	seen := &outcomes{}
 	for i := range callers {
 		group.Go(func() {
+			time.Sleep(time.Duration(i) * stagger)
 			for n := 0; ; n++ {
 				select {
 				case <-stop:
@@ -153,7 +156,7 @@
 
 		stop := make(chan struct{})
 		seen, callers := drainUnderLoad("http://"+a.caller, stop)
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(time.Second)
 		started := time.Now()
 		type result struct {
 			out  string
