--- a/cmd/heatherloom/serve.go
+++ b/cmd/heatherloom/serve.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
 	"os/signal"
@@ -10,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"heatherloom/internal/node"
+	"heatherloom/internal/telemetry"
 )
 
 func runServe(args []string) int {
@@ -23,17 +23,25 @@
 	if !ok {
 		return exitUsage
 	}
-	log := logrus.New()
+	log, err := telemetry.NewLogger(os.Stderr, s.Log.Level)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "heatherloom:", err)
+		return exitUsage
+	}
+	telemetry.LogInvariants(log.WithField(telemetry.FieldInstance, s.Instance.ID))
 	n, err := node.Start(s, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "heatherloom:", err)
 		return exitFailure
 	}
-	log.WithFields(logrus.Fields{"event": "started", "instance": s.Instance.ID, "caller": n.CallerAddress, "peer": n.PeerAddress}).Info("entry instance started")
-	waitForSignal()
-	ctx, cancel := context.WithTimeout(context.Background(), s.Shutdown.Timeout)
-	defer cancel()
-	if err := n.Shutdown(ctx); err != nil {
+	log.WithFields(logrus.Fields{
+		telemetry.FieldEvent:    "started",
+		telemetry.FieldInstance: s.Instance.ID,
+		telemetry.FieldCaller:   n.CallerAddress,
+		telemetry.FieldPeer:     n.PeerAddress,
+		telemetry.FieldOperator: n.OperatorAddress,
+	}).Info("entry instance started")
+	if err := serveUntilDrained(n, s.Shutdown.Timeout); err != nil {
 		fmt.Fprintln(os.Stderr, "heatherloom:", err)
 		return exitFailure
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,6 +14,8 @@
 	"heatherloom/internal/relay"
 	"heatherloom/internal/retry"
 	"heatherloom/internal/routing"
+	"heatherloom/internal/telemetry"
+	"heatherloom/internal/timeline"
 )
 
 // Request is a request whose client account is known.
@@ -84,6 +86,9 @@
 	Forward  Forwarder
 	// ReportCrash receives each crash of an upstream; nil to drop them.
 	ReportCrash func(quarantine.Crash)
+	// Timeline and Metrics may be nil.
+	Timeline *timeline.Recorder
+	Metrics  *telemetry.Metrics
 
 	budget    retry.Budget
 	estimates retry.Estimates
@@ -153,9 +158,11 @@
 		tried = append(tried, used)
 		ran = worse(ran, result.Err.Ran)
 		result.Err.Ran = ran
+		d.recordFailure(r, used, result.Err)
 		if !d.again(r, result) {
 			return result.Err
 		}
+		d.Metrics.Retry()
 	}
 }
 
@@ -209,11 +216,15 @@
 	if choice.Peer >= 0 {
 		peer := snapshot.Peers[choice.Peer]
 		used = peer.ID
+		d.recordForward(r, &peer)
 		result = d.Forward.Forward(ctx, peer, r, sink)
+		d.Metrics.Forward(result.Err)
 	} else {
 		upstream := &snapshot.Upstreams[choice.Upstream]
 		used = upstream.ID
+		d.recordPick(r, upstream)
 		result = d.toUpstream(ctx, r, upstream, sink)
+		d.Metrics.Attempt(result.Err)
 	}
 	r.Attempts += max(result.Attempts, 1)
 	r.Crashes += result.Crashes
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -81,6 +81,8 @@
 	timeout time.Duration
 	started bool
 	stream  bool
+	// headAt is the time of the first part of the answer.
+	headAt time.Time
 }
 
 // newCallerSink clears the deadline that an earlier request of the connection left.
@@ -96,6 +98,7 @@
 		s.w.Header()[name] = values
 	}
 	s.started = true
+	s.headAt = time.Now()
 	s.w.WriteHeader(status)
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,10 +21,13 @@
 
 	"heatherloom/internal/admission"
 	"heatherloom/internal/dispatch"
+	"heatherloom/internal/drain"
 	"heatherloom/internal/errkind"
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/routing"
+	"heatherloom/internal/telemetry"
+	"heatherloom/internal/timeline"
 )
 
 const (
@@ -42,6 +45,10 @@
 	// Gate bounds the requests that run; nil for one with the default limits.
 	Gate *admission.Gate
 	Log  *logrus.Entry
+	// Drain, Timeline and Metrics may be nil.
+	Drain    *drain.Gate
+	Timeline *timeline.Recorder
+	Metrics  *telemetry.Metrics
 	// Now reads the clock.
 	Now func() time.Time
 	// WriteTimeout bounds the writing of one part of an answer; 0 for the default.
@@ -79,13 +86,13 @@
 	// Redirects of a path with a slash at its end and iris' own error pages would
 	// bypass the closed list of kinds.
 	app.Configure(iris.WithoutPathCorrection, iris.WithoutAutoFireStatusCode)
-	app.Post("/v1/chat/completions", s.handle(s.inference))
-	app.Post("/v1/completions", s.handle(s.inference))
-	app.Get("/v1/models", s.handle(s.models))
+	app.Post("/v1/chat/completions", s.handle(s.observed(s.inference)))
+	app.Post("/v1/completions", s.handle(s.observed(s.inference)))
+	app.Get("/v1/models", s.handle(s.observed(s.models)))
 	app.Get("/v1/entries", s.handle(s.entries))
 	for _, method := range serviceMethods {
-		app.Handle(method, "/", s.handle(s.service))
-		app.Handle(method, "/{path:path}", s.handle(s.service))
+		app.Handle(method, "/", s.handle(s.observed(s.service)))
+		app.Handle(method, "/{path:path}", s.handle(s.observed(s.service)))
 	}
 	if err := app.Build(); err != nil {
 		return nil, fmt.Errorf("build the caller listener: %w", err)
@@ -162,6 +169,10 @@
 		sink:     newCallerSink(w, raw, s.WriteTimeout),
 	}
 	w.Header().Set(relay.HeaderRequestID, c.id)
+	if c.snapshot.Draining {
+		// The caller then opens its next connection to another instance.
+		w.Header().Set("Connection", "close")
+	}
 	err := s.protect(c, fn)
 	s.logCall(c, err, s.Now().Sub(started))
 	if err != nil {
@@ -187,21 +198,21 @@
 
 func (s *server) logCall(c *call, err *errkind.Error, took time.Duration) {
 	fields := logrus.Fields{
-		"event":   "request",
-		"request": c.id,
-		"method":  shorten(c.r.Method),
-		"path":    loggedPath(c),
-		"account": c.account,
-		"ms":      took.Milliseconds(),
+		telemetry.FieldEvent:   "request",
+		telemetry.FieldRequest: c.id,
+		telemetry.FieldMethod:  shorten(c.r.Method),
+		telemetry.FieldPath:    loggedPath(c),
+		telemetry.FieldAccount: c.account,
+		telemetry.FieldMillis:  took.Milliseconds(),
 	}
 	if err == nil {
 		s.Log.WithFields(fields).Info("request complete")
 		return
 	}
-	fields["kind"] = err.Kind
-	fields["ran"] = err.Ran
+	fields[telemetry.FieldKind] = err.Kind
+	fields[telemetry.FieldRan] = err.Ran
 	if err.Cause != nil {
-		fields["cause"] = err.Cause.Error()
+		fields[telemetry.FieldCause] = err.Cause.Error()
 	}
 	s.Log.WithFields(fields).Info("request refused or cut")
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -130,7 +130,7 @@
 
 // entries answers which entry instances the client account should use.
 func (s *server) entries(c *call) *errkind.Error {
-	members := []membership.Member{{ID: c.snapshot.SelfID, CallerURL: "http://" + c.r.Host, Region: c.snapshot.Region, Draining: c.snapshot.Draining}}
+	members := []membership.Member{{ID: c.snapshot.SelfID, CallerURL: c.scheme() + c.r.Host, Region: c.snapshot.Region, Draining: c.snapshot.Draining}}
 	for _, p := range c.snapshot.Peers {
 		members = append(members, membership.Member{ID: p.ID, CallerURL: p.CallerURL, Region: p.Region, Draining: p.Draining})
 	}
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -16,6 +16,7 @@
 	"heatherloom/internal/relay"
 	"heatherloom/internal/retry"
 	"heatherloom/internal/routing"
+	"heatherloom/internal/timeline"
 )
 
 var (
@@ -28,7 +29,7 @@
 	send := &forwardSend{}
 	ctx, cancel := context.WithCancel(send.with(ctx))
 	defer cancel()
-	f := &forwardedAnswer{request: r, sink: sink, limits: c.limits}
+	f := &forwardedAnswer{request: r, sink: sink, limits: c.limits, clock: c.clock}
 	stream, err := c.At(p.PeerAddress).Forward(ctx, connect.NewRequest(c.forwardRequest(r)))
 	if err != nil {
 		return f.failure(ctx, send, err)
@@ -68,6 +69,7 @@
 		Repeatable:  r.Repeatable,
 		Attempts:    int32(r.Attempts),
 		Crashes:     int32(r.Crashes),
+		Clock:       uint64(c.clock.Now()),
 	}
 }
 
@@ -77,6 +79,7 @@
 	request *dispatch.Request
 	sink    dispatch.Sink
 	limits  relay.Limits
+	clock   *timeline.Clock
 
 	hasHead bool
 	status  int
@@ -132,6 +135,7 @@
 }
 
 func (f *forwardedAnswer) end(end *peerv1.ForwardEnd) relay.Result {
+	f.clock.Observe(timeline.Stamp(end.GetClock()))
 	result := f.endResult(end)
 	result.Attempts = int(end.GetAttempts())
 	result.Crashes = int(end.GetCrashes())
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -13,6 +13,7 @@
 	"heatherloom/internal/membership"
 	"heatherloom/internal/peer/peerv1"
 	"heatherloom/internal/routing"
+	"heatherloom/internal/timeline"
 )
 
 const (
@@ -86,10 +87,12 @@
 		Self:    SelfMember(h.Identity, snapshot),
 		Known:   knownMembers(snapshot, started, address),
 		Crashes: crashesOf(snapshot),
+		Clock:   uint64(h.Client.clock.Now()),
 	}))
 	if err != nil {
 		return
 	}
+	h.Client.clock.Observe(timeline.Stamp(resp.Msg.GetClock()))
 	postMember(ctx, h.Loop, resp.Msg.GetSelf(), started, nil)
 	postCrashes(ctx, h.Loop, resp.Msg.GetCrashes())
 }
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -157,3 +157,16 @@
 		return parse(text)
 	}
 }
+
+// anyText accepts every value.
+func anyText(text string) (string, error) { return text, nil }
+
+// oneOf accepts the listed values.
+func oneOf(allowed ...string) func(string) (string, error) {
+	return func(text string) (string, error) {
+		if slices.Contains(allowed, text) {
+			return text, nil
+		}
+		return "", fmt.Errorf("%q is not allowed; allowed are %s", text, strings.Join(allowed, ", "))
+	}
+}
