--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -259,3 +259,30 @@
 		t.Fatalf("%d requests were admitted, the burst of 80 was not usable before the restarts", s.admitted)
 	}
 }
+
+// TestExpiredLoanIsNotSpent guards against an instance that was paused after it
+// borrowed a token and spends it when the lender has stopped counting it.
+func TestExpiredLoanIsNotSpent(t *testing.T) {
+	s := newSimulation(1, opconfig.Account{Name: "derwent", Rate: 8, Burst: 80})
+	borrower, lender := s.instances[0], s.instances[1]
+	s.step(time.Minute)
+	for range 10 {
+		s.request(0) // spends the own part
+	}
+	sentAt := s.now
+	request, _ := borrower.ledger.Ask(sentAt, s.account.Name, lender.view.Own, 1)
+	reply := lender.ledger.Lend(s.now, lender.view, s.account, request)
+	if reply.Tokens != 1 {
+		t.Fatalf("%d tokens lent, want 1", reply.Tokens)
+	}
+	borrower.ledger.Receive(s.now, sentAt, request, reply, true)
+	borrower.view.Held = false
+	for _, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{LoanValidity, false}, {LoanValidity - time.Millisecond, true}} {
+		if got := borrower.ledger.Admit(sentAt.Add(c.after), borrower.view, s.account).Admitted; got != c.want {
+			t.Errorf("admitted %t by a loan %s after asking, want %t", got, c.after, c.want)
+		}
+	}
+}
