Return the memory of encoded and decoded bases

Cause: a process at 44,000 client accounts held 127 MB after it had served a base to a starting neighbor, and 78 MB after its own start; control may use 64 MB.

Change: an encoded base is dropped after 10 s, the garbage of decoding and encoding is returned to the operating system, and records share the strings of their index and region.

Ruled out: no cache of the encoded base, since the instances of a rack start together and each encoding takes 0.25 s.

--- a/internal/configsync/source.go
+++ b/internal/configsync/source.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"runtime/debug"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -11,6 +13,10 @@
 	"heatherloom/internal/peer/peerv1"
 )
 
+// baseKept is how long an encoded base, 14 MB at the design size, is kept for
+// further instances that start at about the same time.
+const baseKept = 10 * time.Second
+
 // Source answers peers that ask for configuration. It implements peer.ConfigSource.
 type Source struct {
 	Loop *control.Loop
@@ -73,9 +79,19 @@
 		return base, err
 	}
 	s.base = base
+	time.AfterFunc(baseKept, s.dropBase)
 	return base, nil
 }
 
+// dropBase frees the encoded base and returns its memory, and that of the encoding,
+// to the operating system.
+func (s *Source) dropBase() {
+	s.mu.Lock()
+	s.base = opconfig.Base{}
+	s.mu.Unlock()
+	debug.FreeOSMemory()
+}
+
 // decodePull returns the configuration that a peer's answer leads to and the deltas
 // that it holds. An answer that leads no further than have returns have.
 func decodePull(have *opconfig.Config, resp *peerv1.PullConfigResponse) (*opconfig.Config, []opconfig.Delta, error) {
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -67,6 +68,8 @@
 			return
 		}
 	}
+	// Decoding a base leaves several times its size as garbage.
+	debug.FreeOSMemory()
 	var parts sync.WaitGroup
 	parts.Go(func() { s.followPeers(ctx) })
 	parts.Go(func() { s.watchStore(ctx) })
--- a/internal/opconfig/delta.go
+++ b/internal/opconfig/delta.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"unique"
 
 	"github.com/rotisserie/eris"
 )
@@ -108,10 +109,27 @@
 	if err != nil {
 		return err
 	}
+	shareStrings(ch.ID, &record)
 	table.set(ch.ID, record)
 	return nil
 }
 
+// shareStrings lets a record use the memory of its index and of equal regions, which
+// at 44,000 client accounts with a key each saves a fifth of the configuration.
+func shareStrings(id string, record any) {
+	switch r := record.(type) {
+	case *Account:
+		if r.Name == id {
+			r.Name = id
+		}
+		r.Home = unique.Make(r.Home).Value()
+	case *Key:
+		if r.Hash == id {
+			r.Hash = id
+		}
+	}
+}
+
 func applyChange[T any](table map[string]T, ch Change) error {
 	if len(ch.Record) == 0 {
 		delete(table, ch.ID)
