--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -117,7 +117,7 @@
 // refuseEarly refuses what is in quarantine and what cannot meet its deadline.
 func (d *Dispatcher) refuseEarly(r *Request) *errkind.Error {
 	now := time.Now()
-	if until, ok := d.Snapshot().Quarantined[r.fingerprint()]; ok && now.Before(until) {
+	if until, ok := d.quarantined(r); ok && now.Before(until) {
 		err := errkind.New(errkind.RequestQuarantined,
 			"this request broke two upstreams that ran it and is refused until %s; other requests are served", until.UTC().Format(time.RFC3339))
 		err.RetryAfter = until.Sub(now)
@@ -135,6 +135,16 @@
 	return nil
 }
 
+// quarantined returns the end of the request's quarantine, if there is one.
+func (d *Dispatcher) quarantined(r *Request) (time.Time, bool) {
+	set := d.Snapshot().Quarantined
+	if len(set) == 0 {
+		return time.Time{}, false
+	}
+	until, ok := set[r.fingerprint()]
+	return until, ok
+}
+
 // attempts makes attempts until one delivers the answer or no further one is allowed.
 func (d *Dispatcher) attempts(ctx context.Context, r *Request, sink Sink) *errkind.Error {
 	var tried []string
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,8 +30,10 @@
 	// instancePollInterval is the time between two readings of the instance list.
 	instancePollInterval = time.Second
 	readHeaderTimeout    = 10 * time.Second
-	callerIdleTimeout    = 90 * time.Second
-	maxHeaderBytes       = 64 << 10
+	// crashPostTimeout bounds how long a request waits for a full control inbox.
+	crashPostTimeout  = 100 * time.Millisecond
+	callerIdleTimeout = 90 * time.Second
+	maxHeaderBytes    = 64 << 10
 )
 
 // Node is a running entry instance.
@@ -72,7 +74,9 @@
 	peers := peer.NewClient(identity.ID, s.Peer.Secret)
 	dispatcher := &dispatch.Dispatcher{Snapshot: n.loop.Snapshot, Relay: relay.New(relay.DefaultLimits()), Forward: peers}
 	dispatcher.ReportCrash = func(c quarantine.Crash) {
-		n.loop.Post(context.Background(), control.CrashEvent{Crash: c})
+		ctx, cancel := context.WithTimeout(context.Background(), crashPostTimeout)
+		defer cancel()
+		n.loop.Post(ctx, control.CrashEvent{Crash: c})
 	}
 	handler, err := gateway.New(gateway.Deps{
 		Snapshot:   n.loop.Snapshot,
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -27,7 +27,7 @@
 
 // copyPlain delivers the answer after all of it arrived.
 func (r *Relay) copyPlain(w *watch, resp *http.Response, a Attempt, sink Sink) Result {
-	body, err := r.readWhole(w, resp)
+	body, err := r.readWhole(w, resp, a.Method)
 	if err != nil {
 		return bodyFailure(w, err, false)
 	}
@@ -63,7 +63,10 @@
 	}
 }
 
-func (r *Relay) readWhole(w *watch, resp *http.Response) ([]byte, error) {
+func (r *Relay) readWhole(w *watch, resp *http.Response, method string) ([]byte, error) {
+	if method == http.MethodHead {
+		return nil, nil
+	}
 	chunked := len(resp.TransferEncoding) > 0
 	if resp.ContentLength < 0 && !chunked {
 		return nil, errNoLength
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,6 +32,9 @@
 	// connection. A write that meets such a close has an unknown outcome.
 	writeIdleConnTimeout = 2 * time.Second
 	idleConnsPerHost     = 64
+	maxHeaderBytes       = 64 << 10
+	// maxRetryAfter bounds the wait that an upstream may ask callers for.
+	maxRetryAfter = time.Minute
 )
 
 // Limits bound an attempt.
@@ -125,6 +128,8 @@
 		MaxIdleConnsPerHost: idleConnsPerHost,
 		IdleConnTimeout:     idle,
 		DisableCompression:  true,
+		// The default of net/http is 10 MB for each answer.
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
@@ -165,6 +170,9 @@
 	if resp.StatusCode < http.StatusOK {
 		return upstreamFault(errkind.UpstreamFailed, errkind.RanUnknown, retry.Failed, nil, "the upstream switched protocols")
 	}
+	if a.Completion && resp.StatusCode == http.StatusTooManyRequests {
+		return busy(resp)
+	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return upstreamFault(errkind.UpstreamFailed, errkind.RanUnknown, retry.Failed, nil, "the upstream failed with status %d", resp.StatusCode)
 	}
@@ -177,6 +185,16 @@
 	return r.copyPlain(w, resp, a, sink)
 }
 
+// busy returns the result of an engine that takes no more requests now.
+func busy(resp *http.Response) Result {
+	result := upstreamFault(errkind.Overloaded, errkind.RanUnknown, retry.Failed, nil, "the upstream takes no more requests now")
+	result.UpstreamFault = false
+	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && seconds > 0 {
+		result.Err.RetryAfter = min(time.Duration(seconds)*time.Second, maxRetryAfter)
+	}
+	return result
+}
+
 // IsStream reports whether an answer is a stream of server-sent events.
 func IsStream(status int, header http.Header) bool {
 	media, _, err := mime.ParseMediaType(header.Get("Content-Type"))
--- a/internal/standin/completion.go
+++ b/internal/standin/completion.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 )
 
 // maxBodyBytes bounds the body that a stand-in reads.
@@ -81,3 +82,24 @@
 func (c completion) build(object string, choice Choice) Completion {
 	return Completion{ID: c.id, Object: object, Model: c.model, Choices: []Choice{choice}}
 }
+
+// StreamText returns the text of a stream as a caller received it, and whether it
+// ended with [DONE]. It returns "" for a stream with an event that is no Completion.
+func StreamText(stream string) (text string, done bool) {
+	for line := range strings.Lines(stream) {
+		data, ok := strings.CutPrefix(strings.TrimSuffix(line, "\n"), "data: ")
+		if !ok || strings.HasPrefix(data, `{"error"`) {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var part Completion
+		if done || json.Unmarshal([]byte(data), &part) != nil {
+			return "", false
+		}
+		text += part.Content()
+	}
+	return text, done
+}
--- a/internal/standin/listen.go
+++ b/internal/standin/listen.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -46,7 +47,7 @@
 		listener: listener,
 		conns:    map[net.Conn]struct{}{},
 	}
-	s.http = &http.Server{Handler: s.record(handler), ReadHeaderTimeout: 10 * time.Second, ConnState: s.track}
+	s.http = &http.Server{Handler: s.record(handler), ReadHeaderTimeout: 10 * time.Second, ConnState: s.track, ConnContext: countRequests}
 	go func() { _ = s.http.Serve(listener) }()
 	return s, nil
 }
@@ -87,6 +88,20 @@
 	return append([]Seen(nil), s.seen...)
 }
 
+// earlierKey is the context key of the requests that a connection carried.
+type earlierKey struct{}
+
+func countRequests(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, earlierKey{}, new(atomic.Int64))
+}
+
+// reused reports whether an earlier request came over the same connection. It is
+// called once per request.
+func reused(r *http.Request) bool {
+	earlier, ok := r.Context().Value(earlierKey{}).(*atomic.Int64)
+	return ok && earlier.Add(1) > 1
+}
+
 // CloseConnections breaks all open connections; new ones are accepted.
 func (s *Server) CloseConnections() {
 	s.mu.Lock()
