--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,8 +37,10 @@
 	// instancePollInterval is the time between two readings of the instance list.
 	instancePollInterval = time.Second
 	readHeaderTimeout    = 10 * time.Second
-	callerIdleTimeout    = 90 * time.Second
-	maxHeaderBytes       = 64 << 10
+	// crashPostTimeout bounds how long a request waits for a full control inbox.
+	crashPostTimeout  = 100 * time.Millisecond
+	callerIdleTimeout = 90 * time.Second
+	maxHeaderBytes    = 64 << 10
 )
 
 // Node is a running entry instance.
@@ -139,7 +141,9 @@
 		Relay:    relay.New(relay.DefaultLimits()),
 		Forward:  peers,
 		ReportCrash: func(c quarantine.Crash) {
-			n.loop.Post(n.ctx, control.CrashEvent{Crash: c})
+			ctx, cancel := context.WithTimeout(n.ctx, crashPostTimeout)
+			defer cancel()
+			n.loop.Post(ctx, control.CrashEvent{Crash: c})
 		},
 		Timeline: n.timeline,
 		Metrics:  metrics,
