Accept a store URL with a slash at its end in the sheet commands

Cause: -store http://host:port/ led to //v3/kv/range, a redirect with status 307 and the message that the configuration cannot be read.

Change: the sheet commands check -store with settings.BaseURL, as the settings file does, which removes the slash and refuses a path.

Figures: before, sheet diff failed with such a URL; after, it succeeds against the stand-in store.

Conclusion: both places accept the same URLs.

--- a/cmd/heatherloom/sheet.go
+++ b/cmd/heatherloom/sheet.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"net/url"
 	"os"
 	"time"
 
@@ -12,6 +11,7 @@
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/platform"
 	"heatherloom/internal/platform/etcdgw"
+	"heatherloom/internal/settings"
 	"heatherloom/internal/sheet"
 )
 
@@ -37,12 +37,12 @@
 
 // openStore returns the key-value service at the URL. It prints a fault of the URL.
 func openStore(command, address string) (platform.Store, bool) {
-	parsed, err := url.Parse(address)
-	if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
-		fmt.Fprintf(os.Stderr, "%s: -store is missing or not a URL; allowed is http or https with a host, as in http://10.1.0.2:2379\n", commandLine(command))
+	base, err := settings.BaseURL(address)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: -store: %v\n", commandLine(command), err)
 		return nil, false
 	}
-	return etcdgw.New(address), true
+	return etcdgw.New(base), true
 }
 
 // loadConfig reads the accepted configuration. It prints a failure.
--- a/cmd/heatherloom/sheet_test.go
+++ b/cmd/heatherloom/sheet_test.go
@@ -57,7 +57,8 @@
 		}
 		Expect(execute("sheet", "dif").stderr).To(ContainSubstring(`did you mean "diff"?`))
 		Expect(execute("sheet", "diff").status).To(Equal(exitUsage))
-		Expect(execute("sheet", "apply", "x.csv").status).To(Equal(exitUsage))
+		Expect(execute("sheet", "apply", "x.csv").stderr).To(Equal("heatherloom sheet apply: -store: a value is required\n"))
+		Expect(execute("sheet", "apply", "x.csv", "-store", "10.1.0.2:2379").status).To(Equal(exitUsage))
 		Expect(execute("sheet", "check", "absent.csv").status).To(Equal(exitUsage))
 	})
 
@@ -74,6 +75,8 @@
 		Expect(diff.status).To(Equal(exitOK))
 		Expect(diff.stdout).To(ContainSubstring("5 changes against revision 0\nadd       account bass  burst=5 rate=5\n"))
 		Expect(load().Revision).To(BeZero())
+		slash := on("diff", morning, "-store", store.URL()+"/")
+		Expect(slash.status).To(Equal(exitOK), slash.stderr)
 
 		apply := on("apply", morning)
 		Expect(apply.status).To(Equal(exitOK), apply.stderr)
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -37,7 +37,7 @@
 	{"listeners.caller", required, in(address, func(s *Settings) *string { return &s.Listeners.Caller })},
 	{"listeners.peer", required, in(address, func(s *Settings) *string { return &s.Listeners.Peer })},
 	{"listeners.operator", required, in(address, func(s *Settings) *string { return &s.Listeners.Operator })},
-	{"platform.store", required, in(baseURL, func(s *Settings) *string { return &s.Platform.Store })},
+	{"platform.store", required, in(BaseURL, func(s *Settings) *string { return &s.Platform.Store })},
 	{"platform.instances", required, in(webURL, func(s *Settings) *string { return &s.Platform.Instances })},
 	{"peer.secret", required, in(secret, func(s *Settings) *string { return &s.Peer.Secret })},
 	{"peer.seeds", "", in(listOf(address), func(s *Settings) *[]string { return &s.Peer.Seeds })},
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -85,8 +85,9 @@
 	return text, nil
 }
 
-// baseURL accepts an http or https URL without path and query, to which paths are added.
-func baseURL(text string) (string, error) {
+// BaseURL accepts an http or https URL without path and query, to which paths are
+// added, and returns it without a slash at the end.
+func BaseURL(text string) (string, error) {
 	if _, err := webURL(text); err != nil {
 		return "", err
 	}
