--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -39,7 +39,7 @@
 	{"listeners.caller", required, in(address, func(s *Settings) *string { return &s.Listeners.Caller })},
 	{"listeners.peer", required, in(address, func(s *Settings) *string { return &s.Listeners.Peer })},
 	{"listeners.operator", required, in(address, func(s *Settings) *string { return &s.Listeners.Operator })},
-	{"platform.store", required, in(baseURL, func(s *Settings) *string { return &s.Platform.Store })},
+	{"platform.store", required, in(BaseURL, func(s *Settings) *string { return &s.Platform.Store })},
 	{"platform.instances", required, in(webURL, func(s *Settings) *string { return &s.Platform.Instances })},
 	{"platform.directory", "", in(optional(baseURL), func(s *Settings) *string { return &s.Platform.Directory })},
 	{"platform.max_isolation", "90m", in(duration(minIsolation, maxIsolation), func(s *Settings) *time.Duration { return &s.Platform.MaxIsolation })},
