Add a development cluster that checks the answers it gets

Cause: there was no way to try the gateway without writing settings files and starting six processes, and nothing compared answers with what the upstreams produced.

Change: heatherloom dev runs stand-ins and six entry instances of three regions in one process. With -requests it sends real requests over TCP, compares each answer with the text that the upstream produces for that body, and counts how often each write ran. Plain services get fault switches; engines get one that answers with the text of another request under the right id.

Ruled out: repeating rate_limited requests in the verification, which would hide wrongful rejections. Buckets start empty, so the load starts 0.3 s after each instance has served each client account once.

--- /dev/null
+++ b/cmd/heatherloom/dev.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/sirupsen/logrus"
+
+	"heatherloom/internal/devcluster"
+)
+
+const devExamples = `
+examples:
+  heatherloom dev                        run a development cluster until a signal
+  heatherloom dev -requests 200          send 200 requests, check every answer, and exit
+  heatherloom dev -requests 200 -seed 7  the same with other requests
+`
+
+// devFlags are the flags of the dev subcommand.
+type devFlags struct {
+	requests int
+	seed     uint64
+	log      bool
+}
+
+func parseDevFlags(args []string) (devFlags, error) {
+	var f devFlags
+	flags := flag.NewFlagSet("dev", flag.ContinueOnError)
+	flags.IntVar(&f.requests, "requests", 0, "send `N` requests, check the answers and exit")
+	flags.Uint64Var(&f.seed, "seed", 1, "seed of the requests")
+	flags.BoolVar(&f.log, "log", true, "write log lines to stderr; off by default with -requests")
+	flags.Usage = func() {
+		fmt.Fprintln(flags.Output(), "usage: heatherloom dev [flags]")
+		flags.PrintDefaults()
+		fmt.Fprint(flags.Output(), devExamples)
+	}
+	if err := flags.Parse(args); err != nil {
+		return f, err
+	}
+	logSet := false
+	flags.Visit(func(set *flag.Flag) { logSet = logSet || set.Name == "log" })
+	if f.requests > 0 && !logSet {
+		f.log = false
+	}
+	if f.requests < 0 {
+		return f, fmt.Errorf("-requests must not be negative, not %d", f.requests)
+	}
+	return f, nil
+}
+
+func runDev(args []string) int {
+	f, err := parseDevFlags(args)
+	if errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "heatherloom:", err)
+		return exitUsage
+	}
+	log := logrus.New()
+	if !f.log {
+		log.SetOutput(io.Discard)
+	}
+	ctx := context.Background()
+	cluster, err := devcluster.Start(ctx, log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "heatherloom:", err)
+		return exitFailure
+	}
+	defer cluster.Close()
+	if err := cluster.WaitReady(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "heatherloom:", err)
+		return exitFailure
+	}
+	if f.requests > 0 {
+		return verifyDev(ctx, cluster, f)
+	}
+	printDev(cluster)
+	waitForSignal()
+	return exitOK
+}
+
+// verifyDev sends the requests. The report is the last line of the output.
+func verifyDev(ctx context.Context, cluster *devcluster.Cluster, f devFlags) int {
+	report := devcluster.RunRequests(ctx, cluster, devcluster.Load{Count: f.requests, Seed: f.seed})
+	for _, failure := range report.Failures {
+		fmt.Fprintln(os.Stderr, "heatherloom:", failure)
+	}
+	fmt.Println(report)
+	if !report.OK() {
+		return exitFailure
+	}
+	return exitOK
+}
+
+func printDev(cluster *devcluster.Cluster) {
+	for _, entry := range cluster.Entries {
+		fmt.Printf("entry=%s region=%s url=%s\n", entry.ID, entry.Region, entry.URL)
+	}
+	fmt.Println("try:")
+	fmt.Printf("  curl -N %s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":%q,\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n",
+		cluster.Entries[0].URL, cluster.Config.Keys[0].Secret, cluster.Config.Models[0].Name)
+}
--- a/cmd/heatherloom/main.go
+++ b/cmd/heatherloom/main.go
@@ -23,6 +23,7 @@
 func commands() []command {
 	return []command{
 		{"serve", "run an entry instance", runServe},
+		{"dev", "run a development cluster of three regions in one process", runDev},
 		{"standin", "run a stand-in of an outside part, for development and tests", runStandin},
 	}
 }
--- /dev/null
+++ b/internal/devcluster/cluster_test.go
@@ -0,0 +1,133 @@
+package devcluster
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"heatherloom/internal/errkind"
+	"heatherloom/internal/standin"
+)
+
+func TestDevcluster(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "devcluster")
+}
+
+const (
+	testCount = 48
+	testSeed  = 11
+)
+
+var _ = Describe("the verification load", func() {
+	var cluster *Cluster
+
+	BeforeEach(func(ctx SpecContext) {
+		var err error
+		cluster, err = Start(ctx, nil)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(cluster.Close)
+		Expect(cluster.WaitReady(ctx)).To(Succeed())
+	})
+
+	run := func() LoadReport {
+		GinkgoHelper()
+		return RunRequests(context.Background(), cluster, Load{Count: testCount, Seed: testSeed})
+	}
+	engines := func(f standin.EngineFaults) {
+		for _, engine := range cluster.Engines {
+			engine.SetFaults(f)
+		}
+	}
+	services := func(f standin.ServiceFaults) {
+		for _, service := range cluster.Services {
+			service.SetFaults(f)
+		}
+	}
+
+	// Guards against a cluster that loses, refuses or mixes up requests without a fault.
+	It("finds every answer whole and right while there is no fault", func() {
+		report := run()
+		Expect(report.Failures).To(BeEmpty())
+		Expect(report.String()).To(Equal("sent=48 complete=48 wrong=0 refused=0 write_runs_max=1"))
+		Expect(report.OK()).To(BeTrue())
+	})
+
+	// Guards against a check that passes whatever the upstreams answer.
+	It("notices the text of another request under the right id", func() {
+		engines(standin.EngineFaults{Swapped: true})
+		report := run()
+		Expect(report.Wrong).To(Equal(24), "four of the eight kinds of request go to engines")
+		Expect(report.OK()).To(BeFalse())
+	})
+
+	It("notices that answers with the id of another request are refused", func() {
+		engines(standin.EngineFaults{Crossed: true})
+		report := run()
+		Expect(report.Wrong).To(BeZero())
+		Expect(report.Complete).To(Equal(testCount - 24))
+		Expect(report.OK()).To(BeFalse())
+	})
+
+	It("notices streams that are cut", func() {
+		// One token, so that a resumed stream does not become whole within its attempts.
+		engines(standin.EngineFaults{CutAfterTokens: 1})
+		report := run()
+		Expect(report.Wrong).To(BeZero())
+		Expect(report.Complete).To(BeNumerically("<=", testCount-12), "two of the eight kinds of request are streams")
+		Expect(report.Complete).To(BeNumerically(">=", testCount-24), "four of the eight kinds do not go to engines")
+		Expect(report.OK()).To(BeFalse())
+	})
+
+	It("notices the content of another call to a plain service", func() {
+		services(standin.ServiceFaults{Swapped: true})
+		report := run()
+		Expect(report.Wrong).To(Equal(24))
+		Expect(report.OK()).To(BeFalse())
+	})
+
+	It("notices a write that ran twice", func() {
+		services(standin.ServiceFaults{RunTwice: true})
+		report := run()
+		Expect(report.Complete).To(Equal(testCount))
+		Expect(report.WriteRunsMax).To(Equal(2))
+		Expect(report.OK()).To(BeFalse())
+	})
+})
+
+var _ = DescribeTable("the judgement of a rejection",
+	// Guards against a rejection that passes without a kind or without a statement
+	// whether the request ran.
+	func(status int, body string, want Result) {
+		Expect(rejection(status, []byte(body)).Result).To(Equal(want))
+	},
+	Entry("complete", 429, `{"error":{"kind":"rate_limited","ran":"no"}}`, Refused),
+	Entry("no kind", 429, `{"error":{"ran":"no"}}`, Wrong),
+	Entry("no ran", 429, `{"error":{"kind":"rate_limited"}}`, Wrong),
+	Entry("status of another kind", 500, `{"error":{"kind":"rate_limited","ran":"no"}}`, Wrong),
+	Entry("not JSON", 502, `bad gateway`, Wrong),
+)
+
+var _ = Describe("the judgement of a stream", func() {
+	const id = "r1"
+	request := Request{Inference: true, Stream: true, Body: []byte("b")}
+	event := func(id, text string) string {
+		return `data: {"id":"` + id + `","choices":[{"delta":{"content":"` + text + `"}}]}` + "\n\n"
+	}
+	text := standin.ExpectedText(request.Body)
+
+	// Guards against a cut, crossed or doubled stream that counts as complete.
+	It("tells whole streams from others", func() {
+		judged := func(raw string) Result { return judgeStream(request, id, []byte(raw)).Result }
+		Expect(judged(event(id, text) + "data: [DONE]\n\n")).To(Equal(Complete))
+		Expect(judged(event(id, text))).To(Equal(Broken))
+		Expect(judged(event(id, text) + event(id, "again") + "data: [DONE]\n\n")).To(Equal(Wrong))
+		Expect(judged(event("r2", text) + "data: [DONE]\n\n")).To(Equal(Wrong))
+		Expect(judged("data: [DONE]\n\n")).To(Equal(Wrong))
+		Expect(judged("event: error\ndata: {}\n\n")).To(Equal(Wrong))
+		cut := judgeStream(request, id, []byte("event: error\n"+`data: {"error":{"kind":"answer_incomplete","ran":"yes"}}`+"\n\n"))
+		Expect(cut).To(Equal(Outcome{Result: Broken, Kind: errkind.AnswerIncomplete, Ran: errkind.RanYes}))
+	})
+})
--- /dev/null
+++ b/internal/devcluster/load.go
@@ -0,0 +1,253 @@
+package devcluster
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"heatherloom/internal/standin"
+)
+
+const (
+	workers        = 8
+	requestTimeout = 10 * time.Second
+	readyTimeout   = 20 * time.Second
+	probeInterval  = 50 * time.Millisecond
+	// fillTime lets the token buckets fill, which start empty on each instance.
+	fillTime = 300 * time.Millisecond
+	// maxFailures bounds the failures that a report describes.
+	maxFailures = 10
+)
+
+// Load is a number of requests to send.
+type Load struct {
+	Count int
+	// Seed fixes the order of kinds, client accounts and models.
+	Seed uint64
+}
+
+// LoadReport counts the outcomes of a load.
+type LoadReport struct {
+	Sent     int
+	Complete int
+	Wrong    int
+	Refused  int
+	// WriteRunsMax is the highest number of times that a plain service ran one write.
+	WriteRunsMax int
+	// Failures describe the first outcomes other than Complete.
+	Failures []string
+}
+
+// String returns the report as one line of key=value pairs.
+func (r LoadReport) String() string {
+	return fmt.Sprintf("sent=%d complete=%d wrong=%d refused=%d write_runs_max=%d",
+		r.Sent, r.Complete, r.Wrong, r.Refused, r.WriteRunsMax)
+}
+
+// OK reports whether every request got its own whole answer and every write ran once.
+func (r LoadReport) OK() bool {
+	return r.Complete == r.Sent && r.Wrong == 0 && r.Refused == 0 && r.WriteRunsMax == 1
+}
+
+func (r *LoadReport) add(request Request, o Outcome) {
+	r.Sent++
+	switch o.Result {
+	case Complete:
+		r.Complete++
+		return
+	case Wrong:
+		r.Wrong++
+	case Refused:
+		r.Refused++
+	}
+	r.describe(request, o)
+}
+
+func (r *LoadReport) describe(request Request, o Outcome) {
+	if len(r.Failures) < maxFailures {
+		r.Failures = append(r.Failures,
+			fmt.Sprintf("%s %s: %s kind=%s ran=%s: %s", request.Method, request.Path, o.Result, o.Kind, o.Ran, o.Detail))
+	}
+}
+
+// RunRequests sends the load to the entry instances of all regions in turn and
+// compares each answer with what the upstream produces for that request.
+func RunRequests(ctx context.Context, c *Cluster, load Load) LoadReport {
+	client := &http.Client{Timeout: requestTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: workers}}
+	defer client.CloseIdleConnections()
+	requests := Plan(c.Config, load)
+	outcomes := make([]Outcome, len(requests))
+	next := make(chan int)
+	var running sync.WaitGroup
+	for range workers {
+		running.Go(func() {
+			for i := range next {
+				outcomes[i] = Send(ctx, client, c.Entries[i%len(c.Entries)].URL, requests[i])
+			}
+		})
+	}
+	for i := range requests {
+		next <- i
+	}
+	close(next)
+	running.Wait()
+	return judgeLoad(c.Services, requests, outcomes)
+}
+
+// judgeLoad counts the outcomes. A write that was answered and that no service ran
+// counts as wrong.
+func judgeLoad(services []*standin.Service, requests []Request, outcomes []Outcome) LoadReport {
+	runs := map[string]int{}
+	for _, service := range services {
+		for body, n := range service.Runs() {
+			runs[body] += n
+		}
+	}
+	var report LoadReport
+	for i, request := range requests {
+		outcome := outcomes[i]
+		if request.IsWrite() {
+			n := runs[string(request.Body)]
+			report.WriteRunsMax = max(report.WriteRunsMax, n)
+			if n == 0 && outcome.Result == Complete {
+				outcome = Outcome{Result: Wrong, Detail: "answered, but no service ran it"}
+			}
+		}
+		report.add(request, outcome)
+	}
+	return report
+}
+
+// kinds are the kinds of requests in the order in which Plan takes them. The first
+// is a write, so that every load has one.
+var kinds = []func(Config, *rand.Rand, int, uint64) Request{
+	keyedWrite,
+	streamedChat,
+	plainChat,
+	statusReading,
+	plainCompletion,
+	unkeyedWrite,
+	streamedChat,
+	notice,
+}
+
+// Plan returns the requests of a load. Equal loads give equal requests.
+func Plan(c Config, load Load) []Request {
+	random := rand.New(rand.NewPCG(load.Seed, 0))
+	requests := make([]Request, load.Count)
+	for i := range requests {
+		requests[i] = kinds[i%len(kinds)](c, random, i, load.Seed)
+	}
+	return requests
+}
+
+func secretOf(c Config, random *rand.Rand) string { return c.Keys[random.IntN(len(c.Keys))].Secret }
+
+func modelOf(c Config, random *rand.Rand) string { return c.Models[random.IntN(len(c.Models))].Name }
+
+func chat(c Config, random *rand.Rand, i int, seed uint64, stream bool) Request {
+	body := fmt.Sprintf(`{"model":%q,"stream":%t,"messages":[{"role":"user","content":"charge record %d of load %d"}]}`,
+		modelOf(c, random), stream, i, seed)
+	return Request{
+		Method: http.MethodPost, Path: "/v1/chat/completions", Secret: secretOf(c, random),
+		Body: []byte(body), Inference: true, Stream: stream,
+	}
+}
+
+func streamedChat(c Config, random *rand.Rand, i int, seed uint64) Request {
+	return chat(c, random, i, seed, true)
+}
+
+func plainChat(c Config, random *rand.Rand, i int, seed uint64) Request {
+	return chat(c, random, i, seed, false)
+}
+
+func plainCompletion(c Config, random *rand.Rand, i int, seed uint64) Request {
+	body := fmt.Sprintf(`{"model":%q,"prompt":"maintenance log %d of load %d"}`, modelOf(c, random), i, seed)
+	return Request{
+		Method: http.MethodPost, Path: "/v1/completions", Secret: secretOf(c, random), Body: []byte(body), Inference: true,
+	}
+}
+
+func statusReading(c Config, random *rand.Rand, i int, seed uint64) Request {
+	return Request{Method: http.MethodGet, Path: fmt.Sprintf("/status/buoy-%d-%d", seed, i), Secret: secretOf(c, random)}
+}
+
+func notice(_ Config, _ *rand.Rand, i int, seed uint64) Request {
+	return Request{Method: http.MethodGet, Path: fmt.Sprintf("/notices/%d-%d", seed, i)}
+}
+
+func unkeyedWrite(c Config, random *rand.Rand, i int, seed uint64) Request {
+	return Request{
+		Method: http.MethodPost, Path: "/orders", Secret: secretOf(c, random),
+		Body: fmt.Appendf(nil, `{"order":"%d-%d"}`, seed, i),
+	}
+}
+
+func keyedWrite(c Config, random *rand.Rand, i int, seed uint64) Request {
+	r := unkeyedWrite(c, random, i, seed)
+	r.IdempotencyKey = fmt.Sprintf("order-%d-%d", seed, i)
+	return r
+}
+
+// WaitReady returns once every entry instance serves every client account a
+// completion and a reading of the ledger. It sends no writes.
+func (c *Cluster) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	var waiting sync.WaitGroup
+	failures := make(chan error, len(c.Entries))
+	for _, entry := range c.Entries {
+		waiting.Go(func() { failures <- c.waitEntry(ctx, entry) })
+	}
+	waiting.Wait()
+	close(failures)
+	for err := range failures {
+		if err != nil {
+			return err
+		}
+	}
+	return sleep(ctx, fillTime)
+}
+
+func (c *Cluster) waitEntry(ctx context.Context, entry EntryInstance) error {
+	for _, key := range c.Config.Keys {
+		body := fmt.Sprintf(`{"model":%q,"prompt":"ready"}`, c.Config.Models[0].Name)
+		probes := []Request{
+			{Method: http.MethodPost, Path: "/v1/completions", Secret: key.Secret, Body: []byte(body), Inference: true},
+			{Method: http.MethodGet, Path: "/orders/ready", Secret: key.Secret},
+		}
+		for _, probe := range probes {
+			if err := waitComplete(ctx, entry, probe); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func waitComplete(ctx context.Context, entry EntryInstance, probe Request) error {
+	for {
+		outcome := Send(ctx, http.DefaultClient, entry.URL, probe)
+		if outcome.Result == Complete {
+			return nil
+		}
+		if err := sleep(ctx, probeInterval); err != nil {
+			return eris.Wrapf(err, "entry instance %q is not ready: %s %s", entry.ID, outcome.Kind, outcome.Detail)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -21,6 +21,9 @@
 	Silent bool `json:"silent"`
 	// Crossed answers with the id of another request.
 	Crossed bool `json:"crossed"`
+	// Swapped answers with the text of another request under the right id, which only
+	// a caller that knows the right text notices.
+	Swapped bool `json:"swapped"`
 	// CrashOn breaks the connection for each request whose body contains the text.
 	CrashOn string `json:"crash_on"`
 	// DelayMS delays the first token, in milliseconds.
@@ -121,6 +124,9 @@
 	}
 	w.Header().Set("X-Request-Id", id)
 	answer := completion{id: id, model: req.Model, chat: strings.Contains(r.URL.Path, "chat")}
+	if faults.Swapped {
+		raw = []byte("another request")
+	}
 	if req.Stream {
 		e.stream(w, r, answer, ExpectedText(raw), faults)
 		return
--- a/internal/standin/listen.go
+++ b/internal/standin/listen.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"time"
@@ -43,3 +44,15 @@
 
 // Shutdown ends the stand-in after its requests.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// serveSwitch returns a handler that decodes a JSON value and passes it to set.
+func serveSwitch[T any](set func(T)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var value T
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&value); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		set(value)
+	}
+}
