Make the stand-ins follow the limits of the platform

Cause: stand-ins took any rate and any value, reported load at once and knew no orders, so tests of lag, limits and rollouts had nothing to run against.

Change: behind switches, the store limits calls and refuses values over 1 MB, the instance list lags over HTTP, engines and services have slots, a queue and a load report with lag, engines take orders with or without fencing and load from a rate-limited weight store, and send cache events late and with gaps. Entry instances read the load of their region's upstreams each second. The store adapter no longer reports a refused request as a missing answer, which made an apply with an oversized value repeat without end.

Conclusion: rollouts and routing have upstreams to be tested against. Reading each upstream once a second from each entry instance is above the target of 2 KB/s at the design size and needs a division of the readings.

--- a/cmd/heatherloom/standin.go
+++ b/cmd/heatherloom/standin.go
@@ -31,7 +31,7 @@
 func parseStandinFlags(args []string) (standinFlags, error) {
 	var f standinFlags
 	flags := flag.NewFlagSet("standin", flag.ContinueOnError)
-	flags.StringVar(&f.kind, "kind", "", "store, instances, engine, service or proxy")
+	flags.StringVar(&f.kind, "kind", "", "store, instances, engine, service, weights or proxy")
 	flags.StringVar(&f.listen, "listen", "127.0.0.1:0", "`ADDRESS` as host:port")
 	flags.DurationVar(&f.tokenInterval, "token-interval", 5*time.Millisecond, "time between two tokens of an engine")
 	flags.BoolVar(&f.recordRuns, "record-runs", false, "let an engine count the runs of each request, for GET /standin/runs")
@@ -83,10 +83,12 @@
 		return runningServer(startEngine(f))
 	case "service":
 		return runningServer(standin.StartService(f.listen))
+	case "weights":
+		return runningServer(standin.StartWeights(f.listen))
 	case "proxy":
 		return startProxy(f)
 	default:
-		return runningStandin{}, fmt.Errorf("unknown kind %q; allowed are store, instances, engine, service and proxy", f.kind)
+		return runningStandin{}, fmt.Errorf("unknown kind %q; allowed are store, instances, engine, service, weights and proxy", f.kind)
 	}
 }
 
--- /dev/null
+++ b/internal/devcluster/load_report_test.go
@@ -0,0 +1,50 @@
+package devcluster
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"heatherloom/internal/standin"
+)
+
+var _ = Describe("the load report of engines", func() {
+	// Guards against entry instances that never read the reports and so take an engine
+	// that others keep busy for an idle one.
+	It("keeps requests away from an engine that others keep busy", func(ctx SpecContext) {
+		cluster, err := Start(ctx, nil)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(cluster.Close)
+		Expect(cluster.WaitReady(ctx)).To(Succeed())
+		busy, idle, entry := cluster.Engines[0], cluster.Engines[1], cluster.Entries[0]
+
+		busy.SetFaults(standin.EngineFaults{Silent: true})
+		others, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		for i := range 8 {
+			go func() {
+				body := strings.NewReader(fmt.Sprintf(`{"model":"lantern","prompt":"other %d"}`, i))
+				req, _ := http.NewRequestWithContext(others, http.MethodPost, busy.URL()+"/v1/completions", body)
+				if resp, err := http.DefaultClient.Do(req); err == nil {
+					_ = resp.Body.Close()
+				}
+			}()
+		}
+		time.Sleep(2500 * time.Millisecond) // two readings at an interval of one second
+		busy.RecordRuns()
+		idle.RecordRuns()
+		for i, request := range Plan(cluster.Config, Load{Count: 16, Seed: 31}) {
+			if request.Inference {
+				outcome := Send(ctx, http.DefaultClient, entry.URL, request)
+				Expect(outcome.Result).To(Equal(Complete), "request %d: %+v", i, outcome)
+			}
+		}
+		Expect(busy.Runs()).To(BeEmpty())
+		Expect(idle.Runs()).To(HaveLen(8))
+	})
+})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"heatherloom/internal/gateway"
 	"heatherloom/internal/peer"
 	"heatherloom/internal/platform"
+	"heatherloom/internal/platform/engineapi"
 	"heatherloom/internal/platform/etcdgw"
 	"heatherloom/internal/platform/httpsd"
 	"heatherloom/internal/relay"
@@ -131,6 +132,7 @@
 	n.done.Go(func() { syncer.Run(ctx) })
 	n.done.Go(func() { heartbeats.Run(ctx) })
 	n.done.Go(func() { pollInstances(ctx, list, n.loop) })
+	n.done.Go(func() { pollLoads(ctx, engineapi.New(), n.loop) })
 }
 
 func pollInstances(ctx context.Context, list platform.InstanceList, loop *control.Loop) {
--- a/internal/platform/etcdgw/client.go
+++ b/internal/platform/etcdgw/client.go
@@ -211,6 +211,10 @@
 	if err := json.NewDecoder(body).Decode(&status); err == nil && status.Code == wire.CodeNotFound {
 		return platform.ErrLeaseNotFound
 	}
+	if status.Code == wire.CodeInvalidArgument {
+		// Not ErrUnavailable: repeating an invalid request cannot succeed.
+		return eris.Errorf("key-value service refused the request: %s", status.Message)
+	}
 	return unavailable(fmt.Errorf("status %d: %s", resp.StatusCode, status.Message))
 }
 
--- a/internal/platform/etcdgw/wire/wire.go
+++ b/internal/platform/etcdgw/wire/wire.go
@@ -144,8 +144,18 @@
 	Message string `json:"message"`
 }
 
-// CodeNotFound is the gRPC status code of a lease that has ended.
-const CodeNotFound = 5
+// gRPC status codes in use.
+const (
+	// CodeInvalidArgument refuses a request that cannot succeed, such as a value that
+	// is too large.
+	CodeInvalidArgument = 3
+	// CodeNotFound means that a lease has ended.
+	CodeNotFound = 5
+	// CodeResourceExhausted means that the rate of calls is too high.
+	CodeResourceExhausted = 8
+	// CodeUnavailable means that the service is down.
+	CodeUnavailable = 14
+)
 
 // PrefixEnd returns the end of the range of keys that start with prefix.
 func PrefixEnd(prefix string) []byte {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -148,9 +149,53 @@
 	Models []string `json:"models"`
 }
 
+// EngineState is what an engine reports of its orders.
+type EngineState struct {
+	// Order is the latest order that the engine accepted.
+	Order Order `json:"order"`
+	// Loaded are the models that the engine can serve now, as model@version. They
+	// lag behind the order while weights are loaded.
+	Loaded []string `json:"loaded"`
+}
+
+// ErrStaleFence reports that an engine refused an order because it accepted one with
+// a higher fencing token.
+var ErrStaleFence = errors.New("the engine accepted an order with a higher fencing token")
+
 // EngineControl gives orders to engines.
 type EngineControl interface {
+	// Apply returns ErrStaleFence if the engine honours fencing tokens and the token
+	// of o is too low. After any other error the order may be in force.
 	Apply(ctx context.Context, address string, o Order) error
 	// State reads back the order in force.
-	State(ctx context.Context, address string) (Order, error)
+	State(ctx context.Context, address string) (EngineState, error)
+}
+
+// Weights describes the weights of a version.
+type Weights struct {
+	// Model is the model@version.
+	Model string
+	// Bytes is the size of the weights.
+	Bytes int64
+}
+
+// ErrNoWeights reports that the weight store does not hold a version.
+var ErrNoWeights = errors.New("the weight store does not hold the version")
+
+// RateLimitedError reports that an outside part refused a call because of its rate.
+type RateLimitedError struct {
+	// RetryAfter is the wait that the part asked for; 0 if it named none.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *RateLimitedError) Error() string {
+	return fmt.Sprintf("rate limit reached, retry after %s", e.RetryAfter)
+}
+
+// WeightStore holds the weights that engines load. Its rate is limited, and reading
+// the description of a version counts against it.
+type WeightStore interface {
+	// Describe returns ErrNoWeights or a *RateLimitedError where they apply.
+	Describe(ctx context.Context, model string) (Weights, error)
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -36,10 +35,12 @@
 type Engine struct {
 	*Server
 
-	mu      sync.Mutex
-	faults  EngineFaults
-	running atomic.Int64
-	record  runRecord
+	mu     sync.Mutex
+	faults EngineFaults
+	record runRecord
+	load   loadHistory
+	orders orderBook
+	cache  prefixCache
 	// TokenInterval is the time between two tokens of a stream.
 	tokenInterval time.Duration
 }
@@ -51,10 +52,13 @@
 func StartEngine(address string, tokenInterval time.Duration) (*Engine, error) {
 	e := &Engine{tokenInterval: tokenInterval}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/chat/completions", e.complete)
-	mux.HandleFunc("POST /v1/completions", e.complete)
-	mux.HandleFunc("GET /metrics", e.metrics)
-	mux.HandleFunc("POST /standin/faults", e.serveFaults)
+	mux.HandleFunc("POST /v1/chat/completions", e.load.scheduled(e.complete))
+	mux.HandleFunc("POST /v1/completions", e.load.scheduled(e.complete))
+	mux.HandleFunc("GET /metrics", e.load.serveMetrics)
+	e.orders.register(mux)
+	e.cache.register(mux)
+	mux.HandleFunc("POST /standin/load", serveSwitch(e.load.Set))
+	mux.HandleFunc("POST /standin/faults", serveSwitch(e.SetFaults))
 	mux.HandleFunc("GET /standin/runs", e.serveRuns)
 	server, err := listen(address, mux)
 	if err != nil {
@@ -77,19 +81,6 @@
 	return e.faults
 }
 
-func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
-	var f EngineFaults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	e.SetFaults(f)
-}
-
-func (e *Engine) metrics(w http.ResponseWriter, _ *http.Request) {
-	_, _ = fmt.Fprintf(w, "vllm:num_requests_running %d\nvllm:num_requests_waiting 0\n", e.running.Load())
-}
-
 // ExpectedText returns the text that an engine answers to a request body.
 func ExpectedText(body []byte) string {
 	h := fnv.New64a()
@@ -109,14 +100,13 @@
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
-	e.running.Add(1)
-	defer e.running.Add(-1)
 	raw, req, err := decodeBody[engineRequest](w, r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	e.record.add(raw)
+	e.cache.touch(raw)
 	faults := e.currentFaults()
 	id := r.Header.Get("X-Request-Id")
 	if !injectFaults(w, r, faults, raw) {
--- a/internal/standin/instances.go
+++ b/internal/standin/instances.go
@@ -22,6 +22,7 @@
 
 	mu      sync.Mutex
 	lag     time.Duration
+	outage  bool
 	history []listedInstance
 }
 
@@ -30,7 +31,9 @@
 	l := &InstanceList{}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /instances", l.serveList)
-	mux.HandleFunc("POST /instances", l.serveSet)
+	mux.HandleFunc("POST /instances", serveSwitch(l.Set))
+	mux.HandleFunc("DELETE /instances/{id}", func(_ http.ResponseWriter, r *http.Request) { l.Remove(r.PathValue("id")) })
+	mux.HandleFunc("POST /standin/faults", serveSwitch(l.SetFaults))
 	server, err := listen(address, mux)
 	if err != nil {
 		return nil, err
@@ -39,11 +42,25 @@
 	return l, nil
 }
 
-// SetLag sets how late changes show.
-func (l *InstanceList) SetLag(lag time.Duration) {
+// InstanceFaults are the fault switches of the instance list.
+type InstanceFaults struct {
+	// LagMS is how late changes show, in milliseconds.
+	LagMS int64 `json:"lag_ms"`
+	// Outage refuses every reading.
+	Outage bool `json:"outage"`
+}
+
+// SetFaults replaces the fault switches.
+func (l *InstanceList) SetFaults(f InstanceFaults) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lag = lag
+	l.lag = time.Duration(f.LagMS) * time.Millisecond
+	l.outage = f.Outage
+}
+
+// SetLag sets how late changes show.
+func (l *InstanceList) SetLag(lag time.Duration) {
+	l.SetFaults(InstanceFaults{LagMS: lag.Milliseconds()})
 }
 
 // Set adds or replaces an instance.
@@ -87,7 +104,17 @@
 	return instances
 }
 
+func (l *InstanceList) down() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.outage
+}
+
 func (l *InstanceList) serveList(w http.ResponseWriter, _ *http.Request) {
+	if l.down() {
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
+		return
+	}
 	groups := []httpsd.TargetGroup{}
 	for _, instance := range l.visible(time.Now()) {
 		groups = append(groups, httpsd.GroupOf(instance))
@@ -95,12 +122,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(groups)
 }
-
-func (l *InstanceList) serveSet(w http.ResponseWriter, r *http.Request) {
-	var instance platform.Instance
-	if err := json.NewDecoder(r.Body).Decode(&instance); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	l.Set(instance)
-}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -34,6 +34,7 @@
 	mu     sync.Mutex
 	runs   map[string]int
 	faults ServiceFaults
+	load   loadHistory
 }
 
 // ServiceAnswer is the answer to every call.
@@ -49,7 +50,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /standin/runs", s.serveRuns)
 	mux.HandleFunc("POST /standin/faults", serveSwitch(s.SetFaults))
-	mux.HandleFunc("/", s.serve)
+	mux.HandleFunc("POST /standin/load", serveSwitch(s.load.Set))
+	mux.HandleFunc("GET /metrics", s.load.serveMetrics)
+	mux.HandleFunc("/", s.load.scheduled(s.serve))
 	server, err := listen(address, mux)
 	if err != nil {
 		return nil, err
@@ -65,6 +68,9 @@
 	s.faults = f
 }
 
+// SetLoad replaces the switches of scheduling and load report.
+func (s *Service) SetLoad(l LoadSwitches) { s.load.Set(l) }
+
 // Runs returns how often each write ran, by its body.
 func (s *Service) Runs() map[string]int {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,231 @@
+package standin_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"heatherloom/internal/platform"
+	"heatherloom/internal/platform/engineapi"
+	"heatherloom/internal/platform/etcdgw"
+	"heatherloom/internal/platform/httpsd"
+	"heatherloom/internal/platform/weightstore"
+	"heatherloom/internal/standin"
+)
+
+func TestStandin(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "standin")
+}
+
+const (
+	freePort = "127.0.0.1:0"
+	soon     = 2 * time.Second
+	lag      = 200 * time.Millisecond
+)
+
+func started[S interface{ Close() }](s S, err error) S {
+	GinkgoHelper()
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(s.Close)
+	return s
+}
+
+// post sets switches or sends a body, and returns the status.
+func post(url, body string) int {
+	GinkgoHelper()
+	resp, err := http.Post(url, "application/json", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+var _ = Describe("the key-value service", func() {
+	// Guards against tests that pass with values or call rates that the real service
+	// refuses, and against an adapter that repeats a call which cannot succeed.
+	It("refuses values over 1 MB and calls over its rates", func(ctx SpecContext) {
+		store := started(standin.StartStore(freePort))
+		client := etcdgw.New(store.URL())
+		put := func(bytes int) error {
+			_, _, err := client.Commit(ctx, nil, []platform.Write{{Key: "/k", Value: make([]byte, bytes)}})
+			return err
+		}
+		Expect(put(platform.MaxValueBytes)).To(Succeed())
+		err := put(platform.MaxValueBytes + 1)
+		Expect(err).To(HaveOccurred())
+		Expect(errors.Is(err, platform.ErrUnavailable)).To(BeFalse())
+
+		Expect(post(store.URL()+"/standin/faults", `{"writes_per_second":10,"reads_per_second":1000}`)).To(Equal(http.StatusOK))
+		limited := 0
+		for range 5 {
+			if errors.Is(put(1), platform.ErrUnavailable) {
+				limited++
+			}
+		}
+		Expect(limited).To(BeNumerically(">=", 3), "five writes in a row at 10 writes/s")
+		_, err = client.Get(ctx, "/k")
+		Expect(err).NotTo(HaveOccurred())
+		store.SetFaults(standin.StoreFaults{})
+		Expect(put(1)).To(Succeed())
+	})
+})
+
+var _ = Describe("the instance list", func() {
+	// Guards against tests of a lagging list whose list does not lag.
+	It("shows changes late", func(ctx SpecContext) {
+		list := started(standin.StartInstanceList(freePort))
+		client := httpsd.New(list.URL() + "/instances")
+		names := func() int {
+			instances, err := client.Instances(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			return len(instances)
+		}
+		Expect(post(list.URL()+"/standin/faults", `{"lag_ms":200}`)).To(Equal(http.StatusOK))
+		Expect(post(list.URL()+"/instances", `{"ID":"e1","Address":"127.0.0.1:1"}`)).To(Equal(http.StatusOK))
+		Expect(names()).To(BeZero())
+		Eventually(names, soon, "10ms").Should(Equal(1))
+		req, err := http.NewRequest(http.MethodDelete, list.URL()+"/instances/e1", nil)
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+		Expect(names()).To(Equal(1))
+		Eventually(names, soon, "10ms").Should(BeZero())
+		list.SetFaults(standin.InstanceFaults{Outage: true})
+		_, err = client.Instances(ctx)
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+var _ = Describe("an engine", func() {
+	var engine *standin.Engine
+	var client *engineapi.Client
+
+	BeforeEach(func() {
+		engine = started(standin.StartEngine(freePort, 20*time.Millisecond))
+		client = engineapi.New()
+	})
+	load := func() platform.Load {
+		l, err := client.Load(context.Background(), engine.Address())
+		Expect(err).NotTo(HaveOccurred())
+		return l
+	}
+
+	// Guards against routing tests whose load report shows the present, or shows no
+	// queue.
+	It("reports its load late, and what waits for a slot", func() {
+		engine.SetLoad(standin.LoadSwitches{LagMS: lag.Milliseconds(), Slots: 2})
+		var running sync.WaitGroup
+		for i := range 5 {
+			running.Go(func() { post(engine.URL()+"/v1/completions", fmt.Sprintf(`{"model":"m","prompt":"%d"}`, i)) })
+		}
+		Consistently(load, lag/2, "10ms").Should(BeZero())
+		Eventually(load, soon, "5ms").Should(Equal(platform.Load{Running: 2, Waiting: 3}))
+		running.Wait()
+		Eventually(load, soon, "10ms").Should(BeZero())
+		engine.SetLoad(standin.LoadSwitches{Outage: true})
+		_, err := client.Load(context.Background(), engine.Address())
+		Expect(err).To(HaveOccurred())
+	})
+
+	order := func(fence int64, models ...string) error {
+		return client.Apply(context.Background(), engine.Address(), platform.Order{Fence: fence, Models: models})
+	}
+	state := func() platform.EngineState {
+		s, err := client.State(context.Background(), engine.Address())
+		Expect(err).NotTo(HaveOccurred())
+		return s
+	}
+
+	// Guards against tests of fencing whose engine takes any order, or refuses one that
+	// an engine without fencing takes.
+	It("honours or ignores the fencing token of an order", func() {
+		Expect(order(5, "a@1")).To(Succeed())
+		Expect(order(4, "a@2")).To(MatchError(platform.ErrStaleFence))
+		Expect(order(5, "a@1")).To(Succeed())
+		Eventually(state, soon, "10ms").Should(Equal(platform.EngineState{
+			Order: platform.Order{Fence: 5, Models: []string{"a@1"}}, Loaded: []string{"a@1"},
+		}))
+		engine.SetOrders(standin.OrderSwitches{IgnoreFence: true})
+		Expect(order(4, "a@2")).To(Succeed())
+		Eventually(state, soon, "10ms").Should(Equal(platform.EngineState{
+			Order: platform.Order{Fence: 4, Models: []string{"a@2"}}, Loaded: []string{"a@2"},
+		}))
+	})
+
+	// Guards against rollout tests whose loads cost nothing.
+	It("takes loads from the weight store at its rate", func() {
+		weights := started(standin.StartWeights(freePort))
+		weights.SetFaults(standin.WeightFaults{PerSecond: 2, Bytes: 1 << 10})
+		engine.SetOrders(standin.OrderSwitches{Weights: weights.URL()})
+		begun := time.Now()
+		Expect(order(1, "a@1", "a@2")).To(Succeed())
+		Eventually(func() []string { return state().Loaded }, 5*time.Second, "10ms").Should(Equal([]string{"a@1", "a@2"}))
+		Expect(time.Since(begun)).To(BeNumerically(">=", 400*time.Millisecond))
+		Expect(weights.Counts().Limited).To(BeNumerically(">=", 1))
+	})
+
+	// Guards against cache tests whose events are on time and complete.
+	It("sends cache events late and with gaps", func(ctx SpecContext) {
+		engine.SetCache(standin.CacheSwitches{Blocks: 2, DelayMS: lag.Milliseconds(), GapEvery: 2})
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, engine.URL()+"/v1/cache/events", nil)
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(resp.Body.Close)
+		begun := time.Now()
+		var bodies [3]string
+		for i := range bodies {
+			bodies[i] = fmt.Sprintf(`{"model":"m","prompt":%q}`, strings.Repeat(string(rune('a'+i)), 300))
+			post(engine.URL()+"/v1/completions", bodies[i])
+		}
+		lines := bufio.NewScanner(resp.Body)
+		var events []standin.CacheEvent
+		for len(events) < 2 && lines.Scan() {
+			if data, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+				var event standin.CacheEvent
+				Expect(json.Unmarshal([]byte(data), &event)).To(Succeed())
+				events = append(events, event)
+			}
+		}
+		Expect(time.Since(begun)).To(BeNumerically(">=", lag))
+		Expect(events).To(Equal([]standin.CacheEvent{
+			{Number: 1, Stored: standin.PrefixBlocks([]byte(bodies[0]))},
+			{Number: 3, Stored: standin.PrefixBlocks([]byte(bodies[2])), Removed: standin.PrefixBlocks([]byte(bodies[0]))},
+		}), "the second event is the gap")
+	})
+})
+
+var _ = Describe("the weight store", func() {
+	// Guards against an adapter that loses the wait which the store asks for.
+	It("answers with the size, a missing version or the wait", func(ctx SpecContext) {
+		store := started(standin.StartWeights(freePort))
+		client := weightstore.New(store.URL())
+		store.SetFaults(standin.WeightFaults{Bytes: 4096, Missing: "a@9"})
+		weights, err := client.Describe(ctx, "a@1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(weights).To(Equal(platform.Weights{Model: "a@1", Bytes: 4096}))
+		_, err = client.Describe(ctx, "a@9")
+		Expect(err).To(MatchError(platform.ErrNoWeights))
+
+		store.SetFaults(standin.WeightFaults{PerSecond: 0.25})
+		var limited *platform.RateLimitedError
+		Eventually(func() bool {
+			_, err := client.Describe(ctx, "a@1")
+			return errors.As(err, &limited)
+		}, soon).Should(BeTrue())
+		Expect(limited.RetryAfter).To(And(BeNumerically(">=", 3*time.Second), BeNumerically("<=", 4*time.Second)))
+	})
+})
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -2,11 +2,15 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sort"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
+	"heatherloom/internal/platform"
 	"heatherloom/internal/platform/etcdgw/wire"
 )
 
@@ -18,6 +22,11 @@
 	DelayMS int64 `json:"delay_ms"`
 	// LoseAnswers is the number of writes that take effect and get no answer.
 	LoseAnswers int `json:"lose_answers"`
+	// WritesPerSecond and ReadsPerSecond limit the calls, which get status 429 above
+	// the limit; 0 for no limit. A lease call counts as a write and the start of a
+	// watch as a read.
+	WritesPerSecond float64 `json:"writes_per_second"`
+	ReadsPerSecond  float64 `json:"reads_per_second"`
 }
 
 // maxTxnBytes bounds a request, as the real service does.
@@ -48,6 +57,8 @@
 	nextID   int64
 	faults   StoreFaults
 	calls    map[string]int64
+	writes   *rate.Limiter
+	reads    *rate.Limiter
 }
 
 // StartStore starts a stand-in at address.
@@ -59,6 +70,8 @@
 		leases:   map[int64]*storeLease{},
 		nextID:   1000,
 		calls:    map[string]int64{},
+		writes:   newCallLimiter(),
+		reads:    newCallLimiter(),
 	}
 	mux := http.NewServeMux()
 	handle(mux, s, wire.PathRange, s.rangeKeys)
@@ -67,7 +80,7 @@
 	handle(mux, s, wire.PathKeepAlive, s.keepAlive)
 	handle(mux, s, wire.PathRevoke, s.revoke)
 	mux.HandleFunc(wire.PathWatch, s.watch)
-	mux.HandleFunc("POST /standin/faults", s.serveFaults)
+	mux.HandleFunc("POST /standin/faults", serveSwitch(s.SetFaults))
 	mux.HandleFunc("GET /standin/calls", s.serveCalls)
 	server, err := listen(address, mux)
 	if err != nil {
@@ -82,6 +95,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	setCallLimit(s.writes, f.WritesPerSecond)
+	setCallLimit(s.reads, f.ReadsPerSecond)
 	s.notify()
 }
 
@@ -96,15 +111,6 @@
 	return calls
 }
 
-func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request) {
-	var f StoreFaults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
-}
-
 func (s *Store) serveCalls(w http.ResponseWriter, _ *http.Request) {
 	_ = json.NewEncoder(w).Encode(s.Calls())
 }
@@ -117,7 +123,7 @@
 		}
 		var req Req
 		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxTxnBytes)).Decode(&req); err != nil {
-			writeStatus(w, http.StatusBadRequest, wire.Status{Code: 3, Message: err.Error()})
+			writeStatus(w, wire.Status{Code: wire.CodeInvalidArgument, Message: err.Error()})
 			return
 		}
 		s.mu.Lock()
@@ -132,29 +138,61 @@
 			panic(http.ErrAbortHandler)
 		}
 		if status != nil {
-			writeStatus(w, http.StatusNotFound, *status)
+			writeStatus(w, *status)
 			return
 		}
 		_ = json.NewEncoder(w).Encode(resp)
 	})
 }
 
-// enter counts the call and applies outage and delay.
+// enter counts the call and applies outage, rate limits and delay.
 func (s *Store) enter(w http.ResponseWriter, path string) bool {
 	s.mu.Lock()
 	s.calls[path]++
 	faults := s.faults
 	s.mu.Unlock()
 	if faults.Outage {
-		writeStatus(w, http.StatusServiceUnavailable, wire.Status{Code: 14, Message: "unavailable"})
+		writeStatus(w, wire.Status{Code: wire.CodeUnavailable, Message: "unavailable"})
+		return false
+	}
+	if !s.limiterOf(path).Allow() {
+		writeStatus(w, wire.Status{Code: wire.CodeResourceExhausted, Message: "too many requests"})
 		return false
 	}
 	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
 	return true
 }
 
-func writeStatus(w http.ResponseWriter, code int, status wire.Status) {
-	w.WriteHeader(code)
+func (s *Store) limiterOf(path string) *rate.Limiter {
+	if path == wire.PathRange || path == wire.PathWatch {
+		return s.reads
+	}
+	return s.writes
+}
+
+// newCallLimiter returns a limiter without a limit.
+func newCallLimiter() *rate.Limiter { return rate.NewLimiter(rate.Inf, 1) }
+
+// setCallLimit allows perSecond calls, and a tenth of them at once; 0 for no limit.
+func setCallLimit(l *rate.Limiter, perSecond float64) {
+	if perSecond <= 0 {
+		l.SetLimit(rate.Inf)
+		return
+	}
+	l.SetBurst(max(1, int(perSecond/10)))
+	l.SetLimit(rate.Limit(perSecond))
+}
+
+// statusCodes maps gRPC status codes to HTTP as the gateway of etcd does.
+var statusCodes = map[int]int{
+	wire.CodeInvalidArgument:   http.StatusBadRequest,
+	wire.CodeNotFound:          http.StatusNotFound,
+	wire.CodeResourceExhausted: http.StatusTooManyRequests,
+	wire.CodeUnavailable:       http.StatusServiceUnavailable,
+}
+
+func writeStatus(w http.ResponseWriter, status wire.Status) {
+	w.WriteHeader(statusCodes[status.Code])
 	_ = json.NewEncoder(w).Encode(status)
 }
 
@@ -182,6 +220,10 @@
 		}
 	}
 	for _, op := range req.Success {
+		if op.Put != nil && len(op.Put.Value) > platform.MaxValueBytes {
+			message := fmt.Sprintf("value of %d bytes exceeds the limit of %d", len(op.Put.Value), platform.MaxValueBytes)
+			return wire.TxnResponse{}, &wire.Status{Code: wire.CodeInvalidArgument, Message: message}
+		}
 		if op.Put != nil && op.Put.Lease != 0 && s.leases[op.Put.Lease] == nil {
 			return wire.TxnResponse{}, &wire.Status{Code: wire.CodeNotFound, Message: "requested lease not found"}
 		}
@@ -281,7 +323,7 @@
 	}
 	var req wire.WatchRequest
 	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
-		writeStatus(w, http.StatusBadRequest, wire.Status{Code: 3, Message: err.Error()})
+		writeStatus(w, wire.Status{Code: wire.CodeInvalidArgument, Message: err.Error()})
 		return
 	}
 	encoder := json.NewEncoder(w)
--- /dev/null
+++ b/internal/standin/weights.go
@@ -0,0 +1,113 @@
+package standin
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// WeightFaults are the switches of the weight store.
+type WeightFaults struct {
+	// PerSecond limits the calls, which get status 429 with Retry-After above the
+	// limit; 0 for no limit.
+	PerSecond float64 `json:"per_second"`
+	// Outage refuses every call.
+	Outage bool `json:"outage"`
+	// Missing is a model@version that the store does not hold.
+	Missing string `json:"missing"`
+	// Bytes is the size of each version.
+	Bytes int64 `json:"bytes"`
+	// DelayMS delays each answer, in milliseconds.
+	DelayMS int64 `json:"delay_ms"`
+}
+
+// Weights is a stand-in of the weight store.
+type Weights struct {
+	*Server
+
+	mu      sync.Mutex
+	faults  WeightFaults
+	limiter *rate.Limiter
+	counts  WeightCounts
+}
+
+// WeightCounts are the calls since the start.
+type WeightCounts struct {
+	Served  int `json:"served"`
+	Limited int `json:"limited"`
+}
+
+// StartWeights starts a stand-in at address.
+func StartWeights(address string) (*Weights, error) {
+	s := &Weights{limiter: rate.NewLimiter(rate.Inf, 1)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /weights/{model}", s.serve)
+	mux.HandleFunc("POST /standin/faults", serveSwitch(s.SetFaults))
+	mux.HandleFunc("GET /standin/counts", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(s.Counts())
+	})
+	server, err := listen(address, mux)
+	if err != nil {
+		return nil, err
+	}
+	s.Server = server
+	return s, nil
+}
+
+// SetFaults replaces the switches.
+func (s *Weights) SetFaults(f WeightFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.limiter.SetLimit(rate.Inf)
+	if f.PerSecond > 0 {
+		s.limiter.SetLimit(rate.Limit(f.PerSecond))
+	}
+}
+
+// Counts returns the calls since the start.
+func (s *Weights) Counts() WeightCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+func (s *Weights) serve(w http.ResponseWriter, r *http.Request) {
+	faults, wait := s.enter()
+	if faults.Outage {
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
+		return
+	}
+	if wait > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+		http.Error(w, "too many requests", http.StatusTooManyRequests)
+		return
+	}
+	if r.PathValue("model") == faults.Missing {
+		http.NotFound(w, r)
+		return
+	}
+	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+	w.Header().Set("Content-Length", strconv.FormatInt(faults.Bytes, 10))
+	_, _ = w.Write(make([]byte, faults.Bytes))
+}
+
+// enter counts the call and returns the wait after which it is allowed; 0 for now.
+func (s *Weights) enter() (WeightFaults, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reservation := s.limiter.Reserve()
+	wait := reservation.Delay()
+	if wait > 0 {
+		reservation.Cancel()
+		s.counts.Limited++
+		return s.faults, wait
+	}
+	s.counts.Served++
+	return s.faults, 0
+}
