--- a/internal/devcluster/load_report_test.go
+++ b/internal/devcluster/load_report_test.go
@@ -38,9 +38,10 @@
 		time.Sleep(2500 * time.Millisecond) // two readings at an interval of one second
 		busy.RecordRuns()
 		idle.RecordRuns()
+		client := &http.Client{Timeout: requestTimeout}
 		for i, request := range Plan(cluster.Config, Load{Count: 16, Seed: 31}) {
 			if request.Inference {
-				outcome := Send(ctx, http.DefaultClient, entry.URL, request)
+				outcome := Send(ctx, client, entry.URL, request)
 				Expect(outcome.Result).To(Equal(Complete), "request %d: %+v", i, outcome)
 			}
 		}
