Test connections that go silent while new ones work

Cause: the failure model names open connections that go silent for good, and no test with processes had them. The list of entry instances in the test caller was read without its lock.

Change: one spec for the connections to an engine and one for the link between regions at a one-way delay of 55 ms. Requests can name a deadline.

Ruled out: a bound of no refusal for the engine. A request on a silent pooled connection ends at its deadline of 1 s, since the first-byte timeout is 60 s; the test bounds refusals by the number of silent connections instead.

A shorter first-byte timeout for attempts, or a check of idle connections, would save the refused requests.

--- a/e2e/caller_test.go
+++ b/e2e/caller_test.go
@@ -47,6 +47,12 @@
 	return urls
 }
 
+func (c *caller) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.entries)
+}
+
 func (c *caller) first() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -66,7 +72,7 @@
 // as many entry instances as there are.
 func (c *caller) send(r devcluster.Request) []devcluster.Outcome {
 	var outcomes []devcluster.Outcome
-	for range len(c.entries) {
+	for range c.count() {
 		url := c.first()
 		outcome := devcluster.Send(context.Background(), c.client, url, r)
 		outcomes = append(outcomes, outcome)
--- a/e2e/platform_fault_test.go
+++ b/e2e/platform_fault_test.go
@@ -130,6 +130,69 @@
 	})
 })
 
+var _ = Describe("open connections go silent while new ones work", func() {
+	const timeout = time.Second
+	// timed are requests that name a deadline.
+	timed := func(requests []devcluster.Request) []devcluster.Request {
+		for i := range requests {
+			requests[i].Timeout = timeout
+		}
+		return requests
+	}
+
+	// Guards against requests that wait beyond their deadline on a connection that went
+	// silent, and against a pool that keeps such connections.
+	It("to an engine: each costs at most one request", func() {
+		s := newSite()
+		engine := s.proxiedEngine("engine-1", "a")
+		s.engine("engine-2", "a")
+		s.service("ledger", "a")
+		e := s.entry("entry-a", "a")
+		waitForRoute(e.url)
+		warm := run(inferenceOnly(plan(64, 100)), through(e.url), 0, nil)
+		Expect(warm.answered).To(Equal(warm.sent), "%v", warm.failures)
+
+		silent := engine.counts().Open
+		engine.silenceOpen()
+		started := time.Now()
+		t := run(timed(inferenceOnly(plan(160, 101))), through(e.url), 0, nil)
+		Expect(time.Since(started)).To(BeNumerically("<", callTimeout))
+		t.expectTrue(s)
+		Expect(t.answered+t.refused).To(Equal(t.sent), "%v", t.failures)
+		Expect(t.refused).To(BeNumerically("<=", silent), "%v", t.failures)
+		waitForRoute(e.url)
+		after := run(timed(inferenceOnly(plan(64, 103))), through(e.url), 0, nil)
+		Expect(after.answered).To(Equal(after.sent), "%v", after.failures)
+	})
+
+	// Guards against a region link that stays unusable because its one connection is.
+	It("to the other region: the link is used again once the silence is noticed", func() {
+		s := newSite()
+		s.engine("engine-b", "b")
+		s.service("ledger", "b")
+		a := s.start(entryPlan{id: "entry-a", region: "a", proxied: true})
+		b := s.start(entryPlan{id: "entry-b", region: "b", proxied: true})
+		waitReady(a.url)
+		waitReady(b.url)
+		waitForRoute(a.url)
+		latency := faultproxy.Latency(55 * time.Millisecond)
+		a.link.set(latency)
+		b.link.set(latency)
+		warm := run(inferenceOnly(plan(48, 110)), through(a.url), 0, nil)
+		Expect(warm.answered).To(Equal(warm.sent), "%v", warm.failures)
+
+		b.link.silenceOpen()
+		started := time.Now()
+		t := run(timed(inferenceOnly(plan(32, 111))), through(a.url), 0, nil)
+		t.expectTrue(s)
+		Expect(t.answered+t.refused).To(Equal(t.sent), "%v", t.failures)
+		waitForRoute(a.url)
+		Expect(time.Since(started)).To(BeNumerically("<", memberTimeout+2*memberSlack))
+		after := run(inferenceOnly(plan(32, 112)), through(a.url), 0, nil)
+		Expect(after.answered).To(Equal(after.sent), "%v", after.failures)
+	})
+})
+
 var _ = Describe("the key-value service", func() {
 	// Guards against traffic that depends on the key-value service, and against a new
 	// instance that serves without a configuration or stays unready after the outage.
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -91,6 +91,16 @@
 	return p, url
 }
 
+// proxiedEngine starts an engine that entry instances reach through a fault proxy.
+func (s *site) proxiedEngine(id, region string) link {
+	GinkgoHelper()
+	_, url, _ := startStandin("engine", "-record-runs")
+	s.engines = append(s.engines, url)
+	l := newLink(hostOf(url))
+	s.list(platform.Instance{ID: id, Role: platform.RoleEngine, Address: l.address, Models: []string{"lantern@1"}}, region)
+	return l
+}
+
 // service starts a plain service of a region and lists it.
 func (s *site) service(name, region string) (*process, string) {
 	GinkgoHelper()
@@ -192,6 +202,19 @@
 	return link{address: strings.TrimPrefix(url, "http://"), control: control}
 }
 
+// silenceOpen makes the open connections silent for good while new ones work.
+func (l link) silenceOpen() {
+	GinkgoHelper()
+	postJSON(l.control+faultproxy.PathSilenceOpen, struct{}{})
+}
+
+func (l link) counts() faultproxy.Counts {
+	GinkgoHelper()
+	var c faultproxy.Counts
+	getJSON(l.control+faultproxy.PathCounts, &c)
+	return c
+}
+
 func (l link) set(f faultproxy.Faults) {
 	GinkgoHelper()
 	postJSON(l.control+faultproxy.PathFaults, f)
--- a/internal/devcluster/request.go
+++ b/internal/devcluster/request.go
@@ -7,7 +7,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -26,6 +28,8 @@
 	// Inference requests go to an engine, all others to a plain service.
 	Inference bool
 	Stream    bool
+	// Timeout is the deadline that the request names; 0 for none.
+	Timeout time.Duration
 }
 
 // IsWrite reports whether the request must run at most once.
@@ -73,6 +77,9 @@
 		// The lower-case name keeps net/http from treating the request as repeatable.
 		req.Header["idempotency-key"] = []string{r.IdempotencyKey}
 	}
+	if r.Timeout > 0 {
+		req.Header.Set("X-Request-Timeout", strconv.FormatFloat(r.Timeout.Seconds(), 'f', -1, 64))
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return Outcome{Result: Broken, Detail: err.Error()}
