--- a/cmd/heatherloom/main.go
+++ b/cmd/heatherloom/main.go
@@ -31,6 +31,7 @@
 		{"status", "show the state of an entry instance", runStatus},
 		{"timeline", "merge the recent events of all entry instances", runTimeline},
 		{"drain", "take an entry instance out of service", runDrain},
+		{"dev", "run a development cluster of three regions in one process", runDev},
 		{"standin", "run a stand-in of an outside part, for development and tests", runStandin},
 	}
 }
--- a/e2e/operator_test.go
+++ b/e2e/operator_test.go
@@ -17,7 +17,6 @@
 	. "github.com/onsi/gomega"
 
 	"heatherloom/internal/operatorapi"
-	"heatherloom/internal/platform"
 	"heatherloom/internal/standin"
 	"heatherloom/internal/timeline"
 )
@@ -67,11 +66,7 @@
 
 // slowEngine lists an engine whose streams take about answer.
 func (s *site) slowEngine(id, region string, tokenInterval time.Duration) {
-	_, url := startStandin("engine", "-token-interval", tokenInterval.String())
-	s.list(platform.Instance{
-		ID: id, Role: platform.RoleEngine, Region: region, FailureDomain: region + "-1",
-		Address: strings.TrimPrefix(url, "http://"), Models: []string{"lantern@1"},
-	})
+	s.engine(id, region, "-token-interval", tokenInterval.String())
 }
 
 // command runs a subcommand of the binary with the operator token.
@@ -147,10 +142,9 @@
 	// instance forwards each stream to the other region.
 	It("drains under load without cutting a stream", func() {
 		s := newSite()
-		s.configure()
 		s.slowEngine("engine-b", "b", 60*time.Millisecond)
 		a, b := s.watchedEntry("entry-a", "a", ""), s.watchedEntry("entry-b", "b", "")
-		s.service("ledger-a", "a")
+		s.service("ledger", "a")
 		waitForRoute("http://" + a.caller)
 		waitForRoute("http://" + b.caller)
 
@@ -200,7 +194,6 @@
 	// draining one, and against forwards to an instance that refuses them (I13).
 	It("drains on a signal without a failure of forwarded streams", func() {
 		s := newSite()
-		s.configure()
 		s.slowEngine("engine-a", "a", 60*time.Millisecond)
 		first, second, b := s.watchedEntry("entry-a1", "a", ""), s.watchedEntry("entry-a2", "a", ""), s.watchedEntry("entry-b", "b", "")
 		for _, target := range []*watched{second, b} {
@@ -228,7 +221,6 @@
 	// Guards against an instance that cannot be ended while a request runs.
 	It("ends at once on a second signal", func() {
 		s := newSite()
-		s.configure()
 		a := s.watchedEntry("entry-a", "a", "")
 		Expect(a.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
 		Eventually(func() string {
@@ -245,7 +237,6 @@
 	// callers who pass for peers.
 	It("does not serve operator or peer paths on the caller listener", func() {
 		s := newSite()
-		s.configure()
 		a := s.watchedEntry("entry-a", "a", "")
 		for _, path := range []string{"/v1/status", "/v1/events", "/v1/drain", "/metrics", "/healthz", "/readyz", "/peer.v1.PeerService/Heartbeat", "/peer.v1.PeerService/PullEvents"} {
 			for _, method := range []string{http.MethodGet, http.MethodPost} {
@@ -264,9 +255,8 @@
 	// shows it in the wrong order, or hides that an instance did not answer.
 	It("merges the events of a forwarded request and names missing instances", func() {
 		s := newSite()
-		s.configure()
 		s.slowEngine("engine-b", "b", time.Millisecond)
-		s.service("ledger-a", "a")
+		s.service("ledger", "a")
 		a, b := s.watchedEntry("entry-a", "a", ""), s.watchedEntry("entry-b", "b", "")
 		waitForRoute("http://" + a.caller)
 		id := call("http://"+a.caller, http.MethodPost, "/v1/chat/completions", chat(1, true)).header.Get("X-Request-Id")
@@ -297,7 +287,6 @@
 	// Guards against subcommands that ignore unknown flags or have no help.
 	It("shows the status, and help with examples", func() {
 		s := newSite()
-		s.configure()
 		a := s.watchedEntry("entry-a", "a", "")
 		out, code := command("status", "-operator", "http://"+a.operator)
 		Expect(code).To(BeZero(), out)
--- a/e2e/tls_test.go
+++ b/e2e/tls_test.go
@@ -82,9 +82,8 @@
 		httpClient.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}}
 		DeferCleanup(func() { httpClient.Transport = nil })
 		s := newSite()
-		s.configure()
 		s.slowEngine("engine-b", "b", 20*time.Millisecond)
-		s.service("ledger-a", "a")
+		s.service("ledger", "a")
 		dirs := []string{filepath.Join(s.dir, "tls-a"), filepath.Join(s.dir, "tls-b")}
 		a := s.watchedEntry("entry-a", "a", oldCA.issue(dirs[0], oldCA))
 		b := s.watchedEntry("entry-b", "b", oldCA.issue(dirs[1], oldCA))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -22,6 +23,7 @@
 	"heatherloom/internal/operator"
 	"heatherloom/internal/peer"
 	"heatherloom/internal/platform"
+	"heatherloom/internal/platform/engineapi"
 	"heatherloom/internal/platform/etcdgw"
 	"heatherloom/internal/platform/httpsd"
 	"heatherloom/internal/platform/scim"
@@ -210,8 +212,8 @@
 		ID:            s.Instance.ID,
 		Region:        s.Instance.Region,
 		FailureDomain: s.Instance.FailureDomain,
-		PeerAddress:   n.PeerAddress,
-		CallerURL:     n.scheme() + n.CallerAddress,
+		PeerAddress:   cmp.Or(s.Listeners.AdvertisePeer, n.PeerAddress),
+		CallerURL:     n.scheme() + cmp.Or(s.Listeners.AdvertiseCaller, n.CallerAddress),
 		OperatorURL:   n.scheme() + n.OperatorAddress,
 		Incarnation:   time.Now().UnixNano(),
 		MaxIsolation:  s.Platform.MaxIsolation,
@@ -250,6 +252,7 @@
 		directory := scim.New(s.Platform.Directory, scim.FilterInactive)
 		n.done.Go(func() { pollDirectory(ctx, directory, n.loop, log) })
 	}
+	n.done.Go(func() { pollLoads(ctx, engineapi.New(), n.loop) })
 }
 
 func pollInstances(ctx context.Context, list platform.InstanceList, loop *control.Loop) {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -143,7 +143,7 @@
 	used := map[string]string{}
 	for _, k := range keys {
 		value := r.values[k.name]
-		if k.section() != "listeners" || value.text == "" || strings.HasSuffix(value.text, ":0") {
+		if k.section() != "listeners" || strings.Contains(k.name, "advertise") || value.text == "" || strings.HasSuffix(value.text, ":0") {
 			continue
 		}
 		if other, ok := used[value.text]; ok {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,11 @@
 	Peer string
 	// Operator is the address of status, drain and metrics. Required.
 	Operator string
+	// AdvertisePeer and AdvertiseCaller are the addresses that other instances and
+	// callers are told to use, where something between forwards to the listeners.
+	// Default the listeners' own.
+	AdvertisePeer   string
+	AdvertiseCaller string
 }
 
 // Platform is the section [platform].
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -38,6 +37,9 @@
 	// CrossedBody echoes the right id in the header and sends the completion of another
 	// request.
 	CrossedBody bool `json:"crossed_body"`
+	// Swapped answers with the text of another request under the right id, which only
+	// a caller that knows the right text notices.
+	Swapped bool `json:"swapped"`
 	// CrashOn breaks the connection for each request whose body contains the text.
 	CrashOn string `json:"crash_on"`
 	// DelayMS delays the first token, in milliseconds.
@@ -50,9 +52,12 @@
 type Engine struct {
 	*Server
 
-	mu      sync.Mutex
-	faults  EngineFaults
-	running atomic.Int64
+	mu     sync.Mutex
+	faults EngineFaults
+	record runRecord
+	load   loadHistory
+	orders orderBook
+	cache  prefixCache
 	// TokenInterval is the time between two tokens of a stream.
 	tokenInterval time.Duration
 }
@@ -67,10 +72,14 @@
 func StartEngine(address string, tokenInterval time.Duration) (*Engine, error) {
 	e := &Engine{tokenInterval: tokenInterval}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/chat/completions", e.complete)
-	mux.HandleFunc("POST /v1/completions", e.complete)
-	mux.HandleFunc("GET /metrics", e.metrics)
-	mux.HandleFunc("POST /standin/faults", e.serveFaults)
+	mux.HandleFunc("POST /v1/chat/completions", e.load.scheduled(e.complete))
+	mux.HandleFunc("POST /v1/completions", e.load.scheduled(e.complete))
+	mux.HandleFunc("GET /metrics", e.load.serveMetrics)
+	e.orders.register(mux)
+	e.cache.register(mux)
+	mux.HandleFunc("POST /standin/load", serveSwitch(e.load.Set))
+	mux.HandleFunc("POST /standin/faults", serveSwitch(e.SetFaults))
+	mux.HandleFunc("GET /standin/runs", e.serveRuns)
 	server, err := listen(address, mux)
 	if err != nil {
 		return nil, err
@@ -92,21 +101,8 @@
 	return e.faults
 }
 
-func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
-	var f EngineFaults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	e.SetFaults(f)
-}
-
 // Running returns how many requests run now.
-func (e *Engine) Running() int64 { return e.running.Load() }
-
-func (e *Engine) metrics(w http.ResponseWriter, _ *http.Request) {
-	_, _ = fmt.Fprintf(w, "vllm:num_requests_running %d\nvllm:num_requests_waiting 0\n", e.running.Load())
-}
+func (e *Engine) Running() int { return e.load.running() }
 
 // ExpectedText returns the text that an engine answers to a request body.
 func ExpectedText(body []byte) string {
@@ -127,13 +123,13 @@
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
-	e.running.Add(1)
-	defer e.running.Add(-1)
 	raw, req, err := decodeBody[engineRequest](w, r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	e.record.add(raw)
+	e.cache.touch(raw)
 	faults := e.currentFaults()
 	id := r.Header.Get("X-Request-Id")
 	if !injectFaults(w, r, faults, raw) {
@@ -147,6 +143,9 @@
 		id = "another-request"
 	}
 	answer := completion{id: id, model: req.Model, chat: strings.Contains(r.URL.Path, "chat")}
+	if faults.Swapped {
+		raw = []byte("another request")
+	}
 	if req.Stream {
 		e.stream(w, r, answer, ExpectedText(raw), faults)
 		return
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -3,11 +3,32 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
 )
 
+// ServiceFaults are the fault switches of a plain service.
+type ServiceFaults struct {
+	// Fail answers every call with status 500 after it ran.
+	Fail bool `json:"fail"`
+	// Silent accepts calls, runs them and never answers.
+	Silent bool `json:"silent"`
+	// LoseAnswer runs each call and breaks the connection instead of answering.
+	LoseAnswer bool `json:"lose_answer"`
+	// CutAnswer runs each call and breaks the connection within its answer.
+	CutAnswer bool `json:"cut_answer"`
+	// Crossed answers with the id of another request.
+	Crossed bool `json:"crossed"`
+	// Swapped answers with the content of another call under the right id.
+	Swapped bool `json:"swapped"`
+	// RunTwice runs each write twice.
+	RunTwice bool `json:"run_twice"`
+	// DelayMS delays the answer after the call ran, in milliseconds.
+	DelayMS int64 `json:"delay_ms"`
+}
+
 // Service is a stand-in of a plain service. It counts how often it ran each write.
 type Service struct {
 	*Server
@@ -15,18 +36,7 @@
 	mu     sync.Mutex
 	runs   map[string]int
 	faults ServiceFaults
-}
-
-// ServiceFaults are the fault switches of a plain service.
-type ServiceFaults struct {
-	// LoseAnswer runs each request and breaks the connection instead of answering.
-	LoseAnswer bool `json:"lose_answer"`
-	// CutAnswer breaks the connection in the middle of each answer.
-	CutAnswer bool `json:"cut_answer"`
-	// Silent runs each request and never answers.
-	Silent bool `json:"silent"`
-	// DelayMS delays each answer, in milliseconds.
-	DelayMS int64 `json:"delay_ms"`
+	load   loadHistory
 }
 
 // ServiceAnswer is the answer to every call.
@@ -41,8 +51,10 @@
 	s := &Service{runs: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /standin/runs", s.serveRuns)
-	mux.HandleFunc("POST /standin/faults", s.serveFaults)
-	mux.HandleFunc("/", s.serve)
+	mux.HandleFunc("POST /standin/faults", serveSwitch(s.SetFaults))
+	mux.HandleFunc("POST /standin/load", serveSwitch(s.load.Set))
+	mux.HandleFunc("GET /metrics", s.load.serveMetrics)
+	mux.HandleFunc("/", s.load.scheduled(s.serve))
 	server, err := listen(address, mux)
 	if err != nil {
 		return nil, err
@@ -58,44 +70,14 @@
 	s.faults = f
 }
 
-func (s *Service) serveFaults(w http.ResponseWriter, r *http.Request) {
-	_, f, err := decodeBody[ServiceFaults](w, r)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
-}
-
-// inject applies the switches after the request ran.
-func (s *Service) inject(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	f := s.faults
-	s.mu.Unlock()
-	if f.Silent {
-		<-r.Context().Done()
-	}
-	wait(r, time.Duration(f.DelayMS)*time.Millisecond)
-	if f.CutAnswer {
-		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-		w.Header().Set("Content-Length", "100")
-		_, _ = io.WriteString(w, "{")
-		_ = http.NewResponseController(w).Flush()
-	}
-	if f.LoseAnswer || f.CutAnswer {
-		panic(http.ErrAbortHandler)
-	}
-}
+// SetLoad replaces the switches of scheduling and load report.
+func (s *Service) SetLoad(l LoadSwitches) { s.load.Set(l) }
 
 // Runs returns how often each write ran, by its body.
 func (s *Service) Runs() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	runs := make(map[string]int, len(s.runs))
-	for body, n := range s.runs {
-		runs[body] = n
-	}
-	return runs
+	return maps.Clone(s.runs)
 }
 
 func (s *Service) serveRuns(w http.ResponseWriter, _ *http.Request) {
@@ -108,13 +90,52 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if r.Method != http.MethodGet && r.Method != http.MethodHead {
-		s.mu.Lock()
-		s.runs[string(body)]++
-		s.mu.Unlock()
+	faults := s.run(r, string(body))
+	if faults.Silent {
+		<-r.Context().Done()
+		return
+	}
+	wait(r, time.Duration(faults.DelayMS)*time.Millisecond)
+	answer := ServiceAnswer{Method: r.Method, Path: r.URL.Path, Body: string(body)}
+	writeServiceAnswer(w, r, answer, faults)
+}
+
+// run counts a write and returns the fault switches that hold for the call.
+func (s *Service) run(r *http.Request, body string) ServiceFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Method == http.MethodGet || r.Method == http.MethodHead {
+		return s.faults
+	}
+	s.runs[body]++
+	if s.faults.RunTwice {
+		s.runs[body]++
+	}
+	return s.faults
+}
+
+func writeServiceAnswer(w http.ResponseWriter, r *http.Request, answer ServiceAnswer, f ServiceFaults) {
+	id := r.Header.Get("X-Request-Id")
+	if f.Crossed {
+		id = "another-request"
+	}
+	if f.Swapped {
+		answer.Path = "/another-request"
+	}
+	w.Header().Set("X-Request-Id", id)
+	if f.Fail {
+		http.Error(w, "service failure", http.StatusInternalServerError)
+		return
 	}
-	s.inject(w, r)
-	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(ServiceAnswer{Method: r.Method, Path: r.URL.Path, Body: string(body)})
+	raw, _ := json.Marshal(answer)
+	if f.LoseAnswer {
+		panic(http.ErrAbortHandler)
+	}
+	if f.CutAnswer {
+		_, _ = w.Write(raw[:len(raw)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(append(raw, '\n'))
 }
