--- a/cmd/heatherloom/sheet_test.go
+++ b/cmd/heatherloom/sheet_test.go
@@ -81,7 +81,8 @@
 		apply := on("apply", morning)
 		Expect(apply.status).To(Equal(exitOK), apply.stderr)
 		Expect(apply.stdout).To(ContainSubstring("accepted as revision 1, 5 changes\n"))
-		Expect(load().Keys).To(HaveKey(opconfig.HashKey(sheetKey)))
+		_, found := load().Keys.Get(opconfig.HashKey(sheetKey))
+		Expect(found).To(BeTrue())
 		again := on("apply", morning)
 		Expect(again.status).To(Equal(exitOK))
 		Expect(again.stdout).To(ContainSubstring("nothing to change; revision 1"))
@@ -103,8 +104,9 @@
 
 		Expect(on("apply", shorter, "-allow-removals").status).To(Equal(exitOK))
 		config := load()
-		Expect(config.Accounts).To(HaveLen(1))
-		Expect(config.Keys[opconfig.HashKey(sheetKey)].Withdrawn).To(BeTrue())
+		Expect(config.Accounts.Len()).To(Equal(1))
+		key, _ := config.Keys.Get(opconfig.HashKey(sheetKey))
+		Expect(key.Withdrawn).To(BeTrue())
 		Expect(config.Models).To(HaveLen(1), "types that the sheet lacks stay")
 
 		r = on("apply", morning, "-allow-removals")
@@ -113,6 +115,15 @@
 		Expect(on("apply", morning, "-allow-removals", "-allow-reinstated").status).To(Equal(exitOK))
 	})
 
+	// Guards against the removal of an account that fails, or that leaves its keys valid.
+	It("keeps the keys of a removed account as withdrawn", func() {
+		Expect(on("apply", morning).status).To(Equal(exitOK))
+		r := on("apply", sheetHeader+"account,bass,,,,5,5,,\n", "-allow-removals")
+		Expect(r.status).To(Equal(exitOK), r.stderr)
+		key, _ := load().Keys.Get(opconfig.HashKey(sheetKey))
+		Expect(key.Withdrawn).To(BeTrue())
+	})
+
 	// Guards against an apply that is repeated, or reported as failed, after the answer
 	// to its write was lost.
 	It("reads back an apply whose answer was lost", func() {
@@ -144,9 +155,10 @@
 		stderr := captureStderr(func() {
 			Expect(applySheet(context.Background(), race, "m.csv", config, sheet.Diff(config, s), consent{})).To(Equal(exitFailure))
 		})
-		Expect(stderr).To(ContainSubstring("not applied, nothing was changed: another operator's changes were accepted first, as revision 1"))
+		Expect(stderr).To(ContainSubstring("not applied, nothing was changed: another operator's changes were accepted first; the latest revision is 1"))
 		Expect(stderr).To(MatchRegexp(`add +account bass +burst=7 rate=7`))
-		Expect(load().Accounts["bass"].Rate).To(Equal(7.0))
+		bass, _ := load().Accounts.Get("bass")
+		Expect(bass.Rate).To(Equal(7.0))
 	})
 
 	// Guards against a sheet that is reported as in force where it is not.
--- a/internal/opconfig/config.go
+++ b/internal/opconfig/config.go
@@ -81,13 +81,22 @@
 	Since    time.Time `json:"since"`
 }
 
+// Domain is a failure domain and the number of slots over which rates are divided
+// in it, see package quota. It should be at least the number of its entry instances.
+type Domain struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	Slots  int    `json:"slots"`
+}
+
 // Config is one revision of the operators' configuration. It is immutable; Apply
 // returns a new value.
 type Config struct {
 	Revision int64
-	Accounts map[string]Account
+	// Accounts is indexed by Account.Name.
+	Accounts *Records[Account]
 	// Keys is indexed by Key.Hash.
-	Keys   map[string]Key
+	Keys   *Records[Key]
 	Models map[string]Model
 	// Routes is indexed by Route.Prefix.
 	Routes map[string]Route
@@ -95,29 +104,34 @@
 	Moves map[string]Move
 	// Leaving is indexed by Leaving.Instance.
 	Leaving map[string]Leaving
+	// Domains is indexed by Domain.Name.
+	Domains map[string]Domain
 }
 
 // New returns an empty configuration at revision 0.
 func New() *Config {
 	return &Config{
-		Accounts: map[string]Account{},
-		Keys:     map[string]Key{},
+		Accounts: NewRecords[Account](nil),
+		Keys:     NewRecords[Key](nil),
 		Models:   map[string]Model{},
 		Routes:   map[string]Route{},
 		Moves:    map[string]Move{},
 		Leaving:  map[string]Leaving{},
+		Domains:  map[string]Domain{},
 	}
 }
 
-// clone copies the tables so that the copy can be changed.
+// clone returns a copy that can be changed. A table in a map is copied whole: they
+// hold few records, and the two large tables share their nodes.
 func (c *Config) clone() *Config {
 	return &Config{
 		Revision: c.Revision,
-		Accounts: maps.Clone(c.Accounts),
-		Keys:     maps.Clone(c.Keys),
+		Accounts: c.Accounts.clone(),
+		Keys:     c.Keys.clone(),
 		Models:   maps.Clone(c.Models),
 		Routes:   maps.Clone(c.Routes),
 		Moves:    maps.Clone(c.Moves),
 		Leaving:  maps.Clone(c.Leaving),
+		Domains:  maps.Clone(c.Domains),
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,6 +51,13 @@
 	Store string
 	// Instances is the URL of the instance list, http or https. Required.
 	Instances string
+	// Directory is the base URL of the client directory, http or https without a
+	// path. Default none, with which every configured client account is active.
+	Directory string
+	// MaxIsolation is the time without the key-value service and without peers
+	// outside the region after which requests with keys are refused. Default 90m,
+	// from 1m to 24h.
+	MaxIsolation time.Duration
 }
 
 // Peer is the section [peer].
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -148,3 +148,13 @@
 		return values, nil
 	}
 }
+
+// optional accepts no value, or else what parse accepts.
+func optional(parse func(string) (string, error)) func(string) (string, error) {
+	return func(text string) (string, error) {
+		if text == "" {
+			return "", nil
+		}
+		return parse(text)
+	}
+}
--- a/internal/sheet/parser.go
+++ b/internal/sheet/parser.go
@@ -31,6 +31,7 @@
 		{"model", opconfig.TableModels, []string{columnName, columnVersion}, nil, (*parser).readModel},
 		{"route", opconfig.TableRoutes, []string{columnName, columnService}, []string{columnMethods, columnOpen, columnHome}, (*parser).readRoute},
 		{"version", opconfig.TableMoves, []string{columnName, columnVersion, columnDeadline}, nil, (*parser).readVersion},
+		{"domain", opconfig.TableDomains, []string{columnName, columnHome, columnSlots}, nil, (*parser).readDomain},
 		{"leaving", opconfig.TableLeaving, []string{columnName}, nil, (*parser).readLeaving},
 	}
 }
@@ -111,7 +112,7 @@
 func (p *parser) checkColumns(r row, t rowType) {
 	for _, column := range t.required {
 		if r.cells[column] == "" {
-			p.report(r.number, column, "the cell is empty; %s rows require %s", t.name, strings.Join(t.required, ", "))
+			p.report(r.number, column, "the cell is empty; allowed is a value, as %s rows require %s", t.name, strings.Join(t.required, ", "))
 		}
 	}
 	for _, column := range columns {
@@ -169,17 +170,16 @@
 // namesOf returns the names that references to a table may use: accounts, models, or
 // the services of routes. It returns false if they are not known.
 func (p *parser) namesOf(table opconfig.Table) (map[string]bool, bool) {
-	config := p.sheet.Records
-	if !p.sheet.Stated[table] {
-		config = p.known.Config
+	if p.sheet.Stated[table] {
+		return namesIn(p.sheet.Records, table), true
 	}
-	if config == nil {
+	if p.known.Config == nil {
 		return nil, false
 	}
-	return namesIn(config, table), true
+	return namesIn(TablesOf(p.known.Config), table), true
 }
 
-func namesIn(config *opconfig.Config, table opconfig.Table) map[string]bool {
+func namesIn(config Tables, table opconfig.Table) map[string]bool {
 	names := map[string]bool{}
 	switch table {
 	case opconfig.TableAccounts:
