--- a/cmd/heatherloom/main.go
+++ b/cmd/heatherloom/main.go
@@ -28,6 +28,9 @@
 		{"check", "check a settings file and print every fault in it", runCheck},
 		{"sheet", "check, compare, apply or follow the operators' sheet", runSheet},
 		{"version", "print the version of this binary", runVersion},
+		{"status", "show the state of an entry instance", runStatus},
+		{"timeline", "merge the recent events of all entry instances", runTimeline},
+		{"drain", "take an entry instance out of service", runDrain},
 		{"standin", "run a stand-in of an outside part, for development and tests", runStandin},
 	}
 }
--- a/cmd/heatherloom/sheet_status.go
+++ b/cmd/heatherloom/sheet_status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"strings"
 
 	"heatherloom/internal/fleetstatus"
@@ -16,6 +17,7 @@
 		"sheet status morning.csv -store http://10.1.0.2:2379 -operator http://10.1.0.7:9090,http://10.2.0.7:9090")
 	address := storeFlag(flags)
 	operators := flags.String("operator", "", "base `URL,...` of operator listeners; without it only the key-value service is asked")
+	access := addOperatorAccess(flags)
 	values, status, done := parseFlags(flags, args)
 	if done {
 		return status
@@ -24,6 +26,11 @@
 	if !ok {
 		return exitUsage
 	}
+	at, err := access.client()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", commandLine("sheet status"), err)
+		return exitUsage
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), sheetTimeout)
 	defer cancel()
 	config, ok := loadConfig(ctx, "sheet status", store)
@@ -34,7 +41,7 @@
 	if !ok {
 		return exitUsage
 	}
-	instances := fleetstatus.Collect(ctx, splitList(*operators))
+	instances := fleetstatus.Collect(ctx, at, splitList(*operators))
 	answers, silent := splitAnswers(instances)
 	fmt.Printf("%s: revision %d is accepted; %d of %d instances answered\n", values[0], config.Revision, len(answers), len(instances))
 	for _, instance := range silent {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,6 +14,8 @@
 	"heatherloom/internal/relay"
 	"heatherloom/internal/retry"
 	"heatherloom/internal/routing"
+	"heatherloom/internal/telemetry"
+	"heatherloom/internal/timeline"
 )
 
 // Request is a request whose client account is known.
@@ -84,6 +86,9 @@
 	Forward  Forwarder
 	// ReportCrash receives each crash of an upstream; nil to drop them.
 	ReportCrash func(quarantine.Crash)
+	// Timeline and Metrics may be nil.
+	Timeline *timeline.Recorder
+	Metrics  *telemetry.Metrics
 
 	budget    retry.Budget
 	estimates retry.Estimates
@@ -117,7 +122,7 @@
 // refuseEarly refuses what is in quarantine and what cannot meet its deadline.
 func (d *Dispatcher) refuseEarly(r *Request) *errkind.Error {
 	now := time.Now()
-	if until, ok := d.Snapshot().Quarantined[r.fingerprint()]; ok && now.Before(until) {
+	if until, ok := d.quarantined(r); ok && now.Before(until) {
 		err := errkind.New(errkind.RequestQuarantined,
 			"this request broke two upstreams that ran it and is refused until %s; other requests are served", until.UTC().Format(time.RFC3339))
 		err.RetryAfter = until.Sub(now)
@@ -135,6 +140,16 @@
 	return nil
 }
 
+// quarantined returns the end of the request's quarantine, if there is one.
+func (d *Dispatcher) quarantined(r *Request) (time.Time, bool) {
+	set := d.Snapshot().Quarantined
+	if len(set) == 0 {
+		return time.Time{}, false
+	}
+	until, ok := set[r.fingerprint()]
+	return until, ok
+}
+
 // attempts makes attempts until one delivers the answer or no further one is allowed.
 func (d *Dispatcher) attempts(ctx context.Context, r *Request, sink Sink) *errkind.Error {
 	var tried []string
@@ -153,9 +168,11 @@
 		tried = append(tried, used)
 		ran = worse(ran, result.Err.Ran)
 		result.Err.Ran = ran
+		d.recordFailure(r, used, result.Err)
 		if !d.again(r, result) {
 			return result.Err
 		}
+		d.Metrics.Retry()
 	}
 }
 
@@ -209,11 +226,15 @@
 	if choice.Peer >= 0 {
 		peer := snapshot.Peers[choice.Peer]
 		used = peer.ID
+		d.recordForward(r, &peer)
 		result = d.Forward.Forward(ctx, peer, r, sink)
+		d.Metrics.Forward(result.Err)
 	} else {
 		upstream := &snapshot.Upstreams[choice.Upstream]
 		used = upstream.ID
+		d.recordPick(r, upstream)
 		result = d.toUpstream(ctx, r, upstream, sink)
+		d.Metrics.Attempt(result.Err)
 	}
 	r.Attempts += max(result.Attempts, 1)
 	r.Crashes += result.Crashes
--- a/internal/fleetstatus/collect.go
+++ b/internal/fleetstatus/collect.go
@@ -5,9 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
-	"io"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -23,8 +20,6 @@
 	// maxCalls bounds the calls that run at once; 920 instances that do not answer take
 	// 15 rounds of callTimeout.
 	maxCalls = 64
-	// maxStatusBytes bounds one answer: 920 peers and 100 rollouts take about 100 KB.
-	maxStatusBytes = 4 << 20
 )
 
 // Instance is one entry instance and its answer.
@@ -46,9 +41,12 @@
 	return i.ID
 }
 
+// Dialer returns a client of the operator listener at a base URL.
+type Dialer func(url string) *operatorapi.Client
+
 // Collect asks the operator listeners at the base URLs, and all peers that the
 // answers name, and returns each instance once, ordered by name.
-func Collect(ctx context.Context, urls []string) []Instance {
+func Collect(ctx context.Context, at Dialer, urls []string) []Instance {
 	c := collection{byURL: map[string]*Instance{}, seenIDs: map[string]bool{}}
 	for _, url := range urls {
 		c.add("", url)
@@ -56,7 +54,7 @@
 	for len(c.pending) > 0 {
 		round := c.pending
 		c.pending = nil
-		fetchAll(ctx, round)
+		fetchAll(ctx, at, round)
 		for _, instance := range round {
 			c.take(instance)
 		}
@@ -144,38 +142,26 @@
 }
 
 // fetchAll fills in the answers of the instances, maxCalls at a time.
-func fetchAll(ctx context.Context, instances []*Instance) {
-	client := &http.Client{Timeout: callTimeout}
+func fetchAll(ctx context.Context, at Dialer, instances []*Instance) {
 	slots := make(chan struct{}, maxCalls)
 	var calls sync.WaitGroup
 	for _, instance := range instances {
 		slots <- struct{}{}
 		calls.Go(func() {
 			defer func() { <-slots }()
-			instance.Status, instance.Err = fetch(ctx, client, instance.URL)
+			instance.Status, instance.Err = fetch(ctx, at(instance.URL))
 		})
 	}
 	calls.Wait()
-	client.CloseIdleConnections()
 }
 
-func fetch(ctx context.Context, client *http.Client, url string) (*operatorapi.Status, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+operatorapi.StatusPath, nil)
-	if err != nil {
-		return nil, eris.Wrap(err, "build status request")
-	}
-	resp, err := client.Do(req)
+func fetch(ctx context.Context, client *operatorapi.Client) (*operatorapi.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	status, err := client.Status(ctx)
 	if err != nil {
 		return nil, err
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, eris.Errorf("status %d", resp.StatusCode)
-	}
-	var status operatorapi.Status
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&status); err != nil {
-		return nil, eris.Wrap(err, "decode status")
-	}
 	if status.Instance == "" {
 		return nil, eris.New("the answer names no instance")
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -12,6 +12,7 @@
 	"heatherloom/internal/peer/peerv1"
 	"heatherloom/internal/peer/peerv1/peerv1connect"
 	"heatherloom/internal/relay"
+	"heatherloom/internal/timeline"
 )
 
 const (
@@ -30,6 +31,11 @@
 	secret string
 	limits relay.Limits
 	http   *http.Client
+	// transport is the one that http wraps.
+	transport *http.Transport
+	scheme    string
+	// clock travels with each message; nil for none.
+	clock *timeline.Clock
 
 	mu      sync.Mutex
 	clients map[string]peerv1connect.PeerServiceClient
@@ -48,21 +54,36 @@
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
-		selfID:  selfID,
-		secret:  secret,
-		limits:  relay.DefaultLimits(),
-		http:    &http.Client{Transport: onceTransport{transport}, CheckRedirect: noRedirect},
-		clients: map[string]peerv1connect.PeerServiceClient{},
+		selfID:    selfID,
+		secret:    secret,
+		limits:    relay.DefaultLimits(),
+		http:      &http.Client{Transport: onceTransport{transport}, CheckRedirect: noRedirect},
+		transport: transport,
+		scheme:    "http://",
+		clients:   map[string]peerv1connect.PeerServiceClient{},
 	}
 }
 
+// UseClock makes the client send and adopt readings of clock. It is called before
+// the first message.
+func (c *Client) UseClock(clock *timeline.Clock) { c.clock = clock }
+
+// UseTLS makes the client reach peers over TLS connections that dial makes. It is
+// called before the first message.
+func (c *Client) UseTLS(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	c.transport.Protocols = new(http.Protocols)
+	c.transport.Protocols.SetHTTP2(true)
+	c.transport.DialTLSContext = dial
+	c.scheme = "https://"
+}
+
 // At returns the service client of the peer listener at address.
 func (c *Client) At(address string) peerv1connect.PeerServiceClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	client, ok := c.clients[address]
 	if !ok {
-		client = peerv1connect.NewPeerServiceClient(c.http, "http://"+address,
+		client = peerv1connect.NewPeerServiceClient(c.http, c.scheme+address,
 			connect.WithInterceptors(authInterceptor{secret: c.secret}))
 		c.clients[address] = client
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,17 +5,20 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"heatherloom/internal/control"
 	"heatherloom/internal/dispatch"
+	"heatherloom/internal/drain"
 	"heatherloom/internal/errkind"
 	"heatherloom/internal/peer/peerv1"
 	"heatherloom/internal/peer/peerv1/peerv1connect"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/routing"
+	"heatherloom/internal/timeline"
 )
 
 // ConfigSource answers peers that ask for configuration.
@@ -40,6 +43,9 @@
 	Events     EventSource
 	// Secret authenticates peers.
 	Secret string
+	// Timeline and Gate may be nil.
+	Timeline *timeline.Recorder
+	Gate     *drain.Gate
 }
 
 // compressMinBytes leaves the parts of a token stream uncompressed. Compressing each
@@ -63,12 +69,14 @@
 
 // Heartbeat records the sender and answers with this instance's own row.
 func (s *Server) Heartbeat(ctx context.Context, req *connect.Request[peerv1.HeartbeatRequest]) (*connect.Response[peerv1.HeartbeatResponse], error) {
+	s.Timeline.Clock().Observe(timeline.Stamp(req.Msg.GetClock()))
 	postMember(ctx, s.Loop, req.Msg.GetSelf(), time.Time{}, req.Msg.GetKnown())
 	postCrashes(ctx, s.Loop, req.Msg.GetCrashes())
 	snapshot := s.Loop.Snapshot()
 	return connect.NewResponse(&peerv1.HeartbeatResponse{
 		Self:    SelfMember(s.Identity, snapshot),
 		Crashes: crashesOf(snapshot),
+		Clock:   uint64(s.Timeline.Clock().Now()),
 	}), nil
 }
 
@@ -88,13 +96,21 @@
 
 // Forward serves a request of another region's entry instance.
 func (s *Server) Forward(ctx context.Context, req *connect.Request[peerv1.ForwardRequest], stream *connect.ServerStream[peerv1.ForwardResponse]) error {
+	s.Timeline.Clock().Observe(timeline.Stamp(req.Msg.GetClock()))
 	request := requestOf(req.Msg)
 	if deadline, ok := ctx.Deadline(); ok {
 		// The timeout of the call does not depend on the clock of the other instance.
 		request.Deadline = deadline
 	}
-	err := s.serveForward(ctx, request, streamSink{stream})
-	end := endOf(err)
+	refusal := s.Gate.Enter()
+	if refusal == nil {
+		defer s.Gate.Leave()
+		s.recordForward(timeline.KindForwardIn, request, "from "+strings.Join(request.Visited, ", "))
+		refusal = s.serveForward(ctx, request, streamSink{stream})
+	}
+	end := endOf(refusal)
+	s.recordForward(timeline.KindForwardEnd, request, outcomeText(refusal))
+	end.Clock = uint64(s.Timeline.Clock().Now())
 	end.Attempts = int32(request.Attempts) - req.Msg.GetAttempts()
 	end.Crashes = int32(request.Crashes) - req.Msg.GetCrashes()
 	return stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_End{End: end}})
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -23,16 +23,15 @@
 
 // fleet simulates the traffic of a target over several instances.
 type fleet struct {
-	rng       *rand.Rand
-	move      Move
-	now       time.Time
-	loaded    int
-	routes    map[string]float64
-	evidence  map[string]*RouteEvidence
-	running   map[string]Sample
-	harmed    int
-	requests  int
-	lastFault time.Time
+	rng      *rand.Rand
+	move     Move
+	now      time.Time
+	loaded   int
+	routes   map[string]float64
+	evidence map[string]*RouteEvidence
+	running  map[string]Sample
+	harmed   int
+	requests int
 }
 
 const fleetUpstreams = 12
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -45,5 +45,10 @@
 	{"platform.max_isolation", "90m", in(duration(minIsolation, maxIsolation), func(s *Settings) *time.Duration { return &s.Platform.MaxIsolation })},
 	{"peer.secret", required, in(secret, func(s *Settings) *string { return &s.Peer.Secret })},
 	{"peer.seeds", "", in(listOf(address), func(s *Settings) *[]string { return &s.Peer.Seeds })},
+	{"operator.token", "", in(optional(secret), func(s *Settings) *string { return &s.Operator.Token })},
+	{"log.level", "info", in(oneOf("error", "warning", "info", "debug"), func(s *Settings) *string { return &s.Log.Level })},
+	{"tls.cert", "", in(anyText, func(s *Settings) *string { return &s.TLS.Cert })},
+	{"tls.key", "", in(anyText, func(s *Settings) *string { return &s.TLS.Key })},
+	{"tls.ca", "", in(anyText, func(s *Settings) *string { return &s.TLS.CA })},
 	{"shutdown.timeout", "10m", in(duration(minShutdownTimeout, maxShutdownTimeout), func(s *Settings) *time.Duration { return &s.Shutdown.Timeout })},
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -32,6 +32,7 @@
 	}
 	s := r.settings(len(lines))
 	r.checkListeners()
+	r.checkTLS(s)
 	slices.SortStableFunc(r.problems, func(a, b Problem) int { return a.Line - b.Line })
 	return s, r.problems
 }
@@ -153,6 +154,14 @@
 	}
 }
 
+// checkTLS reports a [tls] section of which only a part is set.
+func (r *reader) checkTLS(s Settings) {
+	set := s.TLS.Cert != ""
+	if set != (s.TLS.Key != "") || set != (s.TLS.CA != "") {
+		r.report(r.sections["tls"], "tls", "only a part of the section is set; allowed are cert, key and ca together, or none of them")
+	}
+}
+
 func sectionNames() []string {
 	var names []string
 	for _, k := range keys {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,9 @@
 	Listeners Listeners
 	Platform  Platform
 	Peer      Peer
+	Operator  Operator
+	Log       Log
+	TLS       TLS
 	Shutdown  Shutdown
 }
 
@@ -77,6 +80,34 @@
 	Timeout time.Duration
 }
 
+// Operator is the section [operator].
+type Operator struct {
+	// Token is the credential of the operator listener, at least 16 characters.
+	// Default none, with which every service that demands it is refused.
+	Token string
+}
+
+// Log is the section [log].
+type Log struct {
+	// Level is the least severe level that is logged: error, warning, info or debug.
+	// Default info.
+	Level string
+}
+
+// TLS is the section [tls]. Either all keys or none are set; without them, the
+// listeners do not use TLS. The files are read again when they change.
+type TLS struct {
+	// Cert is the file of the certificate, for the address of each listener.
+	Cert string
+	// Key is the file of its private key.
+	Key string
+	// CA is the file of the certificates that peers must descend from.
+	CA string
+}
+
+// Enabled reports whether the listeners use TLS.
+func (t TLS) Enabled() bool { return t.Cert != "" }
+
 // Problem is one fault of a settings file.
 type Problem struct {
 	File string
