--- a/internal/fleetstatus/collect_test.go
+++ b/internal/fleetstatus/collect_test.go
@@ -65,7 +65,7 @@
 	It("counts an instance with several addresses once", func() {
 		b := operatorapi.Status{Instance: "b"}
 		a := operatorapi.Status{Instance: "a", Peers: []operatorapi.Peer{{ID: "b", OperatorURL: "http://127.0.0.1:1"}}}
-		answered, silent := names(Collect(context.Background(), []string{serve(a), serve(b), serve(b)}))
+		answered, silent := names(Collect(context.Background(), at, []string{serve(a), serve(b), serve(b)}))
 		Expect(answered).To(Equal([]string{"a", "b"}))
 		Expect(silent).To(BeEmpty())
 	})
