--- a/cmd/heatherloom/sheet_test.go
+++ b/cmd/heatherloom/sheet_test.go
@@ -115,6 +115,15 @@
 		Expect(on("apply", morning, "-allow-removals", "-allow-reinstated").status).To(Equal(exitOK))
 	})
 
+	// Guards against the removal of an account that fails, or that leaves its keys valid.
+	It("keeps the keys of a removed account as withdrawn", func() {
+		Expect(on("apply", morning).status).To(Equal(exitOK))
+		r := on("apply", sheetHeader+"account,bass,,,,5,5,,\n", "-allow-removals")
+		Expect(r.status).To(Equal(exitOK), r.stderr)
+		key, _ := load().Keys.Get(opconfig.HashKey(sheetKey))
+		Expect(key.Withdrawn).To(BeTrue())
+	})
+
 	// Guards against an apply that is repeated, or reported as failed, after the answer
 	// to its write was lost.
 	It("reads back an apply whose answer was lost", func() {
--- a/internal/sheet/cells.go
+++ b/internal/sheet/cells.go
@@ -22,6 +22,8 @@
 	maxNameLength = 128
 	// maxRate bounds rates, in requests per second, and bursts, in requests.
 	maxRate = 1e6
+	// maxSlots bounds the slots of one failure domain.
+	maxSlots = 256
 	// reservedPrefix is the part of the path space that the caller API uses.
 	reservedPrefix = "/v1"
 )
@@ -109,14 +111,8 @@
 	p.addRow(r, opconfig.TableLeaving, leaving.Instance, leaving.Instance)
 }
 
-// maxSlots bounds the slots of one failure domain.
-const maxSlots = 256
-
 func (p *parser) readDomain(r row) {
-	domain := opconfig.Domain{Name: p.id(r, columnName), Region: p.id(r, columnHome), Slots: int(p.number(r, columnSlots))}
-	if text := r.cells[columnSlots]; text != "" && strconv.Itoa(domain.Slots) != text || domain.Slots > maxSlots {
-		p.report(r.number, columnSlots, "the cell is not a number of slots; allowed is a whole number from 1 to %d, at least the number of the domain's entry instances", maxSlots)
-	}
+	domain := opconfig.Domain{Name: p.id(r, columnName), Region: p.id(r, columnHome), Slots: p.slots(r)}
 	p.claim(r, columnName, "failure domain", domain.Name)
 	p.sheet.Records.Domains[domain.Name] = domain
 	p.addRow(r, opconfig.TableDomains, domain.Name, domain.Name)
@@ -154,6 +150,18 @@
 	return value
 }
 
+func (p *parser) slots(r row) int {
+	cell := r.cells[columnSlots]
+	if cell == "" {
+		return 0
+	}
+	value, err := strconv.Atoi(cell)
+	if err != nil || value < 1 || value > maxSlots {
+		p.report(r.number, columnSlots, "the cell is not a number of slots; allowed is a whole number from 1 to %d, at least the number of the domain's entry instances", maxSlots)
+	}
+	return value
+}
+
 // choice returns the cell if it is one of the allowed words; the first is the default.
 func (p *parser) choice(r row, column string, allowed ...string) string {
 	cell := strings.ToLower(r.cells[column])
--- a/internal/sheet/parser.go
+++ b/internal/sheet/parser.go
@@ -112,7 +112,7 @@
 func (p *parser) checkColumns(r row, t rowType) {
 	for _, column := range t.required {
 		if r.cells[column] == "" {
-			p.report(r.number, column, "the cell is empty; %s rows require %s", t.name, strings.Join(t.required, ", "))
+			p.report(r.number, column, "the cell is empty; allowed is a value, as %s rows require %s", t.name, strings.Join(t.required, ", "))
 		}
 	}
 	for _, column := range columns {
--- a/internal/sheet/sheet_test.go
+++ b/internal/sheet/sheet_test.go
@@ -90,7 +90,7 @@
 		s, problems := parse(text)
 		Expect(s.Records.Accounts).To(HaveKeyWithValue("derwent", opconfig.Account{Name: "derwent", Rate: 10, Burst: 20}))
 		Expect(s.Rows[0].Number).To(Equal(5))
-		Expect(problems).To(Equal([]string{"row 6, column burst: the cell is empty; account rows require name, rate, burst"}))
+		Expect(problems).To(Equal([]string{"row 6, column burst: the cell is empty; allowed is a value, as account rows require name, rate, burst"}))
 	})
 
 	It("takes a hash in place of a key", func() {
@@ -137,6 +137,8 @@
 		Entry("bad model version", "model,m,,,,,,,,,,1@2\n", "row 2, column version: the cell is not an identifier"),
 		Entry("bad prefixes", "route,orders,,,,,,,l\nroute,/a/,,,,,,,l\nroute,/v1/models,,,,,,,l\n", "row 2, column name: the cell is not a path", "row 3, column name", "row 4, column name: the caller API"),
 		Entry("bad methods", "route,/a,,,,,,,l,GET GET\nroute,/b,,,,,,,l,FETCH\n", "row 2, column methods", "row 3, column methods"),
+		Entry("bad slots", "type,name,home,slots\ndomain,a,hobart,0\ndomain,b,hobart,2.5\ndomain,c,hobart,257\ndomain,d,,4\n",
+			"row 2, column slots: the cell is not a number of slots", "row 3, column slots", "row 4, column slots", "row 5, column home"),
 		Entry("bad open", "route,/a,,,,,,,l,,maybe\n", "row 2, column open: unknown word"),
 		Entry("unknown target", "model,m,,,,,,,,,,1\nversion,n,,,,,,,,,,2,2026-12-05T00:00Z\n", "row 3, column name: unknown model or service"),
 		Entry("unreadable deadline", "version,m,,,,,,,,,,2,tomorrow\n", "row 2, column deadline: the cell is not a time; allowed is RFC 3339"),
@@ -281,6 +283,6 @@
 		}
 		_, rest, _ := strings.Cut(page, "```csv\n")
 		example, _, _ := strings.Cut(rest, "```")
-		Expect(mustParse(example, Known{Now: now}).Rows).To(HaveLen(8))
+		Expect(mustParse(example, Known{Now: now}).Rows).To(HaveLen(9))
 	})
 })
