--- a/internal/configsync/publisher_test.go
+++ b/internal/configsync/publisher_test.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -16,7 +17,6 @@
 )
 
 func startStore(t *testing.T) (*standin.Store, platform.Store) {
-	t.Helper()
 	server := must(standin.StartStore("127.0.0.1:0"))
 	t.Cleanup(server.Close)
 	return server, etcdgw.New(server.URL())
@@ -37,8 +37,7 @@
 
 func mustApply(t *testing.T, store platform.Store, from int64, changes ...opconfig.Change) {
 	t.Helper()
-	revision, err := (&Publisher{Store: store}).Apply(t.Context(), from, changes)
-	if err != nil || revision != from+1 {
+	if revision, err := (&Publisher{Store: store}).Apply(t.Context(), from, changes); err != nil || revision != from+1 {
 		t.Fatalf("apply on revision %d gave %d, %v", from, revision, err)
 	}
 }
@@ -149,12 +148,8 @@
 			operators.Go(func() { _, errs[i] = (&Publisher{Store: store}).Apply(t.Context(), 1, changes) })
 		}
 		operators.Wait()
-		loser := errs[0]
-		if loser == nil {
-			loser = errs[1]
-		}
 		var conflict *ConflictError
-		if !errors.As(loser, &conflict) || (errs[0] == nil) == (errs[1] == nil) {
+		if !errors.As(cmp.Or(errs[0], errs[1]), &conflict) || (errs[0] == nil) == (errs[1] == nil) {
 			t.Fatalf("%s: errors are %v", size, errs)
 		}
 		if conflict.Incomplete != (size == "large") || (size == "small" && len(conflict.Changes) != 1) {
--- a/internal/configsync/syncer_test.go
+++ b/internal/configsync/syncer_test.go
@@ -23,9 +23,8 @@
 // cutStore is a link to the store that can be cut, or delayed, for one instance.
 type cutStore struct {
 	platform.Store
-	cut     atomic.Bool
-	delay   atomic.Int64
-	watches atomic.Int64
+	cut            atomic.Bool
+	delay, watches atomic.Int64
 }
 
 func (s *cutStore) Get(ctx context.Context, key string) (platform.Entry, error) {
@@ -227,9 +226,7 @@
 	t.Helper()
 	loop := control.NewLoop(control.Identity{ID: "self", FailureDomain: "d"})
 	go loop.Run(t.Context())
-	config := opconfig.New()
-	config.Revision = revision
-	loop.Post(t.Context(), control.ConfigEvent{Config: config})
+	loop.Post(t.Context(), control.ConfigEvent{Config: &opconfig.Config{Revision: revision}})
 	loop.Post(t.Context(), control.HeartbeatEvent{
 		Peer: routing.Peer{ID: "relay", FailureDomain: "d", ConfigRevision: revision + 8}, Confirmed: time.Now(), Asked: time.Now(),
 	})
@@ -297,13 +294,10 @@
 	key.Withdrawn = true
 	mustApply(t, store, 1, set())
 	// The watches that are open are not cut by cutStore, so the reads must fail.
-	took := within(t, inForceTarget, "the withdrawal is known in the far region", func() bool {
-		for _, i := range all {
-			if row, _ := i.loop.Snapshot().Config.Keys.Get(key.Hash); !row.Withdrawn {
-				return false
-			}
+	t.Logf("the withdrawal was in force after %v", within(t, inForceTarget, "revision 2 is in force", allAt(all, 2)))
+	for _, i := range all {
+		if row, _ := i.loop.Snapshot().Config.Keys.Get(key.Hash); !row.Withdrawn {
+			t.Error("the key is not withdrawn")
 		}
-		return true
-	})
-	t.Logf("the withdrawal was in force after %v", took)
+	}
 }
--- a/internal/control/isolation_test.go
+++ b/internal/control/isolation_test.go
@@ -29,11 +29,7 @@
 	return l.Snapshot()
 }
 
-func configAt(revision int64) *opconfig.Config {
-	config := opconfig.New()
-	config.Revision = revision
-	return config
-}
+func configAt(revision int64) *opconfig.Config { return &opconfig.Config{Revision: revision} }
 
 func answer(l clockedLoop, id, region string, asked, confirmed time.Duration, revision int64) HeartbeatEvent {
 	return HeartbeatEvent{
@@ -48,8 +44,7 @@
 func TestIsolationEndsAtTheLimit(t *testing.T) {
 	l := newClockedLoop(t)
 	l.at(time.Second, ConfigEvent{Config: configAt(3), Confirmed: l.start})
-	neighbor := answer(l, "n", "hobart", 80*time.Minute, 0, 3)
-	if s := l.at(89*time.Minute, neighbor); s.ConfigStale(s.Published) || s.ConfigAge != 89*time.Minute {
+	if s := l.at(89*time.Minute, answer(l, "n", "hobart", 80*time.Minute, 0, 3)); s.ConfigStale(s.Published) || s.ConfigAge != 89*time.Minute {
 		t.Errorf("after 89 min stale is %v, the age %v", s.ConfigStale(s.Published), s.ConfigAge)
 	}
 	if s := l.at(91 * time.Minute); !s.ConfigStale(s.Published) {
@@ -58,8 +53,7 @@
 	if s := l.at(92*time.Minute, answer(l, "far", "burnie", 92*time.Minute, 0, 3)); s.ConfigStale(s.Published) || s.ConfigAge != 92*time.Minute {
 		t.Errorf("with a peer of another region stale is %v, the age %v", s.ConfigStale(s.Published), s.ConfigAge)
 	}
-	late := HeartbeatEvent{Peer: routing.Peer{ID: "far", Region: "burnie", ConfigRevision: 3}}
-	if s := l.at(183*time.Minute, late); !s.ConfigStale(s.Published) {
+	if s := l.at(183*time.Minute, HeartbeatEvent{Peer: routing.Peer{ID: "far", Region: "burnie", ConfigRevision: 3}}); !s.ConfigStale(s.Published) {
 		t.Error("a message that may have waited ended the isolation")
 	}
 }
--- a/internal/gateway/stale_test.go
+++ b/internal/gateway/stale_test.go
@@ -18,10 +18,11 @@
 func TestKeysOfStaleConfigurationsAndInactiveAccounts(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	config := opconfig.New()
 	hash := opconfig.HashKey("secret")
-	config.Accounts = opconfig.NewRecords(map[string]opconfig.Account{"guild": {Name: "guild"}})
-	config.Keys = opconfig.NewRecords(map[string]opconfig.Key{hash: {Hash: hash, ID: "k", Account: "guild"}})
+	config := &opconfig.Config{
+		Accounts: opconfig.NewRecords(map[string]opconfig.Account{"guild": {Name: "guild"}}),
+		Keys:     opconfig.NewRecords(map[string]opconfig.Key{hash: {Hash: hash, ID: "k", Account: "guild"}}),
+	}
 	fresh := routing.Snapshot{Config: config, Ready: true, Peers: []routing.Peer{{ID: "b", Region: "b"}}}
 	stale, inactive := fresh, fresh
 	stale.ConfigValidUntil = time.Now().Add(-time.Second)
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"slices"
 	"testing"
@@ -13,11 +14,8 @@
 	"heatherloom/internal/platform"
 )
 
-func init() {
-	// A fixed seed makes a failure of a randomised test repeat.
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.nofailfile", "true")
-}
+// A fixed seed makes a failure of a randomized test repeat.
+var _ = errors.Join(flag.Set("rapid.seed", "20261204"), flag.Set("rapid.nofailfile", "true"))
 
 // simStep is below the 0.2 s by which the drifting clocks differ from the TTL.
 const simStep = 50 * time.Millisecond
@@ -26,18 +24,15 @@
 // the other contender goes on.
 type sim struct {
 	platform.Store
-	t          *rapid.T
-	now        time.Duration
-	outage     time.Duration
-	version    int64
-	key        platform.Entry
-	ends       map[int64]time.Duration
-	pending    map[time.Duration][]func()
-	contenders []*contender
-	highest    int64
-	acquired   []porcupine.Operation
-	changes    int
-	renewals   int
+	t                 *rapid.T
+	now, outage       time.Duration
+	version, highest  int64
+	key               platform.Entry
+	ends              map[int64]time.Duration
+	pending           map[time.Duration][]func()
+	contenders        []*contender
+	acquired          []porcupine.Operation
+	changes, renewals int
 }
 
 type contender struct {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -11,8 +11,7 @@
 func members(n int, domain, region string) []Member {
 	var all []Member
 	for i := range n {
-		id := fmt.Sprintf("%s-%d", domain, i)
-		all = append(all, Member{ID: id, FailureDomain: domain, Region: region, PeerAddress: id + ":1"})
+		all = append(all, Member{ID: fmt.Sprintf("%s-%d", domain, i), FailureDomain: domain, Region: region})
 	}
 	return all
 }
--- a/internal/opconfig/base_test.go
+++ b/internal/opconfig/base_test.go
@@ -6,7 +6,6 @@
 	"maps"
 	"math"
 	"reflect"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -101,12 +100,11 @@
 	config.Keys = NewRecords(map[string]Key{hash: {Hash: hash, ID: "k", Account: "gone"}, "short": {Hash: "short", ID: "k", Account: "c"}})
 	config.Routes["/x/"] = Route{Prefix: "/x/", Service: "ledger"}
 	config.Moves["m@1"] = Move{Target: "m", Version: "1", Deadline: time.Unix(1, 0)}
-	var got []string
+	got := ""
 	for _, fault := range config.Validate() {
-		got = append(got, string(fault.Table)+" "+fault.ID)
+		got += string(fault.Table) + " " + fault.ID + ","
 	}
-	want := "accounts a,accounts c,accounts c,keys " + hash + ",keys short,routes /x/,moves m@1"
-	if strings.Join(got, ",") != want {
+	if want := "accounts a,accounts c,accounts c,keys " + hash + ",keys short,routes /x/,moves m@1,"; got != want {
 		t.Errorf("faults are %v, want %v", got, want)
 	}
 }
--- a/internal/opconfig/bench_test.go
+++ b/internal/opconfig/bench_test.go
@@ -1,17 +1,15 @@
 package opconfig
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"runtime"
 	"testing"
 )
 
-func init() {
-	// A fixed seed makes a failure of a randomised test repeat.
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.nofailfile", "true")
-}
+// A fixed seed makes a failure of a randomized test repeat.
+var _ = errors.Join(flag.Set("rapid.seed", "20261204"), flag.Set("rapid.nofailfile", "true"))
 
 // benchAccounts is the number of client accounts at the design size.
 const benchAccounts = 44_000
