Log forwarded requests and answer a panic of a Forward

Cause: an entry instance that served a forwarded request wrote no log line for it, and a panic there reset the stream, so that its kind was lost.

Ruled out: leaving it to net/http, which keeps the process up but answers nothing.

Change: one line per forwarded request; a panic ends it with kind internal.

Without the recover the new test fails.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	server := &peer.Server{Identity: identity, Loop: n.loop, Dispatcher: dispatcher, Secret: s.Peer.Secret}
+	server := &peer.Server{Identity: identity, Loop: n.loop, Dispatcher: dispatcher, Secret: s.Peer.Secret, Log: entry}
 	n.serve(caller, &http.Server{Handler: handler}, entry)
 	n.serve(peerListener, &http.Server{Handler: server.Handler(), Protocols: peerProtocols()}, entry)
 	n.runControl(s, entry, identity, peers)
--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -9,6 +9,8 @@
 
 	"connectrpc.com/connect"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+	"github.com/sirupsen/logrus"
 	"golang.org/x/net/http2"
 
 	"heatherloom/internal/dispatch"
@@ -164,3 +166,17 @@
 		})
 	}
 }
+
+// Guards against a panic that leaves the other instance without an answer.
+func TestForwardPanicIsAnswered(t *testing.T) {
+	g := NewWithT(t)
+	log := gbytes.NewBuffer()
+	logger := logrus.New()
+	logger.SetOutput(log)
+	server := &Server{Secret: "secret", Log: logrus.NewEntry(logger), Dispatcher: &dispatch.Dispatcher{
+		Snapshot: func() *routing.Snapshot { panic("test panic") }}}
+	result, _ := forward(serveHTTP2(t, server.Handler()), false)
+	g.Expect(result.Err.Kind).To(Equal(errkind.Internal))
+	g.Expect(result.Err.Ran).To(Equal(errkind.RanUnknown))
+	g.Expect(string(log.Contents())).To(ContainSubstring("test panic"))
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,11 +3,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
 
 	"heatherloom/internal/control"
 	"heatherloom/internal/dispatch"
@@ -40,6 +43,8 @@
 	Events     EventSource
 	// Secret authenticates peers.
 	Secret string
+	// Log receives one line for each forwarded request; nil for none.
+	Log *logrus.Entry
 }
 
 // compressMinBytes leaves the parts of a token stream uncompressed. Compressing each
@@ -94,14 +99,45 @@
 		// The timeout of the call does not depend on the clock of the other instance.
 		request.Deadline = deadline
 	}
+	started := time.Now()
 	err := s.serveForward(ctx, request, streamSink{stream})
+	s.logForward(request, err, time.Since(started))
 	end := endOf(err)
 	end.Attempts = int32(request.Attempts) - req.Msg.GetAttempts()
 	end.Crashes = int32(request.Crashes) - req.Msg.GetCrashes()
 	return stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_End{End: end}})
 }
 
-func (s *Server) serveForward(ctx context.Context, r *dispatch.Request, sink dispatch.Sink) *errkind.Error {
+func (s *Server) logForward(r *dispatch.Request, err *errkind.Error, took time.Duration) {
+	if s.Log == nil {
+		return
+	}
+	fields := logrus.Fields{
+		"event":   "forward",
+		"request": r.ID,
+		"account": r.Account,
+		"target":  r.Target,
+		"ms":      took.Milliseconds(),
+	}
+	if err == nil {
+		s.Log.WithFields(fields).Info("forwarded request complete")
+		return
+	}
+	fields["kind"] = err.Kind
+	fields["ran"] = err.Ran
+	if err.Cause != nil {
+		fields["cause"] = err.Cause.Error()
+	}
+	s.Log.WithFields(fields).Info("forwarded request refused or cut")
+}
+
+// serveForward dispatches a forwarded request. A panic becomes a refusal.
+func (s *Server) serveForward(ctx context.Context, r *dispatch.Request, sink dispatch.Sink) (err *errkind.Error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = errkind.Wrap(fmt.Errorf("panic: %v\n%s", v, debug.Stack()), errkind.Internal, errkind.RanUnknown, "internal error")
+		}
+	}()
 	for _, id := range r.Visited {
 		if id == s.Identity.ID {
 			return errkind.New(errkind.LoopDetected, "instance %q already handled the request", id)
