Measure relay and Forward in one benchmark

Cause: two benchmark files had the same server, and two tests of silent pooled connections overlapped; the test of the only upstream did not need the idle connections to be dropped.

Change: one benchmark with three variants; the test of the only upstream now warms several connections, so that it fails both without dropping the idle ones and without the second try (both were run).

--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -110,16 +110,23 @@
 	g.Expect(r.Error.Ran).To(Equal(errkind.RanUnknown))
 }
 
-// Guards against giving up on the only upstream when its pooled connections went
+// Guards against giving up on the only upstream when all its pooled connections went
 // silent although new ones work.
 func TestOnlyUpstreamIsTriedAgain(t *testing.T) {
 	g := NewWithT(t)
 	engine, i := startEngine(t, "engine", "a")
 	e := startEntry(t, "entry", "a", options{}, i)
-	engine.SetFaults(standin.EngineFaults{SilentOnReused: true})
-	for range 3 {
-		g.Expect(e.do(t, http.MethodPost, "/v1/completions", prompt("question", false), derwentKey).status).To(Equal(http.StatusOK))
+	ask := func() int {
+		return e.do(t, http.MethodPost, "/v1/completions", prompt("question", false), derwentKey).status
+	}
+	engine.SetFaults(standin.EngineFaults{DelayMS: 200})
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() { ask() })
 	}
+	wg.Wait()
+	engine.SetFaults(standin.EngineFaults{SilentOnReused: true})
+	g.Expect(ask()).To(Equal(http.StatusOK))
 }
 
 // Guards against a write that runs twice, and against "not run" for one that ran.
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -19,9 +19,11 @@
 func (discard) Head(int, http.Header) error { return nil }
 func (discard) Data([]byte) error           { return nil }
 
-// BenchmarkForward carries the same stream of tokens, one message or flush per token,
-// through the same checks over HTTP/2 on loopback with connect-go and without.
-func BenchmarkForward(b *testing.B) {
+// BenchmarkTokens carries the same stream of tokens, one message or flush per token,
+// through the same checks over loopback: from an upstream through the relay, and
+// between instances over HTTP/2 with connect-go and without. Sender and receiver share
+// the cores.
+func BenchmarkTokens(b *testing.B) {
 	events := standin.TokenEvents("r1", benchTokens)
 	parts := []*peerv1.ForwardResponse{headPart("text/event-stream")}
 	for _, e := range events {
@@ -29,7 +31,7 @@
 	}
 	p := routing.Peer{ID: "b", PeerAddress: startPeer(b, "secret", append(parts, endPart))}
 	client := NewClient("a", "secret")
-	b.Run("connect", func(b *testing.B) {
+	b.Run("forward-connect", func(b *testing.B) {
 		for b.Loop() {
 			r := &dispatch.Request{ID: "r1", Path: "/v1/completions", Body: []byte("{}"), Stream: true, Position: &relay.Position{}}
 			if result := client.Forward(context.Background(), p, r, discard{}); result.Err != nil {
@@ -38,13 +40,26 @@
 		}
 		b.ReportMetric(benchTokens*float64(b.N)/b.Elapsed().Seconds(), "tokens/s")
 	})
-	address := serveHTTP2(b, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	address := serve(b, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(relay.HeaderRequestID, r.Header.Get(relay.HeaderRequestID))
+		w.Header().Set("Content-Type", "text/event-stream")
 		for _, e := range events {
 			_, _ = w.Write(e)
 			_ = http.NewResponseController(w).Flush()
 		}
 	}))
-	b.Run("plain", func(b *testing.B) {
+	b.Run("relay", func(b *testing.B) {
+		r := relay.New(relay.DefaultLimits())
+		a := relay.Attempt{RequestID: "r1", Address: address, Method: http.MethodPost, Path: "/", Repeatable: true, Completion: true}
+		for b.Loop() {
+			a.Stream = &relay.Position{}
+			if result := r.Do(context.Background(), a, discard{}); result.Err != nil {
+				b.Fatal(result.Err)
+			}
+		}
+		b.ReportMetric(benchTokens*float64(b.N)/b.Elapsed().Seconds(), "tokens/s")
+	})
+	b.Run("forward-plain", func(b *testing.B) {
 		buf := make([]byte, 16<<10)
 		for b.Loop() {
 			resp, err := client.http.Post("http://"+address, "application/json", http.NoBody)
--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -49,27 +49,25 @@
 	reset := func(code http2.ErrCode) func(*http2.Framer, uint32) bool {
 		return func(f *http2.Framer, id uint32) bool { return f.WriteRSTStream(id, code) == nil }
 	}
+	goAway := func(last uint32, text string) func(*http2.Framer, uint32) bool {
+		return func(f *http2.Framer, _ uint32) bool {
+			_ = f.WriteGoAway(last, http2.ErrCodeNo, []byte(text))
+			return last == 0
+		}
+	}
 	for name, c := range map[string]struct {
 		answer func(*http2.Framer, uint32) bool
 		ran    errkind.Ran
 	}{
-		"refused stream":  {reset(http2.ErrCodeRefusedStream), errkind.RanNo},
-		"protocol error":  {reset(http2.ErrCodeProtocol), errkind.RanUnknown},
-		"internal error":  {reset(http2.ErrCodeInternal), errkind.RanUnknown},
-		"stream canceled": {reset(http2.ErrCodeCancel), errkind.RanUnknown},
-		"goaway before": {func(f *http2.Framer, _ uint32) bool {
-			return f.WriteGoAway(0, http2.ErrCodeNo, nil) == nil
-		}, errkind.RanNo},
-		"goaway after": {func(f *http2.Framer, id uint32) bool {
-			_ = f.WriteGoAway(id, http2.ErrCodeNo, nil)
-			return false
-		}, errkind.RanUnknown},
-		"goaway with misleading text": {func(f *http2.Framer, id uint32) bool {
-			_ = f.WriteGoAway(id, http2.ErrCodeInternal, []byte("REFUSED_STREAM; received from peer"))
-			return false
-		}, errkind.RanUnknown},
-		"no answer to pings": {func(*http2.Framer, uint32) bool { return true }, errkind.RanUnknown},
-		"connection closed":  {func(*http2.Framer, uint32) bool { return false }, errkind.RanUnknown},
+		"refused stream":              {reset(http2.ErrCodeRefusedStream), errkind.RanNo},
+		"protocol error":              {reset(http2.ErrCodeProtocol), errkind.RanUnknown},
+		"internal error":              {reset(http2.ErrCodeInternal), errkind.RanUnknown},
+		"stream canceled":             {reset(http2.ErrCodeCancel), errkind.RanUnknown},
+		"goaway before":               {goAway(0, ""), errkind.RanNo},
+		"goaway after":                {goAway(1, ""), errkind.RanUnknown},
+		"goaway with misleading text": {goAway(1, "; REFUSED_STREAM; received from peer"), errkind.RanUnknown},
+		"no answer to pings":          {func(*http2.Framer, uint32) bool { return true }, errkind.RanUnknown},
+		"connection closed":           {func(*http2.Framer, uint32) bool { return false }, errkind.RanUnknown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -116,13 +114,14 @@
 
 func startPeer(t testing.TB, secret string, parts []*peerv1.ForwardResponse) string {
 	_, handler := peerv1connect.NewPeerServiceHandler(scripted{parts: parts}, handlerOptions(secret)...)
-	return serveHTTP2(t, handler)
+	return serve(t, handler)
 }
 
-func serveHTTP2(t testing.TB, handler http.Handler) string {
+func serve(t testing.TB, handler http.Handler) string {
 	server := httptest.NewUnstartedServer(handler)
 	server.Config.Protocols = new(http.Protocols)
 	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Config.Protocols.SetHTTP1(true)
 	server.Start()
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
@@ -175,7 +174,7 @@
 	logger.SetOutput(log)
 	server := &Server{Secret: "secret", Log: logrus.NewEntry(logger), Dispatcher: &dispatch.Dispatcher{
 		Snapshot: func() *routing.Snapshot { panic("test panic") }}}
-	result, _ := forward(serveHTTP2(t, server.Handler()), false)
+	result, _ := forward(serve(t, server.Handler()), false)
 	g.Expect(result.Err.Kind).To(Equal(errkind.Internal))
 	g.Expect(result.Err.Ran).To(Equal(errkind.RanUnknown))
 	g.Expect(string(log.Contents())).To(ContainSubstring("test panic"))
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -163,37 +162,6 @@
 	}
 }
 
-// Guards against further requests that wait on pooled connections which went silent
-// together with the one that was noticed.
-func TestSilentConnectionsLeaveThePool(t *testing.T) {
-	g := NewWithT(t)
-	var used sync.Map
-	server := startRaw(t, func(_ int64, c net.Conn) bool {
-		if _, again := used.LoadOrStore(c, true); again {
-			time.Sleep(2 * time.Second)
-			return false
-		}
-		time.Sleep(50 * time.Millisecond)
-		_, _ = io.WriteString(c, plain("ok"))
-		return true
-	})
-	r := New(testLimits())
-	done := make(chan Result)
-	for range 3 {
-		go func() {
-			result, _ := send(r, server.Addr().String(), nil)
-			done <- result
-		}()
-	}
-	for range 3 {
-		g.Expect((<-done).Err).To(BeNil())
-	}
-	noticed, _ := send(r, server.Addr().String(), nil)
-	g.Expect(noticed.Outcome).To(Equal(retry.Silent))
-	next, _ := send(r, server.Addr().String(), nil)
-	g.Expect(next.Err).To(BeNil())
-}
-
 // Guards against counting a caller that left or set a short deadline as a fault of
 // the upstream, which would take healthy upstreams out of service.
 func TestCallerIsNoFaultOfTheUpstream(t *testing.T) {
