Let an instance that was started later learn the quarantine

Cause: a crash was passed on for 15 s only, so that a replaced instance let a quarantined request break up to two more upstreams.

Ruled out: all crashes in each heartbeat, which exceeds 2 KB/s when many are kept.

Change: each heartbeat carries the crashes of the last 15 s and up to eight older ones chosen at random; at most 16 crashes are kept of one request.

--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -23,7 +23,7 @@
 		Upstreams:     upstreamsOf(t, now),
 		Peers:         peersOf(t),
 		Quarantined:   t.crashes.Quarantined(),
-		RecentCrashes: t.crashes.Recent(now),
+		SharedCrashes: t.crashes.Shared(now),
 	}
 	s.Index()
 	return s
--- a/internal/peer/crashes.go
+++ b/internal/peer/crashes.go
@@ -10,8 +10,8 @@
 )
 
 func crashesOf(s *routing.Snapshot) []*peerv1.Crash {
-	crashes := make([]*peerv1.Crash, 0, len(s.RecentCrashes))
-	for _, c := range s.RecentCrashes {
+	crashes := make([]*peerv1.Crash, 0, len(s.SharedCrashes))
+	for _, c := range s.SharedCrashes {
 		crashes = append(crashes, &peerv1.Crash{Fingerprint: uint64(c.Fingerprint), Upstream: c.Upstream, SeenAt: c.SeenAt})
 	}
 	return crashes
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -16,10 +16,15 @@
 	sameCrash = 5 * time.Second
 	// crashLimit is the number of crashes after which a request is refused.
 	crashLimit = 2
-	// shareFor is how long a crash is passed on with heartbeats after it was learned.
+	// shareFor is how long a crash is passed on with each heartbeat after it was learned.
 	shareFor = 15 * time.Second
-	// maxShared bounds the crashes of one heartbeat to about 4 KB.
-	maxShared = 128
+	// maxRecent bounds these crashes in one heartbeat to about 3 KB.
+	maxRecent = 64
+	// maxOlder bounds the older crashes in one heartbeat, which are chosen at random, so
+	// that an instance that was started later learns them as well.
+	maxOlder = 8
+	// maxPerFingerprint bounds the crashes that are kept of one request.
+	maxPerFingerprint = 16
 	// maxFingerprints bounds the table.
 	maxFingerprints = 4096
 )
@@ -84,7 +89,7 @@
 	if r.knows(c) {
 		return
 	}
-	if len(r.learned) >= maxShared {
+	if len(r.learned) >= maxPerFingerprint {
 		return
 	}
 	r.learned[c] = now
@@ -129,15 +134,19 @@
 	return t.set
 }
 
-// Recent returns the crashes to pass on to other instances.
-func (t *Table) Recent(now time.Time) []Crash {
-	var recent []Crash
+// Shared returns the crashes to pass on with the next heartbeat.
+func (t *Table) Shared(now time.Time) []Crash {
+	var recent, older []Crash
+	// The order of a map is random, which chooses among the older ones.
 	for _, r := range t.rows {
 		for c, learned := range r.learned {
-			if now.Sub(learned) < shareFor && len(recent) < maxShared {
+			switch {
+			case now.Sub(learned) < shareFor && len(recent) < maxRecent:
 				recent = append(recent, c)
+			case len(older) < maxOlder:
+				older = append(older, c)
 			}
 		}
 	}
-	return recent
+	return append(recent, older...)
 }
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -84,8 +84,8 @@
 	Remote map[string][]int32
 	// Quarantined are the requests that are refused.
 	Quarantined quarantine.Set
-	// RecentCrashes are passed on to other instances.
-	RecentCrashes []quarantine.Crash
+	// SharedCrashes are passed on to other instances.
+	SharedCrashes []quarantine.Crash
 	// Ready is false until a configuration is in force.
 	Ready bool
 	// Draining is true after the instance was told to stop.
