--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -167,6 +167,7 @@
 		Identity: identity, Loop: n.loop, Dispatcher: dispatcher, Secret: s.Peer.Secret,
 		Config: &configsync.Source{Loop: n.loop},
 		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Gate: n.gate,
+		Log: entry,
 	}
 	n.servers = append(n.servers,
 		n.serve(l.caller, &http.Server{Handler: handler, TLSConfig: n.callerTLS()}, entry),
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,12 +3,15 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
 
 	"heatherloom/internal/control"
 	"heatherloom/internal/dispatch"
@@ -43,6 +46,8 @@
 	Events     EventSource
 	// Secret authenticates peers.
 	Secret string
+	// Log receives one line for each forwarded request; nil for none.
+	Log *logrus.Entry
 	// Timeline and Gate may be nil.
 	Timeline *timeline.Recorder
 	Gate     *drain.Gate
@@ -102,12 +107,14 @@
 		// The timeout of the call does not depend on the clock of the other instance.
 		request.Deadline = deadline
 	}
+	started := time.Now()
 	refusal := s.Gate.Enter()
 	if refusal == nil {
 		defer s.Gate.Leave()
 		s.recordForward(timeline.KindForwardIn, request, "from "+strings.Join(request.Visited, ", "))
 		refusal = s.serveForward(ctx, request, streamSink{stream})
 	}
+	s.logForward(request, refusal, time.Since(started))
 	end := endOf(refusal)
 	s.recordForward(timeline.KindForwardEnd, request, outcomeText(refusal))
 	end.Clock = uint64(s.Timeline.Clock().Now())
@@ -116,7 +123,36 @@
 	return stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_End{End: end}})
 }
 
-func (s *Server) serveForward(ctx context.Context, r *dispatch.Request, sink dispatch.Sink) *errkind.Error {
+func (s *Server) logForward(r *dispatch.Request, err *errkind.Error, took time.Duration) {
+	if s.Log == nil {
+		return
+	}
+	fields := logrus.Fields{
+		"event":   "forward",
+		"request": r.ID,
+		"account": r.Account,
+		"target":  r.Target,
+		"ms":      took.Milliseconds(),
+	}
+	if err == nil {
+		s.Log.WithFields(fields).Info("forwarded request complete")
+		return
+	}
+	fields["kind"] = err.Kind
+	fields["ran"] = err.Ran
+	if err.Cause != nil {
+		fields["cause"] = err.Cause.Error()
+	}
+	s.Log.WithFields(fields).Info("forwarded request refused or cut")
+}
+
+// serveForward dispatches a forwarded request. A panic becomes a refusal.
+func (s *Server) serveForward(ctx context.Context, r *dispatch.Request, sink dispatch.Sink) (err *errkind.Error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = errkind.Wrap(fmt.Errorf("panic: %v\n%s", v, debug.Stack()), errkind.Internal, errkind.RanUnknown, "internal error")
+		}
+	}()
 	for _, id := range r.Visited {
 		if id == s.Identity.ID {
 			return errkind.New(errkind.LoopDetected, "instance %q already handled the request", id)
