--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -125,11 +125,15 @@
 var httpClient = &http.Client{Timeout: callTimeout}
 
 func call(url, method, path, body string) answer {
+	return callWithKey(url, method, path, body, accountKey)
+}
+
+func callWithKey(url, method, path, body, key string) answer {
 	req, err := http.NewRequest(method, url+path, strings.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
-	req.Header.Set("Authorization", "Bearer "+accountKey)
+	req.Header.Set("Authorization", "Bearer "+key)
 	resp, err := httpClient.Do(req)
 	if err != nil {
 		return answer{err: err}
