--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -160,6 +160,7 @@
 		Incarnation:    p.Incarnation,
 		ConfigRevision: p.ConfigRevision,
 		Draining:       p.Draining,
+		Slot:           p.Slot,
 		SilentMs:       now.Sub(p.HeardDirectly).Milliseconds() + 1,
 	}
 }
@@ -195,6 +196,7 @@
 		CallerURL:      m.GetCallerUrl(),
 		OperatorURL:    m.GetOperatorUrl(),
 		Draining:       m.GetDraining(),
+		Slot:           m.GetSlot(),
 		ConfigRevision: m.GetConfigRevision(),
 	}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -228,6 +228,15 @@
 		Incarnation:    id.Incarnation,
 		ConfigRevision: s.Config.Revision,
 		Draining:       s.Draining,
+		Slot:           heldSlot(s),
 		ConfigAgeMs:    configAge(s, time.Now()),
 	}
 }
+
+// heldSlot returns the text form of the slot that this instance holds; empty for none.
+func heldSlot(s *routing.Snapshot) string {
+	if !s.Slots.Held {
+		return ""
+	}
+	return s.Slots.Own.ID()
+}
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -13,6 +13,7 @@
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/platform"
 	"heatherloom/internal/quarantine"
+	"heatherloom/internal/quota"
 )
 
 // Upstream is an engine or a plain service that this instance can reach directly.
@@ -49,7 +50,9 @@
 	FailureDomain string
 	PeerAddress   string
 	CallerURL     string
-	OperatorURL   string
+	// Slot is the slot that the peer holds, as domain/index; empty for none.
+	Slot        string
+	OperatorURL string
 	// Incarnation is the start time of the process in Unix nanoseconds.
 	Incarnation int64
 	Draining    bool
@@ -113,6 +116,8 @@
 	SharedCrashes []quarantine.Crash
 	// Ready is false until a configuration is in force.
 	Ready bool
+	// Slots is the division of the rates and the slot that this instance holds.
+	Slots quota.View
 	// Draining is true after the instance was told to stop.
 	Draining bool
 	// Published is the time of publication.
