--- a/internal/sheet/diff.go
+++ b/internal/sheet/diff.go
@@ -143,7 +143,9 @@
 		}
 	}
 	for i := range changes {
-		changes[i].ByAbsence = changes[i].Action == Remove || changes[i].Action == Withdraw && !hasRecord(s, changes[i].Record)
+		// Only keys are withdrawn.
+		_, stated := s.Records.Keys[changes[i].Record.ID]
+		changes[i].ByAbsence = changes[i].Action == Remove || changes[i].Action == Withdraw && !stated
 	}
 	slices.SortFunc(changes, func(a, b Change) int {
 		if a.Name != b.Name {
@@ -154,10 +156,6 @@
 	return changes
 }
 
-func hasRecord(s Sheet, change opconfig.Change) bool {
-	return s.Records.has(change.Table, change.ID)
-}
-
 // encode returns the JSON of a record. The record types of opconfig have no value
 // that cannot be encoded: Parse bounds numbers and years.
 func encode(record any) json.RawMessage {
--- a/internal/sheet/tables.go
+++ b/internal/sheet/tables.go
@@ -34,30 +34,3 @@
 		Domains:  maps.Clone(c.Domains),
 	}
 }
-
-// has reports whether a record exists.
-func (t Tables) has(table opconfig.Table, id string) bool {
-	switch table {
-	case opconfig.TableAccounts:
-		return holds(t.Accounts, id)
-	case opconfig.TableKeys:
-		return holds(t.Keys, id)
-	case opconfig.TableModels:
-		return holds(t.Models, id)
-	case opconfig.TableRoutes:
-		return holds(t.Routes, id)
-	case opconfig.TableMoves:
-		return holds(t.Moves, id)
-	case opconfig.TableLeaving:
-		return holds(t.Leaving, id)
-	case opconfig.TableDomains:
-		return holds(t.Domains, id)
-	default:
-		return false
-	}
-}
-
-func holds[T any](table map[string]T, id string) bool {
-	_, ok := table[id]
-	return ok
-}
