Show the operator listeners of the development cluster

Cause: a newcomer could not try status and timeline, since the development cluster printed neither operator addresses nor a token. Change: both are printed with lines to paste. Ruled out: a token of its own for each run.

--- a/cmd/heatherloom/dev.go
+++ b/cmd/heatherloom/dev.go
@@ -76,9 +76,13 @@
 
 func printDev(cluster *devcluster.Cluster) {
 	for _, entry := range cluster.Entries {
-		fmt.Printf("entry=%s region=%s url=%s\n", entry.ID, entry.Region, entry.URL)
+		fmt.Printf("entry=%s region=%s url=%s operator=%s\n", entry.ID, entry.Region, entry.URL, entry.OperatorURL)
 	}
 	fmt.Println("try:")
 	fmt.Printf("  curl -N %s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":%q,\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n",
 		cluster.Entries[0].URL, cluster.Config.Keys[0].Secret, cluster.Config.Models[0].Name)
+	fmt.Printf("  export %s=%s\n", tokenVariable, devcluster.OperatorToken)
+	for _, command := range []string{"status", "timeline"} {
+		fmt.Printf("  heatherloom %s -operator %s\n", command, cluster.Entries[0].OperatorURL)
+	}
 }
--- a/internal/devcluster/cluster.go
+++ b/internal/devcluster/cluster.go
@@ -35,8 +35,13 @@
 	Region string
 	// URL is the base URL of the caller listener.
 	URL string
+	// OperatorURL is the base URL of the operator listener.
+	OperatorURL string
 }
 
+// OperatorToken is the credential of the operator listeners.
+const OperatorToken = "development-operator"
+
 // Cluster is a running development cluster.
 type Cluster struct {
 	Config    Config
@@ -164,7 +169,7 @@
 		}
 		c.nodes = append(c.nodes, n)
 		c.peers = append(c.peers, n.PeerAddress)
-		c.Entries = append(c.Entries, EntryInstance{ID: id, Region: region, URL: "http://" + n.CallerAddress})
+		c.Entries = append(c.Entries, EntryInstance{ID: id, Region: region, URL: "http://" + n.CallerAddress, OperatorURL: "http://" + n.OperatorAddress})
 		c.list(region, platform.Instance{ID: id, Role: platform.RoleEntry, Address: n.PeerAddress})
 	}
 	return nil
@@ -175,6 +180,7 @@
 		Instance:  settings.Instance{ID: id, Region: region, FailureDomain: failureDomain(region)},
 		Listeners: settings.Listeners{Caller: freePort, Peer: freePort, Operator: freePort},
 		Platform:  settings.Platform{Store: c.Store.URL(), Instances: c.Instances.URL() + "/instances"},
+		Operator:  settings.Operator{Token: OperatorToken},
 		Peer:      settings.Peer{Secret: peerSecret, Seeds: append([]string(nil), c.peers...)},
 	}
 }
