Run requests under seeded faults and check what was said and run

Cause: the invariants need long randomized runs over real connections, with faults that overlap.

Change: 'heatherloom dev -requests N -faults -seed S' injects 16 kinds of faults in seeded order (engines that fail, cut, go silent or cross answers; services whose answers are lost, cut or crossed; store outage, slowness and lost answers; killed entry instances; two operators at once) while 16 callers try again as they may. It fails on a wrong answer, on a "not run" of a request that ran, and on a write that ran twice. Node.Kill ends an instance without notice; Shutdown releases the lease again.

Ruled out: counting refusals as failures, since faults may refuse requests.

--- a/cmd/heatherloom/dev.go
+++ b/cmd/heatherloom/dev.go
@@ -16,15 +16,17 @@
 type devFlags struct {
 	requests int
 	seed     uint64
+	faults   bool
 	log      bool
 }
 
 func runDev(args []string) int {
 	var f devFlags
 	flags := newFlagSet("dev", "Runs a development cluster of three regions in one process: stand-ins of all outside\nparts and an entry instance in each region, on free loopback ports.",
-		"dev", "dev -requests 200", "dev -requests 200 -seed 7")
+		"dev", "dev -requests 200", "dev -requests 200 -seed 7", "dev -requests 4000 -faults -seed 3")
 	flags.IntVar(&f.requests, "requests", 0, "send `N` requests, check every answer and exit")
 	flags.Uint64Var(&f.seed, "seed", 1, "seed of the requests")
+	flags.BoolVar(&f.faults, "faults", false, "inject faults while the requests run; only wrong answers, false statements\nand writes that ran twice count as failures then")
 	flags.BoolVar(&f.log, "log", true, "write log lines to stderr; off by default with -requests")
 	if _, status, done := parseFlags(flags, args); done {
 		return status
@@ -53,6 +55,9 @@
 		fmt.Fprintln(os.Stderr, "heatherloom:", err)
 		return exitFailure
 	}
+	if f.requests > 0 && f.faults {
+		return verifyUnderFaults(ctx, cluster, f)
+	}
 	if f.requests > 0 {
 		return verifyDev(ctx, cluster, f)
 	}
@@ -74,6 +79,19 @@
 	return exitOK
 }
 
+// verifyUnderFaults sends the requests while faults are injected.
+func verifyUnderFaults(ctx context.Context, cluster *devcluster.Cluster, f devFlags) int {
+	report := devcluster.RunWithFaults(ctx, cluster, devcluster.Load{Count: f.requests, Seed: f.seed})
+	for _, failure := range report.Failures {
+		fmt.Fprintln(os.Stderr, "heatherloom:", failure)
+	}
+	fmt.Println(report)
+	if !report.OK() {
+		return exitFailure
+	}
+	return exitOK
+}
+
 func printDev(cluster *devcluster.Cluster) {
 	for _, entry := range cluster.Entries {
 		fmt.Printf("entry=%s region=%s url=%s operator=%s\n", entry.ID, entry.Region, entry.URL, entry.OperatorURL)
--- a/internal/devcluster/cluster.go
+++ b/internal/devcluster/cluster.go
@@ -169,12 +169,16 @@
 		}
 		c.nodes = append(c.nodes, n)
 		c.peers = append(c.peers, n.PeerAddress)
-		c.Entries = append(c.Entries, EntryInstance{ID: id, Region: region, URL: "http://" + n.CallerAddress, OperatorURL: "http://" + n.OperatorAddress})
+		c.Entries = append(c.Entries, entryOf(id, region, n))
 		c.list(region, platform.Instance{ID: id, Role: platform.RoleEntry, Address: n.PeerAddress})
 	}
 	return nil
 }
 
+func entryOf(id, region string, n *node.Node) EntryInstance {
+	return EntryInstance{ID: id, Region: region, URL: "http://" + n.CallerAddress, OperatorURL: "http://" + n.OperatorAddress}
+}
+
 func (c *Cluster) settings(id, region string) settings.Settings {
 	return settings.Settings{
 		Instance:  settings.Instance{ID: id, Region: region, FailureDomain: failureDomain(region)},
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -69,9 +69,21 @@
 	failures = append(failures, n.operator.Shutdown(ctx))
 	n.cancel()
 	n.done.Wait()
+	n.lease.Release(ctx)
 	return errors.Join(failures...)
 }
 
+// Kill ends the instance at once and gives nothing back, as a crash of the process
+// does. It serves tests of failures.
+func (n *Node) Kill() {
+	n.cancel()
+	for _, server := range n.servers {
+		_ = server.Close()
+	}
+	_ = n.operator.Close()
+	n.done.Wait()
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
