--- /dev/null
+++ b/cmd/heatherloom/bench.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+
+	"heatherloom/internal/bench"
+	"heatherloom/internal/routing"
+)
+
+// benchFlags are the values of the flags of the subcommand bench.
+type benchFlags struct {
+	profile, policy, baseline, csv string
+	plan                           bench.Plan
+}
+
+func runBench(args []string) int {
+	flags := newFlagSet("bench", "Measures routing policies with real entry instances over loopback against stand-ins.",
+		"bench -profile derwent -policy default -baseline least-outstanding -seed 1 -duration 20s",
+		"bench -profile guild -baseline power-of-two -fault region-loss",
+		"bench -profile derwent -greedy 5 -o report.csv")
+	f := defineBenchFlags(flags)
+	if _, status, done := parseFlags(flags, args); done {
+		return status
+	}
+	if err := f.complete(); err != nil {
+		fmt.Fprintln(os.Stderr, "heatherloom bench:", err)
+		return exitUsage
+	}
+	report, err := bench.Run(context.Background(), f.plan)
+	if err == nil {
+		err = report.WriteText(os.Stdout)
+	}
+	if err == nil {
+		err = report.WriteFiles(f.csv)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "heatherloom bench:", err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+func defineBenchFlags(flags *flag.FlagSet) *benchFlags {
+	f := &benchFlags{plan: bench.NewPlan(bench.Profile{})}
+	flags.StringVar(&f.profile, "profile", "derwent", "deployment and load: derwent or guild")
+	flags.StringVar(&f.policy, "policy", routing.NameDefault, "routing policy: "+strings.Join(routing.PolicyNames(), ", "))
+	flags.StringVar(&f.baseline, "baseline", "", "second policy to compare with on the same seed; empty for none")
+	flags.Uint64Var(&f.plan.Seed, "seed", f.plan.Seed, "seed of the load")
+	flags.DurationVar(&f.plan.Duration, "duration", f.plan.Duration, "length of the load for each policy, which covers one day")
+	flags.Float64Var(&f.plan.Rate, "rate", 0, "requests per second over all regions; 0 for 70% of the capacity at the peak")
+	flags.Float64Var(&f.plan.Greedy, "greedy", 0, "one client account sends this many times its rate; 0 for none")
+	flags.StringVar(&f.plan.Fault, "fault", f.plan.Fault, "fault from one third to two thirds of the run: "+strings.Join(bench.FaultNames(), ", "))
+	flags.Float64Var(&f.plan.Model.TimeScale, "time-scale", f.plan.Model.TimeScale, "seconds of the model in one second")
+	flags.StringVar(&f.csv, "o", "", "write the requests to this CSV `FILE`")
+	return f
+}
+
+// complete checks the flags that bench.Run does not.
+func (f *benchFlags) complete() error {
+	profile, err := bench.ProfileByName(f.profile)
+	if err != nil {
+		return err
+	}
+	f.plan.Profile = profile
+	f.plan.Policies = []string{f.policy}
+	if f.baseline != "" {
+		f.plan.Policies = append(f.plan.Policies, f.baseline)
+	}
+	for _, name := range f.plan.Policies {
+		if _, err := routing.NewPolicy(name, routing.Weights{}, nil); err != nil {
+			return err
+		}
+	}
+	return f.plan.Check()
+}
--- a/cmd/heatherloom/main.go
+++ b/cmd/heatherloom/main.go
@@ -27,6 +27,7 @@
 		{"serve", "run an entry instance", runServe},
 		{"check", "check a settings file and print every fault in it", runCheck},
 		{"sheet", "check, compare, apply or follow the operators' sheet", runSheet},
+		{"bench", "measure routing policies against stand-ins", runBench},
 		{"version", "print the version of this binary", runVersion},
 		{"standin", "run a stand-in of an outside part, for development and tests", runStandin},
 	}
--- /dev/null
+++ b/internal/bench/cluster.go
@@ -0,0 +1,257 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"heatherloom/internal/configsync"
+	"heatherloom/internal/node"
+	"heatherloom/internal/opconfig"
+	"heatherloom/internal/platform"
+	"heatherloom/internal/platform/etcdgw"
+	"heatherloom/internal/settings"
+	"heatherloom/internal/standin"
+)
+
+const (
+	loopback     = "127.0.0.1:0"
+	peerSecret   = "bench-peer-secret"
+	serviceName  = "ledger"
+	routeOrders  = "/orders"
+	routeStatus  = "/status"
+	maxIsolation = 90 * time.Minute
+	// ampleRate is the rate and burst of a client account that the experiment does not
+	// limit, in requests per second.
+	ampleRate = 1e6
+	// readyInterval is the time between two looks at whether the cluster is ready.
+	readyInterval = 20 * time.Millisecond
+)
+
+// cluster is one deployment of a profile in this process.
+type cluster struct {
+	profile   Profile
+	store     *standin.Store
+	instances *standin.InstanceList
+	// engines, services and nodes are by region.
+	engines  [][]*standin.ModelEngine
+	listed   [][]platform.Instance
+	services [][]*standin.Service
+	nodes    [][]*node.Node
+	wan      *wan
+}
+
+// startCluster starts the stand-ins and the entry instances with a routing policy and
+// waits until each knows all others and its upstreams.
+func startCluster(ctx context.Context, plan Plan, policy string) (*cluster, error) {
+	p := plan.Profile
+	scale := plan.Model.TimeScale
+	c := &cluster{profile: p, wan: newWAN(len(p.Regions), time.Duration(float64(p.RegionLatency)/scale), p.RegionBandwidth*scale)}
+	var err error
+	if c.store, err = standin.StartStore(loopback); err != nil {
+		return nil, err
+	}
+	if c.instances, err = standin.StartInstanceList(loopback); err != nil {
+		return nil, err
+	}
+	if err := c.configure(ctx, plan); err != nil {
+		return nil, err
+	}
+	for region := range p.Regions {
+		if err := c.startRegion(plan, policy, region); err != nil {
+			return nil, err
+		}
+	}
+	return c, c.waitReady(ctx)
+}
+
+func (c *cluster) startRegion(plan Plan, policy string, region int) error {
+	p := plan.Profile
+	c.engines = append(c.engines, nil)
+	c.listed = append(c.listed, nil)
+	c.services = append(c.services, nil)
+	c.nodes = append(c.nodes, nil)
+	for i := range p.Engines[region] {
+		params := plan.Model
+		params.Model = modelName + "@" + modelVersion
+		params.Seed = uint64(region*1000 + i)
+		e, err := standin.StartModelEngine(loopback, params)
+		if err != nil {
+			return err
+		}
+		c.engines[region] = append(c.engines[region], e)
+		c.listed[region] = append(c.listed[region], platform.Instance{
+			ID: fmt.Sprintf("engine-%s-%d", p.Regions[region], i), Role: platform.RoleEngine, Address: e.Address(),
+			Region: p.Regions[region], FailureDomain: p.Regions[region] + "-1", State: platform.InstanceLive,
+			Models: []string{params.Model},
+		})
+		c.instances.Set(c.listed[region][i])
+	}
+	for i := range p.Services[region] {
+		s, err := standin.StartService(loopback)
+		if err != nil {
+			return err
+		}
+		c.services[region] = append(c.services[region], s)
+		c.instances.Set(platform.Instance{
+			ID: fmt.Sprintf("service-%s-%d", p.Regions[region], i), Role: platform.RoleService, Address: s.Address(),
+			Region: p.Regions[region], FailureDomain: p.Regions[region] + "-1", State: platform.InstanceLive, Service: serviceName,
+		})
+	}
+	for i := range p.Entries[region] {
+		if err := c.startEntry(plan, policy, region, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *cluster) startEntry(plan Plan, policy string, region, i int) error {
+	p := plan.Profile
+	var seeds []string
+	for _, nodes := range c.nodes {
+		for _, n := range nodes {
+			seeds = append(seeds, n.PeerAddress)
+		}
+	}
+	s := settings.Settings{
+		Instance:  settings.Instance{ID: fmt.Sprintf("entry-%s-%d", p.Regions[region], i), Region: p.Regions[region], FailureDomain: p.Regions[region] + "-1"},
+		Listeners: settings.Listeners{Caller: loopback, Peer: loopback, Operator: loopback},
+		Platform:  settings.Platform{Store: c.store.URL(), Instances: c.instances.URL() + "/instances", MaxIsolation: maxIsolation},
+		Peer:      settings.Peer{Secret: peerSecret, Seeds: seeds},
+		Policy: settings.Policy{
+			Name: policy, Preset: p.PolicyPreset, LinkMbit: p.RegionBandwidth * plan.Model.TimeScale * 8 / 1e6,
+		},
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n, err := node.StartWith(s, log, node.Options{DialPeer: c.wan.dialFrom(region)})
+	if err != nil {
+		return err
+	}
+	c.nodes[region] = append(c.nodes[region], n)
+	c.wan.place(n.PeerAddress, region)
+	c.instances.Set(platform.Instance{
+		ID: s.Instance.ID, Role: platform.RoleEntry, Region: s.Instance.Region, FailureDomain: s.Instance.FailureDomain,
+		Address: n.PeerAddress, State: platform.InstanceLive,
+	})
+	return nil
+}
+
+func secretOf(account string) string { return "sk-bench-" + account }
+
+// configure accepts the operators' configuration of the experiment.
+func (c *cluster) configure(ctx context.Context, plan Plan) error {
+	var changes []opconfig.Change
+	var failure error
+	set := func(table opconfig.Table, id string, record any) {
+		change, err := opconfig.Set(table, id, record)
+		if err != nil {
+			failure = err
+		}
+		changes = append(changes, change)
+	}
+	for i, a := range plan.Profile.Accounts {
+		rate, burst := plan.limits(i)
+		set(opconfig.TableAccounts, a.Name, opconfig.Account{Name: a.Name, Rate: rate, Burst: burst, Home: a.Home})
+		hash := opconfig.HashKey(secretOf(a.Name))
+		set(opconfig.TableKeys, hash, opconfig.Key{Hash: hash, ID: a.Name + "-1", Account: a.Name})
+	}
+	set(opconfig.TableModels, modelName, opconfig.Model{Name: modelName, Version: modelVersion})
+	set(opconfig.TableRoutes, routeOrders, opconfig.Route{Prefix: routeOrders, Service: serviceName})
+	set(opconfig.TableRoutes, routeStatus, opconfig.Route{Prefix: routeStatus, Service: serviceName})
+	if failure != nil {
+		return failure
+	}
+	publisher := &configsync.Publisher{Store: etcdgw.New(c.store.URL())}
+	_, err := publisher.Apply(ctx, 0, changes)
+	return err
+}
+
+// waitReady waits until each entry instance has the configuration, its upstreams and
+// all peers.
+func (c *cluster) waitReady(ctx context.Context) error {
+	for !c.ready() {
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "the entry instances did not become ready")
+		case <-time.After(readyInterval):
+		}
+	}
+	return nil
+}
+
+func (c *cluster) ready() bool {
+	entries := 0
+	for _, nodes := range c.nodes {
+		entries += len(nodes)
+	}
+	for region, nodes := range c.nodes {
+		upstreams := len(c.engines[region]) + len(c.services[region])
+		for _, n := range nodes {
+			s := n.Snapshot()
+			if !s.Ready || len(s.Upstreams) != upstreams || len(s.Peers) != entries-1 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// forwarded returns how many requests left their region.
+func (c *cluster) forwarded() int64 {
+	var sum int64
+	for _, nodes := range c.nodes {
+		for _, n := range nodes {
+			sum += n.Forwarded()
+		}
+	}
+	return sum
+}
+
+// totals returns the sums of all engines.
+func (c *cluster) totals() standin.ModelTotals {
+	var sum standin.ModelTotals
+	for _, engines := range c.engines {
+		for _, e := range engines {
+			t := e.Totals()
+			sum.PrefillTokens += t.PrefillTokens
+			sum.CachedTokens += t.CachedTokens
+			sum.DecodeTokens += t.DecodeTokens
+			sum.Busy += t.Busy
+		}
+	}
+	return sum
+}
+
+// close ends the entry instances within ctx and then the stand-ins.
+func (c *cluster) close(ctx context.Context) {
+	done := make(chan struct{})
+	count := 0
+	for _, nodes := range c.nodes {
+		for _, n := range nodes {
+			count++
+			go func() {
+				_ = n.Shutdown(ctx)
+				done <- struct{}{}
+			}()
+		}
+	}
+	for range count {
+		<-done
+	}
+	for region := range c.engines {
+		for _, e := range c.engines[region] {
+			e.Stop()
+		}
+		for _, s := range c.services[region] {
+			s.Close()
+		}
+	}
+	c.instances.Close()
+	c.store.Close()
+}
--- /dev/null
+++ b/internal/bench/output.go
@@ -0,0 +1,52 @@
+package bench
+
+import (
+	"encoding/csv"
+	"io"
+	"os"
+	"strconv"
+)
+
+// WriteFiles writes the CSV file; an empty path is left out.
+func (r Report) WriteFiles(csvPath string) error {
+	if csvPath == "" {
+		return nil
+	}
+	return writeFile(csvPath, r.WriteCSV)
+}
+
+func writeFile(path string, write func(io.Writer) error) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := write(file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
+
+var kindNames = []string{"review", "question", "status", "write"}
+
+// WriteCSV writes one line for each request. Times are in milliseconds of model time.
+func (r Report) WriteCSV(w io.Writer) error {
+	out := csv.NewWriter(w)
+	_ = out.Write([]string{"policy", "number", "at_ms", "region", "account", "kind", "prompt_tokens", "outcome", "ttft_ms", "end_ms"})
+	p := r.Plan
+	ms := func(micros int64) string {
+		return strconv.FormatFloat(float64(micros)*p.Model.TimeScale/1000, 'f', 3, 64)
+	}
+	for i := range r.Results {
+		for _, s := range r.Results[i].samples {
+			a := s.arrival
+			_ = out.Write([]string{
+				r.Results[i].Policy, strconv.Itoa(a.number), ms(a.at.Microseconds()), p.Profile.Regions[a.region],
+				p.Profile.Accounts[a.account].Name, kindNames[a.kind], strconv.Itoa(a.tokens), s.outcome,
+				ms(s.first.Microseconds()), ms(s.end.Microseconds()),
+			})
+		}
+	}
+	out.Flush()
+	return out.Error()
+}
--- /dev/null
+++ b/internal/bench/profile.go
@@ -0,0 +1,154 @@
+// Package bench drives real entry instances over TCP on loopback against stand-ins of
+// everything around them, and measures what routing policies make of the same load.
+package bench
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"heatherloom/internal/promptprefix"
+	"heatherloom/internal/routing"
+	"heatherloom/internal/standin"
+)
+
+// Account is a client account of a profile.
+type Account struct {
+	Name string
+	// Share is its part of all requests.
+	Share float64
+	// Home is the region that its data must not leave; empty if it is not bound. All
+	// requests of a bound account arrive there.
+	Home string
+}
+
+// Mix holds the parts of the kinds of requests; they sum to 1.
+type Mix struct {
+	Review, Question, Status, Write float64
+}
+
+// Profile is a deployment and its load. Times and rates are model time.
+type Profile struct {
+	Name    string
+	Regions []string
+	// Engines, Services and Entries are the numbers in each region.
+	Engines, Services, Entries []int
+	// RegionLatency is one way; ClientLatency as well.
+	RegionLatency, ClientLatency time.Duration
+	// RegionBandwidth is in bytes per second in each direction between two regions.
+	RegionBandwidth float64
+	Accounts        []Account
+	Mix             Mix
+	// DocumentTokens is the mean length of a log or thread under review, and Documents
+	// the number that is under review at a time in a region.
+	DocumentTokens int
+	Documents      int
+	// Reviews is the mean number of requests about one document.
+	Reviews float64
+	// SystemTokens begin each prompt of a client account.
+	SystemTokens                 int
+	ReviewAnswer, QuestionAnswer int
+	QuestionTokens               int
+	DayAmplitude, PeakLoad       float64
+	PolicyPreset                 string
+}
+
+// modelName is the model that all callers name, and modelVersion its version.
+const (
+	modelName    = "lantern"
+	modelVersion = "1"
+)
+
+// accountsOf returns accounts that have the sizes of the design page: a few large ones of five, and 39% of the
+// requests bound to a home region.
+func accountsOf(names []string, regions []string) []Account {
+	return []Account{
+		{Name: names[0], Share: 0.36},
+		{Name: names[1], Share: 0.25},
+		{Name: names[2], Share: 0.17, Home: regions[0]},
+		{Name: names[3], Share: 0.13, Home: regions[1]},
+		{Name: names[4], Share: 0.09, Home: regions[2]},
+	}
+}
+
+// Profiles returns the profiles of section 1.1 of the design page.
+func Profiles() []Profile {
+	derwent := Profile{
+		Name:            "derwent",
+		Regions:         []string{"hobart", "launceston", "burnie"},
+		Engines:         []int{4, 4, 4},
+		Services:        []int{1, 1, 1},
+		Entries:         []int{3, 3, 2},
+		RegionLatency:   55 * time.Millisecond,
+		ClientLatency:   time.Millisecond,
+		RegionBandwidth: 2e9 / 8,
+		Mix:             Mix{Review: 0.30, Question: 0.45, Status: 0.20, Write: 0.05},
+		DocumentTokens:  6000,
+		Documents:       40,
+		Reviews:         10,
+		SystemTokens:    2 * promptprefix.BlockTokens,
+		ReviewAnswer:    96,
+		QuestionAnswer:  32,
+		QuestionTokens:  80,
+		DayAmplitude:    0.6,
+		PeakLoad:        0.7,
+		PolicyPreset:    routing.PresetDerwent,
+	}
+	derwent.Accounts = accountsOf([]string{"harbour-trust", "strait-pilots", "hobart-works", "tamar-works", "emu-bay"}, derwent.Regions)
+	guild := derwent
+	guild.Name = "guild"
+	guild.Regions = []string{"lowlands", "highlands", "borders"}
+	guild.Engines = []int{6, 6, 6}
+	guild.ClientLatency = 3 * time.Millisecond
+	guild.RegionBandwidth = 140e6 / 8
+	guild.Mix = Mix{Review: 0.25, Question: 0.40, Status: 0.25, Write: 0.10}
+	guild.Documents = 60
+	guild.PolicyPreset = routing.PresetGuild
+	guild.Accounts = accountsOf([]string{"order-desk", "pattern-room", "clyde-makers", "spey-makers", "tweed-makers"}, guild.Regions)
+	return []Profile{derwent, guild}
+}
+
+// ProfileByName returns the profile with the given name.
+func ProfileByName(name string) (Profile, error) {
+	var names []string
+	for _, p := range Profiles() {
+		if p.Name == name {
+			return p, nil
+		}
+		names = append(names, p.Name)
+	}
+	return Profile{}, fmt.Errorf("profile %q does not exist; allowed are %s", name, strings.Join(names, ", "))
+}
+
+// meanRate returns the mean rate of all requests, in requests per model second, at which
+// the busiest region reaches PeakLoad of its capacity at its peak. The capacity is
+// that of engines that find nothing in their caches.
+func (p Profile) meanRate(m standin.ModelParams) float64 {
+	perToken := (m.PrefillToken + m.StepBase/time.Duration(m.StepTokens)).Seconds()
+	tokens := p.Mix.Review*float64(p.SystemTokens+p.DocumentTokens+p.QuestionTokens) +
+		p.Mix.Question*float64(p.SystemTokens+p.QuestionTokens)
+	answers := p.Mix.Review*float64(p.ReviewAnswer) + p.Mix.Question*float64(p.QuestionAnswer)
+	perRequest := tokens*perToken + answers*m.DecodeToken.Seconds()
+	lowest := 0.0
+	for i := range p.Regions {
+		rate := p.PeakLoad * float64(p.Engines[i]) / (perRequest * p.regionShare(i) * (1 + p.DayAmplitude))
+		if lowest == 0 || rate < lowest {
+			lowest = rate
+		}
+	}
+	return lowest
+}
+
+// regionShare returns the part of all requests that arrive in a region.
+func (p Profile) regionShare(i int) float64 {
+	share := 0.0
+	for _, a := range p.Accounts {
+		switch a.Home {
+		case "":
+			share += a.Share / float64(len(p.Regions))
+		case p.Regions[i]:
+			share += a.Share
+		}
+	}
+	return share
+}
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -89,6 +89,7 @@
 	row, ok := t.upstreams[instance.ID]
 	if !ok || row.instance.Address != instance.Address {
 		row = &upstreamRow{counters: &routing.Counters{}}
+		row.counters.Since.Store(time.Now().UnixNano())
 		t.upstreams[instance.ID] = row
 	}
 	row.instance = instance
@@ -110,6 +111,8 @@
 	// the peer sent one itself. Only an answer proves when there was contact, because
 	// a message may wait while this process is paused.
 	Asked time.Time
+	// RoundTrip is the time from Asked to the answer; 0 if the peer called itself.
+	RoundTrip time.Duration
 	// Confirmed is when the peer's configuration was known to be the latest one, by
 	// the local clock; zero if it is not known.
 	Confirmed time.Time
@@ -126,6 +129,7 @@
 		return
 	}
 	t.contact(e.Peer, e.Asked)
+	t.link(e)
 	if row := t.confirmations[e.Peer.ID]; e.Confirmed.After(row.at) {
 		t.confirmations[e.Peer.ID] = confirmation{revision: e.Peer.ConfigRevision, at: e.Confirmed}
 	}
@@ -136,6 +140,22 @@
 	}
 }
 
+// roundTripGain weights one heartbeat in the average of the round trip.
+const roundTripGain = 0.3
+
+// link records what the peer told of its region, and the round trip of an answer.
+func (t *tables) link(e HeartbeatEvent) {
+	row := t.linkTo(e.Peer.ID)
+	roundTrip := row.remote.RoundTripSeconds
+	if trip := e.RoundTrip.Seconds(); trip > 0 && roundTrip == 0 {
+		roundTrip = trip
+	} else if trip > 0 {
+		roundTrip += roundTripGain * (trip - roundTrip)
+	}
+	row.remote = e.Peer.Remote
+	row.remote.RoundTripSeconds = roundTrip
+}
+
 // contact records an answer that ends isolation: one from another region or, where
 // no other region is known, from another failure domain.
 func (t *tables) contact(p routing.Peer, asked time.Time) {
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -95,11 +95,23 @@
 			HeardDirectly:  m.Direct,
 			ConfigRevision: m.ConfigRevision,
 			Confirmed:      t.confirmations[m.ID].at,
+			Remote:         t.linkTo(m.ID).remote,
+			Counters:       t.linkTo(m.ID).counters,
 		})
 	}
 	return peers
 }
 
+// linkTo returns the row of a peer, also of one that only others heard from.
+func (t *tables) linkTo(id string) *linkRow {
+	row, ok := t.links[id]
+	if !ok {
+		row = &linkRow{counters: &routing.Counters{}}
+		t.links[id] = row
+	}
+	return row
+}
+
 func listedOf(entries map[string]platform.Instance) []membership.Contact {
 	contacts := make([]membership.Contact, 0, len(entries))
 	for _, i := range entries {
--- a/internal/control/systems.go
+++ b/internal/control/systems.go
@@ -10,6 +10,7 @@
 // systems run in this order on each tick.
 var systems = []system{
 	expireMembers,
+	forgetLinks,
 	confirmConfig,
 	judgeHealth,
 	expireCrashes,
@@ -27,6 +28,19 @@
 	t.members.Expire(now)
 }
 
+// forgetLinks drops the rows of peers that are no longer live.
+func forgetLinks(t *tables, _ time.Time) {
+	live := map[string]bool{}
+	for _, m := range t.members.Live() {
+		live[m.ID] = true
+	}
+	for id := range t.links {
+		if !live[id] {
+			delete(t.links, id)
+		}
+	}
+}
+
 // confirmConfig takes over what peers state about the latest revision. A statement
 // about a revision that this instance does not have yet counts once it has it.
 func confirmConfig(t *tables, now time.Time) {
@@ -42,6 +56,10 @@
 
 func judgeHealth(t *tables, now time.Time) {
 	for _, row := range t.upstreams {
+		if row.wasDown && !now.Before(row.downUntil) {
+			row.wasDown = false
+			row.counters.Since.Store(now.UnixNano())
+		}
 		failures := row.counters.Failures.Load()
 		if failures == 0 {
 			row.countedFailures = 0
@@ -50,6 +68,7 @@
 		if failures >= failuresToPause && failures > row.countedFailures {
 			row.countedFailures = failures
 			row.downUntil = now.Add(pauseDuration)
+			row.wasDown = true
 		}
 	}
 }
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -39,6 +39,8 @@
 	counters *routing.Counters
 	// downUntil is the end of the pause after repeated failures.
 	downUntil time.Time
+	// wasDown is true until the pause was seen to have ended.
+	wasDown bool
 	// countedFailures are the failures that the last pause took into account.
 	countedFailures int64
 }
@@ -49,6 +51,12 @@
 	at       time.Time
 }
 
+// linkRow is what is known of the way to a peer and of its region.
+type linkRow struct {
+	remote   routing.Remote
+	counters *routing.Counters
+}
+
 // tables hold the control state. Only the loop goroutine touches them.
 type tables struct {
 	identity  Identity
@@ -60,6 +68,8 @@
 	entries map[string]platform.Instance
 	// listed are the contacts of entries; snapshots share it.
 	listed []membership.Contact
+	// links are indexed by the id of the peer.
+	links map[string]*linkRow
 	// confirmations are indexed by the id of the peer.
 	confirmations map[string]confirmation
 	// confirmed is when config was last known to be the latest revision.
@@ -84,6 +94,7 @@
 		upstreams:     map[string]*upstreamRow{},
 		members:       membership.NewTable(),
 		confirmations: map[string]confirmation{},
+		links:         map[string]*linkRow{},
 		crashes:       quarantine.NewTable(),
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -5,11 +5,15 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"heatherloom/internal/errkind"
+	"heatherloom/internal/promptprefix"
 	"heatherloom/internal/quarantine"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/retry"
@@ -27,6 +31,8 @@
 	Body   []byte
 	// Target is a model@version or the name of a plain service.
 	Target string
+	// Prompt is the hashed prompt of a completion.
+	Prompt promptprefix.Prompt
 	// Stream is true if the caller asked for server-sent events.
 	Stream bool
 	// Position is how far a stream was delivered before; nil if it starts here.
@@ -82,9 +88,15 @@
 	Snapshot func() *routing.Snapshot
 	Relay    *relay.Relay
 	Forward  Forwarder
+	// Policy chooses where a request runs; nil for routing.Fallback.
+	Policy routing.Policy
+	// Prefixes learns which upstream was sent which prompt; nil if the policy does not
+	// use it.
+	Prefixes *routing.PrefixIndex
 	// ReportCrash receives each crash of an upstream; nil to drop them.
 	ReportCrash func(quarantine.Crash)
 
+	forwarded atomic.Int64
 	budget    retry.Budget
 	estimates retry.Estimates
 }
@@ -199,7 +211,7 @@
 
 func (d *Dispatcher) attempt(ctx context.Context, r *Request, tried []string, last retry.Outcome, sink Sink) (relay.Result, string, *errkind.Error) {
 	snapshot := d.Snapshot()
-	choice, err := pick(snapshot, r, tried, last)
+	choice, err := d.pick(snapshot, r, tried, last)
 	if err != nil {
 		return relay.Result{}, "", errkind.From(err)
 	}
@@ -209,11 +221,11 @@
 	if choice.Peer >= 0 {
 		peer := snapshot.Peers[choice.Peer]
 		used = peer.ID
-		result = d.Forward.Forward(ctx, peer, r, sink)
+		result = d.toPeer(ctx, r, peer, sink)
 	} else {
 		upstream := &snapshot.Upstreams[choice.Upstream]
 		used = upstream.ID
-		result = d.toUpstream(ctx, r, upstream, sink)
+		result = d.toUpstream(ctx, r, upstream, choice, sink)
 	}
 	r.Attempts += max(result.Attempts, 1)
 	r.Crashes += result.Crashes
@@ -226,25 +238,66 @@
 // pick chooses an upstream that did not fail yet. If there is none, it allows the
 // last one again after a broken or silent connection, since a new connection to it
 // may work.
-func pick(snapshot *routing.Snapshot, r *Request, tried []string, last retry.Outcome) (routing.Choice, error) {
+func (d *Dispatcher) pick(snapshot *routing.Snapshot, r *Request, tried []string, last retry.Outcome) (routing.Choice, error) {
 	request := &routing.Request{
 		ID:          r.ID,
 		Target:      r.Target,
 		BoundRegion: r.BoundRegion,
 		Visited:     r.Visited,
 		Tried:       tried,
+		Prefix:      r.Prompt.Hashes,
+		Tokens:      int64(r.Prompt.Tokens),
+		Bytes:       int64(len(r.Body)),
+		Now:         time.Now().UnixNano(),
 	}
-	choice, err := routing.Pick(snapshot, request)
+	policy := d.Policy
+	if policy == nil {
+		policy = routing.Fallback()
+	}
+	scratch := scratches.Get().(*routing.Scratch)
+	defer scratches.Put(scratch)
+	choice, err := policy.Pick(snapshot, request, scratch)
 	if err == nil || len(tried) == 0 || (last != retry.NotSent && last != retry.Silent) {
 		return choice, err
 	}
 	request.Tried = tried[:len(tried)-1]
-	return routing.Pick(snapshot, request)
+	return policy.Pick(snapshot, request, scratch)
+}
+
+// scratches hold the working space of picks.
+var scratches = sync.Pool{New: func() any { return routing.NewScratch(rand.Uint64()) }}
+
+// firstByteSink tells when an answer begins.
+type firstByteSink struct {
+	Sink
+	prefill *routing.Prefill
+}
+
+func (s firstByteSink) Head(status int, header http.Header) error {
+	s.prefill.FirstByte(time.Now())
+	return s.Sink.Head(status, header)
 }
 
-func (d *Dispatcher) toUpstream(ctx context.Context, r *Request, u *routing.Upstream, sink Sink) relay.Result {
-	u.Counters.InFlight.Add(1)
-	defer u.Counters.InFlight.Add(-1)
+// Forwarded returns how many requests were sent to another region.
+func (d *Dispatcher) Forwarded() int64 { return d.forwarded.Load() }
+
+func (d *Dispatcher) toPeer(ctx context.Context, r *Request, peer routing.Peer, sink Sink) relay.Result {
+	d.forwarded.Add(1)
+	if peer.Counters == nil {
+		return d.Forward.Forward(ctx, peer, r, sink)
+	}
+	prefill := peer.Counters.Begin(time.Now(), int64(r.Prompt.Tokens), 0)
+	defer prefill.End()
+	return d.Forward.Forward(ctx, peer, r, firstByteSink{sink, prefill})
+}
+
+func (d *Dispatcher) toUpstream(ctx context.Context, r *Request, u *routing.Upstream, choice routing.Choice, sink Sink) relay.Result {
+	now := time.Now()
+	prefill := u.Counters.Begin(now, choice.Tokens, choice.Ahead)
+	defer prefill.End()
+	if d.Prefixes != nil {
+		d.Prefixes.Add(now.UnixNano(), u.Counters.Number(), r.Prompt.Hashes)
+	}
 	result := d.Relay.Do(ctx, relay.Attempt{
 		RequestID:  r.ID,
 		Address:    u.Address,
@@ -255,7 +308,7 @@
 		Stream:     r.Position,
 		Repeatable: r.Repeatable,
 		Completion: r.Completion(),
-	}, sink)
+	}, firstByteSink{sink, prefill})
 	if result.Err == nil {
 		u.Counters.Failures.Store(0)
 	} else if result.UpstreamFault {
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -50,6 +50,8 @@
 type inferenceBody struct {
 	Model  string
 	Stream bool
+	// Content is the field with the question.
+	Content json.RawMessage
 }
 
 // parseInference checks the body of a completion request. content names the field
@@ -74,7 +76,8 @@
 			return body, malformed("the field stream must be true or false")
 		}
 	}
-	return body, checkContent(fields[content], content)
+	body.Content = fields[content]
+	return body, checkContent(body.Content, content)
 }
 
 // checkContent checks the first byte only; the engine checks the rest.
--- a/internal/gateway/inference.go
+++ b/internal/gateway/inference.go
@@ -2,10 +2,10 @@
 
 import (
 	"net/http"
-	"strings"
 
 	"heatherloom/internal/dispatch"
 	"heatherloom/internal/errkind"
+	"heatherloom/internal/promptprefix"
 )
 
 // inference serves the completion endpoints.
@@ -21,7 +21,7 @@
 	if err := readBody(c); err != nil {
 		return err
 	}
-	body, err := parseInference(c.body, contentField(c.r.URL.Path))
+	body, err := parseInference(c.body, promptprefix.ContentField(c.r.URL.Path))
 	if err != nil {
 		return err
 	}
@@ -41,6 +41,7 @@
 		Header:      upstreamHeader(c),
 		Body:        c.body,
 		Target:      target,
+		Prompt:      promptprefix.Of(target, body.Content),
 		Stream:      body.Stream,
 		Repeatable:  true,
 		BoundRegion: account.Home,
@@ -48,13 +49,6 @@
 	})
 }
 
-func contentField(path string) string {
-	if strings.HasSuffix(path, "/chat/completions") {
-		return "messages"
-	}
-	return "prompt"
-}
-
 // modelTarget returns the model@version that carries the request.
 func modelTarget(c *call, name string) (string, *errkind.Error) {
 	model, ok := c.snapshot.Config.Models[name]
--- /dev/null
+++ b/internal/node/engines.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"heatherloom/internal/control"
+	"heatherloom/internal/platform"
+	"heatherloom/internal/platform/engineapi"
+	"heatherloom/internal/routing"
+)
+
+const (
+	// loadPollInterval is the time between two readings of an engine's load.
+	loadPollInterval = 250 * time.Millisecond
+	// cacheRetryInterval is the pause after a stream of cache events broke.
+	cacheRetryInterval = time.Second
+	// watchedEnginesInterval is the time between two comparisons with the snapshot.
+	watchedEnginesInterval = 250 * time.Millisecond
+)
+
+// engineWatcher follows the load and the cache events of the engines of the snapshot.
+type engineWatcher struct {
+	loop     *control.Loop
+	client   *engineapi.Client
+	prefixes *routing.PrefixIndex
+}
+
+// watched identifies an engine; one that moved to another address is another one.
+type watched struct {
+	id      string
+	address string
+}
+
+// run follows engines until ctx ends.
+func (w *engineWatcher) run(ctx context.Context) {
+	followed := map[watched]context.CancelFunc{}
+	defer func() {
+		for _, cancel := range followed {
+			cancel()
+		}
+	}()
+	ticker := time.NewTicker(watchedEnginesInterval)
+	defer ticker.Stop()
+	for {
+		w.compare(ctx, followed)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// compare starts following new engines and stops following those that are gone.
+func (w *engineWatcher) compare(ctx context.Context, followed map[watched]context.CancelFunc) {
+	present := map[watched]bool{}
+	for _, u := range w.loop.Snapshot().Upstreams {
+		if u.Role != platform.RoleEngine {
+			continue
+		}
+		key := watched{id: u.ID, address: u.Address}
+		present[key] = true
+		if _, ok := followed[key]; !ok {
+			own, cancel := context.WithCancel(ctx)
+			followed[key] = cancel
+			go w.pollLoad(own, u)
+			go w.followCache(own, u)
+		}
+	}
+	for key, cancel := range followed {
+		if !present[key] {
+			cancel()
+			delete(followed, key)
+		}
+	}
+}
+
+func (w *engineWatcher) pollLoad(ctx context.Context, u routing.Upstream) {
+	ticker := time.NewTicker(loadPollInterval)
+	defer ticker.Stop()
+	for {
+		if load, err := w.client.Load(ctx, u.Address); err == nil {
+			w.loop.Post(ctx, control.LoadEvent{Upstream: u.ID, Load: load})
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// followCache corrects the index by the engine's events. A gap or a broken stream
+// clears the view of the engine, since dropped blocks may have gone unnoticed.
+func (w *engineWatcher) followCache(ctx context.Context, u routing.Upstream) {
+	for {
+		last := int64(-1)
+		_ = w.client.CacheEvents(ctx, u.Address, func(e engineapi.CacheEvent) {
+			if last >= 0 && e.Sequence != last+1 {
+				u.Counters.ForgetPrefixes()
+			}
+			last = e.Sequence
+			w.prefixes.Remove(u.Counters.Number(), e.Removed)
+			w.prefixes.Add(time.Now().UnixNano(), u.Counters.Number(), e.Stored)
+		})
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(cacheRetryInterval):
+		}
+		u.Counters.ForgetPrefixes()
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,11 +20,13 @@
 	"heatherloom/internal/lease"
 	"heatherloom/internal/peer"
 	"heatherloom/internal/platform"
+	"heatherloom/internal/platform/engineapi"
 	"heatherloom/internal/platform/etcdgw"
 	"heatherloom/internal/platform/httpsd"
 	"heatherloom/internal/platform/scim"
 	"heatherloom/internal/quarantine"
 	"heatherloom/internal/relay"
+	"heatherloom/internal/routing"
 	"heatherloom/internal/settings"
 )
 
@@ -41,15 +43,27 @@
 	CallerAddress string
 	PeerAddress   string
 
-	loop    *control.Loop
-	lease   *lease.Holder
-	servers []*http.Server
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
+	loop       *control.Loop
+	dispatcher *dispatch.Dispatcher
+	lease      *lease.Holder
+	servers    []*http.Server
+	cancel     context.CancelFunc
+	done       sync.WaitGroup
+}
+
+// Options change the parts of an entry instance for experiments and tests.
+type Options struct {
+	// DialPeer connects to other entry instances; nil for a plain TCP connection.
+	DialPeer func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Start starts an entry instance and returns once its listeners are open.
 func Start(s settings.Settings, log *logrus.Logger) (*Node, error) {
+	return StartWith(s, log, Options{})
+}
+
+// StartWith starts an entry instance with options.
+func StartWith(s settings.Settings, log *logrus.Logger, o Options) (*Node, error) {
 	caller, err := net.Listen("tcp", s.Listeners.Caller)
 	if err != nil {
 		return nil, eris.Wrap(err, "open the caller listener")
@@ -60,7 +74,7 @@
 		return nil, eris.Wrap(err, "open the peer listener")
 	}
 	n := &Node{CallerAddress: caller.Addr().String(), PeerAddress: peerListener.Addr().String()}
-	if err := n.wire(s, log, caller, peerListener); err != nil {
+	if err := n.wire(s, log, o, caller, peerListener); err != nil {
 		_ = caller.Close()
 		_ = peerListener.Close()
 		return nil, err
@@ -68,12 +82,23 @@
 	return n, nil
 }
 
-func (n *Node) wire(s settings.Settings, log *logrus.Logger, caller, peerListener net.Listener) error {
+func (n *Node) wire(s settings.Settings, log *logrus.Logger, o Options, caller, peerListener net.Listener) error {
 	entry := log.WithField("instance", s.Instance.ID)
 	identity := n.identity(s)
 	n.loop = control.NewLoop(identity)
 	peers := peer.NewClient(identity.ID, s.Peer.Secret)
+	if o.DialPeer != nil {
+		peers.DialWith(o.DialPeer)
+	}
+	prefixes := routing.NewPrefixIndex()
+	policy, err := routing.NewPolicy(s.Policy.Name, s.Policy.Weights(), prefixes)
+	if err != nil {
+		return err
+	}
 	dispatcher := &dispatch.Dispatcher{Snapshot: n.loop.Snapshot, Relay: relay.New(relay.DefaultLimits()), Forward: peers}
+	n.dispatcher = dispatcher
+	dispatcher.Policy = policy
+	dispatcher.Prefixes = prefixes
 	dispatcher.ReportCrash = func(c quarantine.Crash) {
 		n.loop.Post(context.Background(), control.CrashEvent{Crash: c})
 	}
@@ -91,7 +116,7 @@
 	server.Config = &configsync.Source{Loop: n.loop}
 	n.serve(caller, &http.Server{Handler: handler}, entry)
 	n.serve(peerListener, &http.Server{Handler: server.Handler(), Protocols: peerProtocols()}, entry)
-	n.runControl(s, entry, identity, peers)
+	n.runControl(s, entry, identity, peers, prefixes)
 	return nil
 }
 
@@ -128,7 +153,7 @@
 }
 
 // runControl starts the control goroutine and what feeds it.
-func (n *Node) runControl(s settings.Settings, log *logrus.Entry, identity control.Identity, peers *peer.Client) {
+func (n *Node) runControl(s settings.Settings, log *logrus.Entry, identity control.Identity, peers *peer.Client, prefixes *routing.PrefixIndex) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	store := etcdgw.New(s.Platform.Store)
@@ -143,6 +168,8 @@
 	n.lease = lease.New(store, lease.DomainKey(identity.FailureDomain), identity.ID, lease.DefaultTTL, time.Now)
 	n.done.Go(func() { n.lease.Run(ctx, syncer.IsWatcher) })
 	n.done.Go(func() { pollInstances(ctx, list, n.loop) })
+	engines := &engineWatcher{loop: n.loop, client: engineapi.New(), prefixes: prefixes}
+	n.done.Go(func() { engines.run(ctx) })
 	if s.Platform.Directory != "" {
 		directory := scim.New(s.Platform.Directory, scim.FilterInactive)
 		n.done.Go(func() { pollDirectory(ctx, directory, n.loop, log) })
@@ -167,6 +194,12 @@
 // Ready reports whether a configuration is in force.
 func (n *Node) Ready() bool { return n.loop.Snapshot().Ready }
 
+// Snapshot returns the state that the traffic of the instance reads.
+func (n *Node) Snapshot() *routing.Snapshot { return n.loop.Snapshot() }
+
+// Forwarded returns how many requests the instance sent to another region.
+func (n *Node) Forwarded() int64 { return n.dispatcher.Forwarded() }
+
 // Shutdown takes no new work, ends the requests that run, and stops the instance.
 // It returns an error if ctx ends first.
 func (n *Node) Shutdown(ctx context.Context) error {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -30,6 +30,8 @@
 	secret string
 	limits relay.Limits
 	http   *http.Client
+	// transport is the one inside http.
+	transport *http.Transport
 
 	mu      sync.Mutex
 	clients map[string]peerv1connect.PeerServiceClient
@@ -48,14 +50,20 @@
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
-		selfID:  selfID,
-		secret:  secret,
-		limits:  relay.DefaultLimits(),
-		http:    &http.Client{Transport: onceTransport{transport}, CheckRedirect: noRedirect},
-		clients: map[string]peerv1connect.PeerServiceClient{},
+		selfID:    selfID,
+		secret:    secret,
+		limits:    relay.DefaultLimits(),
+		transport: transport,
+		http:      &http.Client{Transport: onceTransport{transport}, CheckRedirect: noRedirect},
+		clients:   map[string]peerv1connect.PeerServiceClient{},
 	}
 }
 
+// DialWith replaces the way to connect to peers. It is called before the first use.
+func (c *Client) DialWith(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	c.transport.DialContext = dial
+}
+
 // At returns the service client of the peer listener at address.
 func (c *Client) At(address string) peerv1connect.PeerServiceClient {
 	c.mu.Lock()
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -173,6 +173,9 @@
 		Asked:       asked,
 		Confirmed:   confirmedAt(asked, m),
 	}
+	if !asked.IsZero() {
+		event.RoundTrip = time.Since(asked)
+	}
 	for _, k := range known {
 		event.Known = append(event.Known, control.KnownMember{
 			Peer:        peerOf(k),
@@ -193,5 +196,9 @@
 		OperatorURL:    m.GetOperatorUrl(),
 		Draining:       m.GetDraining(),
 		ConfigRevision: m.GetConfigRevision(),
+		Remote: routing.Remote{
+			Engines:      m.GetEngines(),
+			QueueSeconds: (time.Duration(m.GetQueueUs()) * time.Microsecond).Seconds(),
+		},
 	}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -14,6 +14,7 @@
 	"heatherloom/internal/errkind"
 	"heatherloom/internal/peer/peerv1"
 	"heatherloom/internal/peer/peerv1/peerv1connect"
+	"heatherloom/internal/promptprefix"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/routing"
 )
@@ -110,7 +111,7 @@
 }
 
 func requestOf(m *peerv1.ForwardRequest) *dispatch.Request {
-	return &dispatch.Request{
+	r := &dispatch.Request{
 		ID:          m.GetRequestId(),
 		Account:     m.GetAccount(),
 		Method:      m.GetMethod(),
@@ -127,6 +128,10 @@
 		Visited:     m.GetVisited(),
 		Deadline:    time.Unix(0, m.GetDeadline()),
 	}
+	if r.Completion() {
+		r.Prompt = promptprefix.OfBody(r.Target, r.Path, r.Body)
+	}
+	return r
 }
 
 // positionOf returns the position of a stream that another instance has begun.
@@ -166,7 +171,10 @@
 
 // SelfMember returns this instance's row as it announces itself.
 func SelfMember(id control.Identity, s *routing.Snapshot) *peerv1.Member {
+	engines, queue := s.EngineQueue()
 	return &peerv1.Member{
+		Engines:        engines,
+		QueueUs:        queue.Microseconds(),
 		Id:             id.ID,
 		Region:         id.Region,
 		FailureDomain:  id.FailureDomain,
--- /dev/null
+++ b/internal/promptprefix/promptprefix.go
@@ -0,0 +1,72 @@
+// Package promptprefix hashes the prompt of a completion request block by block, so
+// that requests with a common beginning have common leading hashes.
+package promptprefix
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// BlockBytes is the length of a block. Engines cache blocks of 16 to 256 tokens;
+	// the longest of them keeps the number of lookups per request small.
+	BlockBytes = 1024
+	// BytesPerToken is the usual length of a token of English text.
+	BytesPerToken = 4
+	// BlockTokens is the length of a block in tokens.
+	BlockTokens = BlockBytes / BytesPerToken
+	// MaxBlocks bounds the hashes of one request to its first 32,768 tokens.
+	MaxBlocks = 128
+)
+
+// Prompt is what routing needs to know of the content of a request.
+type Prompt struct {
+	// Hashes hold one hash for each whole block; each covers all blocks before it.
+	Hashes []uint64
+	// Tokens is the estimated length of the prompt.
+	Tokens int
+}
+
+// Of hashes the content of a request: the JSON of the field messages or prompt.
+// Prompts of different targets have no hashes in common.
+func Of(target string, content []byte) Prompt {
+	p := Prompt{Tokens: len(content)/BytesPerToken + 1}
+	blocks := min(len(content)/BlockBytes, MaxBlocks)
+	if blocks == 0 {
+		return p
+	}
+	p.Hashes = make([]uint64, blocks)
+	chain := xxhash.Sum64String(target)
+	var digest xxhash.Digest
+	var previous [8]byte
+	for i := range blocks {
+		binary.LittleEndian.PutUint64(previous[:], chain)
+		digest.Reset()
+		_, _ = digest.Write(previous[:])
+		_, _ = digest.Write(content[i*BlockBytes : (i+1)*BlockBytes])
+		chain = digest.Sum64()
+		p.Hashes[i] = chain
+	}
+	return p
+}
+
+// ContentField returns the field that holds the content of a completion request.
+func ContentField(path string) string {
+	if strings.HasSuffix(path, "/chat/completions") {
+		return "messages"
+	}
+	return "prompt"
+}
+
+// OfBody hashes the content of a whole request body. A body without content has no
+// hashes.
+func OfBody(target, path string, body []byte) Prompt {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(body, &fields) != nil {
+		return Prompt{}
+	}
+	return Of(target, fields[ContentField(path)])
+}
--- /dev/null
+++ b/internal/routing/ramp.go
@@ -0,0 +1,11 @@
+package routing
+
+// rampFactor is the ramp scorer: an upstream that has just come up costs more, so that
+// its empty queue does not attract all work at once.
+func rampFactor(u *Upstream, now int64, w *Weights) float64 {
+	age := now - u.Counters.Since.Load()
+	if w.Ramp <= 0 || age >= int64(w.Ramp) {
+		return 1
+	}
+	return 1 + w.RampCost*(1-float64(max(age, 0))/float64(w.Ramp))
+}
--- /dev/null
+++ b/internal/routing/roundrobin.go
@@ -0,0 +1,25 @@
+package routing
+
+import "sync/atomic"
+
+// roundRobin takes the upstreams of the region in turn.
+type roundRobin struct {
+	next atomic.Uint64
+}
+
+func (*roundRobin) Name() string { return NameRoundRobin }
+
+func (p *roundRobin) Pick(s *Snapshot, r *Request, x *Scratch) (Choice, error) {
+	candidates := s.ByTarget[r.Target]
+	if !staysLocal(s, r) || len(candidates) == 0 {
+		return baselinePeer(s, r, x)
+	}
+	start := p.next.Add(1)
+	for k := range candidates {
+		i := candidates[(start+uint64(k))%uint64(len(candidates))]
+		if allowsUpstream(&s.Upstreams[i], r) {
+			return upstreamChoice(i, r)
+		}
+	}
+	return baselinePeer(s, r, x)
+}
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -6,7 +6,6 @@
 package routing
 
 import (
-	"sync/atomic"
 	"time"
 
 	"heatherloom/internal/membership"
@@ -34,14 +33,6 @@
 	Counters *Counters
 }
 
-// Counters are the live figures of an upstream, updated by traffic.
-type Counters struct {
-	// InFlight is the number of attempts of this instance that run now.
-	InFlight atomic.Int64
-	// Failures counts failed attempts since the last success.
-	Failures atomic.Int64
-}
-
 // Peer is an entry instance that this instance knows.
 type Peer struct {
 	ID            string
@@ -64,6 +55,11 @@
 	// Confirmed is when the peer's configuration was known to be the latest one;
 	// zero if it is not known.
 	Confirmed time.Time
+	// Remote is what the latest heartbeat told of the peer's region.
+	Remote Remote
+	// Counters are shared by all snapshots in which the peer appears; nil in a peer
+	// that is not part of a snapshot.
+	Counters *Counters
 }
 
 // Split divides the traffic of a target between two versions.
@@ -97,6 +93,8 @@
 	Upstreams []Upstream
 	// ByTarget lists, for each model@version and service, indexes into Upstreams.
 	ByTarget map[string][]int32
+	// ByNumber lists the indexes into Upstreams by Counters.Number.
+	ByNumber map[uint32]int32
 	// Peers are the other entry instances that were heard from recently.
 	Peers []Peer
 	// Listed are the other entry instances of the instance list, and Former those
@@ -124,10 +122,12 @@
 	return !s.ConfigValidUntil.IsZero() && now.After(s.ConfigValidUntil)
 }
 
-// Index fills ByTarget from Upstreams. It is called once before publication.
+// Index fills ByTarget and ByNumber from Upstreams. It is called once before publication.
 func (s *Snapshot) Index() {
 	s.ByTarget = make(map[string][]int32)
+	s.ByNumber = make(map[uint32]int32, len(s.Upstreams))
 	for i := range s.Upstreams {
+		s.ByNumber[s.Upstreams[i].Counters.Number()] = int32(i)
 		for _, target := range s.Upstreams[i].Targets {
 			s.ByTarget[target] = append(s.ByTarget[target], int32(i))
 		}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"heatherloom/internal/routing"
 )
 
 // required stands in place of a default for keys that have none.
@@ -13,6 +15,8 @@
 	maxShutdownTimeout = time.Hour
 	minIsolation       = time.Minute
 	maxIsolation       = 24 * time.Hour
+	maxPolicyWeight    = 100
+	maxLinkMbit        = 1e6
 )
 
 // key is one key of the settings file.
@@ -46,4 +50,9 @@
 	{"peer.secret", required, in(secret, func(s *Settings) *string { return &s.Peer.Secret })},
 	{"peer.seeds", "", in(listOf(address), func(s *Settings) *[]string { return &s.Peer.Seeds })},
 	{"shutdown.timeout", "10m", in(duration(minShutdownTimeout, maxShutdownTimeout), func(s *Settings) *time.Duration { return &s.Shutdown.Timeout })},
+	{"policy.name", routing.NameDefault, in(oneOf(routing.PolicyNames()...), func(s *Settings) *string { return &s.Policy.Name })},
+	{"policy.preset", routing.PresetDerwent, in(oneOf(routing.PresetDerwent, routing.PresetGuild), func(s *Settings) *string { return &s.Policy.Preset })},
+	{"policy.prefill_weight", "0", in(number(0, maxPolicyWeight), func(s *Settings) *float64 { return &s.Policy.PrefillWeight })},
+	{"policy.spill_ratio", "0", in(number(0, maxPolicyWeight), func(s *Settings) *float64 { return &s.Policy.SpillRatio })},
+	{"policy.link_mbit", "0", in(number(0, maxLinkMbit), func(s *Settings) *float64 { return &s.Policy.LinkMbit })},
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"heatherloom/internal/routing"
 )
 
 // Settings are the settings of an entry instance.
@@ -18,6 +20,7 @@
 	Platform  Platform
 	Peer      Peer
 	Shutdown  Shutdown
+	Policy    Policy
 }
 
 // Instance is the section [instance].
@@ -77,6 +80,41 @@
 	Timeout time.Duration
 }
 
+// Policy is the section [policy].
+type Policy struct {
+	// Name is the routing policy. Default "default"; the others are baselines.
+	Name string
+	// Preset gives the weights that no other key of the section sets: derwent weights
+	// tail latency and the worst-served client account, guild cost. Default derwent.
+	Preset string
+	// PrefillWeight multiplies the prompt tokens that a request has to compute itself.
+	PrefillWeight float64
+	// SpillRatio is how many times the cost of another region the cost of this one has
+	// to be before a request is sent away.
+	SpillRatio float64
+	// LinkMbit is the bandwidth to other regions in Mbit/s.
+	LinkMbit float64
+}
+
+// bytesPerMbit converts Mbit/s to bytes per second.
+const bytesPerMbit = 1e6 / 8
+
+// Weights returns the weights of the preset with the changes of the other keys. A key
+// at 0 keeps the value of the preset.
+func (p Policy) Weights() routing.Weights {
+	w := routing.PresetWeights(p.Preset)
+	if p.PrefillWeight > 0 {
+		w.Prefill = p.PrefillWeight
+	}
+	if p.SpillRatio > 0 {
+		w.SpillRatio = p.SpillRatio
+	}
+	if p.LinkMbit > 0 {
+		w.LinkBytesPerSecond = p.LinkMbit * bytesPerMbit
+	}
+	return w
+}
+
 // Problem is one fault of a settings file.
 type Problem struct {
 	File string
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"net/url"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -157,3 +159,24 @@
 		return parse(text)
 	}
 }
+
+// oneOf accepts one of the given values.
+func oneOf(allowed ...string) func(string) (string, error) {
+	return func(text string) (string, error) {
+		if !slices.Contains(allowed, text) {
+			return "", fmt.Errorf("%q is not known; allowed are %s", text, strings.Join(allowed, ", "))
+		}
+		return text, nil
+	}
+}
+
+// number accepts a decimal number within bounds.
+func number(lowest, highest float64) func(string) (float64, error) {
+	return func(text string) (float64, error) {
+		value, err := strconv.ParseFloat(text, 64)
+		if err != nil || math.IsNaN(value) || value < lowest || value > highest {
+			return 0, fmt.Errorf("%q is not allowed; allowed is a number from %g to %g", text, lowest, highest)
+		}
+		return value, nil
+	}
+}
--- /dev/null
+++ b/internal/standin/modelengine.go
@@ -0,0 +1,228 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"heatherloom/internal/platform/engineapi"
+	"heatherloom/internal/promptprefix"
+)
+
+// ModelEngine is a stand-in of a model engine whose times follow the engine model. It
+// speaks the same API as Engine.
+type ModelEngine struct {
+	params ModelParams
+	mux    *http.ServeMux
+	batch  *batch
+
+	mu      sync.Mutex
+	server  *Server
+	address string
+	faults  EngineFaults
+	muted   map[string]struct{}
+	// earlier are the totals of the batches before a restart.
+	earlier ModelTotals
+	crashes atomic.Int64
+}
+
+// modelRequest holds the fields of a request that the model reads.
+type modelRequest struct {
+	Model     string          `json:"model"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+	// Priority is lower for requests that go first.
+	Priority int `json:"priority"`
+}
+
+// StartModelEngine starts a stand-in at address.
+func StartModelEngine(address string, p ModelParams) (*ModelEngine, error) {
+	e := &ModelEngine{params: p, mux: http.NewServeMux(), muted: map[string]struct{}{}}
+	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
+	e.mux.HandleFunc("GET /metrics", e.metrics)
+	e.mux.HandleFunc("GET "+engineapi.PathCacheEvents, e.cacheEvents)
+	server, err := listen(address, e.mux)
+	if err != nil {
+		return nil, err
+	}
+	e.server = server
+	e.address = server.Address()
+	e.batch = newBatch(p)
+	return e, nil
+}
+
+// Address returns host:port of the listener, which a restart keeps.
+func (e *ModelEngine) Address() string { return e.address }
+
+// Stop breaks all connections and loses the cache, as a crash does.
+func (e *ModelEngine) Stop() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.server.Close()
+	e.batch.stop()
+}
+
+// Restart starts the engine again after Stop, with a cold cache.
+func (e *ModelEngine) Restart() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	server, err := listen(e.address, e.mux)
+	if err != nil {
+		return err
+	}
+	e.earlier = sumTotals(e.earlier, e.batch.sums())
+	e.server = server
+	e.batch = newBatch(e.params)
+	return nil
+}
+
+// Totals returns the sums over all restarts.
+func (e *ModelEngine) Totals() ModelTotals {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return sumTotals(e.earlier, e.batch.sums())
+}
+
+func sumTotals(a, b ModelTotals) ModelTotals {
+	a.PrefillTokens += b.PrefillTokens
+	a.CachedTokens += b.CachedTokens
+	a.DecodeTokens += b.DecodeTokens
+	a.Busy += b.Busy
+	return a
+}
+
+// Crashes returns how often a request broke its connection by CrashOn.
+func (e *ModelEngine) Crashes() int64 { return e.crashes.Load() }
+
+// ClearCache drops all cached prefixes.
+func (e *ModelEngine) ClearCache() { e.current().clearCache() }
+
+// SetFaults replaces the fault switches; only those that act before an answer apply.
+func (e *ModelEngine) SetFaults(f EngineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// MuteConnections makes all open connections silent for good; new ones work.
+func (e *ModelEngine) MuteConnections() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.server.mu.Lock()
+	defer e.server.mu.Unlock()
+	for c := range e.server.conns {
+		e.muted[c.RemoteAddr().String()] = struct{}{}
+	}
+}
+
+func (e *ModelEngine) current() *batch {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.batch
+}
+
+func (e *ModelEngine) complete(w http.ResponseWriter, r *http.Request) {
+	raw, req, err := decodeBody[modelRequest](w, r)
+	if err != nil || req.MaxTokens < 1 {
+		http.Error(w, "the body must be a chat request with max_tokens", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	faults := e.faults
+	_, muted := e.muted[r.RemoteAddr]
+	e.mu.Unlock()
+	if muted {
+		<-r.Context().Done()
+		return
+	}
+	if faults.CrashOn != "" && strings.Contains(string(raw), faults.CrashOn) {
+		e.crashes.Add(1)
+	}
+	if !injectFaults(w, r, faults, raw) {
+		return
+	}
+	s := e.current().submit(r.Context(), req.Priority, promptprefix.Of(e.params.Model, req.Messages), req.MaxTokens)
+	id := r.Header.Get("X-Request-Id")
+	w.Header().Set("X-Request-Id", id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	e.stream(w, r, s, completion{id: id, model: req.Model, chat: true}, raw)
+}
+
+func (e *ModelEngine) stream(w http.ResponseWriter, r *http.Request, s *sequence, answer completion, body []byte) {
+	controller := http.NewResponseController(w)
+	for i := range cap(s.tokens) {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-s.tokens:
+		}
+		raw, _ := json.Marshal(answer.part(ModelToken(body, i)))
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, raw); err != nil {
+			return
+		}
+		if controller.Flush() != nil {
+			return
+		}
+	}
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+// ModelToken returns token i of the answer to a request body.
+func ModelToken(body []byte, i int) string {
+	h := fnv.New64a()
+	_, _ = h.Write(body[max(0, len(body)-answerKeyBytes):])
+	return fmt.Sprintf("w%x-%d ", h.Sum64()&0xffffff, i)
+}
+
+// answerKeyBytes is the end of a body that determines its answer. Hashing the whole
+// body for each token took more time than the rest of the stand-in.
+const answerKeyBytes = 256
+
+func (e *ModelEngine) metrics(w http.ResponseWriter, _ *http.Request) {
+	load := e.current().load(time.Now())
+	_, _ = fmt.Fprintf(w, "%s %d\n%s %d\n", engineapi.MetricRunning, load.running, engineapi.MetricWaiting, load.waiting)
+}
+
+// cacheEvents sends the events of the cache as they become visible.
+func (e *ModelEngine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(w)
+	_ = controller.Flush()
+	b := e.current()
+	lag := b.scaled(b.params.EventLag)
+	ticker := time.NewTicker(max(lag/4, time.Millisecond))
+	defer ticker.Stop()
+	b.mu.Lock()
+	last := b.events.last
+	b.mu.Unlock()
+	for {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-b.done:
+			return
+		case now := <-ticker.C:
+			b.mu.Lock()
+			events := b.events.after(last, now.Add(-lag))
+			b.mu.Unlock()
+			for _, event := range events {
+				last = event.sequence
+				writeCacheEvent(w, event)
+			}
+			_ = controller.Flush()
+		}
+	}
+}
+
+func writeCacheEvent(w http.ResponseWriter, event cacheEvent) {
+	if event.lost {
+		return
+	}
+	raw, _ := json.Marshal(engineapi.CacheEvent{Stored: event.stored, Removed: event.removed})
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", event.sequence, raw)
+}
