Send requests away only behind a real backlog, and count refusals exactly

Change: besides the ratio of costs, 30,000 prompt tokens have to wait at the best upstream of the region. A wrongful refusal takes the token it was owed.

--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -102,7 +102,8 @@
 }
 
 // wrongfulRefusals replays the requests of each account in the order in which they were
-// sent. Admitted requests take a token; a refusal is wrongful if a token was there. The
+// sent. A refusal is wrongful if the exact bucket had a token for the request; it takes
+// that token, as admitted requests do, so that one token makes one refusal wrongful. The
 // bucket starts empty, as those of the entry instances do.
 func wrongfulRefusals(p Plan, samples []sample) int {
 	ordered := slices.Clone(samples)
@@ -115,9 +116,12 @@
 	for i := range ordered {
 		b := &buckets[ordered[i].arrival.account]
 		b.refill(ordered[i].sent)
-		if ordered[i].outcome != string(errkind.RateLimited) {
-			b.tokens--
-		} else if b.tokens >= 1 {
+		refused := ordered[i].outcome == string(errkind.RateLimited)
+		if refused && b.tokens < 1 {
+			continue
+		}
+		b.tokens--
+		if refused {
 			wrongful++
 		}
 	}
--- a/internal/routing/weighted.go
+++ b/internal/routing/weighted.go
@@ -97,7 +97,7 @@
 		return chosen
 	}
 	local := float64(best.tokens+best.ahead) * perToken
-	if r.Tokens == 0 || s.Peers[chosen].Remote.Engines == 0 || local <= cheapest*p.weights.SpillRatio {
+	if best.ahead < p.weights.SpillTokens || s.Peers[chosen].Remote.Engines == 0 || local <= cheapest*p.weights.SpillRatio {
 		return none
 	}
 	return chosen
--- a/internal/routing/weights.go
+++ b/internal/routing/weights.go
@@ -21,6 +21,9 @@
 	// SpillRatio is how many times the cost of another region the cost of this one has
 	// to be before a request is sent away.
 	SpillRatio float64
+	// SpillTokens are the prompt tokens that have to wait at the best upstream of this
+	// region before a request is sent away.
+	SpillTokens int64
 	// LinkBytesPerSecond is the bandwidth to other regions.
 	LinkBytesPerSecond float64
 }
@@ -43,6 +46,7 @@
 		Ramp:               10 * time.Second,
 		RampCost:           0.5,
 		SpillRatio:         3,
+		SpillTokens:        30_000, // 1.8 s, more than three times the first token target of 0.52 s
 		LinkBytesPerSecond: 250e6,
 	}
 	if preset == PresetGuild {
