Remember prompts sent to other regions in the prefix index

Cause: with a region lost its requests went to either of the other regions by queue alone, so that a document was computed in both.

Change: peers are holders in the prefix index as upstreams are, and a cached prefix lowers the cost of sending a request to that peer.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -288,6 +288,9 @@
 	}
 	prefill := peer.Counters.Begin(time.Now(), int64(r.Prompt.Tokens), 0)
 	defer prefill.End()
+	if d.Prefixes != nil {
+		d.Prefixes.Add(time.Now().UnixNano(), peer.Counters.Number(), r.Prompt.Hashes)
+	}
 	return d.Forward.Forward(ctx, peer, r, firstByteSink{sink, prefill})
 }
 
--- a/internal/routing/link.go
+++ b/internal/routing/link.go
@@ -11,13 +11,13 @@
 }
 
 // remoteSeconds is the distance and link scorer: the estimated time to the first token
-// over peer p, whose cache is taken as empty.
-func remoteSeconds(p *Peer, r *Request, w *Weights, perToken float64) float64 {
+// over peer p, behind which so many of the prompt's tokens are cached.
+func remoteSeconds(p *Peer, r *Request, w *Weights, perToken float64, cached int64) float64 {
 	transfer := 0.0
 	if w.LinkBytesPerSecond > 0 {
 		transfer = float64(r.Bytes) / w.LinkBytesPerSecond
 	}
 	engines := float64(max(p.Remote.Engines, 1))
 	own := float64(p.Counters.PendingTokens.Load()) / engines
-	return p.Remote.RoundTripSeconds + transfer + p.Remote.QueueSeconds + (own+float64(r.Tokens))*perToken
+	return p.Remote.RoundTripSeconds + transfer + p.Remote.QueueSeconds + (own+float64(max(r.Tokens-cached, 0)))*perToken
 }
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -54,6 +54,8 @@
 type Scratch struct {
 	rng     *rand.Rand
 	matches [maxMatches]match
+	// found is the used part of matches.
+	found []match
 }
 
 // NewScratch returns a working space whose random choices follow from seed.
--- a/internal/routing/weighted.go
+++ b/internal/routing/weighted.go
@@ -24,6 +24,7 @@
 // reports do not send all instances to the same upstream.
 func (p *weighted) Pick(s *Snapshot, r *Request, x *Scratch) (Choice, error) {
 	best := scored{index: none}
+	x.found = p.index.matches(r.Now, r.Prefix, x.matches[:0])
 	if staysLocal(s, r) {
 		p.compareCached(s, r, x, &best)
 		p.compareSample(s, r, x, &best)
@@ -39,7 +40,7 @@
 
 // compareCached scores the upstreams that hold a prefix of the prompt.
 func (p *weighted) compareCached(s *Snapshot, r *Request, x *Scratch, best *scored) {
-	for _, m := range p.index.matches(r.Now, r.Prefix, x.matches[:0]) {
+	for _, m := range x.found {
 		i, ok := s.ByNumber[m.number]
 		if ok && s.Upstreams[i].serves(r.Target) {
 			p.compare(s, r, i, int64(m.blocks)*promptprefix.BlockTokens, best)
@@ -117,7 +118,7 @@
 		if !allowsPeer(s, peer, r) {
 			continue
 		}
-		cost := remoteSeconds(peer, r, &p.weights, perToken)
+		cost := remoteSeconds(peer, r, &p.weights, perToken, cachedAt(peer, x))
 		if r.Tokens > 0 && peer.Remote.Engines == 0 {
 			cost += unknownRegionSeconds
 		}
@@ -129,4 +130,16 @@
 	return chosen, cheapest
 }
 
+// cachedAt returns the prompt tokens that an earlier request over the peer left in a
+// cache behind it.
+func cachedAt(p *Peer, x *Scratch) int64 {
+	number := p.Counters.Number()
+	for _, m := range x.found {
+		if m.number == number {
+			return int64(m.blocks) * promptprefix.BlockTokens
+		}
+	}
+	return 0
+}
+
 func (u *Upstream) serves(target string) bool { return contains(u.Targets, target) }
