--- a/cmd/heatherloom/bench.go
+++ b/cmd/heatherloom/bench.go
@@ -13,14 +13,14 @@
 
 // benchFlags are the values of the flags of the subcommand bench.
 type benchFlags struct {
-	profile, policy, baseline, csv string
+	profile, policy, baseline, csv, html string
 	plan                           bench.Plan
 }
 
 func runBench(args []string) int {
 	flags := newFlagSet("bench", "Measures routing policies with real entry instances over loopback against stand-ins.",
 		"bench -profile derwent -policy default -baseline least-outstanding -seed 1 -duration 20s",
-		"bench -profile guild -baseline power-of-two -fault region-loss",
+		"bench -profile guild -baseline power-of-two -fault region-loss -html report.html",
 		"bench -profile derwent -greedy 5 -o report.csv")
 	f := defineBenchFlags(flags)
 	if _, status, done := parseFlags(flags, args); done {
@@ -35,7 +35,7 @@
 		err = report.WriteText(os.Stdout)
 	}
 	if err == nil {
-		err = report.WriteFiles(f.csv)
+		err = report.WriteFiles(f.csv, f.html)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "heatherloom bench:", err)
@@ -56,6 +56,7 @@
 	flags.StringVar(&f.plan.Fault, "fault", f.plan.Fault, "fault from one third to two thirds of the run: "+strings.Join(bench.FaultNames(), ", "))
 	flags.Float64Var(&f.plan.Model.TimeScale, "time-scale", f.plan.Model.TimeScale, "seconds of the model in one second")
 	flags.StringVar(&f.csv, "o", "", "write the requests to this CSV `FILE`")
+	flags.StringVar(&f.html, "html", "", "write a report with plots to this `FILE`")
 	return f
 }
 
--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,132 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/xml"
+	"io"
+	"math"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"heatherloom/internal/errkind"
+	"heatherloom/internal/routing"
+)
+
+func smallPlan(t *testing.T) Plan {
+	profile, err := ProfileByName("derwent")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := NewPlan(profile)
+	p.Duration = 2 * time.Second
+	p.Rate = 100
+	return p
+}
+
+// Guards against a load that differs between two policies, misses its rate, sends a
+// bound account from elsewhere, or has peaks at one time in all regions.
+func TestPlanFollowsSeed(t *testing.T) {
+	g := NewWithT(t)
+	p := smallPlan(t)
+	p.Duration = 100 * time.Second
+	a := plan(p.Profile, 1, p.Duration, 50, -1, 1)
+	g.Expect(plan(p.Profile, 1, p.Duration, 50, -1, 1)).To(Equal(a))
+	g.Expect(plan(p.Profile, 2, p.Duration, 50, -1, 1)).NotTo(Equal(a))
+	g.Expect(float64(len(a))).To(BeNumerically("~", 5000, 4*math.Sqrt(5000)))
+	firstHalf := make([]int, len(p.Profile.Regions))
+	total := make([]int, len(p.Profile.Regions))
+	for _, r := range a {
+		home := p.Profile.Accounts[r.account].Home
+		g.Expect(home == "" || home == p.Profile.Regions[r.region]).To(BeTrue())
+		total[r.region]++
+		if r.at < p.Duration/2 {
+			firstHalf[r.region]++
+		}
+	}
+	g.Expect(float64(firstHalf[0]) / float64(total[0])).To(BeNumerically(">", 0.6))
+	g.Expect(float64(firstHalf[2]) / float64(total[2])).To(BeNumerically("<", 0.5))
+}
+
+// Guards against a count of wrongful refusals that misses one, counts refusals above
+// the rate, or counts the same missing token again.
+func TestWrongfulRefusals(t *testing.T) {
+	g := NewWithT(t)
+	p := smallPlan(t)
+	p.Greedy = 5
+	rate, _ := p.limits(greedyAccount)
+	a := &arrival{account: greedyAccount}
+	limited := string(errkind.RateLimited)
+	token := time.Duration(float64(time.Second) / rate)
+	at := func(tokens float64, outcome string) sample {
+		return sample{arrival: a, sent: time.Duration(tokens * float64(token)), outcome: outcome}
+	}
+	g.Expect(wrongfulRefusals(p, []sample{at(0.5, limited), at(1.2, outcomeDone), at(1.5, limited), at(2.6, limited), at(2.7, limited)})).To(Equal(1))
+}
+
+// Guards against a run that does not end to end: answers that are lost or wrong, a
+// missing line of the report, or a report that needs outside resources.
+func TestRun(t *testing.T) {
+	g := NewWithT(t)
+	p := smallPlan(t)
+	p.Policies = []string{routing.NameDefault, routing.NameLeastOutstanding}
+	report, err := Run(context.Background(), p)
+	g.Expect(err).NotTo(HaveOccurred())
+	for i := range report.Results {
+		r := &report.Results[i]
+		g.Expect(r.Outcomes).To(Equal(map[string]int{outcomeDone: r.Requests}))
+		g.Expect(r.SentAway).To(BeZero())
+		g.Expect(r.Totals.PrefillTokens).To(BeNumerically(">", 0))
+	}
+	var text, html, csv bytes.Buffer
+	g.Expect(report.WriteText(&text)).To(Succeed())
+	for _, name := range []string{"ttft_p99", "prefill_tokens", "worst_account_ttft_p99", "sent_away"} {
+		g.Expect(text.String()).To(MatchRegexp(`(?m)^ratio metric=%s value=[0-9.]+$`, name))
+	}
+	g.Expect(text.String()).To(ContainSubstring("count metric=wrongful_refusals policy=default value=0\n"))
+	g.Expect(report.WriteCSV(&csv)).To(Succeed())
+	g.Expect(strings.Count(csv.String(), "\n")).To(Equal(1 + 2*report.Results[0].Requests))
+	g.Expect(report.WriteHTML(&html)).To(Succeed())
+	g.Expect(regexp.MustCompile(`(src|href)=|https?://|@import`).FindString(html.String())).To(BeEmpty())
+	svg := regexp.MustCompile(`(?s)<svg.*?</svg>`).FindAllString(html.String(), -1)
+	g.Expect(svg).To(HaveLen(4))
+	for _, s := range svg {
+		decoder := xml.NewDecoder(strings.NewReader(s))
+		for err = error(nil); err == nil; {
+			_, err = decoder.Token()
+		}
+		g.Expect(err).To(Equal(io.EOF))
+	}
+}
+
+// Guards against a stalled run that hangs instead of ending with an error.
+func TestStalledRunEnds(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	started := time.Now()
+	p := smallPlan(t)
+	p.Duration = time.Minute
+	_, err := Run(ctx, p)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(time.Since(started)).To(BeNumerically("<", 10*time.Second))
+}
+
+// Guards against a link without its delay or bandwidth, and one that a cut leaves open.
+func TestLink(t *testing.T) {
+	g := NewWithT(t)
+	d := &direction{delay: 50 * time.Millisecond, bandwidth: 1e6}
+	now := time.Now()
+	g.Expect(d.release(100_000).Sub(now)).To(BeNumerically("~", 150*time.Millisecond, 20*time.Millisecond))
+	g.Expect(d.release(100_000).Sub(now)).To(BeNumerically("~", 250*time.Millisecond, 20*time.Millisecond))
+	g.Expect(d.bytes.Load()).To(Equal(int64(200_000)))
+	w := newWAN(2, time.Millisecond, 1e6)
+	w.place("127.0.0.1:1", 1)
+	w.setCut(1, true)
+	_, err := w.dialFrom(0)(context.Background(), "tcp", "127.0.0.1:1")
+	g.Expect(err).To(MatchError(errLinkCut))
+}
--- a/internal/bench/output.go
+++ b/internal/bench/output.go
@@ -7,12 +7,17 @@
 	"strconv"
 )
 
-// WriteFiles writes the CSV file; an empty path is left out.
-func (r Report) WriteFiles(csvPath string) error {
-	if csvPath == "" {
-		return nil
+// WriteFiles writes the CSV and HTML files; an empty path is left out.
+func (r Report) WriteFiles(csvPath, htmlPath string) error {
+	if csvPath != "" {
+		if err := writeFile(csvPath, r.WriteCSV); err != nil {
+			return err
+		}
+	}
+	if htmlPath != "" {
+		return writeFile(htmlPath, r.WriteHTML)
 	}
-	return writeFile(csvPath, r.WriteCSV)
+	return nil
 }
 
 func writeFile(path string, write func(io.Writer) error) error {
