Space the preferred upstreams of the instances of a region evenly

Cause: by a hash of instance and upstream, three instances prefer three different ones of four engines in only 38% of cases.

Change: the instances of a region, in the order of their ids, start at evenly spaced upstreams of the same order; the cost grows with the distance from there up to 3,000 prompt tokens. The bench runs 4 instead of 8 model seconds in a second, since stalls of a busy machine made its latencies useless (late_send_p99 up to 3 s of model time), and says so if requests were sent late.

Conclusion: kept at 3,000 tokens.

--- a/cmd/heatherloom/bench.go
+++ b/cmd/heatherloom/bench.go
@@ -14,7 +14,7 @@
 // benchFlags are the values of the flags of the subcommand bench.
 type benchFlags struct {
 	profile, policy, baseline, csv, html string
-	plan                           bench.Plan
+	plan                                 bench.Plan
 }
 
 func runBench(args []string) int {
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -23,6 +23,11 @@
 // compared.
 const minAccountSamples = 30
 
+// noisyLateMillis is the lateness of the bench itself, in model time, from which its
+// latencies say more about the machine than about the policy. It is a tenth of the
+// floor of the p99 of the time to first token.
+const noisyLateMillis = 50
+
 // Result is what one policy made of the load. Times are model time.
 type Result struct {
 	Policy   string
@@ -202,6 +207,11 @@
 			return err
 		}
 	}
+	if late := millis(r.LateSend, 99); late > noisyLateMillis {
+		if _, err := fmt.Fprintf(w, "note policy=%s the machine was busy: requests were sent %.0f ms late at p99, and latencies are not reliable\n", r.Policy, late); err != nil {
+			return err
+		}
+	}
 	counts := map[string]int{"requests": r.Requests, "wrongful_refusals": r.Wrongful, outcomeIncomplete: 0, outcomeWrong: 0}
 	for outcome, n := range r.Outcomes {
 		counts[outcome] = n
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -40,9 +40,9 @@
 	closeTimeout = 2 * time.Second
 	// stallTimeout is how much longer than planned a run may take.
 	stallTimeout = 5 * time.Second
-	// DefaultTimeScale makes a run of 20 s cover 160 s, which is enough for about
-	// 5,000 requests of the derwent profile.
-	DefaultTimeScale = 8
+	// DefaultTimeScale makes a run of 20 s cover 80 s and about 2,900 requests of the
+	// derwent profile. At 8, stalls of a busy machine of 20 ms showed as 160 ms.
+	DefaultTimeScale = 4
 )
 
 // NewPlan returns the plan of a profile with the default engine model.
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -31,7 +31,8 @@
 	Load platform.Load
 	// Counters are shared by all snapshots in which the upstream appears.
 	Counters *Counters
-	// Preference is how little this instance prefers the upstream, see preferenceOf.
+	// Preference is how little this instance prefers the upstream, from 0 to below 1; see
+	// setPreferences.
 	Preference float64
 }
 
@@ -124,15 +125,15 @@
 	return !s.ConfigValidUntil.IsZero() && now.After(s.ConfigValidUntil)
 }
 
-// Index fills ByTarget, ByNumber and Preference from Upstreams. It is called once before publication.
+// Index fills ByTarget, ByNumber and the preferences from Upstreams. It is called once before publication.
 func (s *Snapshot) Index() {
 	s.ByTarget = make(map[string][]int32)
 	s.ByNumber = make(map[uint32]int32, len(s.Upstreams))
 	for i := range s.Upstreams {
-		s.Upstreams[i].Preference = preferenceOf(s.SelfID, s.Upstreams[i].ID)
 		s.ByNumber[s.Upstreams[i].Counters.Number()] = int32(i)
 		for _, target := range s.Upstreams[i].Targets {
 			s.ByTarget[target] = append(s.ByTarget[target], int32(i))
 		}
 	}
+	s.setPreferences()
 }
--- a/internal/routing/spread.go
+++ b/internal/routing/spread.go
@@ -1,18 +1,25 @@
 package routing
 
-import "github.com/cespare/xxhash/v2"
-
-// spreadSteps is the number of degrees of preference.
-const spreadSteps = 1 << 16
-
-// preferenceOf returns how little an instance prefers an upstream, from 0 to below 1.
-// Instances do not see what the others have just sent. Because each prefers other
-// upstreams, what an instance sent itself tells most about those that it prefers.
-func preferenceOf(instance, upstream string) float64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	_, _ = digest.WriteString(instance)
-	_, _ = digest.WriteString("/")
-	_, _ = digest.WriteString(upstream)
-	return float64(digest.Sum64()%spreadSteps) / spreadSteps
+// setPreferences sets how little this instance prefers each upstream. Instances do not
+// see what the others have just sent. Because the instances of a region start at evenly
+// spaced upstreams of the same order, what an instance sent itself tells most about
+// those that it prefers. Instances that disagree on the members only prefer less evenly.
+func (s *Snapshot) setPreferences() {
+	instances, rank := 1, 0
+	for i := range s.Peers {
+		if s.Peers[i].Region != s.Region {
+			continue
+		}
+		instances++
+		if s.Peers[i].ID < s.SelfID {
+			rank++
+		}
+	}
+	for _, candidates := range s.ByTarget {
+		n := len(candidates)
+		first := rank * n / instances
+		for k, i := range candidates {
+			s.Upstreams[i].Preference = float64((k-first+n)%n) / float64(n)
+		}
+	}
 }
--- a/internal/routing/weights.go
+++ b/internal/routing/weights.go
@@ -42,7 +42,7 @@
 		Prefill:            2,
 		Running:            16,
 		Sample:             8,
-		Spread:             1000,
+		Spread:             3000,
 		Ramp:               10 * time.Second,
 		RampCost:           0.5,
 		SpillRatio:         3,
