--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"heatherloom/internal/platform/scim"
 	"heatherloom/internal/quarantine"
 	"heatherloom/internal/relay"
+	"heatherloom/internal/routing"
 	"heatherloom/internal/settings"
 	"heatherloom/internal/telemetry"
 	"heatherloom/internal/timeline"
@@ -51,10 +52,11 @@
 	PeerAddress     string
 	OperatorAddress string
 
-	loop     *control.Loop
-	lease    *lease.Holder
-	gate     *drain.Gate
-	timeline *timeline.Recorder
+	loop       *control.Loop
+	dispatcher *dispatch.Dispatcher
+	lease      *lease.Holder
+	gate       *drain.Gate
+	timeline   *timeline.Recorder
 	// servers are the caller and peer listeners; operator outlives them, so that
 	// the end of a drain can be seen.
 	servers  []*http.Server
@@ -66,6 +68,12 @@
 	tls *tlsconfig.Source
 }
 
+// Options change the parts of an entry instance for experiments and tests.
+type Options struct {
+	// DialPeer connects to other entry instances; nil for a plain TCP connection.
+	DialPeer func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // listeners are the open sockets of an instance.
 type listeners struct {
 	caller, peer, operator net.Listener
@@ -101,6 +109,11 @@
 
 // Start starts an entry instance and returns once its listeners are open.
 func Start(s settings.Settings, log *logrus.Logger) (*Node, error) {
+	return StartWith(s, log, Options{})
+}
+
+// StartWith starts an entry instance with options.
+func StartWith(s settings.Settings, log *logrus.Logger, o Options) (*Node, error) {
 	l, err := openListeners(s.Listeners)
 	if err != nil {
 		return nil, err
@@ -116,7 +129,7 @@
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	err = n.loadTLS(s.TLS)
 	if err == nil {
-		err = n.wire(s, log, l)
+		err = n.wire(s, log, o, l)
 	}
 	if err != nil {
 		n.cancel()
@@ -126,7 +139,7 @@
 	return n, nil
 }
 
-func (n *Node) wire(s settings.Settings, log *logrus.Logger, l listeners) error {
+func (n *Node) wire(s settings.Settings, log *logrus.Logger, o Options, l listeners) error {
 	entry := log.WithField(telemetry.FieldInstance, s.Instance.ID)
 	identity := n.identity(s)
 	n.loop = control.NewLoop(identity)
@@ -138,7 +151,15 @@
 	if n.tls != nil {
 		peers.UseTLS(n.tls.Dial)
 	}
-	dispatcher := &dispatch.Dispatcher{
+	if o.DialPeer != nil {
+		peers.DialWith(o.DialPeer)
+	}
+	prefixes := routing.NewPrefixIndex()
+	policy, err := routing.NewPolicy(s.Policy.Name, s.Policy.Weights(), prefixes)
+	if err != nil {
+		return err
+	}
+	n.dispatcher = &dispatch.Dispatcher{
 		Snapshot: n.loop.Snapshot,
 		Relay:    relay.New(relay.DefaultLimits()),
 		Forward:  peers,
@@ -147,12 +168,14 @@
 			defer cancel()
 			n.loop.Post(ctx, control.CrashEvent{Crash: c})
 		},
+		Policy:   policy,
+		Prefixes: prefixes,
 		Timeline: n.timeline,
 		Metrics:  metrics,
 	}
 	handler, err := gateway.New(gateway.Deps{
 		Snapshot:   n.loop.Snapshot,
-		Dispatcher: dispatcher,
+		Dispatcher: n.dispatcher,
 		Buckets:    admission.NewBuckets(),
 		Log:        entry,
 		Drain:      n.gate,
@@ -164,7 +187,7 @@
 		return err
 	}
 	server := &peer.Server{
-		Identity: identity, Loop: n.loop, Dispatcher: dispatcher, Secret: s.Peer.Secret,
+		Identity: identity, Loop: n.loop, Dispatcher: n.dispatcher, Secret: s.Peer.Secret,
 		Config: &configsync.Source{Loop: n.loop},
 		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Gate: n.gate,
 		Log: entry,
@@ -174,7 +197,7 @@
 		n.serve(l.peer, &http.Server{Handler: server.Handler(), Protocols: n.peerProtocols(), TLSConfig: n.peerTLS()}, entry))
 	n.operator = n.serve(l.operator, &http.Server{Handler: n.operatorHandler(s, metrics), TLSConfig: n.callerTLS()}, entry)
 	n.followTLS(entry)
-	n.runControl(s, entry, identity, peers)
+	n.runControl(s, entry, identity, peers, prefixes)
 	return nil
 }
 
@@ -235,7 +258,7 @@
 }
 
 // runControl starts the control goroutine and what feeds it.
-func (n *Node) runControl(s settings.Settings, log *logrus.Entry, identity control.Identity, peers *peer.Client) {
+func (n *Node) runControl(s settings.Settings, log *logrus.Entry, identity control.Identity, peers *peer.Client, prefixes *routing.PrefixIndex) {
 	ctx := n.ctx
 	store := etcdgw.New(s.Platform.Store)
 	heartbeats := &peer.Heartbeater{Identity: identity, Loop: n.loop, Client: peers, Seeds: func() []string { return s.Peer.Seeds }}
@@ -249,6 +272,8 @@
 	n.lease = lease.New(store, lease.DomainKey(identity.FailureDomain), identity.ID, lease.DefaultTTL, time.Now)
 	n.done.Go(func() { n.lease.Run(ctx, syncer.IsWatcher) })
 	n.done.Go(func() { pollInstances(ctx, list, n.loop) })
+	engines := &engineWatcher{loop: n.loop, client: engineapi.New(), prefixes: prefixes}
+	n.done.Go(func() { engines.run(ctx) })
 	if s.Platform.Directory != "" {
 		directory := scim.New(s.Platform.Directory, scim.FilterInactive)
 		n.done.Go(func() { pollDirectory(ctx, directory, n.loop, log) })
@@ -273,3 +298,9 @@
 
 // Ready reports whether a configuration is in force.
 func (n *Node) Ready() bool { return n.loop.Snapshot().Ready }
+
+// Snapshot returns the state that the traffic of the instance reads.
+func (n *Node) Snapshot() *routing.Snapshot { return n.loop.Snapshot() }
+
+// Forwarded returns how many requests the instance sent to another region.
+func (n *Node) Forwarded() int64 { return n.dispatcher.Forwarded() }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -77,6 +77,11 @@
 	c.scheme = "https://"
 }
 
+// DialWith replaces the way to connect to peers. It is called before the first use.
+func (c *Client) DialWith(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	c.transport.DialContext = dial
+}
+
 // At returns the service client of the peer listener at address.
 func (c *Client) At(address string) peerv1connect.PeerServiceClient {
 	c.mu.Lock()
--- a/internal/platform/engineapi/load.go
+++ b/internal/platform/engineapi/load.go
@@ -20,8 +20,8 @@
 // Names of the metrics that the gateway reads. Series of one name are added up, since
 // an engine reports one for each model.
 const (
-	metricRunning = "vllm:num_requests_running"
-	metricWaiting = "vllm:num_requests_waiting"
+	MetricRunning = "vllm:num_requests_running"
+	MetricWaiting = "vllm:num_requests_waiting"
 )
 
 // cacheMetrics are the names of the used part of the KV cache, the newer one first.
@@ -37,6 +37,8 @@
 // Client reaches engines by their address, as host:port. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
+	// streams has no timeout.
+	streams *http.Client
 }
 
 var (
@@ -47,7 +49,10 @@
 // New returns a client without connections.
 func New() *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout}
-	return &Client{http: &http.Client{Timeout: callTimeout, Transport: transport}}
+	return &Client{
+		http:    &http.Client{Timeout: callTimeout, Transport: transport},
+		streams: &http.Client{Transport: transport},
+	}
 }
 
 // Load implements platform.LoadReporter. A report without the number of running
@@ -74,11 +79,11 @@
 	if err != nil {
 		return platform.Load{}, eris.Wrap(err, "parse load")
 	}
-	running, ok := sum(families[metricRunning])
+	running, ok := sum(families[MetricRunning])
 	if !ok {
-		return platform.Load{}, eris.Errorf("the load has no metric %s", metricRunning)
+		return platform.Load{}, eris.Errorf("the load has no metric %s", MetricRunning)
 	}
-	waiting, _ := sum(families[metricWaiting])
+	waiting, _ := sum(families[MetricWaiting])
 	load := platform.Load{Running: int(running), Waiting: int(waiting)}
 	for _, name := range cacheMetrics {
 		if used, ok := highest(families[name]); ok {
