Report the age of the configuration since it was last confirmed

Cause: status and metrics gave the time since the revision came into force, which grows on a healthy instance and says nothing about isolation.

Change: both give the time since the revision was known to be the latest one; the second clock in the control loop is gone. Ruled out: keeping both.

Conclusion: an isolated instance now shows by its age.

--- a/cmd/heatherloom/status.go
+++ b/cmd/heatherloom/status.go
@@ -34,7 +34,7 @@
 func printStatus(out io.Writer, s operatorapi.Status) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "instance %s, region %s, failure domain %s: %s\n", s.Instance, s.Region, s.FailureDomain, conditionOf(s))
-	fmt.Fprintf(w, "configuration revision %d in force for %.0f s, %d requests in flight\n", s.ConfigRevision, s.ConfigAgeSeconds, s.InFlight)
+	fmt.Fprintf(w, "configuration revision %d in force, known to be the latest one %.0f s ago, %d requests in flight\n", s.ConfigRevision, s.ConfigAgeSeconds, s.InFlight)
 	fmt.Fprintf(w, "\nROLLOUT\tVERSION\tSTATE\tSTEP\tREASON\n")
 	for _, r := range s.Rollouts {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d%%\t%s\n", r.Target, r.Version, r.State, r.Step, r.Reason)
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -21,9 +21,6 @@
 	inbox    chan Event
 	snapshot atomic.Pointer[routing.Snapshot]
 	observer Observer
-	// configSince is the time in Unix nanoseconds at which the configuration came
-	// into force; 0 before the first one.
-	configSince atomic.Int64
 }
 
 // NewLoop returns a loop whose first snapshot is not ready.
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -20,15 +20,6 @@
 // Observe sets the observer. It is called before Run.
 func (l *Loop) Observe(o Observer) { l.observer = o }
 
-// ConfigSince returns the time at which the configuration came into force; zero
-// before the first one.
-func (l *Loop) ConfigSince() time.Time {
-	if at := l.configSince.Load(); at != 0 {
-		return time.Unix(0, at)
-	}
-	return time.Time{}
-}
-
 // observe reports the differences of two successive snapshots.
 func (l *Loop) observe(old, new *routing.Snapshot, took time.Duration) {
 	if l.observer.Tick != nil {
@@ -38,7 +29,6 @@
 		invariant.Violated(invariant.ConfigMonotonic, "revision %d replaced revision %d", new.Config.Revision, old.Config.Revision)
 	}
 	if new.Config.Revision != old.Config.Revision {
-		l.configSince.Store(new.Published.UnixNano())
 		l.observer.Timeline.Record(timeline.Event{Kind: timeline.KindConfig, Detail: fmt.Sprintf("revision %d", new.Config.Revision)})
 	}
 	walk(old.Peers, new.Peers, func(p *routing.Peer) string { return p.ID }, l.observePeer)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -205,29 +205,19 @@
 	return telemetry.NewMetrics(telemetry.Sources{
 		InFlight:       func() float64 { return float64(n.gate.Progress().InFlight) },
 		ConfigRevision: func() float64 { return float64(n.loop.Snapshot().Config.Revision) },
-		ConfigAge:      n.configAge,
+		ConfigAge:      func() float64 { return n.loop.Snapshot().ConfigAge.Seconds() },
 		Peers:          func() float64 { return float64(len(n.loop.Snapshot().Peers)) },
 	})
 }
 
-// configAge returns the age of the configuration in seconds; 0 if there is none.
-func (n *Node) configAge() float64 {
-	since := n.loop.ConfigSince()
-	if since.IsZero() {
-		return 0
-	}
-	return time.Since(since).Seconds()
-}
-
 func (n *Node) operatorHandler(s settings.Settings, metrics *telemetry.Metrics) http.Handler {
 	return operator.Handler(operator.Deps{
-		Token:       s.Operator.Token,
-		Snapshot:    n.loop.Snapshot,
-		ConfigSince: n.loop.ConfigSince,
-		Timeline:    n.timeline,
-		Gate:        n.gate,
-		Metrics:     metrics.Handler(),
-		Now:         time.Now,
+		Token:    s.Operator.Token,
+		Snapshot: n.loop.Snapshot,
+		Timeline: n.timeline,
+		Gate:     n.gate,
+		Metrics:  metrics.Handler(),
+		Now:      time.Now,
 	})
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -22,8 +22,6 @@
 	// demands it is refused.
 	Token    string
 	Snapshot func() *routing.Snapshot
-	// ConfigSince returns the time at which the configuration came into force.
-	ConfigSince func() time.Time
 	// Rollouts returns the rollouts of a snapshot; nil stands for Rollouts.
 	Rollouts func(*routing.Snapshot) []operatorapi.Rollout
 	Timeline *timeline.Recorder
@@ -87,7 +85,7 @@
 	answer := operatorapi.Readiness{
 		Draining:         s.draining(snapshot),
 		ConfigRevision:   snapshot.Config.Revision,
-		ConfigAgeSeconds: s.configAge(),
+		ConfigAgeSeconds: snapshot.ConfigAge.Seconds(),
 		Peers:            len(snapshot.Peers),
 	}
 	if !snapshot.Ready {
@@ -109,14 +107,6 @@
 	return snapshot.Draining || s.Gate.Progress().Phase != drain.Serving
 }
 
-func (s *server) configAge() float64 {
-	since := s.ConfigSince()
-	if since.IsZero() {
-		return 0
-	}
-	return s.Now().Sub(since).Seconds()
-}
-
 func (s *server) events(w http.ResponseWriter, r *http.Request) {
 	since := timeline.Stamp(0)
 	if text := r.URL.Query().Get("since"); text != "" {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -20,7 +20,7 @@
 		Ready:            snapshot.Ready,
 		Draining:         s.draining(snapshot),
 		ConfigRevision:   snapshot.Config.Revision,
-		ConfigAgeSeconds: s.configAge(),
+		ConfigAgeSeconds: snapshot.ConfigAge.Seconds(),
 		InFlight:         s.Gate.Progress().InFlight,
 		Rollouts:         s.Rollouts(snapshot),
 		Peers:            peersOf(snapshot, s.Now()),
--- a/internal/operatorapi/types.go
+++ b/internal/operatorapi/types.go
@@ -12,6 +12,7 @@
 	Ready            bool       `json:"ready"`
 	Draining         bool       `json:"draining"`
 	ConfigRevision   int64      `json:"config_revision"`
+	// ConfigAgeSeconds is the time since the configuration was known to be the latest.
 	ConfigAgeSeconds float64    `json:"config_age_seconds"`
 	InFlight         int        `json:"in_flight"`
 	Rollouts         []Rollout  `json:"rollouts"`
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -131,7 +131,7 @@
 	}
 	gauge("requests_in_flight", "Requests that run now, forwarded ones included.", s.InFlight)
 	gauge("config_revision", "Revision of the configuration in force.", s.ConfigRevision)
-	gauge("config_age_seconds", "Time since the configuration came into force.", s.ConfigAge)
+	gauge("config_age_seconds", "Time since the configuration was last known to be the latest one.", s.ConfigAge)
 	gauge("peers", "Live peers.", s.Peers)
 }
 
