--- a/internal/operatorapi/types.go
+++ b/internal/operatorapi/types.go
@@ -6,12 +6,12 @@
 
 // Status is the answer of GET /v1/status.
 type Status struct {
-	Instance         string     `json:"instance"`
-	Region           string     `json:"region"`
-	FailureDomain    string     `json:"failure_domain"`
-	Ready            bool       `json:"ready"`
-	Draining         bool       `json:"draining"`
-	ConfigRevision   int64      `json:"config_revision"`
+	Instance       string `json:"instance"`
+	Region         string `json:"region"`
+	FailureDomain  string `json:"failure_domain"`
+	Ready          bool   `json:"ready"`
+	Draining       bool   `json:"draining"`
+	ConfigRevision int64  `json:"config_revision"`
 	// ConfigAgeSeconds is the time since the configuration was known to be the latest.
 	ConfigAgeSeconds float64    `json:"config_age_seconds"`
 	InFlight         int        `json:"in_flight"`
