Claim one slot of the failure domain per instance

Cause: the division of rates and the ownership of idempotency keys need to know which instance holds which slot. The ledger ends the use of a slot at View.Until and keeps the bucket of a claim that is renewed later; before, that bucket would have been created again as full. Ruled out: claiming again under the same lease after a lost answer, because the lost claim may still take effect; the lease is revoked first.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -1,13 +1,16 @@
 package control
 
 import (
+	"maps"
 	"time"
 
 	"heatherloom/internal/membership"
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/platform"
 	"heatherloom/internal/quarantine"
+	"heatherloom/internal/quota"
 	"heatherloom/internal/routing"
+	"heatherloom/internal/slotclaim"
 )
 
 // Event is an input to the control state.
@@ -28,6 +31,9 @@
 
 func (e ConfigEvent) apply(t *tables, _ time.Time) {
 	if e.Config.Revision > t.config.Revision {
+		if !maps.Equal(e.Config.Domains, t.config.Domains) {
+			t.division = quota.NewDivision(e.Config)
+		}
 		t.config = e.Config
 		t.history.extend(e.Config.Revision, e.Deltas)
 	}
@@ -157,9 +163,17 @@
 		Incarnation:    incarnation,
 		ConfigRevision: p.ConfigRevision,
 		Draining:       p.Draining,
+		Slot:           p.Slot,
 	}
 }
 
+// SlotEvent reports the slot that this instance holds.
+type SlotEvent struct {
+	Claim slotclaim.Claim
+}
+
+func (e SlotEvent) apply(t *tables, _ time.Time) { t.claim = e.Claim }
+
 // LoadEvent brings an upstream's report of its load.
 type LoadEvent struct {
 	Upstream string
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -7,6 +7,7 @@
 
 	"heatherloom/internal/membership"
 	"heatherloom/internal/platform"
+	"heatherloom/internal/quota"
 	"heatherloom/internal/routing"
 )
 
@@ -29,6 +30,7 @@
 		SharedCrashes: t.crashes.Shared(now),
 		Listed:        t.listed,
 		Former:        contactsOf(t.members.Former()),
+		Slots:         slotsOf(t, now),
 	}
 	if !t.confirmed.IsZero() {
 		s.ConfigConfirmed = t.confirmed
@@ -41,6 +43,21 @@
 	return s
 }
 
+// slotsOf returns the division of the rates with the own slot. A slot that the
+// configuration no longer has is not used.
+func slotsOf(t *tables, now time.Time) quota.View {
+	v := quota.View{Division: t.division}
+	domain := t.config.Domains[t.identity.FailureDomain]
+	if !t.claim.Held || t.claim.Index >= domain.Slots {
+		return v
+	}
+	v.Held = true
+	v.Own = quota.Slot{Domain: domain.Name, Region: domain.Region, Index: t.claim.Index}
+	v.Since, v.Until = t.claim.Since, t.claim.Until
+	v.FirstClaim = t.claim.FirstClaim
+	return v.At(now)
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -94,6 +111,7 @@
 			LastHeard:      m.LastHeard,
 			HeardDirectly:  m.Direct,
 			ConfigRevision: m.ConfigRevision,
+			Slot:           m.Slot,
 			Confirmed:      t.confirmations[m.ID].at,
 		})
 	}
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -11,7 +11,9 @@
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/platform"
 	"heatherloom/internal/quarantine"
+	"heatherloom/internal/quota"
 	"heatherloom/internal/routing"
+	"heatherloom/internal/slotclaim"
 )
 
 // Identity is what an entry instance knows of itself from its settings.
@@ -71,6 +73,9 @@
 	history     history
 	// inactive are the client accounts that the client directory marks as inactive.
 	inactive map[string]struct{}
+	// division is that of config; it is rebuilt only when the domains table changes.
+	division *quota.Division
+	claim    slotclaim.Claim
 	draining bool
 }
 
@@ -81,6 +86,7 @@
 	return &tables{
 		identity:      id,
 		config:        opconfig.New(),
+		division:      quota.NewDivision(opconfig.New()),
 		upstreams:     map[string]*upstreamRow{},
 		members:       membership.NewTable(),
 		confirmations: map[string]confirmation{},
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -29,6 +29,8 @@
 	Incarnation    int64
 	ConfigRevision int64
 	Draining       bool
+	// Slot is the slot that the member holds, as domain/index; empty for none.
+	Slot string
 	// Suspect members were not heard from for SuspectAfter.
 	Suspect bool
 	// LastHeard is when this instance or a member that it hears last heard from the
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	"heatherloom/internal/quarantine"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/settings"
+	"heatherloom/internal/slotclaim"
 	"heatherloom/internal/telemetry"
 	"heatherloom/internal/timeline"
 	"heatherloom/internal/tlsconfig"
@@ -53,6 +54,7 @@
 
 	loop     *control.Loop
 	lease    *lease.Holder
+	slots    *slotclaim.Holder
 	gate     *drain.Gate
 	timeline *timeline.Recorder
 	// servers are the caller and peer listeners; operator outlives them, so that
@@ -248,6 +250,8 @@
 	n.done.Go(func() { heartbeats.Run(ctx) })
 	n.lease = lease.New(store, lease.DomainKey(identity.FailureDomain), identity.ID, lease.DefaultTTL, time.Now)
 	n.done.Go(func() { n.lease.Run(ctx, syncer.IsWatcher) })
+	n.slots = n.slotHolder(store, identity)
+	n.done.Go(func() { n.slots.Run(ctx) })
 	n.done.Go(func() { pollInstances(ctx, list, n.loop) })
 	if s.Platform.Directory != "" {
 		directory := scim.New(s.Platform.Directory, scim.FilterInactive)
@@ -256,6 +260,21 @@
 	n.done.Go(func() { pollLoads(ctx, engineapi.New(), n.loop) })
 }
 
+// slotHolder returns the claim of a slot of the own failure domain.
+func (n *Node) slotHolder(store platform.Store, identity control.Identity) *slotclaim.Holder {
+	return slotclaim.New(slotclaim.Deps{
+		Store:       store,
+		Domain:      identity.FailureDomain,
+		Instance:    identity.ID,
+		Incarnation: identity.Incarnation,
+		Slots:       func() int { return n.loop.Snapshot().Config.Domains[identity.FailureDomain].Slots },
+		Report: func(ctx context.Context, c slotclaim.Claim) {
+			n.loop.Post(ctx, control.SlotEvent{Claim: c})
+		},
+		Now: time.Now,
+	})
+}
+
 func pollInstances(ctx context.Context, list platform.InstanceList, loop *control.Loop) {
 	ticker := time.NewTicker(instancePollInterval)
 	defer ticker.Stop()
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -24,6 +24,9 @@
 	// doneLinger keeps the operator listener open after a drain, so that
 	// `heatherloom drain`, which polls every 200 ms, sees its end.
 	doneLinger = time.Second
+	// releaseTimeout bounds the return of the slot while the store is out of reach. The
+	// slot is then claimed again when its lease ends.
+	releaseTimeout = 2 * time.Second
 )
 
 // drainPhase announces, logs and records a change of the drain phase.
@@ -62,6 +65,8 @@
 	for _, server := range n.servers {
 		failures = append(failures, server.Shutdown(ctx))
 	}
+	// Nothing uses the slot any more once the listeners are closed.
+	n.releaseSlot(ctx)
 	if n.gate.Progress().Phase == drain.Drained {
 		invariant.Check(n.gate.Progress().InFlight == 0, invariant.GracefulShutdown, "a request runs after the drain")
 		sleep(ctx, doneLinger)
@@ -72,6 +77,13 @@
 	return errors.Join(failures...)
 }
 
+// releaseSlot returns the slot, so that another instance can claim it at once.
+func (n *Node) releaseSlot(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	n.slots.Release(ctx)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -26,8 +26,21 @@
 	// Own is the slot that this instance holds; valid if Held is true.
 	Own  Slot
 	Held bool
-	// Since is the time from which the own slot's rate may be used.
+	// Since is the time from which the own slot's rate may be used, and Until the end
+	// of its use; a zero Until sets no end.
 	Since time.Time
+	Until time.Time
+	// FirstClaim is true if the own slot was never claimed before.
+	FirstClaim bool
+}
+
+// At returns the view at the given time, at which the own slot may have ended. The
+// clock is read after any pause of the process.
+func (v View) At(now time.Time) View {
+	if v.Held && !v.Until.IsZero() && !now.Before(v.Until) {
+		v.Held = false
+	}
+	return v
 }
 
 // Decision is the answer to one request for a token.
@@ -38,6 +51,8 @@
 	Ask    Slot
 	// RetryAfter is the time until a token may be available; set on a refusal.
 	RetryAfter time.Duration
+	// NoSlots is true if the configuration has no slots for the account.
+	NoSlots bool
 }
 
 // holder is what a borrower knows of the holder of a slot.
@@ -63,8 +78,11 @@
 	account  opconfig.Account
 	division *Division
 	// since identifies the claim of the own slot under which own was created.
-	since   time.Time
-	own     *bucket
+	since time.Time
+	own   *bucket
+	// parked is true while the own slot is not held. The bucket stays, because the
+	// same claim may be renewed after the end of its use.
+	parked  bool
 	holders []holder
 	wallet  []borrowed
 	// windowStart begins the current demand window, windowCount counts its requests
@@ -103,17 +121,21 @@
 // Admit takes a token for one request of the account: from the own slot, from a
 // loan, or else it names the holder to borrow from.
 func (l *Ledger) Admit(now time.Time, v View, a opconfig.Account) Decision {
+	v = v.At(now)
 	s := l.shard(a.Name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.row(now, v, a)
 	r.count(now)
-	if r.own != nil && r.own.take(now) {
+	if v.Held && r.own.take(now) {
 		return Decision{Admitted: true}
 	}
 	if r.spend(now) {
 		return Decision{Admitted: true}
 	}
+	if len(r.holders) == 0 {
+		return Decision{NoSlots: true, RetryAfter: maxWait}
+	}
 	return r.next(now, v)
 }
 
@@ -137,9 +159,9 @@
 // holds reports whether the own bucket belongs to the claim of the view.
 func (r *row) holds(v View) bool {
 	if !v.Held {
-		return r.own == nil
+		return r.own == nil || r.parked
 	}
-	return r.own != nil && r.since.Equal(v.Since)
+	return r.own != nil && !r.parked && r.since.Equal(v.Since)
 }
 
 // setHolders keeps what is known of holders that stay.
@@ -157,8 +179,8 @@
 }
 
 func (r *row) setOwn(now time.Time, v View) {
-	if !v.Held {
-		r.own = nil
+	r.parked = !v.Held
+	if r.parked {
 		return
 	}
 	limit := r.share(v.Own)
@@ -346,6 +368,7 @@
 // Lend answers another instance's request out of the own slot. A request for a
 // slot that this instance does not hold gets nothing.
 func (l *Ledger) Lend(now time.Time, v View, a opconfig.Account, req LoanRequest) LoanReply {
+	v = v.At(now)
 	if !v.Held || req.Slot != v.Own || req.Want <= 0 {
 		return LoanReply{Wait: maxWait}
 	}
--- a/internal/quota/slots.go
+++ b/internal/quota/slots.go
@@ -81,6 +81,9 @@
 // by rendezvous hashing. A home-bound account uses only slots of its home region.
 // The result is empty if there are no such slots.
 func (d *Division) Holders(a opconfig.Account) []Slot {
+	if d == nil {
+		return nil
+	}
 	candidates := d.all
 	if a.Home != "" {
 		candidates = d.byRegion[a.Home]
--- /dev/null
+++ b/internal/slotclaim/slotclaim_test.go
@@ -0,0 +1,298 @@
+package slotclaim
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"heatherloom/internal/platform"
+)
+
+// sim is a store with its clock and the instances of one failure domain. Calls take
+// simulated time, in which the other instances go on.
+type sim struct {
+	platform.Store
+	t       *testing.T
+	rng     *rand.Rand
+	now     time.Time
+	outage  time.Time
+	version int64
+	keys    map[string]platform.Entry
+	ends    map[int64]time.Time
+	late    []func()
+	holders []*simHolder
+	lose    bool
+	// calm leaves out random faults.
+	calm bool
+}
+
+type simHolder struct {
+	*Holder
+	busy bool
+}
+
+func newSim(t *testing.T, seed uint64) *sim {
+	return &sim{t: t, rng: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1e9, 0), keys: map[string]platform.Entry{}, ends: map[int64]time.Time{}}
+}
+
+func (s *sim) holder(id string, slots int) *simHolder {
+	h := &simHolder{Holder: New(Deps{
+		Store: s, Domain: "d", Instance: id, Incarnation: s.now.UnixNano(),
+		Slots: func() int { return slots }, Now: func() time.Time { return s.now },
+	})}
+	s.holders = append(s.holders, h)
+	return h
+}
+
+// advance moves the time on and lets every instance that is not in a call go on.
+func (s *sim) advance(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(min(end.Sub(s.now), time.Second+time.Duration(s.rng.Int64N(int64(time.Minute)))))
+		for lease, end := range s.ends {
+			if !s.now.Before(end) {
+				s.endLease(lease)
+			}
+		}
+		for _, h := range s.holders {
+			for range 4 {
+				if !h.busy {
+					h.busy = true
+					h.Step(context.Background())
+					h.busy = false
+				}
+			}
+		}
+		s.check()
+	}
+}
+
+// check is the invariant: no slot is used by two instances.
+func (s *sim) check() {
+	users := map[int]string{}
+	for _, h := range s.holders {
+		c := h.Claim()
+		if !c.Held || s.now.Before(c.Since) || !s.now.Before(c.Until) {
+			continue
+		}
+		if other, ok := users[c.Index]; ok {
+			s.t.Fatalf("at %v slot %d is used by %s and %s", s.now, c.Index, other, h.Instance)
+		}
+		users[c.Index] = h.Instance
+	}
+}
+
+func (s *sim) endLease(lease int64) {
+	delete(s.ends, lease)
+	for key, e := range s.keys {
+		if e.Lease == lease {
+			delete(s.keys, key)
+		}
+	}
+}
+
+// call runs effect with pauses, no effect, a lost answer or a late effect.
+func (s *sim) call(effect func() error) error {
+	fault := s.rng.IntN(20)
+	if s.calm {
+		fault = 20
+	}
+	if s.lose {
+		fault, s.lose = 1, false
+	}
+	pauses := []time.Duration{0, 0, 0, time.Minute, 80 * time.Minute}
+	if fault < 4 && !s.calm {
+		s.advance(pauses[s.rng.IntN(len(pauses))])
+	}
+	switch {
+	case fault == 0 || s.now.Before(s.outage):
+		return platform.ErrUnavailable
+	case fault == 1:
+		_ = effect()
+		return platform.ErrUnavailable
+	case fault == 2:
+		s.late = append(s.late, func() { _ = effect() })
+		return platform.ErrUnavailable
+	}
+	err := effect()
+	if fault == 3 {
+		s.advance(pauses[s.rng.IntN(len(pauses))])
+	}
+	return err
+}
+
+func (s *sim) Get(_ context.Context, key string) (e platform.Entry, err error) {
+	err = s.call(func() error { e = s.keys[key]; return nil })
+	return e, err
+}
+
+func (s *sim) List(_ context.Context, prefix string) (entries []platform.Entry, err error) {
+	err = s.call(func() error {
+		for key, e := range s.keys {
+			if strings.HasPrefix(key, prefix) {
+				entries = append(entries, e)
+			}
+		}
+		return nil
+	})
+	return entries, err
+}
+
+func (s *sim) GrantLease(_ context.Context, ttl time.Duration) (lease int64, err error) {
+	err = s.call(func() error {
+		s.version++
+		lease = s.version
+		s.ends[lease] = s.now.Add(ttl)
+		return nil
+	})
+	return lease, err
+}
+
+func (s *sim) RenewLease(_ context.Context, lease int64) error {
+	return s.call(func() error {
+		if _, ok := s.ends[lease]; !ok {
+			return platform.ErrLeaseNotFound
+		}
+		s.ends[lease] = s.now.Add(TTL)
+		return nil
+	})
+}
+
+func (s *sim) RevokeLease(_ context.Context, lease int64) error {
+	return s.call(func() error { s.endLease(lease); return nil })
+}
+
+func (s *sim) Commit(_ context.Context, conditions []platform.Condition, writes []platform.Write) (ok bool, version int64, err error) {
+	err = s.call(func() error {
+		if _, exists := s.ends[writes[0].Lease]; !exists {
+			return platform.ErrLeaseNotFound
+		}
+		for _, c := range conditions {
+			if s.keys[c.Key].Version != c.Version {
+				return nil
+			}
+		}
+		ok = true
+		s.version++
+		for _, w := range writes {
+			s.keys[w.Key] = platform.Entry{Key: w.Key, Value: w.Value, Version: s.version, Lease: w.Lease}
+		}
+		return nil
+	})
+	return ok, s.version, err
+}
+
+// Guards against a slot that two instances use, with races for slots, lost and late
+// answers, outages of an hour, and pauses beyond the lease.
+func TestNoSlotHasTwoUsers(t *testing.T) {
+	claims := 0
+	for seed := range uint64(60) {
+		s := newSim(t, seed)
+		for _, id := range []string{"a", "b", "c"} {
+			s.holder(id, 2)
+		}
+		for range 60 {
+			if s.rng.IntN(8) == 0 {
+				s.outage = s.now.Add(time.Duration(s.rng.IntN(90)) * time.Minute)
+			}
+			if n := s.rng.IntN(12); n < len(s.holders) {
+				// A process ends and its id starts again.
+				id := s.holders[n].Instance
+				s.holders = append(s.holders[:n:n], s.holders[n+1:]...)
+				s.holder(id, 2)
+			}
+			for _, effect := range s.late {
+				effect()
+			}
+			s.late = nil
+			s.advance(10 * time.Minute)
+			for _, h := range s.holders {
+				if h.Claim().Held {
+					claims++
+				}
+			}
+		}
+	}
+	if claims < 4000 {
+		t.Errorf("slots were held in only %d of 7200 cases", claims)
+	}
+}
+
+// calm returns a simulation whose store answers every call, with one instance that
+// holds a slot of two.
+func calm(t *testing.T) (*sim, *simHolder) {
+	s := newSim(t, 1)
+	s.calm = true
+	h := s.holder("a", 2)
+	s.advance(10 * time.Second)
+	if c := h.Claim(); !c.Held || !c.FirstClaim {
+		t.Fatalf("the first claim is %+v", c)
+	}
+	return s, h
+}
+
+// Guards against a store outage of an hour that takes away slots, and against a
+// paused instance that uses its slot beyond the lease.
+func TestUseSurvivesAnHourWithoutStore(t *testing.T) {
+	s, h := calm(t)
+	before := h.Claim()
+	s.outage = s.now.Add(time.Hour)
+	s.advance(time.Hour - time.Second)
+	if c := h.Claim(); c != before || !s.now.Before(c.Until) {
+		t.Errorf("after an hour without store the claim is %+v, before %+v", c, before)
+	}
+	s.advance(time.Minute)
+	if c := h.Claim(); !c.Until.After(s.now.Add(70*time.Minute)) || c.Since != before.Since {
+		t.Errorf("after the outage the claim is %+v", c)
+	}
+	h.busy = true // paused
+	s.advance(75*time.Minute - 75*time.Minute*marginPercent/100)
+	if s.now.Before(h.Claim().Until) {
+		t.Error("the slot is still used after the pause")
+	}
+}
+
+// Guards against a claim that took effect and whose lost answer makes the instance
+// take a second slot or none.
+func TestLostClaimIsReadBack(t *testing.T) {
+	s := newSim(t, 1)
+	s.calm = true
+	h := s.holder("a", 2)
+	for range 2 {
+		h.Step(t.Context())
+	}
+	s.lose = true
+	h.Step(t.Context())
+	if h.Claim().Held {
+		t.Fatal("a claim without answer counts as held")
+	}
+	s.advance(time.Second)
+	if c := h.Claim(); !c.Held || !c.FirstClaim || len(s.keys) != 2 {
+		t.Errorf("the claim is %+v with the keys %v", c, s.keys)
+	}
+}
+
+// Guards against a restarted instance that waits for its old lease, and against one
+// that spends tokens which its earlier process lent.
+func TestRestartTakesItsSlotAtOnce(t *testing.T) {
+	s, old := calm(t)
+	s.holders = nil
+	other, h := s.holder("b", 2), s.holder("a", 2)
+	s.advance(time.Second)
+	answered := s.now
+	c := h.Claim()
+	if !c.Held || c.Index != old.Claim().Index || c.FirstClaim || c.Since.Before(answered.Add(settleTime)) {
+		t.Errorf("the claim after the restart is %+v, before %+v", c, old.Claim())
+	}
+	if got := other.Claim(); !got.Held || got.Index == c.Index {
+		t.Errorf("the other instance holds %+v", got)
+	}
+	h.Release(t.Context())
+	s.holders = nil
+	next := s.holder("c", 2)
+	s.advance(time.Second)
+	if got := next.Claim(); !got.Held || got.Index != c.Index {
+		t.Errorf("after the release %+v is claimed", got)
+	}
+}
