Admit by the slots' buckets and by loans between instances

Cause: each instance admitted an even part of the rate over the peers it knew, which refused traffic that arrives at one instance and exceeded the rate while members were unknown. Change: Borrow RPC, Admitter that takes a token of the own slot or waits for a loan, GET /v1/entries that names holders of the account's slots first, and domain rows in the development and gateway test configurations. admission.Buckets, limitOf and ReportDemand are removed. Ruled out: a loan request bound to the caller that started it, because other requests of the account wait for the same reply.

--- a/internal/devcluster/config.go
+++ b/internal/devcluster/config.go
@@ -51,6 +51,12 @@
 			return nil, err
 		}
 	}
+	for _, region := range c.Regions {
+		domain := opconfig.Domain{Name: failureDomain(region), Region: region, Slots: entriesPerRegion}
+		if err := add(opconfig.TableDomains, domain.Name, domain); err != nil {
+			return nil, err
+		}
+	}
 	for _, k := range c.Keys {
 		record := opconfig.Key{Hash: opconfig.HashKey(k.Secret), ID: k.ID, Account: k.Account}
 		if err := add(opconfig.TableKeys, record.Hash, record); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,7 +41,7 @@
 type Deps struct {
 	Snapshot   func() *routing.Snapshot
 	Dispatcher *dispatch.Dispatcher
-	Buckets    *admission.Buckets
+	Admitter   *admission.Admitter
 	// Gate bounds the requests that run; nil for one with the default limits.
 	Gate *admission.Gate
 	Log  *logrus.Entry
@@ -217,23 +217,32 @@
 	s.Log.WithFields(fields).Info("request refused or cut")
 }
 
-// admit takes a token of the client account's rate. It is called only for requests
-// that are valid.
-func (s *server) admit(c *call, account opconfig.Account) *errkind.Error {
-	decision := s.Buckets.Admit(s.Now(), account.Name, limitOf(c.snapshot, account))
+// admit takes a token of the client account's rate, and waits for a loan until the
+// deadline if the own slot has none. It is called only for requests that are valid.
+func (s *server) admit(c *call, account opconfig.Account, deadline time.Time) *errkind.Error {
+	ctx, cancel := context.WithTimeout(c.r.Context(), deadline.Sub(s.Now()))
+	defer cancel()
+	decision := s.Admitter.Admit(ctx, s.Snapshot, account)
 	if decision.Admitted {
 		return nil
 	}
+	if decision.NoSlots {
+		return noSlots(account)
+	}
 	refusal := errkind.New(errkind.RateLimited,
 		"client account %q is over its rate of %g requests per second with a burst of %g", account.Name, account.Rate, account.Burst)
 	refusal.RetryAfter = decision.RetryAfter
 	return refusal
 }
 
-// limitOf divides the client account's rate evenly over the known entry instances.
-func limitOf(s *routing.Snapshot, a opconfig.Account) admission.Limit {
-	instances := float64(len(s.Peers) + 1)
-	return admission.Limit{Rate: a.Rate / instances, Burst: a.Burst / instances}
+// noSlots refuses a request of an account whose rate cannot be divided.
+func noSlots(a opconfig.Account) *errkind.Error {
+	if a.Home == "" {
+		return errkind.New(errkind.RateLimited,
+			"the configuration has no domain rows, so that client account %q has no rate", a.Name)
+	}
+	return errkind.New(errkind.RateLimited,
+		"the configuration has no domain rows for region %q, the home of client account %q, so that it has no rate", a.Home, a.Name)
 }
 
 // serve dispatches the request and delivers its answer to the caller.
--- a/internal/gateway/inference.go
+++ b/internal/gateway/inference.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.admit(c, account); err != nil {
+	if err := s.admit(c, account, deadline); err != nil {
 		return err
 	}
 	c.sink.stream = body.Stream
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -22,7 +22,9 @@
 	"heatherloom/internal/peer"
 	"heatherloom/internal/platform"
 	"heatherloom/internal/quarantine"
+	"heatherloom/internal/quota"
 	"heatherloom/internal/relay"
+	"heatherloom/internal/slotclaim"
 	"heatherloom/internal/standin"
 )
 
@@ -50,6 +52,9 @@
 	}
 	c.Keys = opconfig.NewRecords(keys)
 	c.Models["lantern"] = opconfig.Model{Name: "lantern", Version: "1"}
+	for _, region := range []string{"a", "b"} {
+		c.Domains[region+"-1"] = opconfig.Domain{Name: region + "-1", Region: region, Slots: 1}
+	}
 	c.Routes["/orders"] = opconfig.Route{Prefix: "/orders", Service: "ledger"}
 	return c
 }
@@ -101,8 +106,9 @@
 	e.dispatcher.ReportCrash = func(c quarantine.Crash) { e.loop.Post(ctx, control.CrashEvent{Crash: c}) }
 	logger := logrus.New()
 	logger.SetOutput(e.log)
+	ledger := quota.NewLedger(id)
 	handler, err := gateway.New(gateway.Deps{
-		Snapshot: e.loop.Snapshot, Dispatcher: e.dispatcher, Buckets: admission.NewBuckets(),
+		Snapshot: e.loop.Snapshot, Dispatcher: e.dispatcher, Admitter: admission.NewAdmitter(ledger, e.peers, time.Now),
 		Log: logrus.NewEntry(logger), Now: time.Now, Gate: o.gate, WriteTimeout: o.write,
 	})
 	if err != nil {
@@ -111,10 +117,11 @@
 	serve(t, caller, &http.Server{Handler: handler})
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	server := &peer.Server{Identity: e.identity, Loop: e.loop, Dispatcher: e.dispatcher, Secret: peerSecret}
+	server := &peer.Server{Identity: e.identity, Loop: e.loop, Dispatcher: e.dispatcher, Secret: peerSecret, Ledger: ledger}
 	e.peerServer = &http.Server{Handler: server.Handler(), Protocols: protocols}
 	serve(t, peerListener, e.peerServer)
 	e.loop.Post(ctx, control.ConfigEvent{Config: testConfig(1)})
+	e.loop.Post(ctx, control.SlotEvent{Claim: slotclaim.Claim{Held: true, Since: time.Now().Add(-time.Second), FirstClaim: true}})
 	e.loop.Post(ctx, control.InstancesEvent{Instances: upstreams})
 	eventually(t, func() bool { return e.loop.Snapshot().Ready && len(e.loop.Snapshot().Upstreams) == len(upstreams) })
 	e.do(t, http.MethodPost, "/v1/completions", prompt("bucket start", false), derwentKey)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -40,7 +40,7 @@
 		return err
 	}
 	if !route.Open {
-		if err := s.admit(c, account); err != nil {
+		if err := s.admit(c, account, deadline); err != nil {
 			return err
 		}
 	}
@@ -131,11 +131,15 @@
 // entries answers which entry instances the client account should use.
 func (s *server) entries(c *call) *errkind.Error {
 	members := []membership.Member{{ID: c.snapshot.SelfID, CallerURL: c.scheme() + c.r.Host, Region: c.snapshot.Region, Draining: c.snapshot.Draining}}
+	if c.snapshot.Slots.Held {
+		members[0].Slot = c.snapshot.Slots.Own.ID()
+	}
 	for _, p := range c.snapshot.Peers {
-		members = append(members, membership.Member{ID: p.ID, CallerURL: p.CallerURL, Region: p.Region, Draining: p.Draining})
+		members = append(members, membership.Member{ID: p.ID, CallerURL: p.CallerURL, Region: p.Region, Draining: p.Draining, Slot: p.Slot})
 	}
+	account := s.accountOf(c)
 	list := entryList{ValidForSeconds: int64(entriesValidity.Seconds()), Entries: []entryItem{}}
-	for _, m := range membership.Entries(s.accountOf(c), c.snapshot.Region, members) {
+	for _, m := range membership.Entries(account.Name, c.snapshot.Region, slotsOf(c, account), members) {
 		list.Entries = append(list.Entries, entryItem{ID: m.ID, URL: m.CallerURL, Region: m.Region})
 	}
 	return writeJSON(c, list)
@@ -143,10 +147,22 @@
 
 // accountOf returns the client account whose key came with the request; empty if
 // there is no valid key, which the list of entry instances does not need.
-func (s *server) accountOf(c *call) string {
+func (s *server) accountOf(c *call) opconfig.Account {
 	account, err := s.authenticate(c)
 	if err != nil {
-		return ""
+		return opconfig.Account{}
+	}
+	return account
+}
+
+// slotsOf returns the slots, as domain/index, over which the account's rate is divided.
+func slotsOf(c *call, account opconfig.Account) []string {
+	if account.Name == "" {
+		return nil
+	}
+	var slots []string
+	for _, slot := range c.snapshot.Slots.Division.Holders(account) {
+		slots = append(slots, slot.ID())
 	}
-	return account.Name
+	return slots
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -60,7 +60,7 @@
 	all[5].Draining = true
 	first := map[string]bool{}
 	for i := range 100 {
-		got := Entries(fmt.Sprint("account-", i), "hobart", all)
+		got := Entries(fmt.Sprint("account-", i), "hobart", nil, all)
 		if len(got) != MaxEntries || got[4].Region != "hobart" || got[5].Region != "burnie" {
 			t.Fatalf("entries are %v", got)
 		}
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -55,9 +55,10 @@
 }
 
 // Entries returns the members that a client account should use, in the order in
-// which to try them: those of the region first, then by rendezvous hash of the client
-// account. Draining members are left out, and at most MaxEntries are returned.
-func Entries(account, region string, members []Member) []Member {
+// which to try them: those of the region first, among them those that hold one of the
+// client account's slots, then by rendezvous hash of the client account. Draining
+// members are left out, and at most MaxEntries are returned.
+func Entries(account, region string, slots []string, members []Member) []Member {
 	var live []Member
 	for _, m := range members {
 		if !m.Draining {
@@ -65,14 +66,18 @@
 		}
 	}
 	slices.SortFunc(live, func(a, b Member) int {
-		return cmp.Or(distance(region, a)-distance(region, b), byScore(account, a.ID, b.ID))
+		return cmp.Or(distance(region, slots, a)-distance(region, slots, b), byScore(account, a.ID, b.ID))
 	})
 	return live[:min(len(live), MaxEntries)]
 }
 
-func distance(region string, m Member) int {
-	if m.Region == region {
-		return 0
+func distance(region string, slots []string, m Member) int {
+	d := 0
+	if m.Region != region {
+		d += 2
 	}
-	return 1
+	if m.Slot == "" || !slices.Contains(slots, m.Slot) {
+		d++
+	}
+	return d
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -28,6 +29,7 @@
 	"heatherloom/internal/platform/httpsd"
 	"heatherloom/internal/platform/scim"
 	"heatherloom/internal/quarantine"
+	"heatherloom/internal/quota"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/settings"
 	"heatherloom/internal/slotclaim"
@@ -152,10 +154,12 @@
 		Timeline: n.timeline,
 		Metrics:  metrics,
 	}
+	// A process is a borrower of its own, because its loan requests are numbered from 1.
+	ledger := quota.NewLedger(identity.ID + "@" + strconv.FormatInt(identity.Incarnation, 36))
 	handler, err := gateway.New(gateway.Deps{
 		Snapshot:   n.loop.Snapshot,
 		Dispatcher: dispatcher,
-		Buckets:    admission.NewBuckets(),
+		Admitter:   admission.NewAdmitter(ledger, peers, time.Now),
 		Log:        entry,
 		Drain:      n.gate,
 		Timeline:   n.timeline,
@@ -169,7 +173,7 @@
 		Identity: identity, Loop: n.loop, Dispatcher: dispatcher, Secret: s.Peer.Secret,
 		Config: &configsync.Source{Loop: n.loop},
 		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Gate: n.gate,
-		Log: entry,
+		Log: entry, Ledger: ledger,
 	}
 	n.servers = append(n.servers,
 		n.serve(l.caller, &http.Server{Handler: handler, TLSConfig: n.callerTLS()}, entry),
--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -45,9 +45,8 @@
 	PeerServiceRunWriteProcedure = "/peer.v1.PeerService/RunWrite"
 	// PeerServiceCopyWriteProcedure is the fully-qualified name of the PeerService's CopyWrite RPC.
 	PeerServiceCopyWriteProcedure = "/peer.v1.PeerService/CopyWrite"
-	// PeerServiceReportDemandProcedure is the fully-qualified name of the PeerService's ReportDemand
-	// RPC.
-	PeerServiceReportDemandProcedure = "/peer.v1.PeerService/ReportDemand"
+	// PeerServiceBorrowProcedure is the fully-qualified name of the PeerService's Borrow RPC.
+	PeerServiceBorrowProcedure = "/peer.v1.PeerService/Borrow"
 	// PeerServicePullEventsProcedure is the fully-qualified name of the PeerService's PullEvents RPC.
 	PeerServicePullEventsProcedure = "/peer.v1.PeerService/PullEvents"
 )
@@ -59,7 +58,7 @@
 	Forward(context.Context, *connect.Request[peerv1.ForwardRequest]) (*connect.ServerStreamForClient[peerv1.ForwardResponse], error)
 	RunWrite(context.Context, *connect.Request[peerv1.RunWriteRequest]) (*connect.Response[peerv1.RunWriteResponse], error)
 	CopyWrite(context.Context, *connect.Request[peerv1.CopyWriteRequest]) (*connect.Response[peerv1.CopyWriteResponse], error)
-	ReportDemand(context.Context, *connect.Request[peerv1.ReportDemandRequest]) (*connect.Response[peerv1.ReportDemandResponse], error)
+	Borrow(context.Context, *connect.Request[peerv1.BorrowRequest]) (*connect.Response[peerv1.BorrowResponse], error)
 	PullEvents(context.Context, *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error)
 }
 
@@ -104,10 +103,10 @@
 			connect.WithSchema(peerServiceMethods.ByName("CopyWrite")),
 			connect.WithClientOptions(opts...),
 		),
-		reportDemand: connect.NewClient[peerv1.ReportDemandRequest, peerv1.ReportDemandResponse](
+		borrow: connect.NewClient[peerv1.BorrowRequest, peerv1.BorrowResponse](
 			httpClient,
-			baseURL+PeerServiceReportDemandProcedure,
-			connect.WithSchema(peerServiceMethods.ByName("ReportDemand")),
+			baseURL+PeerServiceBorrowProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Borrow")),
 			connect.WithClientOptions(opts...),
 		),
 		pullEvents: connect.NewClient[peerv1.PullEventsRequest, peerv1.PullEventsResponse](
@@ -121,13 +120,13 @@
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	heartbeat    *connect.Client[peerv1.HeartbeatRequest, peerv1.HeartbeatResponse]
-	pullConfig   *connect.Client[peerv1.PullConfigRequest, peerv1.PullConfigResponse]
-	forward      *connect.Client[peerv1.ForwardRequest, peerv1.ForwardResponse]
-	runWrite     *connect.Client[peerv1.RunWriteRequest, peerv1.RunWriteResponse]
-	copyWrite    *connect.Client[peerv1.CopyWriteRequest, peerv1.CopyWriteResponse]
-	reportDemand *connect.Client[peerv1.ReportDemandRequest, peerv1.ReportDemandResponse]
-	pullEvents   *connect.Client[peerv1.PullEventsRequest, peerv1.PullEventsResponse]
+	heartbeat  *connect.Client[peerv1.HeartbeatRequest, peerv1.HeartbeatResponse]
+	pullConfig *connect.Client[peerv1.PullConfigRequest, peerv1.PullConfigResponse]
+	forward    *connect.Client[peerv1.ForwardRequest, peerv1.ForwardResponse]
+	runWrite   *connect.Client[peerv1.RunWriteRequest, peerv1.RunWriteResponse]
+	copyWrite  *connect.Client[peerv1.CopyWriteRequest, peerv1.CopyWriteResponse]
+	borrow     *connect.Client[peerv1.BorrowRequest, peerv1.BorrowResponse]
+	pullEvents *connect.Client[peerv1.PullEventsRequest, peerv1.PullEventsResponse]
 }
 
 // Heartbeat calls peer.v1.PeerService.Heartbeat.
@@ -155,9 +154,9 @@
 	return c.copyWrite.CallUnary(ctx, req)
 }
 
-// ReportDemand calls peer.v1.PeerService.ReportDemand.
-func (c *peerServiceClient) ReportDemand(ctx context.Context, req *connect.Request[peerv1.ReportDemandRequest]) (*connect.Response[peerv1.ReportDemandResponse], error) {
-	return c.reportDemand.CallUnary(ctx, req)
+// Borrow calls peer.v1.PeerService.Borrow.
+func (c *peerServiceClient) Borrow(ctx context.Context, req *connect.Request[peerv1.BorrowRequest]) (*connect.Response[peerv1.BorrowResponse], error) {
+	return c.borrow.CallUnary(ctx, req)
 }
 
 // PullEvents calls peer.v1.PeerService.PullEvents.
@@ -172,7 +171,7 @@
 	Forward(context.Context, *connect.Request[peerv1.ForwardRequest], *connect.ServerStream[peerv1.ForwardResponse]) error
 	RunWrite(context.Context, *connect.Request[peerv1.RunWriteRequest]) (*connect.Response[peerv1.RunWriteResponse], error)
 	CopyWrite(context.Context, *connect.Request[peerv1.CopyWriteRequest]) (*connect.Response[peerv1.CopyWriteResponse], error)
-	ReportDemand(context.Context, *connect.Request[peerv1.ReportDemandRequest]) (*connect.Response[peerv1.ReportDemandResponse], error)
+	Borrow(context.Context, *connect.Request[peerv1.BorrowRequest]) (*connect.Response[peerv1.BorrowResponse], error)
 	PullEvents(context.Context, *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error)
 }
 
@@ -213,10 +212,10 @@
 		connect.WithSchema(peerServiceMethods.ByName("CopyWrite")),
 		connect.WithHandlerOptions(opts...),
 	)
-	peerServiceReportDemandHandler := connect.NewUnaryHandler(
-		PeerServiceReportDemandProcedure,
-		svc.ReportDemand,
-		connect.WithSchema(peerServiceMethods.ByName("ReportDemand")),
+	peerServiceBorrowHandler := connect.NewUnaryHandler(
+		PeerServiceBorrowProcedure,
+		svc.Borrow,
+		connect.WithSchema(peerServiceMethods.ByName("Borrow")),
 		connect.WithHandlerOptions(opts...),
 	)
 	peerServicePullEventsHandler := connect.NewUnaryHandler(
@@ -237,8 +236,8 @@
 			peerServiceRunWriteHandler.ServeHTTP(w, r)
 		case PeerServiceCopyWriteProcedure:
 			peerServiceCopyWriteHandler.ServeHTTP(w, r)
-		case PeerServiceReportDemandProcedure:
-			peerServiceReportDemandHandler.ServeHTTP(w, r)
+		case PeerServiceBorrowProcedure:
+			peerServiceBorrowHandler.ServeHTTP(w, r)
 		case PeerServicePullEventsProcedure:
 			peerServicePullEventsHandler.ServeHTTP(w, r)
 		default:
@@ -270,8 +269,8 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.CopyWrite is not implemented"))
 }
 
-func (UnimplementedPeerServiceHandler) ReportDemand(context.Context, *connect.Request[peerv1.ReportDemandRequest]) (*connect.Response[peerv1.ReportDemandResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.ReportDemand is not implemented"))
+func (UnimplementedPeerServiceHandler) Borrow(context.Context, *connect.Request[peerv1.BorrowRequest]) (*connect.Response[peerv1.BorrowResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Borrow is not implemented"))
 }
 
 func (UnimplementedPeerServiceHandler) PullEvents(context.Context, *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -19,6 +19,7 @@
 	"heatherloom/internal/errkind"
 	"heatherloom/internal/peer/peerv1"
 	"heatherloom/internal/peer/peerv1/peerv1connect"
+	"heatherloom/internal/quota"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/routing"
 	"heatherloom/internal/timeline"
@@ -44,6 +45,8 @@
 	Dispatcher *dispatch.Dispatcher
 	Config     ConfigSource
 	Events     EventSource
+	// Ledger lends tokens of the own slot; nil for none.
+	Ledger *quota.Ledger
 	// Secret authenticates peers.
 	Secret string
 	// Log receives one line for each forwarded request; nil for none.
