--- a/internal/devcluster/cluster.go
+++ b/internal/devcluster/cluster.go
@@ -15,6 +15,7 @@
 	"heatherloom/internal/node"
 	"heatherloom/internal/platform"
 	"heatherloom/internal/platform/etcdgw"
+	"heatherloom/internal/routing"
 	"heatherloom/internal/settings"
 	"heatherloom/internal/standin"
 )
@@ -185,6 +186,7 @@
 		Listeners: settings.Listeners{Caller: freePort, Peer: freePort, Operator: freePort},
 		Platform:  settings.Platform{Store: c.Store.URL(), Instances: c.Instances.URL() + "/instances"},
 		Operator:  settings.Operator{Token: OperatorToken},
+		Policy:    settings.Policy{Name: routing.NameDefault},
 		Peer:      settings.Peer{Secret: peerSecret, Seeds: append([]string(nil), c.peers...)},
 	}
 }
--- a/internal/devcluster/load_report_test.go
+++ b/internal/devcluster/load_report_test.go
@@ -23,6 +23,9 @@
 		Expect(cluster.WaitReady(ctx)).To(Succeed())
 		busy, idle, entry := cluster.Engines[0], cluster.Engines[1], cluster.Entries[0]
 
+		// Two of the others' requests run for good and six wait. Running decodes alone
+		// cost the default policy little, since engines batch them.
+		busy.SetLoad(standin.LoadSwitches{Slots: 2})
 		busy.SetFaults(standin.EngineFaults{Silent: true})
 		others, stop := context.WithCancel(context.Background())
 		DeferCleanup(stop)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -28,9 +29,11 @@
 	"heatherloom/internal/platform/httpsd"
 	"heatherloom/internal/platform/scim"
 	"heatherloom/internal/quarantine"
+	"heatherloom/internal/quota"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/routing"
 	"heatherloom/internal/settings"
+	"heatherloom/internal/slotclaim"
 	"heatherloom/internal/telemetry"
 	"heatherloom/internal/timeline"
 	"heatherloom/internal/tlsconfig"
@@ -55,6 +58,7 @@
 	loop       *control.Loop
 	dispatcher *dispatch.Dispatcher
 	lease      *lease.Holder
+	slots      *slotclaim.Holder
 	gate       *drain.Gate
 	timeline   *timeline.Recorder
 	// servers are the caller and peer listeners; operator outlives them, so that
@@ -173,10 +177,12 @@
 		Timeline: n.timeline,
 		Metrics:  metrics,
 	}
+	// A process is a borrower of its own, because its loan requests are numbered from 1.
+	ledger := quota.NewLedger(identity.ID + "@" + strconv.FormatInt(identity.Incarnation, 36))
 	handler, err := gateway.New(gateway.Deps{
 		Snapshot:   n.loop.Snapshot,
 		Dispatcher: n.dispatcher,
-		Buckets:    admission.NewBuckets(),
+		Admitter:   admission.NewAdmitter(ledger, peers, time.Now),
 		Log:        entry,
 		Drain:      n.gate,
 		Timeline:   n.timeline,
@@ -190,7 +196,7 @@
 		Identity: identity, Loop: n.loop, Dispatcher: n.dispatcher, Secret: s.Peer.Secret,
 		Config: &configsync.Source{Loop: n.loop},
 		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Gate: n.gate,
-		Log: entry,
+		Log: entry, Ledger: ledger,
 	}
 	n.servers = append(n.servers,
 		n.serve(l.caller, &http.Server{Handler: handler, TLSConfig: n.callerTLS()}, entry),
@@ -261,6 +267,8 @@
 	n.done.Go(func() { heartbeats.Run(ctx) })
 	n.lease = lease.New(store, lease.DomainKey(identity.FailureDomain), identity.ID, lease.DefaultTTL, time.Now)
 	n.done.Go(func() { n.lease.Run(ctx, syncer.IsWatcher) })
+	n.slots = n.slotHolder(store, identity)
+	n.done.Go(func() { n.slots.Run(ctx) })
 	n.done.Go(func() { pollInstances(ctx, list, n.loop) })
 	engines := &engineWatcher{loop: n.loop, client: engineapi.New(), prefixes: prefixes}
 	n.done.Go(func() { engines.run(ctx) })
@@ -271,6 +279,21 @@
 	n.done.Go(func() { pollLoads(ctx, engineapi.New(), n.loop) })
 }
 
+// slotHolder returns the claim of a slot of the own failure domain.
+func (n *Node) slotHolder(store platform.Store, identity control.Identity) *slotclaim.Holder {
+	return slotclaim.New(slotclaim.Deps{
+		Store:       store,
+		Domain:      identity.FailureDomain,
+		Instance:    identity.ID,
+		Incarnation: identity.Incarnation,
+		Slots:       func() int { return n.loop.Snapshot().Config.Domains[identity.FailureDomain].Slots },
+		Report: func(ctx context.Context, c slotclaim.Claim) {
+			n.loop.Post(ctx, control.SlotEvent{Claim: c})
+		},
+		Now: time.Now,
+	})
+}
+
 func pollInstances(ctx context.Context, list platform.InstanceList, loop *control.Loop) {
 	ticker := time.NewTicker(instancePollInterval)
 	defer ticker.Stop()
