--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -228,13 +228,15 @@
 	return sum
 }
 
-// close ends the entry instances within ctx and then the stand-ins.
+// close ends the entry instances and then the stand-ins. It does not wait longer than ctx.
 func (c *cluster) close(ctx context.Context) {
-	done := make(chan struct{})
 	count := 0
+	for _, nodes := range c.nodes {
+		count += len(nodes)
+	}
+	done := make(chan struct{}, count)
 	for _, nodes := range c.nodes {
 		for _, n := range nodes {
-			count++
 			go func() {
 				_ = n.Shutdown(ctx)
 				done <- struct{}{}
@@ -242,7 +244,10 @@
 		}
 	}
 	for range count {
-		<-done
+		select {
+		case <-done:
+		case <-ctx.Done():
+		}
 	}
 	for region := range c.engines {
 		for _, e := range c.engines[region] {
