Scale the load interval of experiments with their time

Cause: the bench runs four model seconds in a second, while loads were read once per second of wall time. Change: node.Options.LoadInterval. Ruled out: reading four times a second in production, which quadruples that traffic. Conclusion: experiments and production read at the same model rate.

--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -29,6 +29,8 @@
 	// ampleRate is the rate and burst of a client account that the experiment does not
 	// limit, in requests per second.
 	ampleRate = 1e6
+	// loadInterval is the time between two readings of the load, in model time.
+	loadInterval = time.Second
 	// readyInterval is the time between two looks at whether the cluster is ready.
 	readyInterval = 20 * time.Millisecond
 )
@@ -130,7 +132,10 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	n, err := node.StartWith(s, log, node.Options{DialPeer: c.wan.dialFrom(region)})
+	n, err := node.StartWith(s, log, node.Options{
+		DialPeer:     c.wan.dialFrom(region),
+		LoadInterval: time.Duration(float64(loadInterval) / plan.Model.TimeScale),
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -20,8 +20,8 @@
 
 // pollLoads reads the load of every upstream of the own region until ctx ends. An upstream
 // that gives no report keeps its last one.
-func pollLoads(ctx context.Context, reporter platform.LoadReporter, loop *control.Loop) {
-	ticker := time.NewTicker(loadPollInterval)
+func pollLoads(ctx context.Context, interval time.Duration, reporter platform.LoadReporter, loop *control.Loop) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		pollLoadsOnce(ctx, reporter, loop)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,9 @@
 type Options struct {
 	// DialPeer connects to other entry instances; nil for a plain TCP connection.
 	DialPeer func(ctx context.Context, network, address string) (net.Conn, error)
+	// LoadInterval is the time between two readings of the load of upstreams; 0 for
+	// loadPollInterval. Experiments with scaled time scale it as well.
+	LoadInterval time.Duration
 }
 
 // listeners are the open sockets of an instance.
@@ -203,7 +206,7 @@
 		n.serve(l.peer, &http.Server{Handler: server.Handler(), Protocols: n.peerProtocols(), TLSConfig: n.peerTLS()}, entry))
 	n.operator = n.serve(l.operator, &http.Server{Handler: n.operatorHandler(s, metrics), TLSConfig: n.callerTLS()}, entry)
 	n.followTLS(entry)
-	n.runControl(s, entry, identity, peers, prefixes)
+	n.runControl(s, o, entry, identity, peers, prefixes)
 	return nil
 }
 
@@ -254,7 +257,7 @@
 }
 
 // runControl starts the control goroutine and what feeds it.
-func (n *Node) runControl(s settings.Settings, log *logrus.Entry, identity control.Identity, peers *peer.Client, prefixes *routing.PrefixIndex) {
+func (n *Node) runControl(s settings.Settings, o Options, log *logrus.Entry, identity control.Identity, peers *peer.Client, prefixes *routing.PrefixIndex) {
 	ctx := n.ctx
 	store := etcdgw.New(s.Platform.Store)
 	heartbeats := &peer.Heartbeater{Identity: identity, Loop: n.loop, Client: peers, Seeds: func() []string { return s.Peer.Seeds }}
@@ -276,7 +279,7 @@
 		directory := scim.New(s.Platform.Directory, scim.FilterInactive)
 		n.done.Go(func() { pollDirectory(ctx, directory, n.loop, log) })
 	}
-	n.done.Go(func() { pollLoads(ctx, engineapi.New(), n.loop) })
+	n.done.Go(func() { pollLoads(ctx, cmp.Or(o.LoadInterval, loadPollInterval), engineapi.New(), n.loop) })
 }
 
 // slotHolder returns the claim of a slot of the own failure domain.
