Carry rollout states, local stops and samples to every instance

Cause: the decision logic of rollouts existed, but no instance knew the state of a move, so the splits named only the running version.

Ruled out: a store read per instance, which the store's rates do not allow, and a rewrite of the request body to name the version, because the body is passed on as the caller sent it; the header X-Model-Version names the version instead.

Change: heartbeats carry the states of moves, the local stops and, within a failure domain, cumulative samples. Control builds the splits from them; a rollback wins over any other state. Dispatch reports each attempt and moves a failed attempt of the candidate to the running version.

Conclusion: nothing writes states of moves yet, so traffic is unchanged.

--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -3,9 +3,11 @@
 import (
 	"cmp"
 	"fmt"
+	"strings"
 	"time"
 
 	"heatherloom/internal/invariant"
+	"heatherloom/internal/rollout"
 	"heatherloom/internal/routing"
 	"heatherloom/internal/timeline"
 )
@@ -42,6 +44,8 @@
 		l.observer.Timeline.Record(timeline.Event{Kind: timeline.KindConfig, Detail: fmt.Sprintf("revision %d", new.Config.Revision)})
 	}
 	walk(old.Peers, new.Peers, func(p *routing.Peer) string { return p.ID }, l.observePeer)
+	walk(old.Moves, new.Moves, func(m *rollout.Move) string { return m.ID() }, l.observeMove)
+	walk(old.Stops, new.Stops, func(s *rollout.Stop) string { return s.Move + " " + s.Instance }, l.observeStop)
 	walk(old.Upstreams, new.Upstreams, func(u *routing.Upstream) string { return u.ID }, l.observeUpstream)
 }
 
@@ -97,3 +101,22 @@
 		record(timeline.KindUpstreamLeaving, new.ID, "")
 	}
 }
+
+func (l *Loop) observeMove(old, new *rollout.Move) {
+	switch {
+	case new == nil:
+		l.recordMove(*old, "no longer known")
+	case old == nil || old.State != new.State || old.Step != new.Step:
+		l.recordMove(*new, fmt.Sprintf("%s %d%% %s", new.State, new.Percent(), new.Reason))
+	}
+}
+
+func (l *Loop) recordMove(m rollout.Move, detail string) {
+	l.observer.Timeline.Record(timeline.Event{Kind: timeline.KindRollout, Version: m.Version, Detail: strings.TrimSpace(m.ID() + " " + detail)})
+}
+
+func (l *Loop) observeStop(old, new *rollout.Stop) {
+	if old == nil {
+		l.observer.Timeline.Record(timeline.Event{Kind: timeline.KindLocalStop, Detail: new.Instance + " stopped sending to " + new.Move + ": " + new.Reason})
+	}
+}
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -23,6 +24,9 @@
 		Draining:      t.draining,
 		Published:     now,
 		Splits:        splitsOf(t),
+		Moves:         t.rollouts.list(),
+		Stops:         t.rollouts.stopList(),
+		Samples:       maps.Clone(t.rollouts.samples),
 		Upstreams:     upstreamsOf(t, now),
 		Peers:         peersOf(t),
 		Quarantined:   t.crashes.Quarantined(),
@@ -58,7 +62,7 @@
 			Region:        row.instance.Region,
 			FailureDomain: row.instance.FailureDomain,
 			Role:          row.instance.Role,
-			Targets:       targetsOf(row.instance),
+			Targets:       targetsOf(row),
 			Leaving:       leaving || row.instance.State == platform.InstanceLeaving,
 			Down:          now.Before(row.downUntil),
 			Load:          row.load,
@@ -69,11 +73,14 @@
 	return upstreams
 }
 
-func targetsOf(i platform.Instance) []string {
-	if i.Role == platform.RoleService {
-		return []string{i.Service}
+func targetsOf(row *upstreamRow) []string {
+	if row.instance.Role == platform.RoleService {
+		return []string{row.instance.Service}
 	}
-	return i.Models
+	if row.loaded != nil {
+		return row.loaded
+	}
+	return row.instance.Models
 }
 
 func peersOf(t *tables) []routing.Peer {
@@ -115,11 +122,3 @@
 	}
 	return contacts
 }
-
-func splitsOf(t *tables) map[string]routing.Split {
-	splits := make(map[string]routing.Split, len(t.config.Models))
-	for name, model := range t.config.Models {
-		splits[name] = routing.Split{Running: model.Version}
-	}
-	return splits
-}
--- a/internal/control/systems.go
+++ b/internal/control/systems.go
@@ -13,6 +13,7 @@
 	confirmConfig,
 	judgeHealth,
 	expireCrashes,
+	forgetRollouts,
 }
 
 const (
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -37,6 +37,9 @@
 	instance platform.Instance
 	load     platform.Load
 	counters *routing.Counters
+	// loaded are the models that the engine reported as loaded; nil if it accepted no
+	// order yet, so that the instance list counts.
+	loaded []string
 	// downUntil is the end of the pause after repeated failures.
 	downUntil time.Time
 	// countedFailures are the failures that the last pause took into account.
@@ -71,6 +74,7 @@
 	history     history
 	// inactive are the client accounts that the client directory marks as inactive.
 	inactive map[string]struct{}
+	rollouts rollouts
 	draining bool
 }
 
@@ -85,5 +89,6 @@
 		members:       membership.NewTable(),
 		confirmations: map[string]confirmation{},
 		crashes:       quarantine.NewTable(),
+		rollouts:      newRollouts(),
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -45,6 +45,8 @@
 	// connection to their upstream. Dispatch adds its own.
 	Attempts int
 	Crashes  int
+	// Probe requests test the candidate of a rollout and may go to it at any share.
+	Probe bool
 }
 
 // Completion reports whether the answer is a completion, which carries the request
@@ -86,6 +88,8 @@
 	Forward  Forwarder
 	// ReportCrash receives each crash of an upstream; nil to drop them.
 	ReportCrash func(quarantine.Crash)
+	// Observe receives the attempts of models with a rollout under way; nil to drop them.
+	Observe func(Observation)
 	// Timeline and Metrics may be nil.
 	Timeline *timeline.Recorder
 	Metrics  *telemetry.Metrics
@@ -172,6 +176,10 @@
 		if !d.again(r, result) {
 			return result.Err
 		}
+		if target := current(d.Snapshot(), r, true); target != r.Target {
+			// The upstreams that failed with the candidate may serve the running version.
+			r.Target, tried = target, nil
+		}
 		d.Metrics.Retry()
 	}
 }
@@ -216,6 +224,7 @@
 
 func (d *Dispatcher) attempt(ctx context.Context, r *Request, tried []string, last retry.Outcome, sink Sink) (relay.Result, string, *errkind.Error) {
 	snapshot := d.Snapshot()
+	r.Target = current(snapshot, r, false)
 	choice, err := pick(snapshot, r, tried, last)
 	if err != nil {
 		return relay.Result{}, "", errkind.From(err)
@@ -266,17 +275,19 @@
 func (d *Dispatcher) toUpstream(ctx context.Context, r *Request, u *routing.Upstream, sink Sink) relay.Result {
 	u.Counters.InFlight.Add(1)
 	defer u.Counters.InFlight.Add(-1)
+	timed, started := &timedSink{Sink: sink}, time.Now()
 	result := d.Relay.Do(ctx, relay.Attempt{
 		RequestID:  r.ID,
 		Address:    u.Address,
 		Method:     r.Method,
 		Path:       r.Path,
-		Header:     r.Header,
+		Header:     headerFor(r),
 		Body:       r.Body,
 		Stream:     r.Position,
 		Repeatable: r.Repeatable,
 		Completion: r.Completion(),
-	}, sink)
+	}, timed)
+	d.observe(r, u, result, started, timed.head)
 	if result.Err == nil {
 		u.Counters.Failures.Store(0)
 	} else if result.UpstreamFault {
--- a/internal/gateway/inference.go
+++ b/internal/gateway/inference.go
@@ -65,5 +65,5 @@
 	if !ok {
 		return name + "@" + model.Version, nil
 	}
-	return name + "@" + split.Running, nil
+	return name + "@" + split.Version(c.id), nil
 }
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -12,6 +12,7 @@
 	"heatherloom/internal/control"
 	"heatherloom/internal/membership"
 	"heatherloom/internal/peer/peerv1"
+	"heatherloom/internal/rollout"
 	"heatherloom/internal/routing"
 	"heatherloom/internal/timeline"
 )
@@ -32,6 +33,8 @@
 	Client   *Client
 	// Seeds returns peer addresses to announce to before any member is known.
 	Seeds func() []string
+	// Samples returns the samples of this instance for rollouts under way; nil for none.
+	Samples func() []rollout.KeyedSample
 }
 
 // Run sends heartbeats until ctx ends.
@@ -88,6 +91,10 @@
 		Known:   knownMembers(snapshot, started, address),
 		Crashes: crashesOf(snapshot),
 		Clock:   uint64(h.Client.clock.Now()),
+
+		Moves:         movesOf(snapshot),
+		VersionFaults: faultsOf(snapshot),
+		Samples:       h.samplesFor(snapshot, address),
 	}))
 	if err != nil {
 		return
@@ -95,6 +102,8 @@
 	h.Client.clock.Observe(timeline.Stamp(resp.Msg.GetClock()))
 	postMember(ctx, h.Loop, resp.Msg.GetSelf(), started, nil)
 	postCrashes(ctx, h.Loop, resp.Msg.GetCrashes())
+	postMoves(ctx, h.Loop, resp.Msg.GetMoves())
+	postFaults(ctx, h.Loop, resp.Msg.GetVersionFaults())
 }
 
 // confirmedAt returns when the configuration of a member that answered a call was
--- /dev/null
+++ b/internal/peer/rollouts.go
@@ -0,0 +1,131 @@
+package peer
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"heatherloom/internal/control"
+	"heatherloom/internal/peer/peerv1"
+	"heatherloom/internal/rollout"
+	"heatherloom/internal/routing"
+)
+
+func movesOf(s *routing.Snapshot) []*peerv1.RolloutMove {
+	moves := make([]*peerv1.RolloutMove, 0, len(s.Moves))
+	for _, m := range s.Moves {
+		moves = append(moves, &peerv1.RolloutMove{
+			Target:    m.Target,
+			Version:   m.Version,
+			From:      m.From,
+			Started:   m.Started.UnixNano(),
+			Deadline:  m.Deadline.UnixNano(),
+			State:     string(m.State),
+			Step:      int32(m.Step),
+			StepSince: m.StepSince.UnixNano(),
+			Reason:    m.Reason,
+			Sequence:  m.Sequence,
+		})
+	}
+	return moves
+}
+
+// postMoves drops moves with a step that this program does not know.
+func postMoves(ctx context.Context, loop *control.Loop, moves []*peerv1.RolloutMove) {
+	var event control.MovesEvent
+	for _, m := range moves {
+		if m.GetStep() < 0 || int(m.GetStep()) >= rollout.Steps {
+			continue
+		}
+		event.Moves = append(event.Moves, rollout.Move{
+			Target:    m.GetTarget(),
+			Version:   m.GetVersion(),
+			From:      m.GetFrom(),
+			Started:   time.Unix(0, m.GetStarted()),
+			Deadline:  time.Unix(0, m.GetDeadline()),
+			State:     rollout.State(m.GetState()),
+			Step:      int(m.GetStep()),
+			StepSince: time.Unix(0, m.GetStepSince()),
+			Reason:    m.GetReason(),
+			Sequence:  m.GetSequence(),
+		})
+	}
+	if len(event.Moves) > 0 {
+		loop.Post(ctx, event)
+	}
+}
+
+func faultsOf(s *routing.Snapshot) []*peerv1.VersionFault {
+	faults := make([]*peerv1.VersionFault, 0, len(s.Stops))
+	for _, stop := range s.Stops {
+		target, version, _ := strings.Cut(stop.Move, "@")
+		faults = append(faults, &peerv1.VersionFault{
+			Target: target, Version: version, Reason: stop.Reason, SeenAt: stop.SeenAt, Instance: stop.Instance,
+		})
+	}
+	return faults
+}
+
+func postFaults(ctx context.Context, loop *control.Loop, faults []*peerv1.VersionFault) {
+	var event control.StopsEvent
+	for _, f := range faults {
+		event.Stops = append(event.Stops, rollout.Stop{
+			Move:     rollout.Move{Target: f.GetTarget(), Version: f.GetVersion()}.ID(),
+			Instance: f.GetInstance(),
+			Reason:   f.GetReason(),
+			SeenAt:   f.GetSeenAt(),
+		})
+	}
+	if len(event.Stops) > 0 {
+		loop.Post(ctx, event)
+	}
+}
+
+// samplesFor returns the samples for a recipient: only members of the own failure
+// domain need them.
+func (h *Heartbeater) samplesFor(s *routing.Snapshot, address string) []*peerv1.VersionSample {
+	if h.Samples == nil {
+		return nil
+	}
+	for _, p := range s.Peers {
+		if p.PeerAddress == address && p.FailureDomain == h.Identity.FailureDomain {
+			return encodeSamples(h.Samples())
+		}
+	}
+	return nil
+}
+
+func encodeSamples(samples []rollout.KeyedSample) []*peerv1.VersionSample {
+	encoded := make([]*peerv1.VersionSample, 0, len(samples))
+	for _, s := range samples {
+		row := &peerv1.VersionSample{
+			Move: s.Move, Step: int32(s.Step), Candidate: s.Candidate, Route: s.Route, Requests: s.Requests, Errors: s.Errors,
+		}
+		for _, class := range s.Latency {
+			row.Latency = append(row.Latency, class[:]...)
+		}
+		encoded = append(encoded, row)
+	}
+	return encoded
+}
+
+func postSamples(ctx context.Context, loop *control.Loop, self *peerv1.Member, samples []*peerv1.VersionSample) {
+	if self.GetFailureDomain() != loop.Snapshot().FailureDomain {
+		return
+	}
+	event := control.SamplesEvent{Instance: self.GetId()}
+	for _, s := range samples {
+		row := rollout.KeyedSample{
+			SampleKey: rollout.SampleKey{Move: s.GetMove(), Step: int(s.GetStep()), Candidate: s.GetCandidate(), Route: s.GetRoute()},
+			Sample:    rollout.Sample{Requests: s.GetRequests(), Errors: s.GetErrors()},
+		}
+		for class := range row.Latency {
+			size := len(row.Latency[class])
+			if end := (class + 1) * size; end <= len(s.GetLatency()) {
+				copy(row.Latency[class][:], s.GetLatency()[end-size:end])
+			}
+		}
+		event.Samples = append(event.Samples, row)
+	}
+	loop.Post(ctx, event)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -77,11 +77,17 @@
 	s.Timeline.Clock().Observe(timeline.Stamp(req.Msg.GetClock()))
 	postMember(ctx, s.Loop, req.Msg.GetSelf(), time.Time{}, req.Msg.GetKnown())
 	postCrashes(ctx, s.Loop, req.Msg.GetCrashes())
+	postMoves(ctx, s.Loop, req.Msg.GetMoves())
+	postFaults(ctx, s.Loop, req.Msg.GetVersionFaults())
+	postSamples(ctx, s.Loop, req.Msg.GetSelf(), req.Msg.GetSamples())
 	snapshot := s.Loop.Snapshot()
 	return connect.NewResponse(&peerv1.HeartbeatResponse{
 		Self:    SelfMember(s.Identity, snapshot),
 		Crashes: crashesOf(snapshot),
 		Clock:   uint64(s.Timeline.Clock().Now()),
+
+		Moves:         movesOf(snapshot),
+		VersionFaults: faultsOf(snapshot),
 	}), nil
 }
 
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -51,6 +51,9 @@
 	StepSince time.Time `json:"step_since"`
 	// Reason says why the move was taken back, or what it waits for.
 	Reason string `json:"reason,omitempty"`
+	// Sequence grows with each stored change, so that the later of two states can be
+	// told without a clock.
+	Sequence int64 `json:"sequence"`
 }
 
 // ID returns the identity of the move, stable over steps.
@@ -90,9 +93,12 @@
 
 // Selects reports whether a request belongs to the version. The answer depends on
 // the request id only, so that all instances together keep the share.
-func (m Move) Selects(requestID string) bool {
+func (m Move) Selects(requestID string) bool { return Selects(requestID, m.Share()) }
+
+// Selects reports whether a request belongs to a version that carries share of them.
+func Selects(requestID string, share float64) bool {
 	const resolution = 1 << 32
-	return float64(xxhash.Sum64String(requestID)%resolution) < m.Share()*resolution
+	return float64(xxhash.Sum64String(requestID)%resolution) < share*resolution
 }
 
 // Upstreams counts the target's upstreams that this decision can see.
@@ -126,9 +132,16 @@
 	Running   Sample
 }
 
+// Rules are the durations of the decision.
+type Rules struct {
+	// MinDwell is the shortest time of a step: a fault that appears late has to show.
+	MinDwell time.Duration
+}
+
+// DefaultRules returns the rules of production.
+func DefaultRules() Rules { return Rules{MinDwell: 20 * time.Second} }
+
 const (
-	// minDwell is the shortest time of a step: a fault that appears late has to show.
-	minDwell = 20 * time.Second
 	// stopsToTakeBack is the number of instances whose local stop takes a move back.
 	// One instance alone may see a fault of its own link.
 	stopsToTakeBack = 2
@@ -136,8 +149,13 @@
 	finishReserve = 0.1
 )
 
-// Step returns the next state of the move. It changes at most one step at a time.
+// Step returns the next state of the move by the default rules.
 func Step(m Move, u Upstreams, e Evidence, now time.Time) Move {
+	return DefaultRules().Step(m, u, e, now)
+}
+
+// Step returns the next state of the move. It changes at most one step at a time.
+func (r Rules) Step(m Move, u Upstreams, e Evidence, now time.Time) Move {
 	if m.Final() {
 		return m
 	}
@@ -154,7 +172,7 @@
 	case Loading:
 		return m.load(u, now)
 	default:
-		return m.advance(e, now)
+		return r.advance(m, e, now)
 	}
 }
 
@@ -197,13 +215,13 @@
 	return m.enter(Sharing, m.Step, now)
 }
 
-func (m Move) advance(e Evidence, now time.Time) Move {
+func (r Rules) advance(m Move, e Evidence, now time.Time) Move {
 	dwell := now.Sub(m.StepSince)
-	if dwell < minDwell {
+	if dwell < r.MinDwell {
 		m.Reason = ""
 		return m
 	}
-	if waiting := m.lacking(e, dwell); waiting != "" {
+	if waiting := r.lacking(m, e, dwell); waiting != "" {
 		m.Reason = waiting
 		return m
 	}
@@ -216,9 +234,9 @@
 // lacking returns which evidence is still missing, or "". Every route with traffic
 // needs enough requests; after the step's part of the time to the deadline a few
 // successes, also of probes, are enough.
-func (m Move) lacking(e Evidence, dwell time.Duration) string {
+func (r Rules) lacking(m Move, e Evidence, dwell time.Duration) string {
 	required := int64(requestsPerStep)
-	if dwell >= m.stepBudget() {
+	if dwell >= r.stepBudget(m) {
 		required = requestsAtBudget
 	}
 	judged := 0
@@ -239,8 +257,8 @@
 
 // stepBudget is the time that each step may take so that the last one ends before
 // the deadline.
-func (m Move) stepBudget() time.Duration {
+func (r Rules) stepBudget(m Move) time.Duration {
 	total := m.Deadline.Sub(m.Started)
 	usable := time.Duration(float64(total) * (1 - finishReserve))
-	return max(usable/time.Duration(Steps), minDwell)
+	return max(usable/time.Duration(Steps), r.MinDwell)
 }
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -14,6 +14,7 @@
 	"heatherloom/internal/platform"
 	"heatherloom/internal/quarantine"
 	"heatherloom/internal/quota"
+	"heatherloom/internal/rollout"
 )
 
 // Upstream is an engine or a plain service that this instance can reach directly.
@@ -77,6 +78,17 @@
 	Candidate string
 	// Share is the part of the requests, from 0 to 1, that belongs to Candidate.
 	Share float64
+	// Move and Step identify the rollout and its step; empty if there is none.
+	Move string
+	Step int
+}
+
+// Version returns the version that a request belongs to.
+func (s Split) Version(requestID string) string {
+	if s.Candidate != "" && rollout.Selects(requestID, s.Share) {
+		return s.Candidate
+	}
+	return s.Running
 }
 
 // Snapshot is the state that traffic reads. It is immutable after publication.
@@ -108,6 +120,13 @@
 	Former []membership.Contact
 	// Splits is indexed by model or service name.
 	Splits map[string]Split
+	// Moves are the known rollouts, sorted by id.
+	Moves []rollout.Move
+	// Stops are the local stops of this and other instances, sorted by move and instance.
+	Stops []rollout.Stop
+	// Samples are the latest samples that each other member of the failure domain
+	// reported, by instance id.
+	Samples map[string][]rollout.KeyedSample
 	// Remote lists, for each target, indexes into Peers whose region serves it.
 	Remote map[string][]int32
 	// Quarantined are the requests that are refused.
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -27,6 +27,10 @@
 	KindUpstreamLeaving Kind = "upstream_leaving"
 	KindMemberDraining  Kind = "member_draining"
 	KindDrain           Kind = "drain"
+	// KindRollout is a change of a version rollout.
+	KindRollout Kind = "rollout"
+	// KindLocalStop means that one instance stopped sending to a version.
+	KindLocalStop Kind = "local_stop"
 	KindTLS             Kind = "tls_files"
 )
 
