Carry out version rollouts with the holders of the domain leases

Cause: a configured move had no effect; no one wrote its state, ordered engines to load the version or summed the evidence.

Ruled out: evidence and states through the store by each instance (the store's rates); waiting only at engines that are known to ignore fencing tokens (an engine does not say so, so a new holder waits at all of them); a lease TTL of 2 s in the tests, which is shorter than the renewal interval of 3 s, so that no order was ever given.

Change: package rolloutctl. The lease holder of the owning failure domain creates and steps the moves by compare-and-swap, on the condition that the lease key is still its own; each lease holder orders the engines of its domain and writes the evidence of the domain every 5 s. An instance stops sending to a faulty version by itself. Probes give evidence where traffic is low. A step's part of the time to the deadline now counts from what is left at its start, so that slow loads do not move the last step past the deadline. The status shows state, step and reason; the timeline records each change.

Conclusion: models roll out without an operator; plain services do not yet.

--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -62,9 +62,6 @@
 func (e MovesEvent) apply(t *tables, _ time.Time) {
 	for _, m := range e.Moves {
 		old, known := t.rollouts.moves[m.ID()]
-		if !known && m.Final() && Forgettable(t.config, m) {
-			continue
-		}
 		if !known || m.Supersedes(old) {
 			t.rollouts.moves[m.ID()] = m
 		}
@@ -72,14 +69,17 @@
 }
 
 // Forgettable reports whether a final move that is no longer configured can be
-// dropped. A completed one is kept until the configuration names its version or no
-// longer the one it replaced; the traffic would return to the old version otherwise.
-func Forgettable(c *opconfig.Config, m rollout.Move) bool {
+// dropped. moves are all known moves of its target. A completed one is kept while the
+// running version follows from it; the traffic would return to the old version otherwise.
+func Forgettable(c *opconfig.Config, m rollout.Move, moves []rollout.Move) bool {
 	if _, configured := c.Moves[m.ID()]; c.Revision == 0 || configured || !m.Final() {
 		return false
 	}
 	model, known := c.Models[m.Target]
-	return m.State == rollout.TakenBack || !known || model.Version == m.Version
+	if m.State == rollout.TakenBack || !known {
+		return true
+	}
+	return !slices.ContainsFunc(rollout.Chain(model.Version, moves), func(used rollout.Move) bool { return used.ID() == m.ID() })
 }
 
 // StopsEvent brings local stops of this instance or of peers.
@@ -120,15 +120,15 @@
 }
 
 // forgetRollouts drops final moves that are no longer needed, and the stops of moves
-// that have ended.
+// that are not under way.
 func forgetRollouts(t *tables, _ time.Time) {
 	for id, m := range t.rollouts.moves {
-		if Forgettable(t.config, m) {
+		if Forgettable(t.config, m, t.rollouts.of(m.Target)) {
 			delete(t.rollouts.moves, id)
 		}
 	}
 	for key := range t.rollouts.stops {
-		if m, known := t.rollouts.moves[key.move]; known && m.Final() {
+		if m, known := t.rollouts.moves[key.move]; !known || m.Final() {
 			delete(t.rollouts.stops, key)
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"heatherloom/internal/platform/scim"
 	"heatherloom/internal/quarantine"
 	"heatherloom/internal/relay"
+	"heatherloom/internal/rolloutctl"
 	"heatherloom/internal/settings"
 	"heatherloom/internal/telemetry"
 	"heatherloom/internal/timeline"
@@ -64,6 +65,23 @@
 	done     sync.WaitGroup
 	// tls is nil if the listeners do not use TLS.
 	tls *tlsconfig.Source
+
+	options  Options
+	recorder *rolloutctl.Recorder
+	// probe sends a probe request of a rollout.
+	probe func(context.Context, *dispatch.Request)
+}
+
+// Options are the durations that tests shorten.
+type Options struct {
+	Rollouts rolloutctl.Timing
+	// LeaseTTL is the time after which the leader lease of a silent holder ends.
+	LeaseTTL time.Duration
+}
+
+// DefaultOptions returns the durations of production.
+func DefaultOptions() Options {
+	return Options{Rollouts: rolloutctl.DefaultTiming(), LeaseTTL: lease.DefaultTTL}
 }
 
 // listeners are the open sockets of an instance.
@@ -101,6 +119,11 @@
 
 // Start starts an entry instance and returns once its listeners are open.
 func Start(s settings.Settings, log *logrus.Logger) (*Node, error) {
+	return StartWith(s, log, DefaultOptions())
+}
+
+// StartWith starts an entry instance with other durations than those of production.
+func StartWith(s settings.Settings, log *logrus.Logger, o Options) (*Node, error) {
 	l, err := openListeners(s.Listeners)
 	if err != nil {
 		return nil, err
@@ -110,6 +133,7 @@
 		PeerAddress:     l.peer.Addr().String(),
 		OperatorAddress: l.operator.Addr().String(),
 		gate:            drain.NewGate(),
+		options:         o,
 		timeline: timeline.NewRecorder(s.Instance.ID, timeline.NewClock(time.Now),
 			timeline.DefaultRequestEvents, timeline.DefaultStateEvents),
 	}
@@ -150,6 +174,7 @@
 		Timeline: n.timeline,
 		Metrics:  metrics,
 	}
+	n.recordRollouts(identity, dispatcher)
 	handler, err := gateway.New(gateway.Deps{
 		Snapshot:   n.loop.Snapshot,
 		Dispatcher: dispatcher,
@@ -238,7 +263,7 @@
 func (n *Node) runControl(s settings.Settings, log *logrus.Entry, identity control.Identity, peers *peer.Client) {
 	ctx := n.ctx
 	store := etcdgw.New(s.Platform.Store)
-	heartbeats := &peer.Heartbeater{Identity: identity, Loop: n.loop, Client: peers, Seeds: func() []string { return s.Peer.Seeds }}
+	heartbeats := &peer.Heartbeater{Identity: identity, Loop: n.loop, Client: peers, Seeds: func() []string { return s.Peer.Seeds }, Samples: n.recorder.List}
 	syncer := &configsync.Syncer{
 		Identity: identity, Store: store, Peers: peers, Loop: n.loop, Announce: heartbeats.Announce, Log: log,
 	}
@@ -246,8 +271,9 @@
 	n.done.Go(func() { n.loop.Run(ctx) })
 	n.done.Go(func() { syncer.Run(ctx) })
 	n.done.Go(func() { heartbeats.Run(ctx) })
-	n.lease = lease.New(store, lease.DomainKey(identity.FailureDomain), identity.ID, lease.DefaultTTL, time.Now)
+	n.lease = lease.New(store, lease.DomainKey(identity.FailureDomain), identity.ID, n.options.LeaseTTL, time.Now)
 	n.done.Go(func() { n.lease.Run(ctx, syncer.IsWatcher) })
+	n.runRollouts(s, store, syncer, heartbeats, log)
 	n.done.Go(func() { pollInstances(ctx, list, n.loop) })
 	if s.Platform.Directory != "" {
 		directory := scim.New(s.Platform.Directory, scim.FilterInactive)
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"maps"
 	"math"
 	"net/http"
 	"slices"
@@ -58,11 +59,11 @@
 	return upstreams
 }
 
-// Rollouts returns the rollouts of the configuration with the state that the
-// traffic splits show.
+// Rollouts returns the rollouts that are configured or known. For one without a known
+// state, the traffic splits show it.
 func Rollouts(s *routing.Snapshot) []operatorapi.Rollout {
-	rollouts := make([]operatorapi.Rollout, 0, len(s.Config.Moves))
-	for _, move := range s.Config.Moves {
+	rows := map[string]operatorapi.Rollout{}
+	for id, move := range s.Config.Moves {
 		row := operatorapi.Rollout{Target: move.Target, Version: move.Version, State: operatorapi.RolloutPlanned}
 		split := s.Splits[move.Target]
 		switch move.Version {
@@ -72,10 +73,24 @@
 			row.State = operatorapi.RolloutShare
 			row.Step = int(math.Round(split.Share * 100))
 		}
-		rollouts = append(rollouts, row)
+		rows[id] = row
 	}
-	slices.SortFunc(rollouts, func(a, b operatorapi.Rollout) int {
+	for _, m := range s.Moves {
+		rows[m.ID()] = operatorapi.Rollout{
+			Target:  m.Target,
+			Version: m.Version,
+			State:   operatorapi.RolloutState(m.State),
+			Step:    m.Percent(),
+			Reason:  m.Reason,
+		}
+	}
+	for _, stop := range s.Stops {
+		if row, known := rows[stop.Move]; known && row.Reason == "" {
+			row.Reason = stop.Instance + " stopped sending to the version: " + stop.Reason
+			rows[stop.Move] = row
+		}
+	}
+	return slices.SortedFunc(maps.Values(rows), func(a, b operatorapi.Rollout) int {
 		return strings.Compare(a.Target+"@"+a.Version, b.Target+"@"+b.Version)
 	})
-	return rollouts
 }
--- a/internal/rollout/fleet.go
+++ b/internal/rollout/fleet.go
@@ -34,20 +34,31 @@
 	return Upstreams{Total: total}.needed(m.Step)
 }
 
-// Running returns the version that carries the traffic of a target: the configured
-// one, replaced by that of each completed move that started from it.
-func Running(configured string, moves []Move) string {
+// Chain returns the completed moves that lead from the configured version of a target
+// to the one that carries its traffic, in order.
+func Chain(configured string, moves []Move) []Move {
 	left := slices.DeleteFunc(slices.Clone(moves), func(m Move) bool { return m.State != Done })
+	var chain []Move
 	for {
 		next := slices.IndexFunc(left, func(m Move) bool { return m.From == configured })
 		if next < 0 {
-			return configured
+			return chain
 		}
+		chain = append(chain, left[next])
 		configured = left[next].Version
 		left = slices.Delete(left, next, next+1)
 	}
 }
 
+// Running returns the version that carries the traffic of a target.
+func Running(configured string, moves []Move) string {
+	chain := Chain(configured, moves)
+	if len(chain) == 0 {
+		return configured
+	}
+	return chain[len(chain)-1].Version
+}
+
 // Active returns the move under way among those of one target: the one with the
 // earliest deadline that is not final. A target has one move under way at a time.
 func Active(moves []Move) (Move, bool) {
@@ -104,13 +115,13 @@
 	return list
 }
 
-// Routes compares the versions on each route at the current step of the move. The
-// running version is also represented by earlier steps, because it has little or no
-// traffic at the last ones.
-func (s Samples) Routes(m Move) []RouteEvidence {
+// Routes compares the versions on each route at a step of a move. The running version
+// is also represented by earlier steps, because it has little or no traffic at the
+// last one.
+func (s Samples) Routes(move string, step int) []RouteEvidence {
 	byRoute := map[string]*RouteEvidence{}
 	for key, sample := range s {
-		if key.Move != m.ID() || key.Step > m.Step {
+		if key.Move != move || key.Step > step {
 			continue
 		}
 		row := byRoute[key.Route]
@@ -121,7 +132,7 @@
 		switch {
 		case !key.Candidate:
 			row.Running.Merge(sample)
-		case key.Step == m.Step:
+		case key.Step == step:
 			row.Candidate.Merge(sample)
 		}
 	}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -255,10 +255,12 @@
 	return ""
 }
 
-// stepBudget is the time that each step may take so that the last one ends before
-// the deadline.
+// stepBudget is the time that the step may take so that the last one ends before the
+// deadline: an equal part of the time left when the step began, so that a slow load
+// before it shortens the steps that follow.
 func (r Rules) stepBudget(m Move) time.Duration {
 	total := m.Deadline.Sub(m.Started)
 	usable := time.Duration(float64(total) * (1 - finishReserve))
-	return max(usable/time.Duration(Steps), r.MinDwell)
+	left := m.Started.Add(usable).Sub(m.StepSince)
+	return max(left/time.Duration(Steps-m.Step), r.MinDwell)
 }
--- /dev/null
+++ b/internal/rolloutctl/orders.go
@@ -0,0 +1,218 @@
+package rolloutctl
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"heatherloom/internal/control"
+	"heatherloom/internal/platform"
+	"heatherloom/internal/rollout"
+	"heatherloom/internal/routing"
+)
+
+const (
+	// loadsPerRound bounds the engines of a failure domain that are told to load in one
+	// round.
+	loadsPerRound = 4
+	// unloadsPerRound bounds those that are told to drop a version, so that a version
+	// that turns out to be needed again is not gone everywhere at once.
+	unloadsPerRound = 1
+	// minLoadWait is the pause after a refusal of the weight store that names no wait.
+	minLoadWait = time.Second
+	// engineConcurrency bounds the calls to engines at one time.
+	engineConcurrency = 16
+)
+
+// followEngines reads which models the engines of the region hold and hands them to
+// control. It does nothing while no rollout is known. An engine that does not answer
+// keeps its last state.
+func (c *Controller) followEngines(ctx context.Context, s *routing.Snapshot) {
+	if len(s.Moves) == 0 {
+		return
+	}
+	var reading sync.WaitGroup
+	slots := make(chan struct{}, engineConcurrency)
+	for i := range s.Upstreams {
+		if !s.Upstreams[i].IsEngine() {
+			continue
+		}
+		slots <- struct{}{}
+		reading.Go(func() {
+			defer func() { <-slots }()
+			c.followEngine(ctx, &s.Upstreams[i])
+		})
+	}
+	reading.Wait()
+}
+
+func (c *Controller) followEngine(ctx context.Context, u *routing.Upstream) {
+	state, err := c.Engines.State(ctx, u.Address)
+	if err != nil {
+		return
+	}
+	event := control.LoadedEvent{Upstream: u.ID}
+	if state.Order.Fence > 0 {
+		event.Loaded = append([]string{}, state.Loaded...)
+	}
+	c.Loop.Post(ctx, event)
+}
+
+// enginesOf returns the engines of the own failure domain that serve any version of a
+// target and are not leaving, ordered by rendezvous weight for the target.
+func (c *Controller) enginesOf(s *routing.Snapshot, target string) []*routing.Upstream {
+	var engines []*routing.Upstream
+	for i := range s.Upstreams {
+		u := &s.Upstreams[i]
+		serves := slices.ContainsFunc(u.Targets, func(m string) bool { return targetName(m) == target })
+		if u.IsEngine() && u.FailureDomain == c.Identity.FailureDomain && !u.Leaving && serves {
+			engines = append(engines, u)
+		}
+	}
+	weight := func(u *routing.Upstream) uint64 { return xxhash.Sum64String(target + "\x00" + u.ID) }
+	slices.SortFunc(engines, func(a, b *routing.Upstream) int {
+		return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a.ID, b.ID))
+	})
+	return engines
+}
+
+// orderEngines brings the engines of the own failure domain closer to the versions that
+// the moves ask for.
+func (c *Controller) orderEngines(ctx context.Context, s *routing.Snapshot) {
+	if !s.Ready || time.Since(c.tenure.since) < c.Timing.OrderWait {
+		return
+	}
+	wanted := c.wantedVersions(s)
+	loads, unloads := loadsPerRound, unloadsPerRound
+	for i := range s.Upstreams {
+		u := &s.Upstreams[i]
+		versions := wanted[u.ID]
+		if len(versions) == 0 {
+			continue
+		}
+		state, err := c.Engines.State(ctx, u.Address)
+		if err != nil {
+			continue
+		}
+		c.orderEngine(ctx, u, state, plan(u, state, versions, loads > 0, unloads > 0), &loads, &unloads)
+	}
+}
+
+// wantedVersions returns, for each engine and target with a rollout, the versions that
+// the engine should hold.
+func (c *Controller) wantedVersions(s *routing.Snapshot) map[string]map[string][]string {
+	wanted := map[string]map[string][]string{}
+	for _, m := range s.Moves {
+		split := s.Splits[m.Target]
+		if split.Running == "" {
+			continue
+		}
+		engines := c.enginesOf(s, m.Target)
+		for i, u := range engines {
+			if wanted[u.ID] == nil {
+				wanted[u.ID] = map[string][]string{}
+			}
+			versions := []string{m.Target + "@" + split.Running}
+			if active, ok := activeOf(s, split); ok && i < active.LoadedCount(len(engines)) {
+				versions = append(versions, active.ID())
+			}
+			wanted[u.ID][m.Target] = versions
+		}
+	}
+	return wanted
+}
+
+func activeOf(s *routing.Snapshot, split routing.Split) (rollout.Move, bool) {
+	for _, m := range s.Moves {
+		if m.ID() == split.Move {
+			return m, true
+		}
+	}
+	return rollout.Move{}, false
+}
+
+// next is the planned order of an engine.
+type next struct {
+	models []string
+	// load is a model that the order adds; empty if there is none.
+	load   string
+	unload bool
+}
+
+// plan returns the models that an engine should be told to hold. Models of targets
+// without a rollout stay. A version is dropped only once the engine has loaded all
+// that it should hold of the target.
+func plan(u *routing.Upstream, state platform.EngineState, versions map[string][]string, mayLoad, mayUnload bool) next {
+	current := u.Targets
+	if state.Order.Fence > 0 {
+		current = state.Order.Models
+	}
+	n := next{models: slices.Clone(current)}
+	for target, wanted := range versions {
+		for _, model := range wanted {
+			if !contains(n.models, model) && mayLoad {
+				n.models, n.load = append(n.models, model), model
+			}
+		}
+		ready := !slices.ContainsFunc(wanted, func(m string) bool { return !contains(u.Targets, m) })
+		surplus := func(m string) bool { return targetName(m) == target && !contains(wanted, m) }
+		if ready && mayUnload && slices.ContainsFunc(n.models, surplus) {
+			n.models, n.unload = slices.DeleteFunc(n.models, surplus), true
+		}
+	}
+	slices.Sort(n.models)
+	return n
+}
+
+// orderEngine sends the planned order if it changes anything or carries a higher token.
+// An order without an answer is read back in the next round.
+func (c *Controller) orderEngine(ctx context.Context, u *routing.Upstream, state platform.EngineState, n next, loads, unloads *int) {
+	ordered := state.Order.Fence > 0
+	changes := n.load != "" || n.unload
+	if state.Order.Fence > c.tenure.token || (!changes && (!ordered || state.Order.Fence == c.tenure.token)) {
+		return
+	}
+	if n.load != "" && !c.mayLoad(ctx, n.load) {
+		return
+	}
+	if !c.holds() {
+		return
+	}
+	err := c.Engines.Apply(ctx, u.Address, platform.Order{Fence: c.tenure.token, Models: n.models})
+	if err != nil {
+		c.warn("engine "+u.ID+" did not take the order", err)
+		return
+	}
+	if n.load != "" {
+		*loads--
+	}
+	if n.unload {
+		*unloads--
+	}
+}
+
+// mayLoad asks the weight store for the version, so that its rate limit also holds up
+// the loads that would follow.
+func (c *Controller) mayLoad(ctx context.Context, model string) bool {
+	if time.Now().Before(c.loadAfter) {
+		return false
+	}
+	if c.Weights == nil {
+		return true
+	}
+	_, err := c.Weights.Describe(ctx, model)
+	var limited *platform.RateLimitedError
+	if errors.As(err, &limited) {
+		c.loadAfter = time.Now().Add(max(limited.RetryAfter, minLoadWait))
+	} else if err != nil {
+		c.warn("weights of "+model+" not described", err)
+	}
+	return err == nil
+}
+
+func contains(list []string, s string) bool { return slices.Contains(list, s) }
--- /dev/null
+++ b/internal/rolloutctl/probes.go
@@ -0,0 +1,75 @@
+package rolloutctl
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"heatherloom/internal/dispatch"
+	"heatherloom/internal/rollout"
+)
+
+const (
+	// HeaderProbe marks a probe request at the upstream.
+	HeaderProbe = "X-Heatherloom-Probe"
+	// probesPerRound keeps probes far below the traffic of callers.
+	probesPerRound = 2
+	probeTimeout   = 10 * time.Second
+	// defaultProbeRoute is probed if no route has traffic.
+	defaultProbeRoute = "/v1/completions"
+)
+
+// probe sends a few completions to the candidate on each route that lacks evidence.
+// They belong to no client account.
+func (c *Controller) probe(ctx context.Context, m rollout.Move, e rollout.Evidence, now time.Time) {
+	if c.Probe == nil {
+		return
+	}
+	for route, lacking := range c.Timing.Rules.Probes(m, e.Routes, defaultProbeRoute, now) {
+		for range min(lacking, probesPerRound) {
+			go c.sendProbe(ctx, m, route)
+		}
+	}
+}
+
+func (c *Controller) sendProbe(ctx context.Context, m rollout.Move, route string) {
+	body, err := json.Marshal(probeBody(m.Target, route))
+	if err != nil {
+		c.warn("probe not encoded", err)
+		return
+	}
+	c.Probe(ctx, &dispatch.Request{
+		ID:         "probe-" + uuid.NewString(),
+		Method:     http.MethodPost,
+		Path:       route,
+		Header:     http.Header{"Content-Type": {"application/json"}, HeaderProbe: {"1"}},
+		Body:       body,
+		Target:     m.ID(),
+		Repeatable: true,
+		Probe:      true,
+		Deadline:   time.Now().Add(probeTimeout),
+	})
+}
+
+func probeBody(model, route string) map[string]any {
+	body := map[string]any{"model": model, "max_tokens": 1}
+	if strings.HasSuffix(route, "/chat/completions") {
+		body["messages"] = []map[string]string{{"role": "user", "content": "ping"}}
+	} else {
+		body["prompt"] = "ping"
+	}
+	return body
+}
+
+// Discard is a sink that drops the answer to a probe.
+type Discard struct{}
+
+// Head implements dispatch.Sink.
+func (Discard) Head(int, http.Header) error { return nil }
+
+// Data implements dispatch.Sink.
+func (Discard) Data([]byte) error { return nil }
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -44,6 +44,7 @@
 	{"platform.store", required, in(BaseURL, func(s *Settings) *string { return &s.Platform.Store })},
 	{"platform.instances", required, in(webURL, func(s *Settings) *string { return &s.Platform.Instances })},
 	{"platform.directory", "", in(optional(BaseURL), func(s *Settings) *string { return &s.Platform.Directory })},
+	{"platform.weights", "", in(optional(BaseURL), func(s *Settings) *string { return &s.Platform.Weights })},
 	{"platform.max_isolation", "90m", in(duration(minIsolation, maxIsolation), func(s *Settings) *time.Duration { return &s.Platform.MaxIsolation })},
 	{"peer.secret", required, in(secret, func(s *Settings) *string { return &s.Peer.Secret })},
 	{"peer.seeds", "", in(listOf(address), func(s *Settings) *[]string { return &s.Peer.Seeds })},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,6 +62,9 @@
 	// Directory is the base URL of the client directory, http or https without a
 	// path. Default none, with which every configured client account is active.
 	Directory string
+	// Weights is the base URL of the weight store, http or https without a path.
+	// Default none, with which loads are spread out by a fixed rate alone.
+	Weights string
 	// MaxIsolation is the time without the key-value service and without peers
 	// outside the region after which requests with keys are refused. Default 90m,
 	// from 1m to 24h.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -52,12 +52,13 @@
 type Engine struct {
 	*Server
 
-	mu     sync.Mutex
-	faults EngineFaults
-	record runRecord
-	load   loadHistory
-	orders orderBook
-	cache  prefixCache
+	mu       sync.Mutex
+	faults   EngineFaults
+	record   runRecord
+	load     loadHistory
+	orders   orderBook
+	cache    prefixCache
+	versions versionBook
 	// TokenInterval is the time between two tokens of a stream.
 	tokenInterval time.Duration
 }
@@ -72,13 +73,14 @@
 func StartEngine(address string, tokenInterval time.Duration) (*Engine, error) {
 	e := &Engine{tokenInterval: tokenInterval}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/chat/completions", e.load.scheduled(e.complete))
-	mux.HandleFunc("POST /v1/completions", e.load.scheduled(e.complete))
+	mux.HandleFunc("POST /v1/chat/completions", e.load.scheduled(e.versions.faulty(e.complete)))
+	mux.HandleFunc("POST /v1/completions", e.load.scheduled(e.versions.faulty(e.complete)))
 	mux.HandleFunc("GET /metrics", e.load.serveMetrics)
 	e.orders.register(mux)
 	e.cache.register(mux)
 	mux.HandleFunc("POST /standin/load", serveSwitch(e.load.Set))
 	mux.HandleFunc("POST /standin/faults", serveSwitch(e.SetFaults))
+	mux.HandleFunc("POST /standin/version", serveSwitch(e.SetVersionFault))
 	mux.HandleFunc("GET /standin/runs", e.serveRuns)
 	server, err := listen(address, mux)
 	if err != nil {
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -31,7 +31,7 @@
 	KindRollout Kind = "rollout"
 	// KindLocalStop means that one instance stopped sending to a version.
 	KindLocalStop Kind = "local_stop"
-	KindTLS             Kind = "tls_files"
+	KindTLS       Kind = "tls_files"
 )
 
 // Event is one thing that happened on one instance. Fields that do not apply are
