--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -63,6 +63,7 @@
 			FailureDomain: row.instance.FailureDomain,
 			Role:          row.instance.Role,
 			Targets:       targetsOf(row),
+			Listed:        row.instance.Models,
 			Leaving:       leaving || row.instance.State == platform.InstanceLeaving,
 			Down:          now.Before(row.downUntil),
 			Load:          row.load,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -290,7 +290,7 @@
 	d.observe(r, u, result, started, timed.head)
 	if result.Err == nil {
 		u.Counters.Failures.Store(0)
-	} else if result.UpstreamFault {
+	} else if result.UpstreamFault && !d.versionFault(r, result) {
 		u.Counters.Failures.Add(1)
 	}
 	d.countCrash(r, u, &result)
--- a/internal/dispatch/rollouts.go
+++ b/internal/dispatch/rollouts.go
@@ -8,6 +8,7 @@
 
 	"heatherloom/internal/platform"
 	"heatherloom/internal/relay"
+	"heatherloom/internal/retry"
 	"heatherloom/internal/rollout"
 	"heatherloom/internal/routing"
 )
@@ -73,6 +74,14 @@
 	return t.Sink.Head(status, header)
 }
 
+// versionFault reports whether an answered failure may be due to the version under
+// rollout. It must not pause the upstream, which also serves the running version.
+func (d *Dispatcher) versionFault(r *Request, result relay.Result) bool {
+	name, version, _ := strings.Cut(r.Target, "@")
+	split := d.Snapshot().Splits[name]
+	return split.Candidate != "" && version == split.Candidate && result.Outcome == retry.Failed
+}
+
 // observe reports an attempt for a rollout under way. Failures that the upstream did
 // not cause are no evidence.
 func (d *Dispatcher) observe(r *Request, u *routing.Upstream, result relay.Result, started, head time.Time) {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -65,7 +65,7 @@
 	rows := map[string]operatorapi.Rollout{}
 	for id, move := range s.Config.Moves {
 		row := operatorapi.Rollout{Target: move.Target, Version: move.Version, State: operatorapi.RolloutPlanned}
-		split := s.Splits[move.Target]
+		split, model := s.Splits[move.Target]
 		switch move.Version {
 		case split.Running:
 			row.State = operatorapi.RolloutDone
@@ -73,6 +73,9 @@
 			row.State = operatorapi.RolloutShare
 			row.Step = int(math.Round(split.Share * 100))
 		}
+		if !model {
+			row.Reason = "versions of plain services are not rolled out"
+		}
 		rows[id] = row
 	}
 	for _, m := range s.Moves {
--- a/internal/rolloutctl/orders.go
+++ b/internal/rolloutctl/orders.go
@@ -30,16 +30,17 @@
 )
 
 // followEngines reads which models the engines of the region hold and hands them to
-// control. It does nothing while no rollout is known. An engine that does not answer
-// keeps its last state.
+// control, for engines that serve a target with a known rollout. An engine that does
+// not answer keeps its last state.
 func (c *Controller) followEngines(ctx context.Context, s *routing.Snapshot) {
-	if len(s.Moves) == 0 {
-		return
+	moving := map[string]bool{}
+	for _, m := range s.Moves {
+		moving[m.Target] = true
 	}
 	var reading sync.WaitGroup
 	slots := make(chan struct{}, engineConcurrency)
 	for i := range s.Upstreams {
-		if !s.Upstreams[i].IsEngine() {
+		if !serves(&s.Upstreams[i], func(target string) bool { return moving[target] }) {
 			continue
 		}
 		slots <- struct{}{}
@@ -69,8 +70,7 @@
 	var engines []*routing.Upstream
 	for i := range s.Upstreams {
 		u := &s.Upstreams[i]
-		serves := slices.ContainsFunc(u.Targets, func(m string) bool { return targetName(m) == target })
-		if u.IsEngine() && u.FailureDomain == c.Identity.FailureDomain && !u.Leaving && serves {
+		if u.FailureDomain == c.Identity.FailureDomain && !u.Leaving && serves(u, func(name string) bool { return name == target }) {
 			engines = append(engines, u)
 		}
 	}
@@ -81,6 +81,13 @@
 	return engines
 }
 
+// serves reports whether an engine serves a wanted target in any version. One that has
+// nothing loaded at the moment counts by the instance list.
+func serves(u *routing.Upstream, wanted func(target string) bool) bool {
+	match := func(model string) bool { return wanted(targetName(model)) }
+	return u.IsEngine() && (slices.ContainsFunc(u.Targets, match) || slices.ContainsFunc(u.Listed, match))
+}
+
 // orderEngines brings the engines of the own failure domain closer to the versions that
 // the moves ask for.
 func (c *Controller) orderEngines(ctx context.Context, s *routing.Snapshot) {
--- a/internal/rolloutctl/rollout_test.go
+++ b/internal/rolloutctl/rollout_test.go
@@ -308,7 +308,7 @@
 }
 
 // TestHolderKilled guards against a rollout that stays where it was when the holder of
-// the lease of its owning failure domain is gone.
+// the lease of its owning failure domain is gone and answers of the store are lost.
 func TestHolderKilled(t *testing.T) {
 	f := startFleet(t)
 	f.traffic(normal)
@@ -330,6 +330,7 @@
 	if len(left) != len(f.nodes)-1 {
 		t.Fatalf("the holder %q is not one of the instances", entry.Value)
 	}
+	f.store.SetFaults(standin.StoreFaults{LoseAnswers: 20})
 	f.reaches(operatorapi.RolloutDone, time.Minute, left...)
 }
 
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -26,6 +26,9 @@
 	Role          platform.Role
 	// Targets are the models, as model@version, or the service that it serves.
 	Targets []string
+	// Listed are the models of the instance list. They may differ from Targets while a
+	// version is rolled out.
+	Listed []string
 	// Leaving upstreams get no new work.
 	Leaving bool
 	// Down upstreams failed recently and get no work until a probe succeeds.
