--- a/internal/control/systems.go
+++ b/internal/control/systems.go
@@ -14,6 +14,7 @@
 	confirmConfig,
 	judgeHealth,
 	expireCrashes,
+	forgetRollouts,
 }
 
 const (
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -39,6 +39,9 @@
 	instance platform.Instance
 	load     platform.Load
 	counters *routing.Counters
+	// loaded are the models that the engine reported as loaded; nil if it accepted no
+	// order yet, so that the instance list counts.
+	loaded []string
 	// downUntil is the end of the pause after repeated failures.
 	downUntil time.Time
 	// wasDown is true until the pause was seen to have ended.
@@ -86,6 +89,7 @@
 	// division is that of config; it is rebuilt only when the domains table changes.
 	division *quota.Division
 	claim    slotclaim.Claim
+	rollouts rollouts
 	draining bool
 }
 
@@ -102,5 +106,6 @@
 		confirmations: map[string]confirmation{},
 		links:         map[string]*linkRow{},
 		crashes:       quarantine.NewTable(),
+		rollouts:      newRollouts(),
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -51,6 +51,8 @@
 	// connection to their upstream. Dispatch adds its own.
 	Attempts int
 	Crashes  int
+	// Probe requests test the candidate of a rollout and may go to it at any share.
+	Probe bool
 }
 
 // Completion reports whether the answer is a completion, which carries the request
@@ -97,6 +99,8 @@
 	Prefixes *routing.PrefixIndex
 	// ReportCrash receives each crash of an upstream; nil to drop them.
 	ReportCrash func(quarantine.Crash)
+	// Observe receives the attempts of models with a rollout under way; nil to drop them.
+	Observe func(Observation)
 	// Timeline and Metrics may be nil.
 	Timeline *timeline.Recorder
 	Metrics  *telemetry.Metrics
@@ -184,6 +188,10 @@
 		if !d.again(r, result) {
 			return result.Err
 		}
+		if target := current(d.Snapshot(), r, true); target != r.Target {
+			// The upstreams that failed with the candidate may serve the running version.
+			r.Target, tried = target, nil
+		}
 		d.Metrics.Retry()
 	}
 }
@@ -228,6 +236,7 @@
 
 func (d *Dispatcher) attempt(ctx context.Context, r *Request, tried []string, last retry.Outcome, sink Sink) (relay.Result, string, *errkind.Error) {
 	snapshot := d.Snapshot()
+	r.Target = current(snapshot, r, false)
 	choice, err := d.pick(snapshot, r, tried, last)
 	if err != nil {
 		return relay.Result{}, "", errkind.From(err)
@@ -292,10 +301,13 @@
 type firstByteSink struct {
 	Sink
 	prefill *routing.Prefill
+	// head is when the head of the answer arrived; zero before.
+	head time.Time
 }
 
-func (s firstByteSink) Head(status int, header http.Header) error {
-	s.prefill.FirstByte(time.Now())
+func (s *firstByteSink) Head(status int, header http.Header) error {
+	s.head = time.Now()
+	s.prefill.FirstByte(s.head)
 	return s.Sink.Head(status, header)
 }
 
@@ -312,7 +324,7 @@
 	if d.Prefixes != nil {
 		d.Prefixes.Add(time.Now().UnixNano(), peer.Counters.Number(), r.Prompt.Hashes)
 	}
-	return d.Forward.Forward(ctx, peer, r, firstByteSink{sink, prefill})
+	return d.Forward.Forward(ctx, peer, r, &firstByteSink{Sink: sink, prefill: prefill})
 }
 
 func (d *Dispatcher) toUpstream(ctx context.Context, r *Request, u *routing.Upstream, choice routing.Choice, sink Sink) relay.Result {
@@ -322,20 +334,22 @@
 	if d.Prefixes != nil {
 		d.Prefixes.Add(now.UnixNano(), u.Counters.Number(), r.Prompt.Hashes)
 	}
+	timed := &firstByteSink{Sink: sink, prefill: prefill}
 	result := d.Relay.Do(ctx, relay.Attempt{
 		RequestID:  r.ID,
 		Address:    u.Address,
 		Method:     r.Method,
 		Path:       r.Path,
-		Header:     r.Header,
+		Header:     headerFor(r),
 		Body:       r.Body,
 		Stream:     r.Position,
 		Repeatable: r.Repeatable,
 		Completion: r.Completion(),
-	}, firstByteSink{sink, prefill})
+	}, timed)
+	d.observe(r, u, result, now, timed.head)
 	if result.Err == nil {
 		u.Counters.Failures.Store(0)
-	} else if result.UpstreamFault {
+	} else if result.UpstreamFault && !d.versionFault(r, result) {
 		u.Counters.Failures.Add(1)
 	}
 	d.countCrash(r, u, &result)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"heatherloom/internal/quarantine"
 	"heatherloom/internal/quota"
 	"heatherloom/internal/relay"
+	"heatherloom/internal/rolloutctl"
 	"heatherloom/internal/routing"
 	"heatherloom/internal/settings"
 	"heatherloom/internal/slotclaim"
@@ -70,15 +71,29 @@
 	done     sync.WaitGroup
 	// tls is nil if the listeners do not use TLS.
 	tls *tlsconfig.Source
+
+	options  Options
+	recorder *rolloutctl.Recorder
+	// probe sends a probe request of a rollout.
+	probe func(context.Context, *dispatch.Request)
 }
 
-// Options change the parts of an entry instance for experiments and tests.
+// Options are what experiments and tests change in an entry instance.
 type Options struct {
 	// DialPeer connects to other entry instances; nil for a plain TCP connection.
 	DialPeer func(ctx context.Context, network, address string) (net.Conn, error)
-	// LoadInterval is the time between two readings of the load of upstreams; 0 for
-	// loadPollInterval. Experiments with scaled time scale it as well.
+	// LoadInterval is the time between two readings of the load of upstreams.
+	// Experiments with scaled time scale it as well.
 	LoadInterval time.Duration
+	// Rollouts are the durations of version rollouts.
+	Rollouts rolloutctl.Timing
+	// LeaseTTL is the time after which the leader lease of a silent holder ends.
+	LeaseTTL time.Duration
+}
+
+// DefaultOptions returns the options of production.
+func DefaultOptions() Options {
+	return Options{LoadInterval: loadPollInterval, Rollouts: rolloutctl.DefaultTiming(), LeaseTTL: lease.DefaultTTL}
 }
 
 // listeners are the open sockets of an instance.
@@ -116,10 +131,10 @@
 
 // Start starts an entry instance and returns once its listeners are open.
 func Start(s settings.Settings, log *logrus.Logger) (*Node, error) {
-	return StartWith(s, log, Options{})
+	return StartWith(s, log, DefaultOptions())
 }
 
-// StartWith starts an entry instance with options.
+// StartWith starts an entry instance with options other than those of production.
 func StartWith(s settings.Settings, log *logrus.Logger, o Options) (*Node, error) {
 	l, err := openListeners(s.Listeners)
 	if err != nil {
@@ -130,6 +145,7 @@
 		PeerAddress:     l.peer.Addr().String(),
 		OperatorAddress: l.operator.Addr().String(),
 		gate:            drain.NewGate(),
+		options:         o,
 		timeline: timeline.NewRecorder(s.Instance.ID, timeline.NewClock(time.Now),
 			timeline.DefaultRequestEvents, timeline.DefaultStateEvents),
 	}
@@ -162,7 +178,7 @@
 		peers.DialWith(o.DialPeer)
 	}
 	prefixes := routing.NewPrefixIndex()
-	policy, err := routing.NewPolicy(s.Policy.Name, s.Policy.Weights(), prefixes)
+	policy, err := routing.NewPolicy(cmp.Or(s.Policy.Name, routing.NameDefault), s.Policy.Weights(), prefixes)
 	if err != nil {
 		return err
 	}
@@ -182,6 +198,7 @@
 	}
 	// A process is a borrower of its own, because its loan requests are numbered from 1.
 	ledger := quota.NewLedger(identity.ID + "@" + strconv.FormatInt(identity.Incarnation, 36))
+	n.recordRollouts(identity, n.dispatcher)
 	handler, err := gateway.New(gateway.Deps{
 		Snapshot:   n.loop.Snapshot,
 		Dispatcher: n.dispatcher,
@@ -260,7 +277,7 @@
 func (n *Node) runControl(s settings.Settings, o Options, log *logrus.Entry, identity control.Identity, peers *peer.Client, prefixes *routing.PrefixIndex) {
 	ctx := n.ctx
 	store := etcdgw.New(s.Platform.Store)
-	heartbeats := &peer.Heartbeater{Identity: identity, Loop: n.loop, Client: peers, Seeds: func() []string { return s.Peer.Seeds }}
+	heartbeats := &peer.Heartbeater{Identity: identity, Loop: n.loop, Client: peers, Seeds: func() []string { return s.Peer.Seeds }, Samples: n.recorder.List}
 	syncer := &configsync.Syncer{
 		Identity: identity, Store: store, Peers: peers, Loop: n.loop, Announce: heartbeats.Announce, Log: log,
 	}
@@ -268,10 +285,11 @@
 	n.done.Go(func() { n.loop.Run(ctx) })
 	n.done.Go(func() { syncer.Run(ctx) })
 	n.done.Go(func() { heartbeats.Run(ctx) })
-	n.lease = lease.New(store, lease.DomainKey(identity.FailureDomain), identity.ID, lease.DefaultTTL, time.Now)
+	n.lease = lease.New(store, lease.DomainKey(identity.FailureDomain), identity.ID, n.options.LeaseTTL, time.Now)
 	n.done.Go(func() { n.lease.Run(ctx, syncer.IsWatcher) })
 	n.slots = n.slotHolder(store, identity)
 	n.done.Go(func() { n.slots.Run(ctx) })
+	n.runRollouts(s, store, syncer, heartbeats, log)
 	n.done.Go(func() { pollInstances(ctx, list, n.loop) })
 	engines := &engineWatcher{loop: n.loop, client: engineapi.New(), prefixes: prefixes}
 	n.done.Go(func() { engines.run(ctx) })
@@ -279,7 +297,7 @@
 		directory := scim.New(s.Platform.Directory, scim.FilterInactive)
 		n.done.Go(func() { pollDirectory(ctx, directory, n.loop, log) })
 	}
-	n.done.Go(func() { pollLoads(ctx, cmp.Or(o.LoadInterval, loadPollInterval), engineapi.New(), n.loop) })
+	n.done.Go(func() { pollLoads(ctx, o.LoadInterval, engineapi.New(), n.loop) })
 }
 
 // slotHolder returns the claim of a slot of the own failure domain.
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -27,7 +27,11 @@
 	KindUpstreamLeaving Kind = "upstream_leaving"
 	KindMemberDraining  Kind = "member_draining"
 	KindDrain           Kind = "drain"
-	KindTLS             Kind = "tls_files"
+	// KindRollout is a change of a version rollout.
+	KindRollout Kind = "rollout"
+	// KindLocalStop means that one instance stopped sending to a version.
+	KindLocalStop Kind = "local_stop"
+	KindTLS       Kind = "tls_files"
 )
 
 // Event is one thing that happened on one instance. Fields that do not apply are
