--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,6 +105,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return startOn(l, s, log)
+}
+
+// startOn starts an entry instance that serves the given listeners.
+func startOn(l listeners, s settings.Settings, log *logrus.Logger) (*Node, error) {
 	n := &Node{
 		CallerAddress:   l.caller.Addr().String(),
 		PeerAddress:     l.peer.Addr().String(),
@@ -114,7 +119,7 @@
 			timeline.DefaultRequestEvents, timeline.DefaultStateEvents),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	err = n.loadTLS(s.TLS)
+	err := n.loadTLS(s.TLS)
 	if err == nil {
 		err = n.wire(s, log, l)
 	}
--- a/internal/opconfig/bench_test.go
+++ b/internal/opconfig/bench_test.go
@@ -48,23 +48,39 @@
 	}
 }
 
+// benchSizes are numbers of client accounts with one key each.
+var benchSizes = []int{11_000, 22_000, benchAccounts}
+
 func BenchmarkEncodeBase(b *testing.B) {
-	config := fullConfig(benchAccounts)
-	b.ReportAllocs()
-	for b.Loop() {
-		must(config.EncodeBase())
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint("accounts=", n), func(b *testing.B) {
+			config := fullConfig(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				must(config.EncodeBase())
+			}
+		})
 	}
 }
 
 func BenchmarkDecodeBase(b *testing.B) {
-	base := must(fullConfig(benchAccounts).EncodeBase())
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint("accounts=", n), func(b *testing.B) { benchDecodeBase(b, must(fullConfig(n).EncodeBase())) })
+	}
+}
+
+func benchDecodeBase(b *testing.B, base Base) {
 	b.ReportAllocs()
 	before := heapInUse()
 	var config *Config
 	for b.Loop() {
 		config = must(DecodeBase(base))
 	}
-	b.ReportMetric(float64(len(base.Shards)), "shards")
+	bytes := 0
+	for _, shard := range base.Shards {
+		bytes += len(shard)
+	}
+	b.ReportMetric(float64(bytes)/(1<<20), "MB-encoded")
 	b.ReportMetric(float64(heapInUse()-before)/(1<<20), "MB/config")
 	runtime.KeepAlive(config)
 	runtime.KeepAlive(base)
