Send digests of member rows in heartbeats

Cause: a heartbeat and its answer carried four whole member rows of 150 to 200 bytes, most of which never change while a process runs.

Change: rows carry a digest of their fixed fields. A recipient that lacks a row asks for it and gets it in a second exchange at once, so a first contact or a restart costs one round trip.

Ruled out: an instance id in place of the digest, which is longer and says nothing about the version of the row; acknowledged rows per peer, which need state for each pair.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,7 @@
 	lease    *lease.Holder
 	gate     *drain.Gate
 	timeline *timeline.Recorder
+	rows     *peer.Rows
 	// servers are the caller and peer listeners; operator outlives them, so that
 	// the end of a drain can be seen.
 	servers  []*http.Server
@@ -115,6 +116,7 @@
 		PeerAddress:     l.peer.Addr().String(),
 		OperatorAddress: l.operator.Addr().String(),
 		gate:            drain.NewGate(),
+		rows:            peer.NewRows(),
 		timeline: timeline.NewRecorder(s.Instance.ID, timeline.NewClock(time.Now),
 			timeline.DefaultRequestEvents, timeline.DefaultStateEvents),
 	}
@@ -172,7 +174,7 @@
 		Identity: identity, Loop: n.loop, Dispatcher: dispatcher, Secret: s.Peer.Secret,
 		Config: &configsync.Source{Loop: n.loop},
 		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Gate: n.gate,
-		Log: entry,
+		Log: entry, Rows: n.rows,
 	}
 	n.servers = append(n.servers,
 		n.serve(l.caller, &http.Server{Handler: handler, TLSConfig: n.callerTLS()}, entry),
@@ -243,7 +245,7 @@
 func (n *Node) runControl(s settings.Settings, log *logrus.Entry, identity control.Identity, peers *peer.Client) {
 	ctx := n.ctx
 	store := etcdgw.New(s.Platform.Store)
-	heartbeats := &peer.Heartbeater{Identity: identity, Loop: n.loop, Client: peers, Seeds: func() []string { return s.Peer.Seeds }}
+	heartbeats := &peer.Heartbeater{Identity: identity, Loop: n.loop, Client: peers, Rows: n.rows, Seeds: func() []string { return s.Peer.Seeds }}
 	syncer := &configsync.Syncer{
 		Identity: identity, Store: store, Peers: peers, Loop: n.loop, Announce: heartbeats.Announce, Log: log,
 	}
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -30,6 +30,8 @@
 	Identity control.Identity
 	Loop     *control.Loop
 	Client   *Client
+	// Rows are shared with the Server of the instance; nil sends whole rows.
+	Rows *Rows
 	// Seeds returns peer addresses to announce to before any member is known.
 	Seeds func() []string
 }
@@ -83,18 +85,35 @@
 	defer cancel()
 	snapshot := h.Loop.Snapshot()
 	started := time.Now()
-	resp, err := h.Client.At(address).Heartbeat(ctx, connect.NewRequest(&peerv1.HeartbeatRequest{
-		Self:    SelfMember(h.Identity, snapshot),
-		Known:   knownMembers(snapshot, started, address),
+	req := &peerv1.HeartbeatRequest{
+		Self:    h.Rows.short(SelfMember(h.Identity, snapshot)),
+		Known:   h.Rows.shortAll(knownMembers(snapshot, started, address)),
 		Crashes: crashesOf(snapshot),
-		Clock:   uint64(h.Client.clock.Now()),
-	}))
+	}
+	resp, err := h.send(ctx, address, req)
 	if err != nil {
 		return
 	}
+	self := h.Rows.whole(resp.GetSelf())
+	if next := h.Rows.answer(req, resp, self); next != nil {
+		started = time.Now()
+		if resp, err = h.send(ctx, address, next); err != nil {
+			return
+		}
+		self = h.Rows.whole(resp.GetSelf())
+	}
+	postMember(ctx, h.Loop, self, started, nil)
+	postCrashes(ctx, h.Loop, resp.GetCrashes())
+}
+
+func (h *Heartbeater) send(ctx context.Context, address string, req *peerv1.HeartbeatRequest) (*peerv1.HeartbeatResponse, error) {
+	req.Clock = uint64(h.Client.clock.Now())
+	resp, err := h.Client.At(address).Heartbeat(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, err
+	}
 	h.Client.clock.Observe(timeline.Stamp(resp.Msg.GetClock()))
-	postMember(ctx, h.Loop, resp.Msg.GetSelf(), started, nil)
-	postCrashes(ctx, h.Loop, resp.Msg.GetCrashes())
+	return resp.Msg, nil
 }
 
 // confirmedAt returns when the configuration of a member that answered a call was
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -44,6 +45,8 @@
 	Dispatcher *dispatch.Dispatcher
 	Config     ConfigSource
 	Events     EventSource
+	// Rows are shared with the Heartbeater of the instance; nil sends whole rows.
+	Rows *Rows
 	// Secret authenticates peers.
 	Secret string
 	// Log receives one line for each forwarded request; nil for none.
@@ -72,14 +75,25 @@
 	return mux
 }
 
-// Heartbeat records the sender and answers with this instance's own row.
+// Heartbeat records the sender and answers with this instance's own row. It asks for the
+// rows that it lacks; a sender whose row it lacks is not recorded.
 func (s *Server) Heartbeat(ctx context.Context, req *connect.Request[peerv1.HeartbeatRequest]) (*connect.Response[peerv1.HeartbeatResponse], error) {
 	s.Timeline.Clock().Observe(timeline.Stamp(req.Msg.GetClock()))
-	postMember(ctx, s.Loop, req.Msg.GetSelf(), time.Time{}, req.Msg.GetKnown())
+	sender := s.Rows.whole(req.Msg.GetSelf())
+	known, wanted := s.Rows.wholeAll(req.Msg.GetKnown())
+	if sender == nil {
+		wanted = append(wanted, req.Msg.GetSelf().GetDigest())
+	}
+	postMember(ctx, s.Loop, sender, time.Time{}, known)
 	postCrashes(ctx, s.Loop, req.Msg.GetCrashes())
 	snapshot := s.Loop.Snapshot()
+	self := SelfMember(s.Identity, snapshot)
+	if short := s.Rows.short(self); !slices.Contains(req.Msg.GetWanted(), short.GetDigest()) {
+		self = short
+	}
 	return connect.NewResponse(&peerv1.HeartbeatResponse{
-		Self:    SelfMember(s.Identity, snapshot),
+		Self:    self,
+		Wanted:  wanted,
 		Crashes: crashesOf(snapshot),
 		Clock:   uint64(s.Timeline.Clock().Now()),
 	}), nil
