Pick heartbeat targets outside the failure domain from a fixed pool

Cause: two random members out of all others were picked each second. At the design size nearly each pick made a new connection, which sends every header and unknown rows again, and left 180 open ones that are pinged every 2 s.

Change: picks come from up to four members of each of four failure domains, chosen by rendezvous hash, so a fleet of up to five failure domains with four members each behaves as before. One round in 32 picks from all, and so do all rounds while no other failure domain is heard from, so that parts of a fleet meet again.

Ruled out: one fixed member per failure domain, which leaves the others of a small fleet to gossip alone and puts the 3 s suspicion at risk.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -141,4 +141,17 @@
 	if len(seen) != 4+12 {
 		t.Errorf("%d addresses were reached, want 16", len(seen))
 	}
+	var large []Contact
+	for i := range 141 {
+		large = append(large, contacts(fmt.Sprint("far-", i), 7)...)
+	}
+	v, seen = View{Self: v.Self, Live: large}, map[string]bool{}
+	for range 1000 {
+		for _, address := range Targets(v, rng) {
+			seen[address] = true
+		}
+	}
+	if n := len(seen); n < 30 || n > 110 {
+		t.Errorf("1000 rounds in a large fleet reached %d addresses, want the pool of 16 and about 62 others", n)
+	}
 }
--- a/internal/membership/targets.go
+++ b/internal/membership/targets.go
@@ -10,6 +10,18 @@
 // in each round.
 const otherDomains = 2
 
+// The members of other failure domains are picked from a part of the fleet that is
+// fixed for each instance, so that their connections, idle ones of which close after
+// 90 s, are used again. Picks from 142 failure domains made a new connection nearly
+// every time, and 180 open ones with a ping every 2 s on each.
+const (
+	poolDomains = 4
+	poolMembers = 4
+	// exploreOneIn is the number of rounds of which one picks from the whole fleet, so
+	// that separate parts of the fleet meet.
+	exploreOneIn = 32
+)
+
 // Contact is the address of a member or of an instance that may be one.
 type Contact struct {
 	FailureDomain string
@@ -30,8 +42,15 @@
 	Seeds []string
 }
 
+// best returns the n elements of s with the highest rendezvous weight for key.
+func best(s []string, key string, n int) []string {
+	slices.SortFunc(s, func(a, b string) int { return byScore(key, a, b) })
+	return s[:min(len(s), n)]
+}
+
 // Targets returns the addresses that get a heartbeat in this round: the members and
-// listed instances of the own failure domain, one of each of two other failure domains, and
+// listed instances of the own failure domain, one of each of two other failure domains
+// out of the few that this instance mostly picks from, and
 // the seeds until a member is known. While no other failure domain is heard from, one
 // seed is tried in each round, so that a partition heals without an instance list.
 func Targets(v View, rng *rand.Rand) []string {
@@ -53,6 +72,12 @@
 	add(v.Listed, true)
 	add(sample(v.Former, rng, 1), true)
 	domains := slices.Sorted(maps.Keys(others))
+	if heardOthers && rng.IntN(exploreOneIn) > 0 {
+		domains = best(domains, v.Self.PeerAddress, poolDomains)
+		for _, domain := range domains {
+			others[domain] = best(others[domain], v.Self.PeerAddress, poolMembers)
+		}
+	}
 	for _, domain := range sample(domains, rng, otherDomains) {
 		targets[sample(others[domain], rng, 1)[0]] = struct{}{}
 	}
--- a/internal/node/fleet_bench_test.go
+++ b/internal/node/fleet_bench_test.go
@@ -77,7 +77,7 @@
 // time includes the stand-ins. Run it with -benchtime 1x.
 func BenchmarkFleet(b *testing.B) {
 	for _, size := range []struct{ domains, members, upstreams int }{
-		{4, 1, 0}, {4, 3, 0}, {4, 5, 0}, {4, 7, 0}, {8, 3, 0}, {12, 3, 0}, {4, 3, 4}, {4, 3, 8},
+		{4, 1, 0}, {4, 3, 0}, {4, 5, 0}, {4, 7, 0}, {8, 3, 0}, {12, 3, 0}, {40, 1, 0}, {4, 3, 4}, {4, 3, 8},
 	} {
 		b.Run(fmt.Sprintf("domains=%d/members=%d/upstreams=%d", size.domains, size.members, size.upstreams), func(b *testing.B) {
 			benchFleet(b, size.domains, size.members, size.upstreams)
