--- a/internal/control/systems.go
+++ b/internal/control/systems.go
@@ -56,7 +56,7 @@
 func expireCrashes(t *tables, now time.Time) { t.crashes.Expire(now) }
 
 func judgeHealth(t *tables, now time.Time) {
-	for _, row := range t.upstreams {
+	for _, row := range t.ordered {
 		if row.wasDown && !now.Before(row.downUntil) {
 			row.wasDown = false
 			row.counters.Since.Store(now.UnixNano())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,7 @@
 	slots      *slotclaim.Holder
 	gate       *drain.Gate
 	timeline   *timeline.Recorder
+	rows       *peer.Rows
 	// servers are the caller and peer listeners; operator outlives them, so that
 	// the end of a drain can be seen.
 	servers  []*http.Server
@@ -140,17 +141,23 @@
 	if err != nil {
 		return nil, err
 	}
+	return startOn(l, s, log)
+}
+
+// startOn starts an entry instance that serves the given listeners.
+func startOn(l listeners, s settings.Settings, log *logrus.Logger) (*Node, error) {
 	n := &Node{
 		CallerAddress:   l.caller.Addr().String(),
 		PeerAddress:     l.peer.Addr().String(),
 		OperatorAddress: l.operator.Addr().String(),
 		gate:            drain.NewGate(),
 		options:         o,
+		rows:            peer.NewRows(),
 		timeline: timeline.NewRecorder(s.Instance.ID, timeline.NewClock(time.Now),
 			timeline.DefaultRequestEvents, timeline.DefaultStateEvents),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	err = n.loadTLS(s.TLS)
+	err := n.loadTLS(s.TLS)
 	if err == nil {
 		err = n.wire(s, log, o, l)
 	}
@@ -216,7 +223,7 @@
 		Identity: identity, Loop: n.loop, Dispatcher: n.dispatcher, Secret: s.Peer.Secret,
 		Config: &configsync.Source{Loop: n.loop},
 		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Gate: n.gate,
-		Log: entry, Ledger: ledger,
+		Log: entry, Ledger: ledger, Rows: n.rows,
 	}
 	n.servers = append(n.servers,
 		n.serve(l.caller, &http.Server{Handler: handler, TLSConfig: n.callerTLS()}, entry),
@@ -277,7 +284,7 @@
 func (n *Node) runControl(s settings.Settings, o Options, log *logrus.Entry, identity control.Identity, peers *peer.Client, prefixes *routing.PrefixIndex) {
 	ctx := n.ctx
 	store := etcdgw.New(s.Platform.Store)
-	heartbeats := &peer.Heartbeater{Identity: identity, Loop: n.loop, Client: peers, Seeds: func() []string { return s.Peer.Seeds }, Samples: n.recorder.List}
+	heartbeats := &peer.Heartbeater{Identity: identity, Loop: n.loop, Client: peers, Rows: n.rows, Seeds: func() []string { return s.Peer.Seeds }, Samples: n.recorder.List}
 	syncer := &configsync.Syncer{
 		Identity: identity, Store: store, Peers: peers, Loop: n.loop, Announce: heartbeats.Announce, Log: log,
 	}
--- a/internal/rolloutctl/rollout_test.go
+++ b/internal/rolloutctl/rollout_test.go
@@ -80,8 +80,8 @@
 	must(t, err)
 	t.Cleanup(list.Close)
 	f.apply(0, set(opconfig.TableAccounts, "a", opconfig.Account{Name: "a", Rate: 1e6, Burst: 1e6}),
-		set(opconfig.TableDomains, "a-1", opconfig.Domain{Name: "a-1", Region: "a", Slots: 2}),
-		set(opconfig.TableDomains, "b-1", opconfig.Domain{Name: "b-1", Region: "b", Slots: 2}),
+		set(opconfig.TableDomains, "r0-1", opconfig.Domain{Name: "r0-1", Region: "r0", Slots: 2}),
+		set(opconfig.TableDomains, "r1-1", opconfig.Domain{Name: "r1-1", Region: "r1", Slots: 2}),
 		set(opconfig.TableKeys, opconfig.HashKey("sk-a"), opconfig.Key{Hash: opconfig.HashKey("sk-a"), ID: "a-1", Account: "a"}),
 		set(opconfig.TableModels, "lantern", opconfig.Model{Name: "lantern", Version: "1"}))
 	var seeds []string
