Test the order of entries and the renewal of an ended claim

Cause: the order of GET /v1/entries by slots and the bucket of a claim that is renewed after its end had no test. Ruled out: starting a slot that was used before at once, since loans of its earlier holder may still be spent.

--- a/internal/admission/admitter_test.go
+++ b/internal/admission/admitter_test.go
@@ -29,11 +29,41 @@
 	cut atomic.Bool
 	// loans counts the loan requests.
 	loans atomic.Int64
+	// bytes counts what the peer listeners receive and send, heartbeats included.
+	bytes atomic.Int64
 
 	mu       sync.Mutex
 	admitted []span
 }
 
+// countingListener counts the bytes of its connections.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, l.bytes}, err
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
 // span is the time within which a request was admitted.
 type span struct{ start, end time.Time }
 
@@ -83,7 +113,7 @@
 		protocols.SetUnencryptedHTTP2(true)
 		i.server = &http.Server{Protocols: protocols, Handler: (&peer.Server{Identity: id, Loop: i.loop, Secret: "secret", Ledger: ledger}).Handler()}
 		t.Cleanup(func() { cancel(); _ = i.server.Close() })
-		go func() { _ = i.server.Serve(listener) }()
+		go func() { _ = i.server.Serve(countingListener{listener, &f.bytes}) }()
 		go i.loop.Run(ctx)
 		i.loop.Post(ctx, control.ConfigEvent{Config: config})
 		i.loop.Post(ctx, control.SlotEvent{Claim: slotclaim.Claim{Held: true, Index: index, Since: time.Now(), FirstClaim: true}})
@@ -158,10 +188,14 @@
 // Guards against refusals of traffic within the rate that arrives at one instance.
 func TestMisalignedTrafficIsServed(t *testing.T) {
 	f := startFleet(t, 4, opconfig.Account{Name: "derwent", Rate: 100, Burst: 40})
+	idle := f.bytes.Load()
 	time.Sleep(time.Second)
+	idle = f.bytes.Load() - idle
+	before := f.bytes.Load()
 	const seconds = 3
 	refused := load(f, 90, seconds*time.Second, f.instances[0])
-	t.Logf("%d admitted, %d refused, %.0f loan requests/s", len(f.admitted), refused, float64(f.loans.Load())/seconds)
+	t.Logf("%d admitted, %d refused, %.0f loan requests/s, %d bytes/s with heartbeats, %d bytes/s of heartbeats alone",
+		len(f.admitted), refused, float64(f.loans.Load())/seconds, (f.bytes.Load()-before)/seconds, idle)
 	if refused > 0 || len(f.admitted) < 200 {
 		t.Errorf("%d of %d requests within the rate were refused", refused, len(f.admitted)+int(refused))
 	}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -142,3 +142,18 @@
 		t.Errorf("%d addresses were reached, want 16", len(seen))
 	}
 }
+
+// Guards against traffic that goes past the instances that hold a part of the client
+// account's rate, and against leaving the region for one of them.
+func TestEntriesPreferHoldersOfTheAccountsSlots(t *testing.T) {
+	all := append(members(3, "burnie-1", "burnie"), members(5, "hobart-1", "hobart")...)
+	for i := range all {
+		all[i].Slot = fmt.Sprint("slot/", i)
+	}
+	for i := range 20 {
+		got := Entries(fmt.Sprint("account-", i), "hobart", []string{"slot/0", "slot/6"}, all)
+		if got[0].Slot != "slot/6" || got[4].Region != "hobart" || got[5].Slot != "slot/0" {
+			t.Fatalf("entries are %v", got)
+		}
+	}
+}
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -286,3 +286,30 @@
 		}
 	}
 }
+
+// Guards against the use of a slot after its end, and against a claim that is renewed
+// after its end and begins with a full bucket again.
+func TestRenewedClaimRenewsNoBurst(t *testing.T) {
+	s := newSimulation(1, opconfig.Account{Name: "derwent", Rate: 8, Burst: 80})
+	inst := s.instances[0]
+	s.step(time.Minute)
+	inst.view.Until = s.now.Add(time.Second)
+	count := func() int {
+		n := 0
+		for inst.ledger.Admit(s.now, inst.view, s.account).Admitted {
+			n++
+		}
+		return n
+	}
+	if n := count(); n != 10 {
+		t.Fatalf("%d admitted from the own part of the burst, want 10", n)
+	}
+	s.step(time.Second)
+	if n := count(); n != 0 {
+		t.Errorf("%d admitted after the end of use", n)
+	}
+	inst.view.Until = s.now.Add(time.Hour)
+	if n := count(); n != 1 {
+		t.Errorf("%d admitted after the renewal, want the one token of a second", n)
+	}
+}
