Test the refusal of an account without slots

Cause: the message for an account whose home region has no domain rows had no test. Change: one test of the gateway. Ruled out: the kind not_ready, because the instance serves other accounts.

--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -33,6 +33,7 @@
 	poorKey    = "sk-poor"
 	oldKey     = "sk-old"
 	idleKey    = "sk-idle"
+	remoteKey  = "sk-remote"
 	peerSecret = "secret"
 )
 
@@ -44,9 +45,10 @@
 		"derwent": {Name: "derwent", Rate: 1e6, Burst: 1e6},
 		"poor":    {Name: "poor"},
 		"idle":    {Name: "idle", Suspended: true},
+		"remote":  {Name: "remote", Rate: 10, Burst: 10, Home: "c"},
 	})
 	keys := map[string]opconfig.Key{}
-	for secret, account := range map[string]string{derwentKey: "derwent", poorKey: "poor", oldKey: "derwent", idleKey: "idle"} {
+	for secret, account := range map[string]string{derwentKey: "derwent", poorKey: "poor", oldKey: "derwent", idleKey: "idle", remoteKey: "remote"} {
 		hash := opconfig.HashKey(secret)
 		keys[hash] = opconfig.Key{Hash: hash, ID: account + "-1", Account: account, Withdrawn: secret == oldKey || slices.Contains(withdrawn, secret)}
 	}
