Borrow from the peer that named the slot last

Cause: after a drain another instance holds the slot while the former holder is still known for up to 5 s; the first of the two by id was asked. Change: the peer that was heard from last counts. Ruled out: dropping draining peers, which still hold their slots while they serve. Conclusion: loans follow a slot that moved.

--- a/internal/admission/admitter.go
+++ b/internal/admission/admitter.go
@@ -113,15 +113,21 @@
 	}
 }
 
-// addressOf returns the peer address of the holder of a slot.
+// addressOf returns the peer address of the holder of a slot. Of two peers that named
+// the slot, the earlier one has returned it, so that the one heard from last counts.
 func addressOf(s *routing.Snapshot, slot quota.Slot) (string, bool) {
 	id := slot.ID()
+	var holder *routing.Peer
 	for i := range s.Peers {
-		if s.Peers[i].Slot == id {
-			return s.Peers[i].PeerAddress, true
+		p := &s.Peers[i]
+		if p.Slot == id && (holder == nil || p.LastHeard.After(holder.LastHeard)) {
+			holder = p
 		}
 	}
-	return "", false
+	if holder == nil {
+		return "", false
+	}
+	return holder.PeerAddress, true
 }
 
 // join returns the loan request of the account to the holder that runs, or starts one.
