Write the domains into bases and report an unreachable home

Change: bases hold the domains; a refusal of which no holder answered is home_unavailable for an account that is bound to another region. Ruled out: a missing slot claim; the ledger had no division.

--- a/internal/admission/admitter.go
+++ b/internal/admission/admitter.go
@@ -83,7 +83,7 @@
 	}
 	if d.Borrow {
 		// Lenders are left that could not be asked in time.
-		return quota.Decision{RetryAfter: lenderTimeout}
+		return quota.Decision{RetryAfter: lenderTimeout, Unreachable: silent >= maxSilentLenders}
 	}
 	return d
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,6 +229,10 @@
 	if decision.NoSlots {
 		return noSlots(account)
 	}
+	if decision.Unreachable && account.Home != "" && account.Home != c.snapshot.Region {
+		return errkind.New(errkind.HomeUnavailable,
+			"no instance of region %q, the home of client account %q, is reachable", account.Home, account.Name)
+	}
 	refusal := errkind.New(errkind.RateLimited,
 		"client account %q is over its rate of %g requests per second with a burst of %g", account.Name, account.Rate, account.Burst)
 	refusal.RetryAfter = decision.RetryAfter
--- a/internal/opconfig/base.go
+++ b/internal/opconfig/base.go
@@ -145,7 +145,8 @@
 			yieldRecords(yield, TableModels, sorted(c.Models)) &&
 			yieldRecords(yield, TableRoutes, sorted(c.Routes)) &&
 			yieldRecords(yield, TableMoves, sorted(c.Moves)) &&
-			yieldRecords(yield, TableLeaving, sorted(c.Leaving))
+			yieldRecords(yield, TableLeaving, sorted(c.Leaving)) &&
+			yieldRecords(yield, TableDomains, sorted(c.Domains))
 	}
 }
 
--- a/internal/opconfig/base_test.go
+++ b/internal/opconfig/base_test.go
@@ -21,6 +21,7 @@
 	config.Routes["/orders"] = Route{Prefix: "/orders", Service: "ledger", Idempotent: []string{"GET"}}
 	config.Moves["lantern@3"] = Move{Target: "lantern", Version: "3", Deadline: time.Unix(1e9, 0).UTC()}
 	config.Leaving["engine-1"] = Leaving{Instance: "engine-1", Since: time.Unix(2e9, 0).UTC()}
+	config.Domains["hobart-1"] = Domain{Name: "hobart-1", Region: "hobart", Slots: 4}
 	base := must(config.EncodeBase())
 	for i, shard := range base.Shards {
 		if len(shard) > MaxShardBytes {
@@ -116,3 +117,18 @@
 	}
 	return v
 }
+
+// Guards against a base without the domains, by which instances that start from it
+// would refuse every request with a key.
+func TestBaseHoldsTheDomains(t *testing.T) {
+	config := New()
+	config.Domains["hobart-1"] = Domain{Name: "hobart-1", Region: "hobart", Slots: 4}
+	base, err := config.EncodeBase()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeBase(base)
+	if err != nil || got.Domains["hobart-1"] != config.Domains["hobart-1"] {
+		t.Errorf("the domains are %v, error %v", got.Domains, err)
+	}
+}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -53,6 +53,8 @@
 	RetryAfter time.Duration
 	// NoSlots is true if the configuration has no slots for the account.
 	NoSlots bool
+	// Unreachable is true on a refusal if no holder of the account's slots answers.
+	Unreachable bool
 }
 
 // holder is what a borrower knows of the holder of a slot.
@@ -60,6 +62,8 @@
 	slot Slot
 	// nextAsk is the earliest time at which asking again makes sense.
 	nextAsk time.Time
+	// unreachable is true if the last request got no answer.
+	unreachable bool
 	// sequence numbers the loan requests to this holder.
 	sequence uint64
 	// settled is the highest sequence whose tokens are spent or given up.
@@ -246,7 +250,8 @@
 		}
 	}
 	if best < 0 {
-		return Decision{RetryAfter: wait}
+		reachable := func(h holder) bool { return !h.unreachable || (v.Held && h.slot == v.Own) }
+		return Decision{RetryAfter: wait, Unreachable: !slices.ContainsFunc(r.holders, reachable)}
 	}
 	return Decision{Borrow: true, Ask: r.holders[best].slot}
 }
@@ -347,6 +352,7 @@
 	if h == nil {
 		return
 	}
+	h.unreachable = !ok
 	if !ok {
 		h.nextAsk = now.Add(unreachablePause)
 		return
