--- a/internal/node/fleet_bench_test.go
+++ b/internal/node/fleet_bench_test.go
@@ -113,7 +113,7 @@
 		}
 		l := must(openListeners(s.Listeners))(b)
 		l.peer = countingListener{l.peer, &bytes, &conns}
-		n := must(startOn(l, s, log))(b)
+		n := must(startOn(l, s, log, DefaultOptions()))(b)
 		list.Set(platform.Instance{ID: id, Role: platform.RoleEntry, Region: "region-01", FailureDomain: domain, Address: n.PeerAddress, State: platform.InstanceLive})
 		nodes = append(nodes, n)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,11 +141,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return startOn(l, s, log)
+	return startOn(l, s, log, o)
 }
 
 // startOn starts an entry instance that serves the given listeners.
-func startOn(l listeners, s settings.Settings, log *logrus.Logger) (*Node, error) {
+func startOn(l listeners, s settings.Settings, log *logrus.Logger, o Options) (*Node, error) {
 	n := &Node{
 		CallerAddress:   l.caller.Addr().String(),
 		PeerAddress:     l.peer.Addr().String(),
--- a/internal/opconfig/base_test.go
+++ b/internal/opconfig/base_test.go
@@ -124,3 +124,18 @@
 	}
 	return v
 }
+
+// Guards against a base without the domains, by which instances that start from it
+// would refuse every request with a key.
+func TestBaseHoldsTheDomains(t *testing.T) {
+	config := New()
+	config.Domains["hobart-1"] = Domain{Name: "hobart-1", Region: "hobart", Slots: 4}
+	base, err := config.EncodeBase()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeBase(base)
+	if err != nil || got.Domains["hobart-1"] != config.Domains["hobart-1"] {
+		t.Errorf("the domains are %v, error %v", got.Domains, err)
+	}
+}
