Run writes with an idempotency key at their owner

Cause: writes with an Idempotency-Key were sent like any other write, so a repeat through another entry instance ran twice. Change: package writes ranks the slots of a key, passes the write to the holder of the first one (RunWrite), copies the record before the write is sent (CopyWrite) and collects the records of a new holder (PullWrites). The table is bounded to 32 MB; a late copy of a canceled run no longer replaces a later one. Ruled out: keying copies by the key alone, because a delayed cancellation would remove the copy of the next run of the key.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"heatherloom/internal/routing"
 	"heatherloom/internal/telemetry"
 	"heatherloom/internal/timeline"
+	"heatherloom/internal/writes"
 )
 
 const (
@@ -41,7 +42,9 @@
 type Deps struct {
 	Snapshot   func() *routing.Snapshot
 	Dispatcher *dispatch.Dispatcher
-	Buckets    *admission.Buckets
+	// Writes runs writes with an idempotency key; nil to refuse them.
+	Writes  *writes.Service
+	Buckets *admission.Buckets
 	// Gate bounds the requests that run; nil for one with the default limits.
 	Gate *admission.Gate
 	Log  *logrus.Entry
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"strings"
@@ -10,6 +11,7 @@
 	"heatherloom/internal/errkind"
 	"heatherloom/internal/membership"
 	"heatherloom/internal/opconfig"
+	"heatherloom/internal/writes"
 )
 
 // service serves the operator-defined routes to plain services.
@@ -36,6 +38,10 @@
 	if err != nil {
 		return err
 	}
+	key, err := idempotencyKey(c, route)
+	if err != nil {
+		return err
+	}
 	if err := readBody(c); err != nil {
 		return err
 	}
@@ -44,7 +50,7 @@
 			return err
 		}
 	}
-	return s.serve(c, &dispatch.Request{
+	request := &dispatch.Request{
 		ID:          c.id,
 		Account:     account.Name,
 		Method:      c.r.Method,
@@ -55,7 +61,11 @@
 		Repeatable:  repeatable(route, c.r.Method),
 		BoundRegion: boundRegion(account, route),
 		Deadline:    deadline,
-	})
+	}
+	if key == "" {
+		return s.serve(c, request)
+	}
+	return s.serveWrite(c, &writes.Write{Key: key, Region: cmp.Or(route.Home, account.Home), Request: request})
 }
 
 // matchRoute returns the route with the longest prefix of path.
--- /dev/null
+++ b/internal/gateway/write.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"heatherloom/internal/errkind"
+	"heatherloom/internal/opconfig"
+	"heatherloom/internal/writes"
+)
+
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	maxIdempotencyKey    = 255
+)
+
+// idempotencyKey returns the idempotency key of a write; empty if it has none. Reads
+// need no key, and one that is sent with them is ignored.
+func idempotencyKey(c *call, route opconfig.Route) (string, *errkind.Error) {
+	values := c.r.Header.Values(headerIdempotencyKey)
+	if len(values) == 0 || repeatable(route, c.r.Method) {
+		return "", nil
+	}
+	if len(values) > 1 || !validIdempotencyKey(values[0]) {
+		return "", malformed("Idempotency-Key must be sent once and have 1 to %d printable ASCII characters", maxIdempotencyKey)
+	}
+	if c.holdsKey(values[0]) {
+		return "", malformed("Idempotency-Key must not contain a key; send it as Authorization: Bearer KEY")
+	}
+	return values[0], nil
+}
+
+func validIdempotencyKey(key string) bool {
+	if key == "" || len(key) > maxIdempotencyKey {
+		return false
+	}
+	for i := range len(key) {
+		if key[i] < ' ' || key[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// serveWrite runs a write with an idempotency key and delivers its answer.
+func (s *server) serveWrite(c *call, w *writes.Write) *errkind.Error {
+	if s.Writes == nil {
+		return errkind.New(errkind.WriteOwnerUnavailable, "this instance runs no writes with a key")
+	}
+	if err := s.enter(c, w.Request.Deadline); err != nil {
+		return err
+	}
+	defer s.Gate.Leave()
+	c.dispatched = true
+	return s.Writes.Run(c.r.Context(), w, c.sink)
+}
--- a/internal/idempotency/table.go
+++ b/internal/idempotency/table.go
@@ -18,8 +18,13 @@
 const (
 	// Retention is how long a record is kept after its write ended.
 	Retention = time.Hour
-	// clockMargin is the largest assumed difference between a caller's clock and ours.
-	clockMargin = 5 * time.Minute
+	// DefaultMaxBytes bounds the memory of a table to half of the 64 MB that the
+	// gateway may use on an entry instance.
+	DefaultMaxBytes = 32 << 20
+	// recordBytes is the assumed size of a record without its key and answer.
+	recordBytes = 512
+	// ClockMargin is the largest assumed difference between a caller's clock and ours.
+	ClockMargin = 5 * time.Minute
 )
 
 // ID identifies a write.
@@ -91,12 +96,14 @@
 	OutcomeUnknown
 	// Undecidable means that an earlier record of the key may have been lost.
 	Undecidable
+	// Full means that the table can hold no further record.
+	Full
 )
 
 // Result is a verdict with what goes with it.
 type Result struct {
 	Verdict Verdict
-	// Record is a copy of the record; set unless the verdict is Undecidable.
+	// Record is a copy of the record; set unless the verdict is Undecidable or Full.
 	Record Record
 	// Ended is closed when the running write ends; set if the verdict is Wait.
 	Ended <-chan struct{}
@@ -113,12 +120,43 @@
 	entries map[ID]*entry
 	// completeSince is the time since which no record of the own slot can be missing.
 	completeSince time.Time
+	// bytes is the estimated size of all records.
+	bytes    int
+	maxBytes int
 }
 
 // NewTable returns an empty table whose records are complete since the given time;
 // the zero time means that there were no earlier records.
 func NewTable(completeSince time.Time) *Table {
-	return &Table{entries: map[ID]*entry{}, completeSince: completeSince}
+	return &Table{entries: map[ID]*entry{}, completeSince: completeSince, maxBytes: DefaultMaxBytes}
+}
+
+// SetMaxBytes changes the size above which no new write is recorded.
+func (t *Table) SetMaxBytes(bytes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.maxBytes = bytes
+}
+
+func (r *Record) size() int {
+	size := recordBytes + len(r.ID.Account) + len(r.ID.Key) + len(r.Response.Body)
+	for name, value := range r.Response.Headers {
+		size += len(name) + len(value)
+	}
+	return size
+}
+
+func (t *Table) put(e *entry) {
+	t.remove(e.record.ID)
+	t.entries[e.record.ID] = e
+	t.bytes += e.record.size()
+}
+
+func (t *Table) remove(id ID) {
+	if old, ok := t.entries[id]; ok {
+		t.bytes -= old.record.size()
+		delete(t.entries, id)
+	}
 }
 
 // CompleteSince returns the time since which no record can be missing.
@@ -147,10 +185,13 @@
 	if !t.certainlyNew(now, r.ID.Key) {
 		return Result{Verdict: Undecidable}
 	}
+	if t.bytes+r.size() > t.maxBytes {
+		return Result{Verdict: Full}
+	}
 	r.State = Running
 	r.Started = now
 	r.Ended = time.Time{}
-	t.entries[r.ID] = &entry{record: r, ended: make(chan struct{})}
+	t.put(&entry{record: r, ended: make(chan struct{})})
 	return Result{Verdict: Run, Record: r}
 }
 
@@ -176,7 +217,7 @@
 		return true
 	}
 	made, ok := keyTime(key)
-	return ok && made.After(t.completeSince.Add(clockMargin))
+	return ok && made.After(t.completeSince.Add(ClockMargin))
 }
 
 // keyTime returns the creation time of a key that is a UUID of version 7.
@@ -189,6 +230,14 @@
 	return time.Unix(seconds, nanoseconds), true
 }
 
+// Knows reports whether there is a record of the write.
+func (t *Table) Knows(id ID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ok := t.entries[id]
+	return ok
+}
+
 // Finish records the end of a running write and wakes its waiters. It returns the
 // record to copy; ok is false if the write was not running.
 func (t *Table) Finish(now time.Time, id ID, state State, response Response) (Record, bool) {
@@ -198,8 +247,10 @@
 	if !ok || e.record.State != Running {
 		return Record{}, false
 	}
+	t.bytes -= e.record.size()
 	e.record.State = state
 	e.record.Response = response
+	t.bytes += e.record.size()
 	e.record.Ended = now
 	close(e.ended)
 	return e.record, true
@@ -214,26 +265,54 @@
 	if !ok || e.record.State != Running {
 		return
 	}
-	delete(t.entries, id)
+	t.remove(id)
 	close(e.ended)
 }
 
-// Store keeps a copy of another instance's record. A record that has ended is not
-// replaced by one that is running.
-func (t *Table) Store(r Record) {
+// Store keeps a copy of another instance's record. A record is replaced only by one
+// of a later run of the key, or by one that knows more about the same run. Store
+// returns false if the table is full; the end of a known run is always kept.
+func (t *Table) Store(r Record) bool { return t.store(r, false) }
+
+func (t *Table) store(r Record, always bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e, ok := t.entries[r.ID]; ok && e.record.State != Running {
-		return
+	old, known := t.entries[r.ID]
+	if known && !supersedes(r, old.record) {
+		return true
+	}
+	if !known && !always && t.bytes+r.size() > t.maxBytes {
+		return false
 	}
 	e := &entry{record: r, ended: make(chan struct{})}
-	if old, ok := t.entries[r.ID]; ok {
+	if known && old.record.State == Running {
 		e.ended = old.ended
 	}
 	if r.State != Running {
 		close(e.ended)
 	}
-	t.entries[r.ID] = e
+	t.put(e)
+	return true
+}
+
+// supersedes reports whether next says more than old. Copies may arrive late: the
+// copy of an earlier, canceled run must not hide that a later one runs.
+func supersedes(next, old Record) bool {
+	if !next.Started.Equal(old.Started) {
+		return next.Started.After(old.Started)
+	}
+	return knowledge(next.State) > knowledge(old.State)
+}
+
+func knowledge(s State) int {
+	switch s {
+	case Done:
+		return 2
+	case Unknown:
+		return 1
+	default:
+		return 0
+	}
 }
 
 // Adopt keeps a record of the own slot that an earlier holder wrote. A write that
@@ -243,11 +322,21 @@
 		r.State = Unknown
 		r.Ended = now
 	}
-	t.Store(r)
+	t.store(r, true)
 }
 
-// Drop forgets a copy of a write that its owner cancelled.
-func (t *Table) Drop(id ID) { t.Cancel(id) }
+// Drop forgets a copy of a write that its owner canceled. started tells the run
+// from a later one of the same key, whose copy must stay.
+func (t *Table) Drop(id ID, started time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[id]
+	if !ok || e.record.State != Running || !e.record.Started.Equal(started) {
+		return
+	}
+	t.remove(id)
+	close(e.ended)
+}
 
 // Ranking returns copies of the records that rank a slot, for its new holder.
 func (t *Table) Ranking(now time.Time, slot quota.Slot) []Record {
@@ -290,7 +379,7 @@
 	defer t.mu.Unlock()
 	for id, e := range t.entries {
 		if e.record.expired(now) {
-			delete(t.entries, id)
+			t.remove(id)
 		}
 	}
 	return len(t.entries)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"heatherloom/internal/dispatch"
 	"heatherloom/internal/drain"
 	"heatherloom/internal/gateway"
+	"heatherloom/internal/idempotency"
 	"heatherloom/internal/lease"
 	"heatherloom/internal/operator"
 	"heatherloom/internal/peer"
@@ -33,6 +34,7 @@
 	"heatherloom/internal/telemetry"
 	"heatherloom/internal/timeline"
 	"heatherloom/internal/tlsconfig"
+	"heatherloom/internal/writes"
 )
 
 const (
@@ -54,6 +56,7 @@
 	loop     *control.Loop
 	lease    *lease.Holder
 	gate     *drain.Gate
+	writes   *writes.Service
 	timeline *timeline.Recorder
 	// servers are the caller and peer listeners; operator outlives them, so that
 	// the end of a drain can be seen.
@@ -150,9 +153,18 @@
 		Timeline: n.timeline,
 		Metrics:  metrics,
 	}
+	n.writes = &writes.Service{
+		Snapshot:   n.loop.Snapshot,
+		Dispatcher: dispatcher,
+		Peers:      peers,
+		Table:      idempotency.NewTable(time.Now()),
+		Now:        time.Now,
+		Log:        entry,
+	}
 	handler, err := gateway.New(gateway.Deps{
 		Snapshot:   n.loop.Snapshot,
 		Dispatcher: dispatcher,
+		Writes:     n.writes,
 		Buckets:    admission.NewBuckets(),
 		Log:        entry,
 		Drain:      n.gate,
@@ -167,7 +179,7 @@
 		Identity: identity, Loop: n.loop, Dispatcher: dispatcher, Secret: s.Peer.Secret,
 		Config: &configsync.Source{Loop: n.loop},
 		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Gate: n.gate,
-		Log: entry,
+		Log: entry, Writes: n.writes,
 	}
 	n.servers = append(n.servers,
 		n.serve(l.caller, &http.Server{Handler: handler, TLSConfig: n.callerTLS()}, entry),
@@ -246,6 +258,7 @@
 	n.done.Go(func() { n.loop.Run(ctx) })
 	n.done.Go(func() { syncer.Run(ctx) })
 	n.done.Go(func() { heartbeats.Run(ctx) })
+	n.done.Go(func() { n.writes.Follow(ctx) })
 	n.lease = lease.New(store, lease.DomainKey(identity.FailureDomain), identity.ID, lease.DefaultTTL, time.Now)
 	n.done.Go(func() { n.lease.Run(ctx, syncer.IsWatcher) })
 	n.done.Go(func() { pollInstances(ctx, list, n.loop) })
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -50,7 +51,20 @@
 // first. Shutdown follows it.
 func (n *Node) Drain(ctx context.Context, reason string) error {
 	n.gate.Request(reason)
-	return n.gate.Run(ctx, announcedPeriod)
+	if err := n.gate.Run(ctx, announcedPeriod); err != nil {
+		return err
+	}
+	n.handOverWrites(ctx)
+	return nil
+}
+
+func (n *Node) handOverWrites(ctx context.Context) {
+	if short := n.writes.HandOver(ctx); short > 0 {
+		n.timeline.Record(timeline.Event{
+			Kind:   timeline.KindDrain,
+			Detail: fmt.Sprintf("%d records of writes have fewer than two other holders", short),
+		})
+	}
 }
 
 // Shutdown closes the listeners after the requests that run, and stops the instance.
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"connectrpc.com/connect"
 
@@ -160,9 +159,7 @@
 
 // refused returns the failure that the other instance reported.
 func (f *forwardedAnswer) refused(end *peerv1.ForwardEnd) relay.Result {
-	e := errkind.New(errkind.Kind(end.GetKind()), "%s", end.GetMessage())
-	e.Ran = ranOf(end.GetRan())
-	e.RetryAfter = time.Duration(end.GetRetryAfterMs()) * time.Millisecond
+	e := endError(end)
 	return relay.Result{Err: e, Outcome: outcomeOf(e, f.started()), Started: f.started()}
 }
 
--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -45,6 +45,8 @@
 	PeerServiceRunWriteProcedure = "/peer.v1.PeerService/RunWrite"
 	// PeerServiceCopyWriteProcedure is the fully-qualified name of the PeerService's CopyWrite RPC.
 	PeerServiceCopyWriteProcedure = "/peer.v1.PeerService/CopyWrite"
+	// PeerServicePullWritesProcedure is the fully-qualified name of the PeerService's PullWrites RPC.
+	PeerServicePullWritesProcedure = "/peer.v1.PeerService/PullWrites"
 	// PeerServiceReportDemandProcedure is the fully-qualified name of the PeerService's ReportDemand
 	// RPC.
 	PeerServiceReportDemandProcedure = "/peer.v1.PeerService/ReportDemand"
@@ -59,6 +61,7 @@
 	Forward(context.Context, *connect.Request[peerv1.ForwardRequest]) (*connect.ServerStreamForClient[peerv1.ForwardResponse], error)
 	RunWrite(context.Context, *connect.Request[peerv1.RunWriteRequest]) (*connect.Response[peerv1.RunWriteResponse], error)
 	CopyWrite(context.Context, *connect.Request[peerv1.CopyWriteRequest]) (*connect.Response[peerv1.CopyWriteResponse], error)
+	PullWrites(context.Context, *connect.Request[peerv1.PullWritesRequest]) (*connect.Response[peerv1.PullWritesResponse], error)
 	ReportDemand(context.Context, *connect.Request[peerv1.ReportDemandRequest]) (*connect.Response[peerv1.ReportDemandResponse], error)
 	PullEvents(context.Context, *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error)
 }
@@ -104,6 +107,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("CopyWrite")),
 			connect.WithClientOptions(opts...),
 		),
+		pullWrites: connect.NewClient[peerv1.PullWritesRequest, peerv1.PullWritesResponse](
+			httpClient,
+			baseURL+PeerServicePullWritesProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("PullWrites")),
+			connect.WithClientOptions(opts...),
+		),
 		reportDemand: connect.NewClient[peerv1.ReportDemandRequest, peerv1.ReportDemandResponse](
 			httpClient,
 			baseURL+PeerServiceReportDemandProcedure,
@@ -126,6 +135,7 @@
 	forward      *connect.Client[peerv1.ForwardRequest, peerv1.ForwardResponse]
 	runWrite     *connect.Client[peerv1.RunWriteRequest, peerv1.RunWriteResponse]
 	copyWrite    *connect.Client[peerv1.CopyWriteRequest, peerv1.CopyWriteResponse]
+	pullWrites   *connect.Client[peerv1.PullWritesRequest, peerv1.PullWritesResponse]
 	reportDemand *connect.Client[peerv1.ReportDemandRequest, peerv1.ReportDemandResponse]
 	pullEvents   *connect.Client[peerv1.PullEventsRequest, peerv1.PullEventsResponse]
 }
@@ -155,6 +165,11 @@
 	return c.copyWrite.CallUnary(ctx, req)
 }
 
+// PullWrites calls peer.v1.PeerService.PullWrites.
+func (c *peerServiceClient) PullWrites(ctx context.Context, req *connect.Request[peerv1.PullWritesRequest]) (*connect.Response[peerv1.PullWritesResponse], error) {
+	return c.pullWrites.CallUnary(ctx, req)
+}
+
 // ReportDemand calls peer.v1.PeerService.ReportDemand.
 func (c *peerServiceClient) ReportDemand(ctx context.Context, req *connect.Request[peerv1.ReportDemandRequest]) (*connect.Response[peerv1.ReportDemandResponse], error) {
 	return c.reportDemand.CallUnary(ctx, req)
@@ -172,6 +187,7 @@
 	Forward(context.Context, *connect.Request[peerv1.ForwardRequest], *connect.ServerStream[peerv1.ForwardResponse]) error
 	RunWrite(context.Context, *connect.Request[peerv1.RunWriteRequest]) (*connect.Response[peerv1.RunWriteResponse], error)
 	CopyWrite(context.Context, *connect.Request[peerv1.CopyWriteRequest]) (*connect.Response[peerv1.CopyWriteResponse], error)
+	PullWrites(context.Context, *connect.Request[peerv1.PullWritesRequest]) (*connect.Response[peerv1.PullWritesResponse], error)
 	ReportDemand(context.Context, *connect.Request[peerv1.ReportDemandRequest]) (*connect.Response[peerv1.ReportDemandResponse], error)
 	PullEvents(context.Context, *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error)
 }
@@ -213,6 +229,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("CopyWrite")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServicePullWritesHandler := connect.NewUnaryHandler(
+		PeerServicePullWritesProcedure,
+		svc.PullWrites,
+		connect.WithSchema(peerServiceMethods.ByName("PullWrites")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceReportDemandHandler := connect.NewUnaryHandler(
 		PeerServiceReportDemandProcedure,
 		svc.ReportDemand,
@@ -237,6 +259,8 @@
 			peerServiceRunWriteHandler.ServeHTTP(w, r)
 		case PeerServiceCopyWriteProcedure:
 			peerServiceCopyWriteHandler.ServeHTTP(w, r)
+		case PeerServicePullWritesProcedure:
+			peerServicePullWritesHandler.ServeHTTP(w, r)
 		case PeerServiceReportDemandProcedure:
 			peerServiceReportDemandHandler.ServeHTTP(w, r)
 		case PeerServicePullEventsProcedure:
@@ -270,6 +294,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.CopyWrite is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) PullWrites(context.Context, *connect.Request[peerv1.PullWritesRequest]) (*connect.Response[peerv1.PullWritesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.PullWrites is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) ReportDemand(context.Context, *connect.Request[peerv1.ReportDemandRequest]) (*connect.Response[peerv1.ReportDemandResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.ReportDemand is not implemented"))
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -22,6 +22,7 @@
 	"heatherloom/internal/relay"
 	"heatherloom/internal/routing"
 	"heatherloom/internal/timeline"
+	"heatherloom/internal/writes"
 )
 
 // ConfigSource answers peers that ask for configuration.
@@ -44,6 +45,8 @@
 	Dispatcher *dispatch.Dispatcher
 	Config     ConfigSource
 	Events     EventSource
+	// Writes runs writes with an idempotency key; nil to refuse them.
+	Writes *writes.Service
 	// Secret authenticates peers.
 	Secret string
 	// Log receives one line for each forwarded request; nil for none.
--- a/internal/quota/slots.go
+++ b/internal/quota/slots.go
@@ -67,6 +67,18 @@
 	return d
 }
 
+// Slots returns every slot in a fixed order. The caller must not change it.
+func (d *Division) Slots() []Slot { return d.slots }
+
+// Hash identifies the set of slots. Divisions with the same hash rank alike.
+func (d *Division) Hash() uint64 {
+	digest := xxhash.New()
+	for _, slot := range d.slots {
+		_, _ = digest.WriteString(slot.Region + "\x00" + slot.ID() + "\x00")
+	}
+	return digest.Sum64()
+}
+
 // maxSpread bounds the slots of one client account: the number of entry instances
 // that GET /v1/entries answers.
 const maxSpread = 8
