--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -18,12 +18,16 @@
 	"heatherloom/internal/control"
 	"heatherloom/internal/dispatch"
 	"heatherloom/internal/gateway"
+	"heatherloom/internal/idempotency"
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/peer"
 	"heatherloom/internal/platform"
 	"heatherloom/internal/quarantine"
+	"heatherloom/internal/quota"
 	"heatherloom/internal/relay"
+	"heatherloom/internal/routing"
 	"heatherloom/internal/standin"
+	"heatherloom/internal/writes"
 )
 
 const (
@@ -103,7 +107,7 @@
 	logger.SetOutput(e.log)
 	handler, err := gateway.New(gateway.Deps{
 		Snapshot: e.loop.Snapshot, Dispatcher: e.dispatcher, Buckets: admission.NewBuckets(),
-		Log: logrus.NewEntry(logger), Now: time.Now, Gate: o.gate, WriteTimeout: o.write,
+		Writes: e.ownerOfAll(ctx), Log: logrus.NewEntry(logger), Now: time.Now, Gate: o.gate, WriteTimeout: o.write,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -121,6 +125,25 @@
 	return e
 }
 
+// ownerOfAll returns the writes of an instance that holds the only slot.
+func (e *entry) ownerOfAll(ctx context.Context) *writes.Service {
+	c := opconfig.New()
+	c.Domains["hobart-1"] = opconfig.Domain{Name: "hobart-1", Region: "hobart", Slots: 1}
+	division := quota.NewDivision(c)
+	service := &writes.Service{
+		Snapshot: func() *routing.Snapshot {
+			s := *e.loop.Snapshot()
+			s.Published = time.Now()
+			s.Slots = quota.View{Division: division, Own: division.Slots()[0], Held: true}
+			return &s
+		},
+		Dispatcher: e.dispatcher, Peers: e.peers, Table: idempotency.NewTable(time.Now()), Now: time.Now,
+		FirstClaim: func() bool { return true },
+	}
+	go service.Follow(ctx)
+	return service
+}
+
 // connect lets entry instances hear of each other.
 func connect(t *testing.T, entries ...*entry) {
 	var seeds []string
--- a/internal/idempotency/table_test.go
+++ b/internal/idempotency/table_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	. "github.com/onsi/gomega"
 
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/quota"
@@ -234,3 +235,31 @@
 		}
 	}
 }
+
+// Guards against a late message about a canceled run that hides a later run of the
+// key, and against a full table that loses the end of a write.
+func TestLateCopies(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_700_000_000, 0)
+	id := ID{"guild", "order"}
+	first := Record{ID: id, State: Running, Started: now}
+	second := Record{ID: id, State: Running, Started: now.Add(time.Second)}
+	table := NewTable(time.Time{})
+	g.Expect(table.Store(second)).To(BeTrue())
+	table.Store(first)
+	table.Drop(id, first.Started)
+	g.Expect(table.All(now)).To(ConsistOf(second))
+
+	table.SetMaxBytes(0)
+	done := second
+	done.State, done.Ended = Done, second.Started
+	g.Expect(table.Store(done)).To(BeTrue())
+	g.Expect(table.Store(Record{ID: ID{"guild", "other"}, State: Running, Started: now})).To(BeFalse())
+	g.Expect(table.Begin(now, Record{ID: ID{"guild", "other"}}).Verdict).To(Equal(Full))
+
+	later := Record{ID: id, State: Running, Started: now.Add(2 * Retention)}
+	g.Expect(table.Store(later)).To(BeTrue())
+	g.Expect(table.All(later.Started)).To(ConsistOf(later), "an expired record must not hide a later run")
+	table.Drop(id, later.Started)
+	g.Expect(table.bytes).To(BeZero())
+}
--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -81,6 +81,10 @@
 			g.Expect(result.Outcome == retry.NotSent).To(Equal(c.ran == errkind.RanNo))
 			g.Expect(p.Requests()).To(BeEquivalentTo(1))
 			g.Expect(out.heads).To(BeZero())
+			failure := runWrite(p.Addr().String())
+			g.Expect(failure.Ran).To(Equal(c.ran), "%v", failure)
+			g.Expect(failure.Kind).To(Equal(errkind.WriteOwnerUnavailable))
+			g.Expect(p.Requests()).To(BeEquivalentTo(2))
 		})
 	}
 	t.Run("connection refused", func(t *testing.T) {
@@ -90,6 +94,7 @@
 		_ = p.Close()
 		result, _ := forward(p.Addr().String(), false)
 		g.Expect(result.Err.Ran).To(Equal(errkind.RanNo))
+		g.Expect(runWrite(p.Addr().String()).Ran).To(Equal(errkind.RanNo))
 	})
 	t.Run("wrong secret", func(t *testing.T) {
 		g := NewWithT(t)
--- /dev/null
+++ b/internal/peer/writes_test.go
@@ -0,0 +1,42 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/gomega"
+
+	"heatherloom/internal/dispatch"
+	"heatherloom/internal/drain"
+	"heatherloom/internal/errkind"
+	"heatherloom/internal/peer/peerv1"
+	"heatherloom/internal/routing"
+	"heatherloom/internal/writes"
+)
+
+func runWrite(address string) *errkind.Error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	r := &dispatch.Request{ID: "r1", Method: http.MethodPost, Path: "/orders", Body: []byte("{}")}
+	_, err := NewClient("a", "secret").RunWrite(ctx, routing.Peer{ID: "b", PeerAddress: address}, &writes.Write{Key: "k", Request: r})
+	return err
+}
+
+// Guards against a draining instance that runs a write or accepts a copy, which would
+// be lost with it.
+func TestWritesWhileDraining(t *testing.T) {
+	g := NewWithT(t)
+	gate := drain.NewGate()
+	address := serve(t, (&Server{Secret: "secret", Writes: &writes.Service{}, Gate: gate}).Handler())
+	gate.Request("test")
+	g.Expect(gate.Run(context.Background(), 0)).To(Succeed())
+	failure := runWrite(address)
+	g.Expect(failure.Kind).To(Equal(errkind.Draining))
+	g.Expect(failure.Ran).To(Equal(errkind.RanNo))
+	_, err := NewClient("a", "secret").At(address).CopyWrite(context.Background(),
+		connect.NewRequest(&peerv1.CopyWriteRequest{State: "running", Owner: "hobart-1/0"}))
+	g.Expect(connect.CodeOf(err)).To(Equal(connect.CodeUnavailable))
+}
