Leave keys of writes to the gateway until slots are claimed

Change: node does not pass writes.Service to the gateway yet; without it a write with a key is sent at most once by its receiver, as before. A panic of the owner leaves a known unknown outcome (tested).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,7 +42,7 @@
 type Deps struct {
 	Snapshot   func() *routing.Snapshot
 	Dispatcher *dispatch.Dispatcher
-	// Writes runs writes with an idempotency key; nil to refuse them.
+	// Writes runs writes with an idempotency key; nil to send them like other writes.
 	Writes  *writes.Service
 	Buckets *admission.Buckets
 	// Gate bounds the requests that run; nil for one with the default limits.
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -62,7 +62,7 @@
 		BoundRegion: boundRegion(account, route),
 		Deadline:    deadline,
 	}
-	if key == "" {
+	if key == "" || s.Writes == nil {
 		return s.serve(c, request)
 	}
 	return s.serveWrite(c, &writes.Write{Key: key, Region: cmp.Or(route.Home, account.Home), Request: request})
--- a/internal/gateway/write.go
+++ b/internal/gateway/write.go
@@ -41,9 +41,6 @@
 
 // serveWrite runs a write with an idempotency key and delivers its answer.
 func (s *server) serveWrite(c *call, w *writes.Write) *errkind.Error {
-	if s.Writes == nil {
-		return errkind.New(errkind.WriteOwnerUnavailable, "this instance runs no writes with a key")
-	}
 	if err := s.enter(c, w.Request.Deadline); err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -161,10 +161,11 @@
 		Now:        time.Now,
 		Log:        entry,
 	}
+	// The gateway gets n.writes once slot claims fill Snapshot.Slots. Until then no
+	// instance could own a key and every write with one would be refused.
 	handler, err := gateway.New(gateway.Deps{
 		Snapshot:   n.loop.Snapshot,
 		Dispatcher: dispatcher,
-		Writes:     n.writes,
 		Buckets:    admission.NewBuckets(),
 		Log:        entry,
 		Drain:      n.gate,
--- a/internal/writes/records.go
+++ b/internal/writes/records.go
@@ -95,11 +95,16 @@
 }
 
 func (s *Service) follow(ctx context.Context) {
-	held, ok := s.claimOf(s.Snapshot())
-	if !ok {
+	snapshot := s.Snapshot()
+	if !snapshot.Slots.Held {
 		s.ready.Store(nil)
 		return
 	}
+	held, ok := s.claimOf(snapshot)
+	if !ok {
+		// After a pause the next snapshot tells whether the claim has ended.
+		return
+	}
 	if pulled := s.ready.Load(); pulled != nil && *pulled == held {
 		return
 	}
--- a/internal/writes/rig_test.go
+++ b/internal/writes/rig_test.go
@@ -33,6 +33,7 @@
 	afterSend       step = "after the write was sent"
 	beforeFinalCopy step = "before the final copy"
 	afterFinalCopy  step = "after the final copy"
+	panics          step = "panic after the write was sent"
 )
 
 var errCut = errors.New("cut off")
@@ -287,6 +288,9 @@
 		return errkind.Wrap(errCut, errkind.Internal, errkind.RanUnknown, "the instance ended")
 	}
 	err := n.dispatcher.Dispatch(ctx, r, sink)
+	if n.endAt.Load() == panics {
+		panic("test panic")
+	}
 	if n.endAt.Load() == afterSend {
 		n.kill()
 	}
--- a/internal/writes/writes_test.go
+++ b/internal/writes/writes_test.go
@@ -235,7 +235,8 @@
 }
 
 // Guards against a key that two different writes share, against a repeat of a write
-// whose answer the service lost, and against a blocked key after a failed dial.
+// whose answer the service lost or whose owner failed, and against a blocked key after
+// a failed dial.
 func TestServiceOutcomes(t *testing.T) {
 	g := NewWithT(t)
 	r := newRig(t, 4)
@@ -251,6 +252,13 @@
 	expectRefused(g, r.do(r.other(lost), lost, "lost", time.Second), errkind.OutcomeUnknown, errkind.RanUnknown)
 	g.Expect(r.service.Runs()["lost"]).To(Equal(1))
 
+	r.instances[1].endAt.Store(panics)
+	broken := r.keyOf(r.instances[1].slot)
+	g.Expect(r.do(r.other(broken), broken, "broken", time.Second).err.Ran).To(Equal(errkind.RanUnknown))
+	repeat := r.do(r.other(broken), broken, "broken", time.Second)
+	expectRefused(g, repeat, errkind.OutcomeUnknown, errkind.RanUnknown)
+	g.Expect(repeat.err.Message).To(ContainSubstring("its outcome is not known"), "the write must not look as if it ran on")
+
 	refused := r.keyOf(r.instances[0].slot)
 	address := r.upstream.Address
 	r.setUpstream("127.0.0.1:1")
