--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"heatherloom/internal/routing"
 	"heatherloom/internal/telemetry"
 	"heatherloom/internal/timeline"
+	"heatherloom/internal/writes"
 )
 
 const (
@@ -42,6 +43,8 @@
 	Snapshot   func() *routing.Snapshot
 	Dispatcher *dispatch.Dispatcher
 	Admitter   *admission.Admitter
+	// Writes runs writes with an idempotency key; nil to send them like other writes.
+	Writes *writes.Service
 	// Gate bounds the requests that run; nil for one with the default limits.
 	Gate *admission.Gate
 	Log  *logrus.Entry
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 	"heatherloom/internal/dispatch"
 	"heatherloom/internal/drain"
 	"heatherloom/internal/gateway"
+	"heatherloom/internal/idempotency"
 	"heatherloom/internal/lease"
 	"heatherloom/internal/operator"
 	"heatherloom/internal/peer"
@@ -38,6 +40,7 @@
 	"heatherloom/internal/telemetry"
 	"heatherloom/internal/timeline"
 	"heatherloom/internal/tlsconfig"
+	"heatherloom/internal/writes"
 )
 
 const (
@@ -61,6 +64,7 @@
 	lease      *lease.Holder
 	slots      *slotclaim.Holder
 	gate       *drain.Gate
+	writes     *writes.Service
 	timeline   *timeline.Recorder
 	rows       *peer.Rows
 	// servers are the caller and peer listeners; operator outlives them, so that
@@ -206,9 +210,20 @@
 	// A process is a borrower of its own, because its loan requests are numbered from 1.
 	ledger := quota.NewLedger(identity.ID + "@" + strconv.FormatInt(identity.Incarnation, 36))
 	n.recordRollouts(identity, n.dispatcher)
+	n.writes = &writes.Service{
+		Snapshot:   n.loop.Snapshot,
+		Dispatcher: n.dispatcher,
+		Peers:      peers,
+		Table:      idempotency.NewTable(time.Now()),
+		Now:        time.Now,
+		Log:        entry,
+		FirstClaim: func() bool { return n.slots.Claim().FirstClaim },
+		Claimed:    n.claimedSlots,
+	}
 	handler, err := gateway.New(gateway.Deps{
 		Snapshot:   n.loop.Snapshot,
 		Dispatcher: n.dispatcher,
+		Writes:     n.writes,
 		Admitter:   admission.NewAdmitter(ledger, peers, time.Now),
 		Log:        entry,
 		Drain:      n.gate,
@@ -223,7 +238,7 @@
 		Identity: identity, Loop: n.loop, Dispatcher: n.dispatcher, Secret: s.Peer.Secret,
 		Config: &configsync.Source{Loop: n.loop},
 		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Gate: n.gate,
-		Log: entry, Ledger: ledger, Rows: n.rows,
+		Log: entry, Ledger: ledger, Rows: n.rows, Writes: n.writes,
 	}
 	n.servers = append(n.servers,
 		n.serve(l.caller, &http.Server{Handler: handler, TLSConfig: n.callerTLS()}, entry),
@@ -292,6 +307,7 @@
 	n.done.Go(func() { n.loop.Run(ctx) })
 	n.done.Go(func() { syncer.Run(ctx) })
 	n.done.Go(func() { heartbeats.Run(ctx) })
+	n.done.Go(func() { n.writes.Follow(ctx) })
 	n.lease = lease.New(store, lease.DomainKey(identity.FailureDomain), identity.ID, n.options.LeaseTTL, time.Now)
 	n.done.Go(func() { n.lease.Run(ctx, syncer.IsWatcher) })
 	n.slots = n.slotHolder(store, identity)
@@ -322,6 +338,16 @@
 	})
 }
 
+// claimedSlots returns the slots that instances hold by the claims in the store.
+func (n *Node) claimedSlots(ctx context.Context) ([]quota.Slot, error) {
+	claimed, err := n.slots.Claimed(ctx)
+	if err != nil {
+		return nil, err
+	}
+	unclaimed := func(s quota.Slot) bool { return !claimed[s.ID()] }
+	return slices.DeleteFunc(slices.Clone(n.loop.Snapshot().Slots.Division.Slots()), unclaimed), nil
+}
+
 func pollInstances(ctx context.Context, list platform.InstanceList, loop *control.Loop) {
 	ticker := time.NewTicker(instancePollInterval)
 	defer ticker.Stop()
--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -47,6 +47,8 @@
 	PeerServiceCopyWriteProcedure = "/peer.v1.PeerService/CopyWrite"
 	// PeerServiceBorrowProcedure is the fully-qualified name of the PeerService's Borrow RPC.
 	PeerServiceBorrowProcedure = "/peer.v1.PeerService/Borrow"
+	// PeerServicePullWritesProcedure is the fully-qualified name of the PeerService's PullWrites RPC.
+	PeerServicePullWritesProcedure = "/peer.v1.PeerService/PullWrites"
 	// PeerServicePullEventsProcedure is the fully-qualified name of the PeerService's PullEvents RPC.
 	PeerServicePullEventsProcedure = "/peer.v1.PeerService/PullEvents"
 )
@@ -59,6 +61,7 @@
 	RunWrite(context.Context, *connect.Request[peerv1.RunWriteRequest]) (*connect.Response[peerv1.RunWriteResponse], error)
 	CopyWrite(context.Context, *connect.Request[peerv1.CopyWriteRequest]) (*connect.Response[peerv1.CopyWriteResponse], error)
 	Borrow(context.Context, *connect.Request[peerv1.BorrowRequest]) (*connect.Response[peerv1.BorrowResponse], error)
+	PullWrites(context.Context, *connect.Request[peerv1.PullWritesRequest]) (*connect.Response[peerv1.PullWritesResponse], error)
 	PullEvents(context.Context, *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error)
 }
 
@@ -109,6 +112,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Borrow")),
 			connect.WithClientOptions(opts...),
 		),
+		pullWrites: connect.NewClient[peerv1.PullWritesRequest, peerv1.PullWritesResponse](
+			httpClient,
+			baseURL+PeerServicePullWritesProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("PullWrites")),
+			connect.WithClientOptions(opts...),
+		),
 		pullEvents: connect.NewClient[peerv1.PullEventsRequest, peerv1.PullEventsResponse](
 			httpClient,
 			baseURL+PeerServicePullEventsProcedure,
@@ -126,6 +135,7 @@
 	runWrite   *connect.Client[peerv1.RunWriteRequest, peerv1.RunWriteResponse]
 	copyWrite  *connect.Client[peerv1.CopyWriteRequest, peerv1.CopyWriteResponse]
 	borrow     *connect.Client[peerv1.BorrowRequest, peerv1.BorrowResponse]
+	pullWrites *connect.Client[peerv1.PullWritesRequest, peerv1.PullWritesResponse]
 	pullEvents *connect.Client[peerv1.PullEventsRequest, peerv1.PullEventsResponse]
 }
 
@@ -159,6 +169,11 @@
 	return c.borrow.CallUnary(ctx, req)
 }
 
+// PullWrites calls peer.v1.PeerService.PullWrites.
+func (c *peerServiceClient) PullWrites(ctx context.Context, req *connect.Request[peerv1.PullWritesRequest]) (*connect.Response[peerv1.PullWritesResponse], error) {
+	return c.pullWrites.CallUnary(ctx, req)
+}
+
 // PullEvents calls peer.v1.PeerService.PullEvents.
 func (c *peerServiceClient) PullEvents(ctx context.Context, req *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error) {
 	return c.pullEvents.CallUnary(ctx, req)
@@ -172,6 +187,7 @@
 	RunWrite(context.Context, *connect.Request[peerv1.RunWriteRequest]) (*connect.Response[peerv1.RunWriteResponse], error)
 	CopyWrite(context.Context, *connect.Request[peerv1.CopyWriteRequest]) (*connect.Response[peerv1.CopyWriteResponse], error)
 	Borrow(context.Context, *connect.Request[peerv1.BorrowRequest]) (*connect.Response[peerv1.BorrowResponse], error)
+	PullWrites(context.Context, *connect.Request[peerv1.PullWritesRequest]) (*connect.Response[peerv1.PullWritesResponse], error)
 	PullEvents(context.Context, *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error)
 }
 
@@ -218,6 +234,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Borrow")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServicePullWritesHandler := connect.NewUnaryHandler(
+		PeerServicePullWritesProcedure,
+		svc.PullWrites,
+		connect.WithSchema(peerServiceMethods.ByName("PullWrites")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServicePullEventsHandler := connect.NewUnaryHandler(
 		PeerServicePullEventsProcedure,
 		svc.PullEvents,
@@ -238,6 +260,8 @@
 			peerServiceCopyWriteHandler.ServeHTTP(w, r)
 		case PeerServiceBorrowProcedure:
 			peerServiceBorrowHandler.ServeHTTP(w, r)
+		case PeerServicePullWritesProcedure:
+			peerServicePullWritesHandler.ServeHTTP(w, r)
 		case PeerServicePullEventsProcedure:
 			peerServicePullEventsHandler.ServeHTTP(w, r)
 		default:
@@ -273,6 +297,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Borrow is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) PullWrites(context.Context, *connect.Request[peerv1.PullWritesRequest]) (*connect.Response[peerv1.PullWritesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.PullWrites is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) PullEvents(context.Context, *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.PullEvents is not implemented"))
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -25,6 +25,7 @@
 	"heatherloom/internal/relay"
 	"heatherloom/internal/routing"
 	"heatherloom/internal/timeline"
+	"heatherloom/internal/writes"
 )
 
 // ConfigSource answers peers that ask for configuration.
@@ -51,6 +52,8 @@
 	Ledger *quota.Ledger
 	// Rows are shared with the Heartbeater of the instance; nil sends whole rows.
 	Rows *Rows
+	// Writes runs writes with an idempotency key; nil to refuse them.
+	Writes *writes.Service
 	// Secret authenticates peers.
 	Secret string
 	// Log receives one line for each forwarded request; nil for none.
--- a/internal/slotclaim/holder.go
+++ b/internal/slotclaim/holder.go
@@ -4,9 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"heatherloom/internal/platform"
 )
 
@@ -46,6 +49,20 @@
 // follows; the clock must be read after any pause.
 func (h *Holder) Claim() Claim { return h.read().claim() }
 
+// Claimed returns the ids of the slots, as domain/index, that are claimed in the
+// store, in all failure domains.
+func (h *Holder) Claimed(ctx context.Context) (map[string]bool, error) {
+	entries, err := h.Store.List(ctx, KeyPrefix)
+	if err != nil {
+		return nil, eris.Wrap(err, "read slot claims")
+	}
+	claimed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		claimed[strings.TrimPrefix(e.Key, KeyPrefix)] = true
+	}
+	return claimed, nil
+}
+
 func (h *Holder) read() state {
 	h.mu.Lock()
 	defer h.mu.Unlock()
