--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -221,6 +221,16 @@
 	return s.Slots.Held
 }
 
+// traffic is what has left its region since the start.
+type traffic struct {
+	forwarded int64
+	linkBytes int64
+}
+
+func (c *cluster) traffic() traffic {
+	return traffic{forwarded: c.forwarded(), linkBytes: c.wan.bytes()}
+}
+
 // forwarded returns how many requests left their region.
 func (c *cluster) forwarded() int64 {
 	var sum int64
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -58,9 +58,10 @@
 
 func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, highestMicros, histogramSize) }
 
-func summarize(p Plan, c *cluster, samples []sample) Result {
+func summarize(p Plan, c *cluster, samples []sample, warm traffic) Result {
+	sent := c.traffic()
 	r := Result{
-		Requests: len(samples), Totals: c.totals(), SentAway: c.forwarded(), LinkBytes: c.wan.bytes(),
+		Requests: len(samples), Totals: c.totals(), SentAway: sent.forwarded - warm.forwarded, LinkBytes: sent.linkBytes - warm.linkBytes,
 		FirstToken: newHistogram(), BetweenTokens: newHistogram(), LateSend: newHistogram(),
 		Outcomes: map[string]int{}, samples: samples,
 	}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -185,6 +185,8 @@
 	if err := warmUp(ctx, p, c); err != nil {
 		return Result{}, err
 	}
+	// The readings of the warm-up may leave their region.
+	warm := c.traffic()
 	start := time.Now()
 	faulted := make(chan error, 1)
 	go func() { faulted <- injectFault(ctx, c, p.Fault, p.Duration) }()
@@ -197,12 +199,11 @@
 			return Result{}, err
 		}
 	}
-	return summarize(p, c, samples), nil
+	return summarize(p, c, samples, warm), nil
 }
 
-// warmUp sends a status reading of each account to each entry instance. An instance
-// refuses the first request of an account, whose bucket is made empty then, and this
-// would count as wrongful in each run.
+// warmUp sends a status reading of each account to each entry instance, so that
+// connections between instances are open and buckets have been used.
 func warmUp(ctx context.Context, p Plan, c *cluster) error {
 	client := newClient()
 	defer client.CloseIdleConnections()
