--- a/e2e/caller_test.go
+++ b/e2e/caller_test.go
@@ -44,7 +44,7 @@
 	// unknownOwned are the unknown writes with a key. While the holder of the owner slot
 	// is frozen and not yet dropped from the members, nobody can know whether it runs them.
 	unknownOwned int
-	failures  []string
+	failures     []string
 	// notRun are the bodies whose every answer said that the request did not run.
 	notRun []string
 }
