End the clusters of an experiment at once and print verdicts in one place

Change: the bench kills its entry instances at the end; one function prints a verdict; dev refuses -faults without -requests.

--- a/cmd/heatherloom/dev.go
+++ b/cmd/heatherloom/dev.go
@@ -31,6 +31,10 @@
 	if _, status, done := parseFlags(flags, args); done {
 		return status
 	}
+	if f.faults && f.requests == 0 {
+		fmt.Fprintf(os.Stderr, "%s: -faults needs -requests\n", commandLine("dev"))
+		return exitUsage
+	}
 	if f.requests < 0 {
 		fmt.Fprintf(os.Stderr, "%s: -requests must not be negative, not %d\n", commandLine("dev"), f.requests)
 		return exitUsage
@@ -55,9 +59,6 @@
 		fmt.Fprintln(os.Stderr, "heatherloom:", err)
 		return exitFailure
 	}
-	if f.requests > 0 && f.faults {
-		return verifyUnderFaults(ctx, cluster, f)
-	}
 	if f.requests > 0 {
 		return verifyDev(ctx, cluster, f)
 	}
@@ -68,21 +69,23 @@
 
 // verifyDev sends the requests. The report is the last line of the output.
 func verifyDev(ctx context.Context, cluster *devcluster.Cluster, f devFlags) int {
-	report := devcluster.RunRequests(ctx, cluster, devcluster.Load{Count: f.requests, Seed: f.seed})
-	for _, failure := range report.Failures {
-		fmt.Fprintln(os.Stderr, "heatherloom:", failure)
+	load := devcluster.Load{Count: f.requests, Seed: f.seed}
+	if f.faults {
+		report := devcluster.RunWithFaults(ctx, cluster, load)
+		return printVerdict(report, report.Failures)
 	}
-	fmt.Println(report)
-	if !report.OK() {
-		return exitFailure
-	}
-	return exitOK
+	report := devcluster.RunRequests(ctx, cluster, load)
+	return printVerdict(report, report.Failures)
+}
+
+// verdict is the report of a verification.
+type verdict interface {
+	fmt.Stringer
+	OK() bool
 }
 
-// verifyUnderFaults sends the requests while faults are injected.
-func verifyUnderFaults(ctx context.Context, cluster *devcluster.Cluster, f devFlags) int {
-	report := devcluster.RunWithFaults(ctx, cluster, devcluster.Load{Count: f.requests, Seed: f.seed})
-	for _, failure := range report.Failures {
+func printVerdict(report verdict, failures []string) int {
+	for _, failure := range failures {
 		fmt.Fprintln(os.Stderr, "heatherloom:", failure)
 	}
 	fmt.Println(report)
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -245,7 +245,8 @@
 	return sum
 }
 
-// close ends the entry instances and then the stand-ins. It does not wait longer than ctx.
+// close ends the entry instances, whose requests have all ended, and then the
+// stand-ins. It does not wait longer than ctx.
 func (c *cluster) close(ctx context.Context) {
 	count := 0
 	for _, nodes := range c.nodes {
@@ -255,7 +256,7 @@
 	for _, nodes := range c.nodes {
 		for _, n := range nodes {
 			go func() {
-				_ = n.Shutdown(ctx)
+				n.Kill()
 				done <- struct{}{}
 			}()
 		}
