--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -25,3 +26,16 @@
 	}
 	return time.Duration(t.Nano())
 }
+
+// Sleep waits for d, or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/configsync/publisher.go
+++ b/internal/configsync/publisher.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
+	"heatherloom/internal/clock"
 	"heatherloom/internal/external"
 	"heatherloom/internal/opconfig"
 )
@@ -83,7 +84,7 @@
 		if done {
 			return delta.Revision, nil
 		}
-		sleep(ctx, readBackInterval)
+		clock.Sleep(ctx, readBackInterval)
 	}
 }
 
@@ -242,10 +243,3 @@
 	a.cleanUp(ctx)
 	return true, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"heatherloom/internal/clock"
 	"heatherloom/internal/control"
 	"heatherloom/internal/external"
 	"heatherloom/internal/membership"
@@ -63,7 +64,7 @@
 // Run brings the first configuration and keeps it up to date until ctx ends.
 func (s *Syncer) Run(ctx context.Context) {
 	for !s.start(ctx) {
-		sleep(ctx, retryInterval)
+		clock.Sleep(ctx, retryInterval)
 		if ctx.Err() != nil {
 			return
 		}
@@ -111,7 +112,7 @@
 // known to be the latest one. The configuration is empty if no peer gave one.
 func (s *Syncer) fromNeighbors(ctx context.Context) (*opconfig.Config, time.Time) {
 	empty := opconfig.New()
-	for end := time.Now().Add(neighborWait); ctx.Err() == nil && time.Now().Before(end); sleep(ctx, followInterval) {
+	for end := time.Now().Add(neighborWait); ctx.Err() == nil && time.Now().Before(end); clock.Sleep(ctx, followInterval) {
 		candidates := ahead(s.Loop.Snapshot().Peers, 0)
 		candidates = slices.DeleteFunc(candidates, func(p routing.Peer) bool { return p.Confirmed.IsZero() })
 		for _, p := range candidates {
@@ -250,7 +251,7 @@
 		if s.IsWatcher() {
 			s.watchWhileChosen(ctx)
 		}
-		sleep(ctx, retryInterval)
+		clock.Sleep(ctx, retryInterval)
 	}
 }
 
@@ -324,7 +325,7 @@
 		if ctx.Err() == nil {
 			s.warn("watch of the configuration broke", err)
 		}
-		sleep(ctx, retryInterval)
+		clock.Sleep(ctx, retryInterval)
 	}
 }
 
--- a/internal/configsync/syncer_test.go
+++ b/internal/configsync/syncer_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"heatherloom/internal/clock"
 	"heatherloom/internal/control"
 	"heatherloom/internal/external"
 	"heatherloom/internal/opconfig"
@@ -32,7 +33,7 @@
 		return external.Entry{}, external.ErrUnavailable
 	}
 	entry, err := s.Store.Get(ctx, key)
-	sleep(ctx, time.Duration(s.delay.Load()))
+	clock.Sleep(ctx, time.Duration(s.delay.Load()))
 	if ctx.Err() != nil {
 		return external.Entry{}, external.ErrUnavailable
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -53,6 +53,8 @@
 	Crashes  int
 	// Terms is set for the requests of host routes; nil for those of the API.
 	Terms *Terms
+	// partHashes are the hashes of the parts of Terms, once they are needed.
+	partHashes []uint64
 	// trail lists the upstreams and peers that were tried, with their outcomes.
 	trail []string
 	// expected is the estimate of the time to the first part of the answer.
@@ -314,9 +316,8 @@
 	if r.Terms != nil {
 		policy = d.Services
 		request.Service = r.Terms.serviceRequest(r)
-		request.Prefix, request.Tokens = prefixOf(r.Terms.Parts), r.Terms.Tokens
-		choice, err := d.pickService(policy, snapshot, request)
-		return choice, err
+		request.Prefix, request.Tokens = promptHashes(r), r.Terms.Tokens
+		return d.pickService(policy, snapshot, request)
 	}
 	scratch := scratches.Get().(*routing.Scratch)
 	defer scratches.Put(scratch)
--- a/internal/dispatch/terms.go
+++ b/internal/dispatch/terms.go
@@ -158,10 +158,13 @@
 
 // promptHashes returns the hashes by which the index knows the prompt.
 func promptHashes(r *Request) []uint64 {
-	if r.Terms != nil {
-		return prefixOf(r.Terms.Parts)
+	if r.Terms == nil {
+		return r.Prompt.Hashes
+	}
+	if r.partHashes == nil {
+		r.partHashes = prefixOf(r.Terms.Parts)
 	}
-	return r.Prompt.Hashes
+	return r.partHashes
 }
 
 // promptTokens returns the length of the prompt.
--- a/internal/gateway/hostentries.go
+++ b/internal/gateway/hostentries.go
@@ -5,7 +5,10 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"heatherloom/internal/routing"
+	"heatherloom/internal/telemetry"
 )
 
 // EntryProtocol decodes the question which entry instances to use and encodes its answer.
@@ -22,12 +25,19 @@
 const hostEntriesValidity = time.Second
 
 // NewEntries returns the handler that names the entry instances to use.
-func NewEntries(protocol EntryProtocol, snapshot func() *routing.Snapshot, now func() time.Time, self string) http.Handler {
+func NewEntries(protocol EntryProtocol, snapshot func() *routing.Snapshot, now func() time.Time, self string, log *logrus.Entry) http.Handler {
 	path, _ := protocol.Paths()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
 		host, region := protocol.DecodeEntries(r)
-		raw, err := protocol.EncodeEntries(hostEntries(snapshot(), now(), host, region, self), hostEntriesValidity)
+		addresses := hostEntries(snapshot(), now(), host, region, self)
+		if len(addresses) == 0 {
+			log.WithFields(logrus.Fields{
+				telemetry.FieldEvent:  "no_entry_instance",
+				telemetry.FieldCaller: region,
+			}).Warn("no entry instance can be named to a caller")
+		}
+		raw, err := protocol.EncodeEntries(addresses, hostEntriesValidity)
 		if err != nil {
 			w.WriteHeader(http.StatusInternalServerError)
 			return
--- a/internal/node/hosts.go
+++ b/internal/node/hosts.go
@@ -97,7 +97,7 @@
 	n.servers = append(n.servers,
 		n.serve(l.caller, &http.Server{Handler: handler, TLSConfig: n.callerTLS(), IdleTimeout: hostIdleTimeout}, entry),
 		n.serve(l.peer, &http.Server{Handler: server.Handler(), Protocols: n.peerProtocols(), TLSConfig: n.peerTLS()}, entry),
-		n.serve(l.entries, &http.Server{Handler: gateway.NewEntries(platform.Directory{}, n.loop.Snapshot, clock.Now, self)}, entry),
+		n.serve(l.entries, &http.Server{Handler: gateway.NewEntries(platform.Directory{}, n.loop.Snapshot, clock.Now, self, entry)}, entry),
 		n.serve(l.ready, &http.Server{Handler: gateway.NewReady(platform.Directory{}, n.loop.Snapshot, clock.Now)}, entry))
 	n.operator = n.serve(l.operator, &http.Server{Handler: n.operatorHandler(s, metrics), TLSConfig: n.callerTLS()}, entry)
 	n.followTLS(entry)
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"heatherloom/internal/clock"
 	"heatherloom/internal/control"
 	"heatherloom/internal/drain"
 	"heatherloom/internal/gateway"
@@ -92,7 +93,7 @@
 	n.releaseSlot(ctx)
 	if n.gate.Progress().Phase == drain.Drained {
 		invariant.Check(n.gate.Progress().InFlight == 0, invariant.GracefulShutdown, "a request runs after the drain")
-		sleep(ctx, n.linger)
+		clock.Sleep(ctx, n.linger)
 	}
 	failures = append(failures, n.stopServer(ctx, n.operator))
 	n.cancel()
@@ -132,10 +133,3 @@
 	defer cancel()
 	n.slots.Release(ctx)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/opconfig/hostroute.go
+++ b/internal/opconfig/hostroute.go
@@ -9,8 +9,11 @@
 // RouteKind states what may be repeated on a route.
 type RouteKind string
 
-// The kinds of host routes.
+// The kinds of host routes. Requests on a route of any other kind run at most once, as
+// writes do: nothing says that they may be repeated.
 const (
+	// KindUnknown is the kind of a route whose kind this version cannot read.
+	KindUnknown RouteKind = ""
 	// KindIdempotent requests may run more than once.
 	KindIdempotent RouteKind = "idempotent"
 	// KindWrite requests run at most once.
--- a/internal/opconfig/hostroute_test.go
+++ b/internal/opconfig/hostroute_test.go
@@ -55,3 +55,22 @@
 		}
 	}
 }
+
+// Guards against a request that runs twice on a route whose kind this version cannot read.
+func TestOnlyKnownKindsMayRepeat(t *testing.T) {
+	for _, c := range []struct {
+		route opconfig.HostRoute
+		want  bool
+	}{
+		{opconfig.HostRoute{Kind: opconfig.KindIdempotent}, true},
+		{opconfig.HostRoute{Kind: opconfig.KindStream, Resumable: true}, true},
+		{opconfig.HostRoute{Kind: opconfig.KindStream}, false},
+		{opconfig.HostRoute{Kind: opconfig.KindWrite, Resumable: true}, false},
+		{opconfig.HostRoute{Kind: opconfig.KindUnknown, Resumable: true}, false},
+		{opconfig.HostRoute{Kind: "of another day"}, false},
+	} {
+		if got := c.route.Repeatable(); got != c.want {
+			t.Errorf("%+v: repeatable is %v", c.route, got)
+		}
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -172,6 +172,7 @@
 	}
 	fields["kind"] = err.Kind
 	fields["ran"] = err.Ran
+	fields["message"] = err.Message
 	if err.Cause != nil {
 		fields["cause"] = err.Cause.Error()
 	}
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -111,12 +112,14 @@
 	}
 	resp, err := p.client.Do(req)
 	if err != nil {
+		p.logFailed(id, err.Error())
 		return
 	}
 	defer resp.Body.Close()
 	_, _ = io.CopyN(io.Discard, resp.Body, maxBodyBytes)
 	answered, coldFor := p.Decode(resp.Header)
 	if resp.StatusCode != http.StatusOK || answered != id {
+		p.logFailed(id, fmt.Sprintf("status %d from upstream %q", resp.StatusCode, answered))
 		return
 	}
 	p.Log.WithFields(logrus.Fields{
@@ -126,3 +129,11 @@
 	}).Info("paused upstream passed a health check")
 	p.Loop.Post(ctx, control.ProbeEvent{Upstream: id, ColdFor: coldFor})
 }
+
+func (p *Prober) logFailed(id, cause string) {
+	p.Log.WithFields(logrus.Fields{
+		telemetry.FieldEvent:    "health_check_failed",
+		telemetry.FieldUpstream: id,
+		telemetry.FieldCause:    cause,
+	}).Info("paused upstream did not pass a health check")
+}
--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -68,12 +68,12 @@
 				at = 0
 				continue
 			}
-			sleep(ctx, retryInterval)
+			clock.Sleep(ctx, retryInterval)
 			continue
 		}
 		at = next
 		f.succeeded(ctx, started)
-		sleep(ctx, pollInterval-clock.Now().Sub(started))
+		clock.Sleep(ctx, pollInterval-clock.Now().Sub(started))
 	}
 }
 
@@ -159,26 +159,18 @@
 func (f *Feed) list(ctx context.Context) {
 	entry, err := f.Documents.EncodeInstance(f.Self)
 	if err != nil {
-		f.Log.WithField(telemetry.FieldEvent, "instance_listed").WithError(err).Error("row of this instance cannot be encoded")
+		f.Log.WithField(telemetry.FieldEvent, "instance_unlisted").WithError(err).Error("row of this instance cannot be encoded")
 		return
 	}
-	for ctx.Err() == nil {
+	for failed := false; ctx.Err() == nil; failed = true {
 		_, _, err := f.Store.Commit(ctx, nil, []external.Write{{Key: entry.Key, Value: entry.Value}})
 		if err == nil {
+			f.Log.WithField(telemetry.FieldEvent, "instance_listed").Info("row of this instance is written")
 			return
 		}
-		sleep(ctx, retryInterval)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		if !failed && ctx.Err() == nil {
+			f.Log.WithField(telemetry.FieldEvent, "instance_unlisted").WithError(err).Warn("row of this instance cannot be written, it is tried again")
+		}
+		clock.Sleep(ctx, retryInterval)
 	}
 }
--- a/internal/storefeed/feed_test.go
+++ b/internal/storefeed/feed_test.go
@@ -1,7 +1,9 @@
 package storefeed
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -52,6 +54,11 @@
 }
 
 func (f *fakeLog) Commit(context.Context, []external.Condition, []external.Write) (bool, int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return false, 0, external.ErrUnavailable
+	}
 	return true, 0, nil
 }
 
@@ -132,3 +139,43 @@
 		t.Errorf("%d full readings, want 2", store.reads)
 	}
 }
+
+// An instance without a row gets no peers and no requests. Guards against one whose row
+// cannot be written and that says nothing of it.
+func TestFeedReportsThatItsRowCannotBeWritten(t *testing.T) {
+	store := &fakeLog{down: true}
+	var lines lockedBuffer
+	log := logrus.New()
+	log.SetOutput(&lines)
+	ctx, cancel := context.WithCancel(t.Context())
+	feed := &Feed{Store: store, Documents: plainDocuments{}, Log: logrus.NewEntry(log)}
+	var running sync.WaitGroup
+	running.Go(func() { feed.list(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	eventually(t, "a line on the failed write", func() bool { return strings.Contains(lines.text(), "event=instance_unlisted") })
+	store.set(func() { store.down = false })
+	eventually(t, "a line on the written row", func() bool { return strings.Contains(lines.text(), "event=instance_listed") })
+	if n := strings.Count(lines.text(), "event=instance_unlisted"); n != 1 {
+		t.Errorf("%d lines on failed writes, want 1", n)
+	}
+}
+
+type lockedBuffer struct {
+	mu  sync.Mutex
+	out bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.out.Write(p)
+}
+
+func (b *lockedBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.out.String()
+}
