--- a/cmd/heatherloom/main.go
+++ b/cmd/heatherloom/main.go
@@ -33,6 +33,7 @@
 		{"timeline", "merge the recent events of all entry instances", runTimeline},
 		{"drain", "take an entry instance out of service", runDrain},
 		{"dev", "run a development cluster of three regions in one process", runDev},
+		{"soak", "run processes under random faults and check the promises", runSoak},
 		{"standin", "run a stand-in of an outside part, for development and tests", runStandin},
 	}
 }
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -43,7 +43,7 @@
 	mux.HandleFunc("GET "+scim.PathUsers, d.serveList)
 	mux.HandleFunc("POST /standin/faults", d.serveFaults)
 	mux.HandleFunc("POST /standin/accounts", d.serveSet)
-	server, err := listen(address, mux)
+	server, err := Listen(address, mux)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -80,7 +80,7 @@
 	mux.HandleFunc("POST /standin/faults", serveSwitch(e.SetFaults))
 	mux.HandleFunc("POST /standin/version", serveSwitch(e.SetVersionFault))
 	mux.HandleFunc("GET /standin/runs", e.serveRuns)
-	server, err := listen(address, mux)
+	server, err := Listen(address, mux)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/instances.go
+++ b/internal/standin/instances.go
@@ -38,7 +38,7 @@
 	mux.HandleFunc("POST /instances", serveSwitch(l.Set))
 	mux.HandleFunc("DELETE /instances/{id}", func(_ http.ResponseWriter, r *http.Request) { l.Remove(r.PathValue("id")) })
 	mux.HandleFunc("POST /standin/faults", serveSwitch(l.SetFaults))
-	server, err := listen(address, mux)
+	server, err := Listen(address, mux)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/listen.go
+++ b/internal/standin/listen.go
@@ -38,8 +38,8 @@
 	requests int
 }
 
-// listen serves handler at address, as host:port; port 0 takes a free port.
-func listen(address string, handler http.Handler) (*Server, error) {
+// Listen serves handler at address, as host:port; port 0 takes a free port.
+func Listen(address string, handler http.Handler) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", address)
--- a/internal/standin/modelengine.go
+++ b/internal/standin/modelengine.go
@@ -46,7 +46,7 @@
 	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	e.mux.HandleFunc("GET /metrics", e.metrics)
 	e.mux.HandleFunc("GET "+engineapi.PathCacheEvents, e.cacheEvents)
-	server, err := listen(address, e.mux)
+	server, err := Listen(address, e.mux)
 	if err != nil {
 		return nil, err
 	}
@@ -71,7 +71,7 @@
 func (e *ModelEngine) Restart() error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	server, err := listen(e.address, e.mux)
+	server, err := Listen(e.address, e.mux)
 	if err != nil {
 		return err
 	}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -55,7 +55,7 @@
 	mux.HandleFunc("POST /standin/load", serveSwitch(s.load.Set))
 	mux.HandleFunc("GET /metrics", s.load.serveMetrics)
 	mux.HandleFunc("/", s.load.scheduled(s.serve))
-	server, err := listen(address, mux)
+	server, err := Listen(address, mux)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -82,7 +82,7 @@
 	mux.HandleFunc(wire.PathWatch, s.watch)
 	mux.HandleFunc("POST /standin/faults", serveSwitch(s.SetFaults))
 	mux.HandleFunc("GET /standin/calls", s.serveCalls)
-	server, err := listen(address, mux)
+	server, err := Listen(address, mux)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/weights.go
+++ b/internal/standin/weights.go
@@ -51,7 +51,7 @@
 	mux.HandleFunc("GET /standin/counts", func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(s.Counts())
 	})
-	server, err := listen(address, mux)
+	server, err := Listen(address, mux)
 	if err != nil {
 		return nil, err
 	}
