--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -153,7 +153,7 @@
 	}
 	t.contact(e.Peer, e.Asked)
 	t.hearCold(e.Cold, now)
-	t.link(e)
+	t.link(e, now)
 	if row := t.confirmations[e.Peer.ID]; e.Confirmed.After(row.at) {
 		t.confirmations[e.Peer.ID] = confirmation{revision: e.Peer.ConfigRevision, at: e.Confirmed}
 	}
@@ -168,7 +168,7 @@
 const roundTripGain = 0.3
 
 // link records what the peer told of its region, and the round trip of an answer.
-func (t *tables) link(e HeartbeatEvent) {
+func (t *tables) link(e HeartbeatEvent, now time.Time) {
 	row := t.linkTo(e.Peer.ID)
 	roundTrip := row.remote.RoundTripSeconds
 	if trip := e.RoundTrip.Seconds(); trip > 0 && roundTrip == 0 {
@@ -178,6 +178,7 @@
 	}
 	if e.Services != nil {
 		row.services, row.demands, row.serving = e.Services, e.Demands, e.Peer.Serving
+		row.reported = now
 	}
 	row.remote = e.Peer.Remote
 	row.remote.RoundTripSeconds = roundTrip
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -45,9 +45,10 @@
 	if !last.IsZero() {
 		s.ConfigValidUntil = last.Add(t.identity.MaxIsolation)
 	}
-	s.Demand = demandOf(t, s.Peers)
+	s.Demand, s.DemandAge = demandOf(t, s.Peers, now)
 	s.InstanceCount = 1 + max(len(s.Peers), len(t.entries))
 	s.Rollouts = versionSplits(t, s.InstanceCount)
+	s.Orders = t.orders
 	s.Index()
 	return s
 }
--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -93,7 +93,7 @@
 	}
 }
 
-// SamplesEvent brings the cumulative samples of a member of the own failure domain.
+// SamplesEvent brings the cumulative samples of another instance.
 type SamplesEvent struct {
 	Instance string
 	Samples  []rollout.KeyedSample
@@ -128,7 +128,8 @@
 		}
 	}
 	for key := range t.rollouts.stops {
-		if m, known := t.rollouts.moves[key.move]; !known || m.Final() {
+		m, known := t.rollouts.moves[key.move]
+		if (!known || m.Final()) && !t.orderUnderWay(key.move) {
 			delete(t.rollouts.stops, key)
 		}
 	}
@@ -137,7 +138,17 @@
 			return
 		}
 	}
-	clear(t.rollouts.samples)
+	if !t.orderUnderWay("") {
+		clear(t.rollouts.samples)
+	}
+}
+
+// orderUnderWay reports whether the rollout of a service with the given id is under way;
+// any if the id is empty.
+func (t *tables) orderUnderWay(id string) bool {
+	return slices.ContainsFunc(t.orders, func(o rollout.ServiceOrder) bool {
+		return !o.Final() && (id == "" || id == o.ID())
+	})
 }
 
 // splitsOf returns the division of the traffic of each model. A move whose version
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -7,6 +7,7 @@
 
 	"heatherloom/internal/external"
 	"heatherloom/internal/membership"
+	"heatherloom/internal/rollout"
 	"heatherloom/internal/routing"
 )
 
@@ -39,12 +40,12 @@
 	}
 }
 
-// VersionsEvent brings the versions that the operators ordered, by service.
-type VersionsEvent struct {
-	Versions map[string]string
+// OrdersEvent brings the rollouts of services that the operators ordered.
+type OrdersEvent struct {
+	Orders []rollout.ServiceOrder
 }
 
-func (e VersionsEvent) apply(t *tables, _ time.Time) { t.versions = e.Versions }
+func (e OrdersEvent) apply(t *tables, _ time.Time) { t.orders = e.Orders }
 
 const (
 	// canaryPart is the used part of the share that a version may get before it is known
@@ -55,35 +56,49 @@
 	badAnswers = 40
 )
 
-// versionSplits returns the division of the traffic of services under rollout. A version
-// of which this instance has seen its part of the allowed bad answers gets nothing more.
+// versionSplits returns the division of the traffic of services under rollout.
 func versionSplits(t *tables, instances int) map[string]routing.VersionSplit {
-	splits := make(map[string]routing.VersionSplit, len(t.versions))
-	limit := max(badAnswers/int64(max(instances, 1)), 1)
-	for service, version := range t.versions {
-		bad, others := int64(0), 0
-		for _, row := range t.ordered {
-			switch {
-			case row.instance.Service != service:
-			case row.instance.Version == version:
-				bad += row.counters.Bad.Load()
-			case row.instance.State == external.InstanceLive:
-				others++
-			}
-		}
-		if others == 0 {
-			// The order outlives the version before it, or the region has only this one.
+	splits := make(map[string]routing.VersionSplit, len(t.orders))
+	for _, order := range t.orders {
+		split := routing.VersionSplit{Candidate: order.Version, Move: order.ID()}
+		switch {
+		case order.State == rollout.Done:
+			split.Share = 1
+		case order.State == rollout.TakenBack || t.stopped(order, instances):
+		case !t.hasOtherVersion(order):
+			// The region has only upstreams of the ordered version.
 			continue
+		default:
+			split.Share = canaryPart * t.identity.CanaryShare
 		}
-		split := routing.VersionSplit{Candidate: version, Share: canaryPart * t.identity.CanaryShare}
-		if bad >= limit {
-			split.Share = 0
-		}
-		splits[service] = split
+		splits[order.Service] = split
 	}
 	return splits
 }
 
+// hasOtherVersion reports whether the region has a live upstream of another version.
+func (t *tables) hasOtherVersion(order rollout.ServiceOrder) bool {
+	return slices.ContainsFunc(t.ordered, func(row *upstreamRow) bool {
+		i := row.instance
+		return i.Service == order.Service && i.Version != order.Version && i.State == external.InstanceLive
+	})
+}
+
+// stopped reports whether this instance sends nothing more to an ordered version: after a
+// stop of its own, or its part of the allowed bad answers.
+func (t *tables) stopped(order rollout.ServiceOrder, instances int) bool {
+	if _, stop := t.rollouts.stops[stopKey{order.ID(), t.identity.ID}]; stop {
+		return true
+	}
+	bad := int64(0)
+	for _, row := range t.ordered {
+		if row.instance.Service == order.Service && row.instance.Version == order.Version {
+			bad += row.counters.Bad.Load()
+		}
+	}
+	return bad >= max(badAnswers/int64(max(instances, 1)), 1)
+}
+
 // ProbeEvent reports a health check that an upstream passed after a pause.
 type ProbeEvent struct {
 	Upstream string
@@ -154,14 +169,3 @@
 	}
 	return ids
 }
-
-// demandOf returns the sum of the demands of live peers by client account.
-func demandOf(t *tables, peers []routing.Peer) map[string]float64 {
-	sum := map[string]float64{}
-	for _, p := range peers {
-		for account, demand := range t.linkTo(p.ID).demands {
-			sum[account] += demand
-		}
-	}
-	return sum
-}
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
 	"heatherloom/internal/external"
 	"heatherloom/internal/membership"
 	"heatherloom/internal/opconfig"
+	"heatherloom/internal/rollout"
 	"heatherloom/internal/routing"
 )
 
@@ -106,7 +108,8 @@
 	both := listed(func(i *external.Instance) { i.Version = "v2" })
 	both.Instances = append(both.Instances, external.Instance{ID: "old", Role: external.RoleService, Region: "a", Service: "s", Version: "v1", State: external.InstanceLive})
 	both.apply(x, now)
-	VersionsEvent{Versions: map[string]string{"s": "v2"}}.apply(x, now)
+	order := rollout.ServiceOrder{Service: "s", Version: "v2", State: rollout.Sharing}
+	OrdersEvent{Orders: []rollout.ServiceOrder{order}}.apply(x, now)
 	split := func() float64 { return buildSnapshot(x, now).Rollouts["s"].Share }
 	if got := split(); got <= 0 || got > 0.1 {
 		t.Errorf("share %v before any answer", got)
@@ -117,11 +120,45 @@
 	if got := split(); got != 0 {
 		t.Errorf("share %v after five bad answers at each of eight instances", got)
 	}
+	fresh := hostTables("e0", 8)
+	fresh.identity.CanaryShare = 0.1
 	both.Instances[1].State = external.InstanceLeaving
-	both.apply(x, now)
-	if _, split := buildSnapshot(x, now).Rollouts["s"]; split {
+	both.apply(fresh, now)
+	OrdersEvent{Orders: []rollout.ServiceOrder{order}}.apply(fresh, now)
+	if _, split := buildSnapshot(fresh, now).Rollouts["s"]; split {
 		t.Error("the version has only a share though no other is left")
 	}
+	for _, c := range []struct {
+		state rollout.State
+		want  float64
+	}{{rollout.Done, 1}, {rollout.TakenBack, 0}} {
+		order.State = c.state
+		OrdersEvent{Orders: []rollout.ServiceOrder{order}}.apply(x, now)
+		if got := split(); got != c.want {
+			t.Errorf("share %v in state %s", got, c.state)
+		}
+	}
+}
+
+// Guards against an instance that goes on sending to a version after it has seen its fault
+// itself, because the fleet has not decided yet.
+func TestAVersionGetsNothingWhereItWasStopped(t *testing.T) {
+	now := time.Unix(1000, 0)
+	x := hostTables("e0", 8)
+	x.identity.CanaryShare = 0.1
+	listed(func(i *external.Instance) { i.Version, i.State = "v1", external.InstanceLive }).apply(x, now)
+	order := rollout.ServiceOrder{Service: "s", Version: "v2", State: rollout.Sharing}
+	OrdersEvent{Orders: []rollout.ServiceOrder{order}}.apply(x, now)
+	StopsEvent{Stops: []rollout.Stop{{Move: order.ID(), Instance: "e5"}}}.apply(x, now)
+	forgetRollouts(x, now)
+	if got := buildSnapshot(x, now).Rollouts["s"].Share; got == 0 {
+		t.Error("stopped by what one other instance saw")
+	}
+	StopsEvent{Stops: []rollout.Stop{{Move: order.ID(), Instance: "e0"}}}.apply(x, now)
+	forgetRollouts(x, now)
+	if got := buildSnapshot(x, now).Rollouts["s"].Share; got != 0 {
+		t.Errorf("share %v after the own stop", got)
+	}
 }
 
 // Guards against an instance that the store turns away and that sends its usual traffic to
@@ -139,3 +176,30 @@
 		t.Error("the upstream of an evacuated domain gets the usual traffic")
 	}
 }
+
+// In a large fleet an instance hears only a few members of other regions. Guards against
+// counting those it did not hear as members without demand, which would let all instances
+// together admit several times the rate of a client account.
+func TestDemandOfMembersThatWereNotHeardIsEstimated(t *testing.T) {
+	now := time.Unix(1000, 0)
+	x := hostTables("e0", 1)
+	hear := func(id, region string, at time.Time, demand float64) {
+		HeartbeatEvent{Peer: routing.Peer{ID: id, Region: region, FailureDomain: region}, Demands: map[string]float64{"t": demand},
+			Services: map[string]routing.ServiceLoad{}}.apply(x, at)
+	}
+	for i := range 4 {
+		hear(fmt.Sprint("a", i), "a", now.Add(-time.Second), 10)
+	}
+	hear("b0", "b", now.Add(-3*time.Second), 20)
+	hear("b1", "b", now.Add(-6*time.Second), 500)
+	x.entries = map[string]external.Instance{"b2": {ID: "b2", Region: "b"}, "c0": {ID: "c0", Region: "c"}, "c1": {ID: "c1", Region: "c"}, "e0": {ID: "e0", Region: "a"}}
+	s := buildSnapshot(x, now)
+	// Four reports of 10 in a, one of 20 for the three members of b, and the mean of all
+	// five, 12, for the two members of c.
+	if got, want := s.Demand["t"], 40.0+60+24; math.Abs(got-want) > 1e-9 {
+		t.Errorf("demand %v, want %v", got, want)
+	}
+	if want := 1400 * time.Millisecond; s.DemandAge != want {
+		t.Errorf("age %s, want %s", s.DemandAge, want)
+	}
+}
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -13,6 +13,7 @@
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/quarantine"
 	"heatherloom/internal/quota"
+	"heatherloom/internal/rollout"
 	"heatherloom/internal/routing"
 	"heatherloom/internal/slotclaim"
 )
@@ -84,7 +85,9 @@
 	remote   routing.Remote
 	counters *routing.Counters
 	services map[string]routing.ServiceLoad
+	// demands are those of the latest report, which came at reported.
 	demands  map[string]float64
+	reported time.Time
 	serving  bool
 }
 
@@ -115,8 +118,8 @@
 	history     history
 	// evacuated are the failure domains that must get no requests.
 	evacuated map[string]struct{}
-	// versions are the ordered versions of services under rollout.
-	versions map[string]string
+	// orders are the rollouts of services that the operators ordered.
+	orders []rollout.ServiceOrder
 	// inactive are the client accounts that the client directory marks as inactive.
 	inactive map[string]struct{}
 	// division is that of config; it is rebuilt only when the domains table changes.
--- a/internal/dispatch/rollouts.go
+++ b/internal/dispatch/rollouts.go
@@ -74,7 +74,14 @@
 // observe reports an attempt for a rollout under way. Failures that the upstream did
 // not cause are no evidence.
 func (d *Dispatcher) observe(r *Request, u *routing.Upstream, result relay.Result, started, head time.Time) {
-	if d.Observe == nil || u.Role != external.RoleEngine || (result.Err != nil && !result.UpstreamFault) {
+	if d.Observe == nil || (result.Err != nil && !result.UpstreamFault) {
+		return
+	}
+	if r.Terms != nil {
+		d.observeService(r, u, result, started, head)
+		return
+	}
+	if u.Role != external.RoleEngine {
 		return
 	}
 	name, version, _ := strings.Cut(r.Target, "@")
@@ -91,3 +98,21 @@
 		LoadClass: rollout.LoadClass(running, u.Load.Waiting),
 	})
 }
+
+// observeService reports an attempt at a service under rollout.
+func (d *Dispatcher) observeService(r *Request, u *routing.Upstream, result relay.Result, started, head time.Time) {
+	split := d.Snapshot().Rollouts[r.Target]
+	if split.Candidate == "" {
+		return
+	}
+	load := 0
+	if result.Load != nil {
+		load = result.Load.Waiting
+	}
+	d.Observe(Observation{
+		SampleKey: rollout.SampleKey{Move: split.Move, Candidate: u.Version == split.Candidate, Route: r.Terms.Route},
+		Failed:    result.Err != nil,
+		FirstByte: head.Sub(started),
+		LoadClass: rollout.LoadClass(int(u.Counters.InFlight.Load()), load),
+	})
+}
--- a/internal/dispatch/terms.go
+++ b/internal/dispatch/terms.go
@@ -13,8 +13,9 @@
 
 // Terms are what the operators' route and the caller set for a request of a host route.
 type Terms struct {
-	// Host is the host name that the caller asked for.
-	Host string
+	// Host is the host name that the caller asked for, and Route the name of the route.
+	Host  string
+	Route string
 	// Upstreams bounds the upstreams that may run the request.
 	Upstreams int
 	// Objective is the time within which the first part of the answer is on time.
--- a/internal/external/documents.go
+++ b/internal/external/documents.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heatherloom/internal/opconfig"
+	"heatherloom/internal/rollout"
 )
 
 // ErrCompacted reports that the key-value service no longer holds the history that a
@@ -47,8 +48,10 @@
 	Upstream *Instance
 	// Evacuated names a failure domain that must get no requests.
 	Evacuated string
-	// Rollout is an order to move the traffic of a service to a version.
-	Rollout *RolloutOrder
+	// Rollout is an order to move the traffic of a service to a version, and RolloutState
+	// what the operators can read of it.
+	Rollout      *RolloutOrder
+	RolloutState *RolloutState
 }
 
 // RolloutOrder asks for a version of a service to take over its traffic.
@@ -59,10 +62,19 @@
 	Within time.Duration
 }
 
+// RolloutState is the state of the rollout of a service.
+type RolloutState struct {
+	Service string
+	Version string
+	State   rollout.State
+}
+
 // Documents decodes and encodes the values of the key-value service.
 type Documents interface {
 	// Decode returns an error for a value that belongs to the gateway and cannot be read.
 	Decode(Entry) (Document, error)
 	// EncodeInstance returns the entry by which an entry instance lists itself.
 	EncodeInstance(Instance) (Entry, error)
+	// EncodeRolloutState returns the entry with the state of a rollout.
+	EncodeRolloutState(RolloutState) (Entry, error)
 }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -237,7 +237,11 @@
 }
 
 func (s *hosts) take(c *hostCall) quota.ShareDecision {
-	others := quota.Others{Demand: c.snapshot.Demand[c.account.Name], Instances: c.snapshot.InstanceCount}
+	others := quota.Others{
+		Demand:    c.snapshot.Demand[c.account.Name],
+		Age:       c.snapshot.DemandAge,
+		Instances: c.snapshot.InstanceCount,
+	}
 	return s.Shares.Admit(s.Now(), c.account, c.cost(), others)
 }
 
@@ -282,6 +286,7 @@
 		Deadline:   c.deadline(s.Now()),
 		Terms: &dispatch.Terms{
 			Host:      c.r.Host,
+			Route:     c.route.Name,
 			Upstreams: c.route.Attempts,
 			Objective: c.route.Objective,
 			Priority:  c.route.Priority,
--- a/internal/node/hosts.go
+++ b/internal/node/hosts.go
@@ -24,6 +24,7 @@
 	"heatherloom/internal/quota"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/retry"
+	"heatherloom/internal/rolloutctl"
 	"heatherloom/internal/routing"
 	"heatherloom/internal/settings"
 	"heatherloom/internal/storefeed"
@@ -68,13 +69,14 @@
 	}
 	peers.DialWith((&net.Dialer{Timeout: peerDialTimeout}).DialContext)
 	n.dispatcher = n.hostDispatcher(s, peers, metrics)
+	n.recordRollouts(identity, n.dispatcher)
 	shares := quota.NewShares(clock.Now(), s.Bounds.QuotaSlack)
 	report := func(snapshot *routing.Snapshot) *peerv1.HostStatus {
 		return peer.HostStatusOf(snapshot, clock.Now(), shares.Demands(clock.Now()))
 	}
 	heartbeats := &peer.Heartbeater{
 		Identity: identity, Loop: n.loop, Client: peers, Rows: n.rows,
-		Seeds: func() []string { return s.Peer.Seeds }, Host: report,
+		Seeds: func() []string { return s.Peer.Seeds }, Host: report, Samples: n.recorder.List,
 	}
 	n.announce = heartbeats.AnnounceAll
 	handler := gateway.NewHosts(gateway.HostDeps{
@@ -139,9 +141,11 @@
 func (n *Node) runHosts(s settings.Settings, log *logrus.Entry, identity control.Identity, peers *peer.Client, heartbeats *peer.Heartbeater) {
 	ctx := n.ctx
 	syncer := &configsync.Syncer{Identity: identity, Peers: peers, Loop: n.loop, Announce: heartbeats.Announce, Log: log}
+	store := platform.NewStore(s.Platform.Store)
+	documents := platform.Documents{Regions: s.Platform.Domains}
 	feed := &storefeed.Feed{
-		Store:     platform.NewStore(s.Platform.Store),
-		Documents: platform.Documents{Regions: s.Platform.Domains},
+		Store:     store,
+		Documents: documents,
 		Loop:      n.loop,
 		Self: external.Instance{
 			ID: identity.ID, Role: external.RoleEntry, Region: identity.Region,
@@ -149,10 +153,14 @@
 		},
 		Log: log,
 	}
+	rollouts := &rolloutctl.ServiceController{
+		Identity: identity, Store: store, Documents: documents, Loop: n.loop, Recorder: n.recorder, Log: log,
+	}
 	prober := &probe.Prober{Loop: n.loop, Decode: platform.Headers{}.DecodeHealth, Log: log}
 	n.done.Go(func() { n.loop.Run(ctx) })
 	n.done.Go(func() { feed.Run(ctx) })
 	n.done.Go(func() { syncer.FollowPeers(ctx) })
 	n.done.Go(func() { heartbeats.Run(ctx) })
 	n.done.Go(func() { prober.Run(ctx) })
+	n.done.Go(func() { rollouts.Run(ctx) })
 }
--- a/internal/peer/host.go
+++ b/internal/peer/host.go
@@ -75,6 +75,7 @@
 	}
 	t := &peerv1.HostTerms{
 		Host:        r.Terms.Host,
+		Route:       r.Terms.Route,
 		Upstreams:   int32(r.Terms.Upstreams),
 		ObjectiveMs: r.Terms.Objective.Milliseconds(),
 		Priority:    int32(r.Terms.Priority),
@@ -99,6 +100,7 @@
 	}
 	r.Terms = &dispatch.Terms{
 		Host:      t.GetHost(),
+		Route:     t.GetRoute(),
 		Upstreams: int(t.GetUpstreams()),
 		Objective: time.Duration(t.GetObjectiveMs()) * time.Millisecond,
 		Priority:  int(t.GetPriority()),
--- a/internal/peer/rollouts.go
+++ b/internal/peer/rollouts.go
@@ -82,11 +82,14 @@
 }
 
 // samplesFor returns the samples for a recipient: only members of the own failure
-// domain need them.
+// domain need them, or all instances that serve host routes.
 func (h *Heartbeater) samplesFor(s *routing.Snapshot, address string) []*peerv1.VersionSample {
 	if h.Samples == nil {
 		return nil
 	}
+	if h.Host != nil {
+		return encodeSamples(h.Samples())
+	}
 	for _, p := range s.Peers {
 		if p.PeerAddress == address && p.FailureDomain == h.Identity.FailureDomain {
 			return encodeSamples(h.Samples())
@@ -109,23 +112,23 @@
 	return encoded
 }
 
-func postSamples(ctx context.Context, loop *control.Loop, self *peerv1.Member, samples []*peerv1.VersionSample) {
-	if self.GetFailureDomain() != loop.Snapshot().FailureDomain {
+func (s *Server) postSamples(ctx context.Context, self *peerv1.Member, samples []*peerv1.VersionSample) {
+	if s.Host == nil && self.GetFailureDomain() != s.Loop.Snapshot().FailureDomain {
 		return
 	}
 	event := control.SamplesEvent{Instance: self.GetId()}
-	for _, s := range samples {
+	for _, sample := range samples {
 		row := rollout.KeyedSample{
-			SampleKey: rollout.SampleKey{Move: s.GetMove(), Step: int(s.GetStep()), Candidate: s.GetCandidate(), Route: s.GetRoute()},
-			Sample:    rollout.Sample{Requests: s.GetRequests(), Errors: s.GetErrors()},
+			SampleKey: rollout.SampleKey{Move: sample.GetMove(), Step: int(sample.GetStep()), Candidate: sample.GetCandidate(), Route: sample.GetRoute()},
+			Sample:    rollout.Sample{Requests: sample.GetRequests(), Errors: sample.GetErrors()},
 		}
 		for class := range row.Latency {
 			size := len(row.Latency[class])
-			if end := (class + 1) * size; end <= len(s.GetLatency()) {
-				copy(row.Latency[class][:], s.GetLatency()[end-size:end])
+			if end := (class + 1) * size; end <= len(sample.GetLatency()) {
+				copy(row.Latency[class][:], sample.GetLatency()[end-size:end])
 			}
 		}
 		event.Samples = append(event.Samples, row)
 	}
-	loop.Post(ctx, event)
+	s.Loop.Post(ctx, event)
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -98,7 +98,7 @@
 	postCrashes(ctx, s.Loop, req.Msg.GetCrashes())
 	postMoves(ctx, s.Loop, req.Msg.GetMoves())
 	postFaults(ctx, s.Loop, req.Msg.GetVersionFaults())
-	postSamples(ctx, s.Loop, sender, req.Msg.GetSamples())
+	s.postSamples(ctx, sender, req.Msg.GetSamples())
 	snapshot := s.Loop.Snapshot()
 	self := SelfMember(s.Identity, snapshot)
 	if short := s.Rows.short(self); !slices.Contains(req.Msg.GetWanted(), short.GetDigest()) {
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -28,8 +28,9 @@
 // keeps one bucket for each account and is safe for concurrent use.
 //
 // The share of an instance is its own demand, with an even part of idleShare of the rate,
-// out of that of all instances. A report that is one second old lets a shift of traffic
-// exceed the rate by what moved in that second, which the stated slack of the rate covers.
+// out of that of all instances. Its own demand counts as old as the reports of the others
+// are, so that the shares add up to one while traffic grows. A shift of traffic between
+// instances exceeds the rate by what moved within that age, which the slack covers.
 // The share of an instance that ended is free once its peers no longer count it as live.
 type Shares struct {
 	// started is when the buckets began to fill.
@@ -48,6 +49,8 @@
 	// average is that of the demand, in units per second, at demandAt.
 	average  float64
 	demandAt time.Time
+	// lagged follows the demand with the delay of the others' reports.
+	lagged float64
 }
 
 // NewShares returns empty buckets that begin to fill now. slack is what all instances
@@ -60,6 +63,8 @@
 type Others struct {
 	// Demand is the sum of their demands for the account, in units per second.
 	Demand float64
+	// Age is the mean age of the reports behind Demand.
+	Age time.Duration
 	// Instances counts all instances, with this one.
 	Instances int
 }
@@ -86,8 +91,8 @@
 		row = &shareRow{at: s.started, demandAt: now}
 		s.rows[a.Name] = row
 	}
-	row.observe(now, cost)
-	share := shareOf(a, row.demand(now), others)
+	row.observe(now, cost, others.Age)
+	share := shareOf(a, row.lagged, others)
 	capacity := share * (math.Max(a.Burst, 1) + usedSlack*s.slack)
 	row.fill(now, share*a.Rate, capacity)
 	need := math.Min(cost, capacity)
@@ -106,10 +111,19 @@
 	return (own + idle/instances) / (own + others.Demand + idle)
 }
 
-// observe adds a request to the demand, an average with exponential decay.
-func (r *shareRow) observe(now time.Time, cost float64) {
-	r.average = r.demand(now) + cost/demandSpan.Seconds()
+// observe adds a request to the demand, an average with exponential decay. The own demand
+// counts with the delay of the others' reports: when traffic grows everywhere at once, the
+// shares would add up to more than the rate if each instance compared its present demand
+// with what the others had before.
+func (r *shareRow) observe(now time.Time, cost float64, delay time.Duration) {
+	before := r.demand(now)
+	kept := 0.0
+	if delay > 0 {
+		kept = math.Exp(-max(now.Sub(r.demandAt), 0).Seconds() / delay.Seconds())
+	}
+	r.average = before + cost/demandSpan.Seconds()
 	r.demandAt = now
+	r.lagged = kept*r.lagged + (1-kept)*r.average
 }
 
 func (r *shareRow) demand(now time.Time) float64 {
--- a/internal/quota/shares_test.go
+++ b/internal/quota/shares_test.go
@@ -100,3 +100,49 @@
 		})
 	}
 }
+
+// Plays a fleet of 78 instances whose reports of each other are up to 5 s old, as those of a
+// fleet are that does not send every heartbeat to everyone. Traffic starts everywhere at once at
+// three times the rate. Guards against instances that compare their present demand with an
+// older one of the others, and together admit more than the rate.
+func TestSharesKeepTheRateWhenTrafficStartsEverywhere(t *testing.T) {
+	const (
+		instances = 78
+		oldest    = 5 * time.Second
+		step      = 50 * time.Millisecond
+		window    = 8 * time.Second
+		factor    = 3
+	)
+	account := opconfig.Account{Name: "a", Rate: 3.2e6, Burst: 3.2e6, Unit: opconfig.UnitTokens}
+	start := time.Unix(1000, 0)
+	ledgers := make([]*quota.Shares, instances)
+	for i := range ledgers {
+		ledgers[i] = quota.NewShares(start, 140000)
+	}
+	begin := start.Add(14 * time.Second)
+	cost := factor * account.Rate * step.Seconds() / instances
+	var history []float64
+	admitted := 0.0
+	for now := begin; now.Before(begin.Add(window)); now = now.Add(step) {
+		others := quota.Others{Instances: instances, Age: oldest / 2}
+		for back := range int(oldest / step) {
+			if at := len(history) - 1 - back; at >= 0 {
+				others.Demand += history[at] / float64(oldest/step) * (instances - 1) / instances
+			}
+		}
+		sum := 0.0
+		for _, l := range ledgers {
+			if l.Admit(now, account, cost, others).Admitted {
+				admitted += cost
+			}
+			sum += l.Demands(now)["a"]
+		}
+		history = append(history, sum)
+	}
+	if allowed := (account.Rate*window.Seconds()+account.Burst)*1.1 + 140000; admitted > allowed {
+		t.Errorf("%.0f tokens admitted in the first window, allowed are %.0f", admitted, allowed)
+	}
+	if least := 0.7 * account.Rate * window.Seconds(); admitted < least {
+		t.Errorf("only %.0f tokens admitted, want %.0f", admitted, least)
+	}
+}
--- /dev/null
+++ b/internal/rollout/service_test.go
@@ -0,0 +1,53 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+)
+
+func served(requests, errors int64, ms int) Sample {
+	var s Sample
+	for i := range requests {
+		s.Add(i < errors, time.Duration(ms)*time.Millisecond, 0)
+	}
+	return s
+}
+
+// Guards against a move that is done though its version fails, is slow or was hardly tried,
+// against one that is taken back without a fault, and against one without an end.
+func TestJudgeService(t *testing.T) {
+	deadline := time.Unix(1000, 0)
+	order := ServiceOrder{Service: "s", Version: "2", Deadline: deadline, State: Sharing}
+	early, late := deadline.Add(-10*time.Second), deadline.Add(-serviceReserve)
+	good := RouteEvidence{Route: "r", Candidate: served(50, 0, 20), Running: served(1000, 2, 20)}
+	for _, c := range []struct {
+		name   string
+		at     time.Time
+		routes []RouteEvidence
+		stops  int
+		want   State
+	}{
+		{"good, early", early, []RouteEvidence{good}, 0, Sharing},
+		{"good, at the end", late, []RouteEvidence{good}, 0, Done},
+		{"failures", early, []RouteEvidence{{Route: "r", Candidate: served(50, 10, 20), Running: served(1000, 2, 20)}}, 0, TakenBack},
+		{"failures on one route", late, []RouteEvidence{good, {Route: "q", Candidate: served(50, 10, 20), Running: served(1000, 2, 20)}}, 0, TakenBack},
+		{"slow", early, []RouteEvidence{{Route: "r", Candidate: served(50, 0, 200), Running: served(1000, 2, 20)}}, 0, TakenBack},
+		{"failing as before", late, []RouteEvidence{{Route: "r", Candidate: served(50, 5, 20), Running: served(1000, 100, 20)}}, 0, Done},
+		{"stopped by two instances", early, []RouteEvidence{good}, 2, TakenBack},
+		{"stopped by one instance", early, []RouteEvidence{good}, 1, Sharing},
+		{"untried", late, []RouteEvidence{{Route: "r", Candidate: served(2, 0, 20), Running: served(1000, 0, 20)}}, 0, TakenBack},
+		{"few requests at all", late, []RouteEvidence{good, {Route: "q", Candidate: served(1, 0, 20), Running: served(60, 0, 20)}}, 0, Done},
+		{"no traffic", late, nil, 0, TakenBack},
+	} {
+		got, reason := JudgeService(order, Evidence{Routes: c.routes, LocalStops: c.stops}, c.at)
+		if got != c.want || (got.ended() && reason == "") {
+			t.Errorf("%s: %s (%s), want %s", c.name, got, reason, c.want)
+		}
+	}
+	order.State = TakenBack
+	if got, _ := JudgeService(order, Evidence{Routes: []RouteEvidence{good}}, late); got != TakenBack {
+		t.Errorf("a move that was taken back became %s", got)
+	}
+}
+
+func (s State) ended() bool { return s == Done || s == TakenBack }
--- a/internal/rolloutctl/recorder.go
+++ b/internal/rolloutctl/recorder.go
@@ -80,6 +80,9 @@
 	for _, m := range s.Moves {
 		active[m.ID()] = !m.Final()
 	}
+	for _, o := range s.Orders {
+		active[o.ID()] = !o.Final()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for key := range r.samples {
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -31,8 +31,9 @@
 
 // VersionSplit divides the requests of a service between two versions.
 type VersionSplit struct {
-	// Candidate is the version under rollout.
+	// Candidate is the version under rollout, and Move the id of the rollout.
 	Candidate string
+	Move      string
 	// Share is the part of the requests, from 0 to 1, that goes to the candidate.
 	Share float64
 }
@@ -42,7 +43,12 @@
 	if v.Candidate == "" {
 		return true
 	}
-	return (version == v.Candidate) == rollout.Selects(requestID, v.Share)
+	return (version == v.Candidate) == v.selects(requestID)
+}
+
+// selects reports whether a request with the given id belongs to the candidate.
+func (v VersionSplit) selects(requestID string) bool {
+	return v.Candidate != "" && rollout.Selects(requestID, v.Share)
 }
 
 const (
@@ -84,7 +90,13 @@
 	best := scored{index: none}
 	if len(r.Service.Homes) == 0 || slices.Contains(r.Service.Homes, s.Region) {
 		x.found = p.Index.matches(r.Now, r.Prefix, x.matches[:0])
-		p.best(s, r, x, &best)
+		split := s.Rollouts[r.Target]
+		p.best(s, r, x, split, &best)
+		if best.index == none && split.selects(r.ID) {
+			// No upstream of the candidate can take the request, so that it runs on the version before.
+			split.Share = 0
+			p.best(s, r, x, split, &best)
+		}
 	}
 	peer, remote := cheapestRegion(s, r, x)
 	if err := refuseLate(s, r, &best, peer, remote); err != nil {
@@ -148,7 +160,7 @@
 }
 
 // best finds the cheapest upstream of the own region.
-func (p ServicePolicy) best(s *Snapshot, r *Request, x *Scratch, best *scored) {
+func (p ServicePolicy) best(s *Snapshot, r *Request, x *Scratch, split VersionSplit, best *scored) {
 	candidates := s.ByTarget[r.Target]
 	if len(candidates) == 0 {
 		return
@@ -158,7 +170,7 @@
 	for k := range candidates {
 		i := candidates[(start+k)%len(candidates)]
 		u := &s.Upstreams[i]
-		if !allowsService(s, u, r) {
+		if !allowsService(u, r, split) {
 			continue
 		}
 		cached := p.cached(u, r, x)
@@ -226,14 +238,14 @@
 }
 
 // allowsService is the filter of upstreams for requests of host routes.
-func allowsService(s *Snapshot, u *Upstream, r *Request) bool {
+func allowsService(u *Upstream, r *Request, split VersionSplit) bool {
 	if !allowsUpstream(u, r) || u.Evacuated || u.Counters.Stalled(r.Now, stalledAfter) {
 		return false
 	}
 	if u.Cold && !u.Counters.coldFree(r.Now, u.ColdSends) {
 		return false
 	}
-	return s.Rollouts[r.Target].allows(r.ID, u.Version)
+	return split.allows(r.ID, u.Version)
 }
 
 // coldFree reports whether TakeCold would succeed.
--- a/internal/routing/service_test.go
+++ b/internal/routing/service_test.go
@@ -187,3 +187,20 @@
 		t.Errorf("picked %q", got)
 	}
 }
+
+// Guards against requests that are refused because the version under rollout has no upstream
+// in the region yet, and against one that falls back on a version that was taken back.
+func TestServicePickUsesTheVersionBeforeWhereTheCandidateCannotServe(t *testing.T) {
+	old := serviceUpstream("old", func(u *Upstream) { u.Version = "v1" })
+	paused := serviceUpstream("new", func(u *Upstream) { u.Version, u.Down = "v2", true })
+	s := serviceSnapshot(old, paused)
+	s.Rollouts = map[string]VersionSplit{testService: {Candidate: "v2", Share: 1}}
+	if got := pickService(s, serviceRequest()); got != "old" {
+		t.Errorf("the candidate is paused: picked %q", got)
+	}
+	s = serviceSnapshot(serviceUpstream("old", func(u *Upstream) { u.Version, u.Down = "v1", true }), serviceUpstream("new", func(u *Upstream) { u.Version = "v2" }))
+	s.Rollouts = map[string]VersionSplit{testService: {Candidate: "v2", Share: 0}}
+	if got := pickService(s, serviceRequest()); got != "" {
+		t.Errorf("the candidate was taken back: picked %q", got)
+	}
+}
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -183,11 +183,14 @@
 	SharedCrashes []quarantine.Crash
 	// Ready is false until a configuration is in force.
 	Ready bool
-	// Rollouts are the rollouts of services under way, by service.
+	// Rollouts divide the traffic of services that the operators ordered a version of, by
+	// service, and Orders are these orders.
 	Rollouts map[string]VersionSplit
-	// Demand is the sum of the demands that the live peers reported, by client account, in
-	// units of the account's rate per second.
-	Demand map[string]float64
+	Orders   []rollout.ServiceOrder
+	// Demand is the estimated sum of the demands of the peers, by client account, in units of
+	// the account's rate per second. DemandAge is the mean age of the reports behind it.
+	Demand    map[string]float64
+	DemandAge time.Duration
 	// InstanceCount is the number of entry instances, listed or live, with this one.
 	InstanceCount int
 	// Slots is the division of the rates and the slot that this instance holds.
--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -142,7 +142,7 @@
 		f.Loop.Post(ctx, control.EvacuationEvent{Domains: f.view.evacuatedDomains()})
 	}
 	if changed.orders {
-		f.Loop.Post(ctx, control.VersionsEvent{Versions: f.view.orderedVersions()})
+		f.Loop.Post(ctx, control.OrdersEvent{Orders: f.view.orders()})
 	}
 }
 
--- a/internal/storefeed/view.go
+++ b/internal/storefeed/view.go
@@ -1,6 +1,7 @@
 package storefeed
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -9,6 +10,7 @@
 
 	"heatherloom/internal/external"
 	"heatherloom/internal/opconfig"
+	"heatherloom/internal/rollout"
 	"heatherloom/internal/telemetry"
 )
 
@@ -16,6 +18,8 @@
 type row struct {
 	document external.Document
 	version  int64
+	// seen is when this version of the key was first read.
+	seen time.Time
 	// until is when a row that is gone no longer counts; zero while it exists.
 	until time.Time
 }
@@ -46,7 +50,7 @@
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		present[e.Key] = true
-		v.put(e)
+		v.put(e, now)
 	}
 	for key := range v.rows {
 		if !present[key] {
@@ -58,7 +62,7 @@
 // change takes one event.
 func (v *view) change(e external.WatchEvent, now, lapsedUntil time.Time) {
 	if !e.Deleted {
-		v.put(e.Entry)
+		v.put(e.Entry, now)
 		return
 	}
 	if old, ok := v.rows[e.Entry.Key]; ok && e.Entry.Version > old.version {
@@ -66,7 +70,7 @@
 	}
 }
 
-func (v *view) put(e external.Entry) {
+func (v *view) put(e external.Entry, now time.Time) {
 	old, known := v.rows[e.Key]
 	if known && (e.Version < old.version || (e.Version == old.version && old.until.IsZero())) {
 		return
@@ -77,7 +81,7 @@
 	}
 	v.mark(old.document)
 	v.mark(document)
-	v.rows[e.Key] = row{document: document, version: e.Version}
+	v.rows[e.Key] = row{document: document, version: e.Version, seen: now}
 	if document.Config != nil && (v.config == nil || document.Config.Revision > v.config.Revision) {
 		v.config = document.Config
 		v.changed.config = true
@@ -113,7 +117,7 @@
 func (v *view) mark(d external.Document) {
 	v.changed.instances = v.changed.instances || d.Upstream != nil
 	v.changed.evacuated = v.changed.evacuated || d.Evacuated != ""
-	v.changed.orders = v.changed.orders || d.Rollout != nil
+	v.changed.orders = v.changed.orders || d.Rollout != nil || d.RolloutState != nil
 }
 
 // takeChanges returns what changed since the last call.
@@ -143,13 +147,29 @@
 	return domains
 }
 
-// orderedVersions returns the ordered version of each service under rollout.
-func (v *view) orderedVersions() map[string]string {
-	versions := map[string]string{}
+// orders returns the rollouts of services that are ordered. A state that is older than its
+// order, or of another version, belongs to an order before.
+func (v *view) orders() []rollout.ServiceOrder {
+	states := map[string]row{}
 	for _, r := range v.rows {
-		if order := r.document.Rollout; order != nil {
-			versions[order.Service] = order.Version
+		if state := r.document.RolloutState; state != nil {
+			states[state.Service] = r
 		}
 	}
-	return versions
+	var list []rollout.ServiceOrder
+	for _, r := range v.rows {
+		order := r.document.Rollout
+		if order == nil {
+			continue
+		}
+		one := rollout.ServiceOrder{Service: order.Service, Version: order.Version, Deadline: r.seen.Add(order.Within), State: rollout.Sharing}
+		state, known := states[order.Service]
+		one.Revision = state.version
+		if known && state.version > r.version && state.document.RolloutState.Version == order.Version {
+			one.State, one.Recorded = state.document.RolloutState.State, true
+		}
+		list = append(list, one)
+	}
+	slices.SortFunc(list, func(a, b rollout.ServiceOrder) int { return cmp.Compare(a.Service, b.Service) })
+	return list
 }
--- a/internal/storefeed/view_test.go
+++ b/internal/storefeed/view_test.go
@@ -10,6 +10,7 @@
 
 	"heatherloom/internal/external"
 	"heatherloom/internal/opconfig"
+	"heatherloom/internal/rollout"
 )
 
 // plainDocuments reads a value as the state of an upstream, or as a revision below "c".
@@ -21,6 +22,10 @@
 		config := opconfig.New()
 		config.Revision = int64(len(e.Value))
 		return external.Document{Config: config}, nil
+	case e.Key == "order":
+		return external.Document{Rollout: &external.RolloutOrder{Service: "s", Version: string(e.Value), Within: time.Minute}}, nil
+	case e.Key == "state":
+		return external.Document{RolloutState: &external.RolloutState{Service: "s", Version: string(e.Value), State: rollout.Done}}, nil
 	case string(e.Value) == "broken":
 		return external.Document{}, errors.New("broken")
 	default:
@@ -32,6 +37,10 @@
 	return external.Entry{}, nil
 }
 
+func (plainDocuments) EncodeRolloutState(external.RolloutState) (external.Entry, error) {
+	return external.Entry{}, nil
+}
+
 func testView() view {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -111,3 +120,26 @@
 		t.Errorf("upstreams %q", got)
 	}
 }
+
+// Guards against an order that counts as done because an earlier one of the same version, or
+// one of another version, was; and against a deadline that moves with each reading.
+func TestViewMatchesStatesToTheirOrders(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		entries []external.Entry
+		want    rollout.State
+	}{
+		{"no state", []external.Entry{entry("order", "v2", 5)}, rollout.Sharing},
+		{"done", []external.Entry{entry("order", "v2", 5), entry("state", "v2", 6)}, rollout.Done},
+		{"done before", []external.Entry{entry("order", "v2", 5), entry("state", "v2", 4)}, rollout.Sharing},
+		{"another version", []external.Entry{entry("order", "v2", 5), entry("state", "v1", 6)}, rollout.Sharing},
+	} {
+		v := testView()
+		v.replace(c.entries, start, time.Time{})
+		v.replace(c.entries, start.Add(10*time.Second), time.Time{})
+		orders := v.orders()
+		if len(orders) != 1 || orders[0].State != c.want || orders[0].Recorded != (c.want == rollout.Done) || !orders[0].Deadline.Equal(start.Add(time.Minute)) {
+			t.Errorf("%s: %+v", c.name, orders)
+		}
+	}
+}
--- a/internal/telemetry/fields.go
+++ b/internal/telemetry/fields.go
@@ -33,4 +33,8 @@
 	FieldExpected  = "expected_ms"
 	FieldTokens    = "prompt_tokens"
 	FieldStore     = "store"
+	FieldService   = "service"
+	FieldVersion   = "version"
+	FieldState     = "state"
+	FieldReason    = "reason"
 )
