--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -58,6 +58,8 @@
 	matches [maxMatches]match
 	// found is the used part of matches.
 	found []match
+	// shared are the shared parts of the prompt in hand.
+	shared sharedParts
 }
 
 // NewScratch returns a working space whose random choices follow from seed.
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -88,6 +88,7 @@
 // Pick implements Policy.
 func (p ServicePolicy) Pick(s *Snapshot, r *Request, x *Scratch) (Choice, error) {
 	best := scored{index: none}
+	x.shared = sharedHome(s, r)
 	if len(r.Service.Homes) == 0 || slices.Contains(r.Service.Homes, s.Region) {
 		x.found = p.Index.matches(r.Now, r.Prefix, x.matches[:0])
 		split := s.Rollouts[r.Target]
@@ -99,10 +100,10 @@
 		}
 	}
 	peer, remote := cheapestRegion(s, r, x)
-	if err := refuseLate(s, r, &best, peer, remote); err != nil {
+	if err := refuseLate(s, r, x, &best, peer, remote); err != nil {
 		return Choice{}, err
 	}
-	if peer != none && (best.index == none || leaves(best.cost, remote, r.Service.Objective)) {
+	if peer != none && (best.index == none || leaves(best.cost, remote, r.Service.Objective) || x.shared.calls(s, &s.Peers[peer], &best, remote)) {
 		return Choice{Upstream: none, Peer: peer, Tokens: r.Tokens}, nil
 	}
 	if best.index == none {
@@ -127,7 +128,7 @@
 // refuseLate refuses a request that would wait behind others for too long everywhere. The
 // work for an answer that comes too late would make those behind it late as well: under
 // more load than the engines bear, nearly all answers were cut at their deadlines.
-func refuseLate(s *Snapshot, r *Request, best *scored, peer int32, remote float64) error {
+func refuseLate(s *Snapshot, r *Request, x *Scratch, best *scored, peer int32, remote float64) error {
 	if r.Service.Objective == 0 || len(r.Service.Parts) == 0 {
 		return nil
 	}
@@ -136,7 +137,7 @@
 		wait = float64(best.ahead) * serviceSecondsPerToken
 	}
 	if peer != none {
-		elsewhere := remote - readSeconds(r)
+		elsewhere := remote - x.shared.readSeconds(r, s.Peers[peer].Region)
 		if wait < 0 || elsewhere < wait {
 			wait = elsewhere
 		}
@@ -166,7 +167,8 @@
 		return
 	}
 	start := x.rng.IntN(len(candidates))
-	owner, shared := sharedOwner(s, r, candidates)
+	owner := sharedOwner(s, r, candidates)
+	shared := x.shared.tokens
 	for k := range candidates {
 		i := candidates[(start+k)%len(candidates)]
 		u := &s.Upstreams[i]
@@ -174,14 +176,16 @@
 			continue
 		}
 		cached := p.cached(u, r, x)
+		guessed := int64(0)
 		if i == owner {
-			cached = max(cached, shared)
+			guessed = max(shared-cached, 0)
+			cached += guessed
 		}
 		tokens := r.Tokens - cached
 		cost, ahead := serviceSeconds(u, r.Now, tokens)
 		cost += (sharedWeight - 1) * float64(max(shared-cached, 0)) * serviceSecondsPerToken
 		if best.index == none || cost < best.cost {
-			*best = scored{index: i, cost: cost, tokens: tokens, ahead: ahead}
+			*best = scored{index: i, cost: cost, tokens: tokens, ahead: ahead, guessed: guessed}
 		}
 	}
 }
@@ -190,9 +194,9 @@
 // same shared parts to while it is free, by rendezvous hash, and the tokens of these parts.
 // All parts but the last are shared. An instance knows only what it sent itself, so that
 // without an owner each instance would have the parts read at an upstream of its own.
-func sharedOwner(s *Snapshot, r *Request, candidates []int32) (int32, int64) {
+func sharedOwner(s *Snapshot, r *Request, candidates []int32) int32 {
 	if len(r.Prefix) < 2 {
-		return none, 0
+		return none
 	}
 	key := r.Prefix[len(r.Prefix)-2]
 	owner, heaviest := none, uint64(0)
@@ -205,11 +209,7 @@
 			owner, heaviest = i, weight
 		}
 	}
-	shared := int64(0)
-	for _, part := range r.Service.Parts[:len(r.Service.Parts)-1] {
-		shared += part.Tokens
-	}
-	return owner, shared
+	return owner
 }
 
 // mix spreads the bits of a hash (the finalizer of MurmurHash3).
@@ -298,7 +298,7 @@
 		if !serves || load.Upstreams == 0 {
 			continue
 		}
-		seconds := load.WaitSeconds + peer.Remote.RoundTripSeconds + ownForwardSeconds(peer, load) + readSeconds(r)
+		seconds := load.WaitSeconds + peer.Remote.RoundTripSeconds + ownForwardSeconds(peer, load) + x.shared.readSeconds(r, peer.Region)
 		if chosen == none || seconds < cheapest {
 			chosen, cheapest = int32(i), seconds
 		}
@@ -306,9 +306,6 @@
 	return chosen, cheapest
 }
 
-// readSeconds estimates the time to read the whole prompt.
-func readSeconds(r *Request) float64 { return float64(r.Tokens) * serviceSecondsPerToken }
-
 // ExpectedFirst estimates the time to the first part of the answer of a request that was
 // placed by c.
 func (c Choice) ExpectedFirst() time.Duration {
--- a/internal/routing/weighted.go
+++ b/internal/routing/weighted.go
@@ -17,6 +17,8 @@
 	cost   float64
 	tokens int64
 	ahead  int64
+	// guessed tokens of the prompt are assumed to be cached, and not known from a request.
+	guessed int64
 }
 
 // Pick compares the upstreams that hold a prefix of the prompt and a bounded random
