--- a/internal/membership/targets.go
+++ b/internal/membership/targets.go
@@ -45,9 +45,9 @@
 	Whole bool
 }
 
-// wholeFleet is the number of members up to which View.Whole has an effect. At twice as
+// SmallFleet is the number of members up to which View.Whole has an effect. At twice as
 // many, heartbeats to all of them would take half of the 2 KB/s that control may use.
-const wholeFleet = 16
+const SmallFleet = 16
 
 // best returns the n elements of s with the highest rendezvous weight for key.
 func best(s []string, key string, n int) []string {
@@ -91,7 +91,7 @@
 	for _, seed := range seedsOf(v, heardOthers, rng) {
 		targets[seed] = struct{}{}
 	}
-	if v.Whole && max(len(v.Live), len(v.Listed)) <= wholeFleet {
+	if v.Whole && max(len(v.Live), len(v.Listed)) <= SmallFleet {
 		for _, c := range slices.Concat(v.Live, v.Listed) {
 			targets[c.PeerAddress] = struct{}{}
 		}
--- a/internal/node/hosts.go
+++ b/internal/node/hosts.go
@@ -47,7 +47,7 @@
 	memoryShare = 0.7
 	// collectPercent is the growth of the heap between two collections. A small heap costs
 	// little processor time to collect, and memory is the dearer of the two.
-	collectPercent = 50
+	collectPercent = 25
 )
 
 // wireHosts wires an instance that serves host routes from a metadata store. It needs no
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -60,6 +60,9 @@
 	serviceSecondsPerToken = 1.0 / 45000
 	// runningSeconds is how much each running request delays the first token of the next.
 	runningSeconds = 0.0015
+	// slotSeconds is the time between two ends in a full batch of an engine: 64 answers of up
+	// to 400 tokens, at steps of 10 to 45 ms.
+	slotSeconds = 0.1
 	// plainSeconds is the estimated work of a request to a plain service.
 	plainSeconds = 0.02
 	// sharedWeight multiplies the time to read the shared parts of a prompt at an upstream
@@ -119,8 +122,8 @@
 const (
 	// lateShare is the part of the objective that the estimated wait behind other requests
 	// may take. Estimates leave out the tokens that are made between the chunks of a
-	// prompt, by which the first part comes up to twice as late.
-	lateShare = 0.5
+	// prompt, by which the first part comes up to two and a half times as late.
+	lateShare = 0.4
 	// longestComeBack bounds the time after which a refused caller is told to come back.
 	longestComeBack = 2 * time.Second
 )
@@ -272,10 +275,20 @@
 		return plainSeconds*float64(queue)/float64(max(u.Slots, 1)) + failing, 0
 	}
 	ahead = u.Counters.PendingTokens.Load() + int64(float64(waiting)*u.Counters.MeanTokens())
+	ahead += slotTokens(u, u.Counters.InFlight.Load()+running+waiting)
 	running += u.Counters.InFlight.Load() - u.Counters.Pending.Load()
 	return float64(ahead+tokens)*serviceSecondsPerToken + runningSeconds*float64(running) + failing, ahead
 }
 
+// slotTokens returns the wait for a free slot as prompt tokens that could be read meanwhile.
+func slotTokens(u *Upstream, occupied int64) int64 {
+	over := occupied - int64(u.Slots) + 1
+	if u.Slots == 0 || over <= 0 {
+		return 0
+	}
+	return int64(float64(over) * slotSeconds / serviceSecondsPerToken)
+}
+
 // cheapestRegion returns a peer of the region with the shortest estimated time to the
 // first part of the answer, and that time in seconds.
 func cheapestRegion(s *Snapshot, r *Request, x *Scratch) (int32, float64) {
--- a/internal/routing/service_test.go
+++ b/internal/routing/service_test.go
@@ -204,3 +204,32 @@
 		t.Errorf("the candidate was taken back: picked %q", got)
 	}
 }
+
+// An engine runs a bounded number of requests, and a further one waits for an end. Guards
+// against a request that goes to a full engine because no prompt waits there, and against
+// one that is admitted though all engines are full for longer than its objective allows.
+func TestServicePickCountsTheWaitForASlot(t *testing.T) {
+	full := func(id string, running int) Upstream {
+		u := serviceUpstream(id, nil)
+		for range running {
+			u.Counters.Begin(testNow, 0, 0).FirstByte(testNow)
+		}
+		return u
+	}
+	request := func() *Request {
+		r := serviceRequest()
+		r.Prefix, r.Service.Parts = []uint64{1}, []PromptPart{{ID: 1, Tokens: r.Tokens}}
+		return r
+	}
+	reading := serviceUpstream("reading", nil)
+	reading.Counters.Begin(testNow, 4000, 0)
+	if got := pickService(serviceSnapshot(full("full", 66), reading), request()); got != "reading" {
+		t.Errorf("picked %q, want the one with a free slot", got)
+	}
+	if got := pickService(serviceSnapshot(full("one", 70), full("two", 70)), request()); got != "" {
+		t.Errorf("picked %q though six requests wait for a slot at each engine", got)
+	}
+	if got := pickService(serviceSnapshot(full("one", 63)), request()); got != "one" {
+		t.Errorf("refused though a slot is free")
+	}
+}
--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -17,6 +17,7 @@
 	"heatherloom/internal/clock"
 	"heatherloom/internal/control"
 	"heatherloom/internal/external"
+	"heatherloom/internal/membership"
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/telemetry"
 )
@@ -27,6 +28,10 @@
 	// would return at once. With one lost call, 1.5 s, it stays within the 3 s that a
 	// change may take and the 4 s for which a configuration counts as confirmed.
 	pollInterval = 1100 * time.Millisecond
+	// largePollInterval is that of each instance of a large fleet, whose calls add up. With
+	// one lost call, 3.5 s, it stays within the 4 s for which a configuration counts as
+	// confirmed and the 5 s in which a large fleet has to follow a change.
+	largePollInterval = 2 * time.Second
 	// pollWait is how long a read waits for a first change if there is none.
 	pollWait = 300 * time.Millisecond
 	// retryInterval is the pause after a failed call.
@@ -34,9 +39,10 @@
 	// lapseGrace is how long rows that vanished while the service was away still count
 	// after its return. Upstreams that live write their rows again within two seconds.
 	lapseGrace = 2200 * time.Millisecond
-	// outage is the time without an answer after which missing rows may have lapsed: the
-	// rows of upstreams last for three of their reports, which come about every second.
-	outage = 1500 * time.Millisecond
+	// outageSlack is the time without an answer beyond the interval of reads after which
+	// missing rows may have lapsed: the rows of upstreams last for three of their reports,
+	// which come about every second.
+	outageSlack = 400 * time.Millisecond
 )
 
 // Feed follows the service for one instance.
@@ -73,7 +79,7 @@
 		}
 		at = next
 		f.succeeded(ctx, started)
-		clock.Sleep(ctx, pollInterval-clock.Now().Sub(started))
+		clock.Sleep(ctx, f.interval()-clock.Now().Sub(started))
 	}
 }
 
@@ -97,10 +103,18 @@
 	return changes.At, nil
 }
 
+// interval returns the time between two reads of changes.
+func (f *Feed) interval() time.Duration {
+	if f.view.entryInstances() > membership.SmallFleet {
+		return largePollInterval
+	}
+	return pollInterval
+}
+
 // lapsedUntil returns until when rows that are gone still count: for a while after the
 // service was away, and not at all otherwise.
 func (f *Feed) lapsedUntil(now time.Time) time.Time {
-	if f.away || (!f.answered.IsZero() && now.Sub(f.answered) > outage) {
+	if f.away || (!f.answered.IsZero() && now.Sub(f.answered) > f.interval()+outageSlack) {
 		f.view.returned = now
 	}
 	return f.view.returned.Add(lapseGrace)
--- a/internal/storefeed/view.go
+++ b/internal/storefeed/view.go
@@ -137,6 +137,17 @@
 	return list
 }
 
+// entryInstances returns how many entry instances are listed.
+func (v *view) entryInstances() int {
+	n := 0
+	for _, r := range v.rows {
+		if i := r.document.Upstream; i != nil && i.Role == external.RoleEntry {
+			n++
+		}
+	}
+	return n
+}
+
 func (v *view) evacuatedDomains() map[string]struct{} {
 	domains := map[string]struct{}{}
 	for _, r := range v.rows {
--- a/internal/storefeed/view_test.go
+++ b/internal/storefeed/view_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,6 +28,8 @@
 		return external.Document{Rollout: &external.RolloutOrder{Service: "s", Version: string(e.Value), Within: time.Minute}}, nil
 	case e.Key == "state":
 		return external.Document{RolloutState: &external.RolloutState{Service: "s", Version: string(e.Value), State: rollout.Done}}, nil
+	case strings.HasPrefix(e.Key, "entry-"):
+		return external.Document{Upstream: &external.Instance{ID: e.Key, Role: external.RoleEntry, State: external.InstanceLive}}, nil
 	case string(e.Value) == "broken":
 		return external.Document{}, errors.New("broken")
 	default:
@@ -143,3 +147,25 @@
 		}
 	}
 }
+
+// The rows of leaving upstreams that never say so vanish. Guards against a large fleet, whose
+// instances read less often, that takes the time between two of its reads for an outage of
+// the service and goes on sending to such upstreams.
+func TestAVanishedRowIsGoneAtOnceInALargeFleetToo(t *testing.T) {
+	for _, instances := range []int{8, 78} {
+		f := &Feed{view: testView()}
+		rows := []external.Entry{entry("up", "live", 1)}
+		for i := range instances {
+			rows = append(rows, entry(fmt.Sprint("entry-", i), "live", 2))
+		}
+		f.view.replace(rows, start, time.Time{})
+		f.answered = start
+		usual, late := start.Add(f.interval()), start.Add(f.interval()+time.Second)
+		if until := f.lapsedUntil(usual); until.After(usual) {
+			t.Errorf("%d instances: vanished rows count until %s after the usual read", instances, until.Sub(usual))
+		}
+		if until := f.lapsedUntil(late); !until.After(late) {
+			t.Errorf("%d instances: vanished rows are gone at once after an outage", instances)
+		}
+	}
+}
