--- a/internal/control/isolation_test.go
+++ b/internal/control/isolation_test.go
@@ -110,3 +110,20 @@
 		t.Error("the copy of the client directory was lost")
 	}
 }
+
+// An instance that restarts while the store is away has its configuration from a peer, which
+// may have none confirmed either. Guards against keys that it admits by a configuration of
+// any age, because nothing ever told it one.
+func TestAConfigurationWithoutAConfirmationIsStale(t *testing.T) {
+	for _, strict := range []bool{true, false} {
+		l := newClockedLoop(t)
+		l.tables.identity.StrictIsolation = strict
+		s := l.at(time.Second, ConfigEvent{Config: configAt(3)})
+		if got := s.ConfigStale(s.Published); got != strict {
+			t.Errorf("strict %v: stale is %v without a confirmation", strict, got)
+		}
+		if s := l.at(2*time.Second, answer(l, "n", "hobart", 1900*time.Millisecond, 1800*time.Millisecond, 3)); s.ConfigStale(s.Published) {
+			t.Errorf("strict %v: stale after a peer confirmed the revision", strict)
+		}
+	}
+}
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -42,8 +42,12 @@
 	if !t.identity.StrictIsolation {
 		last = latest(t.confirmed, t.contacted)
 	}
-	if !last.IsZero() {
+	switch {
+	case !last.IsZero():
 		s.ConfigValidUntil = last.Add(t.identity.MaxIsolation)
+	case t.identity.StrictIsolation && t.config.Revision > 0:
+		// A configuration from a peer that nothing has confirmed may be of any age.
+		s.ConfigValidUntil = t.configured.Add(-time.Nanosecond)
 	}
 	s.Demand, s.DemandAge = demandOf(t, s.Peers, now)
 	s.InstanceCount = 1 + max(len(s.Peers), len(t.entries))
