--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -106,7 +106,7 @@
 	if err := refuseLate(s, r, x, &best, peer, remote); err != nil {
 		return Choice{}, err
 	}
-	if peer != none && (best.index == none || leaves(best.cost, remote, r.Service.Objective) || x.shared.calls(s, &s.Peers[peer], &best, remote)) {
+	if peer != none && (best.index == none || leaves(best.cost, remote, r.Service.Objective) || x.shared.drawsTo(s, &s.Peers[peer], &best, remote)) {
 		return Choice{Upstream: none, Peer: peer, Tokens: r.Tokens}, nil
 	}
 	if best.index == none {
@@ -194,9 +194,9 @@
 }
 
 // sharedOwner returns the upstream that all instances of the region send requests with the
-// same shared parts to while it is free, by rendezvous hash, and the tokens of these parts.
-// All parts but the last are shared. An instance knows only what it sent itself, so that
-// without an owner each instance would have the parts read at an upstream of its own.
+// same shared parts to while it is free, by rendezvous hash. All parts but the last are
+// shared. An instance knows only what it sent itself, so that without an owner each
+// instance would have the parts read at an upstream of its own.
 func sharedOwner(s *Snapshot, r *Request, candidates []int32) int32 {
 	if len(r.Prefix) < 2 {
 		return none
--- a/internal/routing/sharedhome.go
+++ b/internal/routing/sharedhome.go
@@ -73,11 +73,11 @@
 	return (tokens + (sharedWeight-1)*float64(p.tokens)) * serviceSecondsPerToken
 }
 
-// calls reports whether a request goes to the home of its shared parts in another region,
+// drawsTo reports whether a request goes to the home of its shared parts in another region,
 // given the best upstream of the own one and the estimate for the other in seconds. That
 // the own upstream holds the parts is only a guess where no request of this instance went
 // there before.
-func (p sharedParts) calls(s *Snapshot, peer *Peer, best *scored, remote float64) bool {
+func (p sharedParts) drawsTo(s *Snapshot, peer *Peer, best *scored, remote float64) bool {
 	if p.region == s.Region || peer.Region != p.region {
 		return false
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -29,7 +29,7 @@
 	streamEvents = 6
 	eventPause   = 15 * time.Millisecond
 	serverSlots  = 16
-	// streamKeyAccount has the key of all calls that are neither metered nor revoked.
+	// mainKey is the key of the calls that are neither metered nor made with keys that change.
 	mainKey    = "key-main"
 	meteredKey = "key-metered"
 )
