--- a/e2e/platform_fault_test.go
+++ b/e2e/platform_fault_test.go
@@ -186,6 +186,7 @@
 		e := s.start(entryPlan{id: "entry-a", region: "a", store: "http://" + path.address})
 		waitReady(e.url)
 		waitForRoute(e.url)
+		waitForKeyedWrites(e.url)
 		seed := uint64(70)
 		serves := func() {
 			GinkgoHelper()
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -152,6 +152,17 @@
 	Eventually(func() int { return call(url, http.MethodGet, "/v1/models", "").status }, startTimeout, "50ms").Should(Equal(http.StatusOK))
 }
 
+// waitForKeyedWrites waits until the instance has collected the records of earlier writes.
+// Before that it refuses writes with an idempotency key, and says that they did not run.
+func waitForKeyedWrites(url string) {
+	GinkgoHelper()
+	write := devcluster.Request{
+		Method: http.MethodPost, Path: "/orders", Secret: accountKey, IdempotencyKey: "wait", Body: []byte(`{"order":"wait"}`),
+	}
+	Eventually(func() devcluster.Result { return devcluster.Send(context.Background(), httpClient, url, write).Result }, startTimeout, "50ms").
+		Should(Equal(devcluster.Complete))
+}
+
 // start starts an entry instance without waiting for it.
 func (s *site) start(plan entryPlan) runningEntry {
 	GinkgoHelper()
