Log crashes of upstreams and quarantines with the fingerprint of the request

The report of a request that was sent on after it had ended three servers could not be placed: no line said that a crash was seen, by which instance, under which fingerprint, or that a quarantine began.

Now the instance that sees a crash logs event=upstream_crashed, each instance logs event=quarantine with the crashed upstreams when a quarantine begins or ends, and the request and forward lines carry the fingerprint where an attempt ended without a whole response. Two metrics count the same.

No decision changes.

--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"heatherloom/internal/invariant"
+	"heatherloom/internal/quarantine"
 	"heatherloom/internal/rollout"
 	"heatherloom/internal/routing"
 	"heatherloom/internal/timeline"
@@ -37,12 +38,37 @@
 	if new.Config.Revision != old.Config.Revision {
 		l.observer.Timeline.Record(timeline.Event{Kind: timeline.KindConfigInForce, Detail: fmt.Sprintf("revision %d", new.Config.Revision)})
 	}
+	l.observeQuarantine(old, new)
 	diffSorted(old.Peers, new.Peers, func(p *routing.Peer) string { return p.ID }, l.observePeer)
 	diffSorted(old.ModelRollouts, new.ModelRollouts, func(r *rollout.Rollout) string { return r.ID() }, l.observeRollout)
 	diffSorted(old.RolloutStops, new.RolloutStops, func(s *rollout.Stop) string { return s.RolloutID + " " + s.Instance }, l.observeStop)
 	diffSorted(old.Upstreams, new.Upstreams, func(u *routing.Upstream) string { return u.ID }, l.observeUpstream)
 }
 
+// observeQuarantine reports the requests whose quarantine began or ended.
+func (l *Loop) observeQuarantine(old, new *routing.Snapshot) {
+	for f := range new.Quarantined {
+		if _, known := old.Quarantined[f]; !known {
+			l.recordQuarantine(f, "began")
+		}
+	}
+	for f := range old.Quarantined {
+		if _, still := new.Quarantined[f]; !still {
+			l.recordQuarantine(f, "ended")
+		}
+	}
+}
+
+func (l *Loop) recordQuarantine(f quarantine.Fingerprint, change string) {
+	upstreams := strings.Join(l.tables.crashes.Upstreams(f), " ")
+	l.observer.Timeline.Record(timeline.Event{Kind: timeline.KindQuarantine, Detail: strings.TrimSpace(f.String() + " " + change + " " + upstreams)})
+	if l.observer.Log != nil {
+		l.observer.Log.WithFields(logrus.Fields{
+			"event": "quarantine", "fingerprint": f, "change": change, "upstreams": upstreams,
+		}).Warn("requests with this fingerprint are rejected while they are in quarantine")
+	}
+}
+
 // diffSorted calls fn once for each id in either of two lists sorted by id. The argument
 // for a list that lacks the id is nil.
 func diffSorted[T any](old, new []T, id func(*T) string, fn func(old, new *T)) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -60,6 +60,7 @@
 	attemptLog []string
 	// expectedFirstByte is the estimated time to the first byte of the response.
 	expectedFirstByte time.Duration
+	interrupted       bool
 	// executedAttempts counts the attempts that an upstream may have executed.
 	executedAttempts int
 	// Probe marks a rollout probe: a request that tests the candidate version of a rollout.
@@ -74,13 +75,17 @@
 	return path == "/v1/chat/completions" || path == "/v1/completions"
 }
 
-// fingerprint omits the model version, since a request that crashes one version may
-// crash the next.
-func (r *Request) fingerprint() quarantine.Fingerprint {
+// Fingerprint identifies the request in reports of crashes. It omits the model version, since
+// a request that crashes one version may crash the next.
+func (r *Request) Fingerprint() quarantine.Fingerprint {
 	target, _, _ := strings.Cut(r.Target, "@")
 	return quarantine.FingerprintOf(r.Account, target, r.Method, r.Path, r.Body)
 }
 
+// Interrupted reports whether an attempt was sent to an upstream and ended without its
+// complete response.
+func (r *Request) Interrupted() bool { return r.interrupted }
+
 // estimateKey groups requests that are expected to have similar service times.
 func (r *Request) estimateKey() string {
 	if r.Stream {
@@ -189,7 +194,7 @@
 	if len(set) == 0 {
 		return time.Time{}, false
 	}
-	until, ok := set[r.fingerprint()]
+	until, ok := set[r.Fingerprint()]
 	return until, ok
 }
 
@@ -419,6 +424,6 @@
 		result.Crashes = 1
 	}
 	if result.Outcome == retry.Crashed && d.ReportCrash != nil {
-		d.ReportCrash(quarantine.Crash{Fingerprint: r.fingerprint(), Upstream: u.ID, SeenAt: time.Now().UnixNano()})
+		d.ReportCrash(quarantine.Crash{Fingerprint: r.Fingerprint(), Upstream: u.ID, SeenAt: time.Now().UnixNano()})
 	}
 }
--- a/internal/dispatch/route_params.go
+++ b/internal/dispatch/route_params.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -189,11 +190,17 @@
 	return int64(r.Prompt.Tokens)
 }
 
+// interruptedOutcomes are the outcomes of attempts after which nothing is known of the request
+// at the upstream.
+var interruptedOutcomes = []retry.Outcome{retry.Crashed, retry.TimedOut, retry.Truncated, retry.RequestEnded}
+
 // logAttempt appends an attempt and its outcome to the attempt log.
 func (r *Request) logAttempt(destination string, result relay.Result) {
 	outcome := "ok"
 	if result.Err != nil {
 		outcome = string(result.Err.Kind)
+		sent := result.Err.Execution != errkind.NotExecuted
+		r.interrupted = r.interrupted || (sent && slices.Contains(interruptedOutcomes, result.Outcome))
 	}
 	r.attemptLog = append(r.attemptLog, destination+":"+outcome)
 }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -364,6 +364,9 @@
 		s.Log.WithFields(fields).Info("request complete")
 		return
 	}
+	if c.dispatched != nil && (c.dispatched.Interrupted() || err.Kind == errkind.RequestQuarantined) {
+		fields[telemetry.FieldFingerprint] = c.dispatched.Fingerprint()
+	}
 	fields[telemetry.FieldKind] = err.Kind
 	fields[telemetry.FieldRan] = err.Execution
 	fields[telemetry.FieldStatus] = hostStatus(err)
--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -4,7 +4,6 @@
 // with the platform protocol ProtocolMetadata; node.go contains the other one, wireInference.
 
 import (
-	"context"
 	"math"
 	"net"
 	"net/http"
@@ -23,7 +22,6 @@
 	"heatherloom/internal/peer"
 	"heatherloom/internal/peer/peerv1"
 	"heatherloom/internal/probe"
-	"heatherloom/internal/quarantine"
 	"heatherloom/internal/quota"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/retry"
@@ -72,7 +70,7 @@
 		peers.SetTLSDialer(n.tls.Dial)
 	}
 	peers.SetDialer((&net.Dialer{Timeout: peerDialTimeout}).DialContext)
-	n.dispatcher = n.hostDispatcher(s, peers, metrics)
+	n.dispatcher = n.hostDispatcher(s, entry, peers, metrics)
 	n.wireRolloutRecorder(identity, n.dispatcher)
 	shareLimiter := quota.NewShareLimiter(clock.Now(), s.Bounds.QuotaSlack)
 	hostStatus := func(snapshot *routing.Snapshot) *peerv1.HostStatus {
@@ -119,7 +117,7 @@
 }
 
 // hostDispatcher returns the dispatcher for host routes.
-func (n *Node) hostDispatcher(s settings.Settings, peers *peer.Client, metrics *telemetry.Metrics) *dispatch.Dispatcher {
+func (n *Node) hostDispatcher(s settings.Settings, log *logrus.Entry, peers *peer.Client, metrics *telemetry.Metrics) *dispatch.Dispatcher {
 	prefixes := routing.NewPrefixIndex()
 	limits := relay.DefaultLimits()
 	limits.DialTimeout = hostDialTimeout
@@ -131,13 +129,9 @@
 		Protocol:            platform.HeaderCodec{},
 		ServiceRetryBudgets: retry.NewBudgets(retry.Limits{Share: s.Bounds.RetryShare, Slack: s.Bounds.RetrySlack}),
 		Prefixes:            prefixes,
-		ReportCrash: func(c quarantine.Crash) {
-			ctx, cancel := context.WithTimeout(n.ctx, crashPostTimeout)
-			defer cancel()
-			n.loop.Post(ctx, control.CrashEvent{Crash: c})
-		},
-		Timeline: n.timeline,
-		Metrics:  metrics,
+		ReportCrash:         n.crashReporter(log, metrics),
+		Timeline:            n.timeline,
+		Metrics:             metrics,
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -229,18 +229,14 @@
 		return err
 	}
 	n.dispatcher = &dispatch.Dispatcher{
-		Snapshot:  n.loop.Snapshot,
-		Relay:     relay.New(relay.DefaultLimits()),
-		Forwarder: peers,
-		ReportCrash: func(c quarantine.Crash) {
-			ctx, cancel := context.WithTimeout(n.ctx, crashPostTimeout)
-			defer cancel()
-			n.loop.Post(ctx, control.CrashEvent{Crash: c})
-		},
-		Policy:   policy,
-		Prefixes: prefixes,
-		Timeline: n.timeline,
-		Metrics:  metrics,
+		Snapshot:    n.loop.Snapshot,
+		Relay:       relay.New(relay.DefaultLimits()),
+		Forwarder:   peers,
+		ReportCrash: n.crashReporter(entry, metrics),
+		Policy:      policy,
+		Prefixes:    prefixes,
+		Timeline:    n.timeline,
+		Metrics:     metrics,
 	}
 	// The borrower id is unique per process, because each process numbers its loan requests
 	// from 1.
@@ -285,12 +281,28 @@
 	return nil
 }
 
+// crashReporter returns the function that passes crashes which this instance saw to control.
+func (n *Node) crashReporter(log *logrus.Entry, metrics *telemetry.Metrics) func(quarantine.Crash) {
+	return func(c quarantine.Crash) {
+		metrics.RecordCrash()
+		log.WithFields(logrus.Fields{
+			telemetry.FieldEvent:       "upstream_crashed",
+			telemetry.FieldFingerprint: c.Fingerprint,
+			telemetry.FieldUpstream:    c.Upstream,
+		}).Warn("the upstream ended while it ran a request; a second crash under the same fingerprint quarantines the request")
+		ctx, cancel := context.WithTimeout(n.ctx, crashPostTimeout)
+		defer cancel()
+		n.loop.Post(ctx, control.CrashEvent{Crash: c})
+	}
+}
+
 func (n *Node) metrics() *telemetry.Metrics {
 	return telemetry.NewMetrics(telemetry.Sources{
 		InFlight:       func() float64 { return float64(n.drain.Progress().InFlight) },
 		ConfigRevision: func() float64 { return float64(n.loop.Snapshot().Config.Revision) },
 		ConfigAge:      func() float64 { return n.loop.Snapshot().ConfigAge.Seconds() },
 		Peers:          func() float64 { return float64(len(n.loop.Snapshot().Peers)) },
+		Quarantined:    func() float64 { return float64(len(n.loop.Snapshot().Quarantined)) },
 	})
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -174,6 +174,9 @@
 		s.Log.WithFields(fields).Info("request from a peer complete")
 		return
 	}
+	if r.Interrupted() || err.Kind == errkind.RequestQuarantined {
+		fields["fingerprint"] = r.Fingerprint()
+	}
 	fields["kind"] = err.Kind
 	fields["ran"] = err.Execution
 	fields["message"] = err.Message
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,6 +6,8 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"fmt"
+	"slices"
 	"time"
 )
 
@@ -34,6 +36,9 @@
 // Fingerprint identifies a request by the content that an upstream executes.
 type Fingerprint uint64
 
+// String returns the fingerprint as 16 hexadecimal digits.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // FingerprintOf returns the fingerprint of a request that a client account sent to a model
 // or route.
 func FingerprintOf(account, target, method, path string, body []byte) Fingerprint {
@@ -139,6 +144,20 @@
 	return t.cached
 }
 
+// Upstreams returns the ids of the upstreams that crashed under the fingerprint, sorted.
+func (t *Table) Upstreams(f Fingerprint) []string {
+	e, ok := t.entries[f]
+	if !ok {
+		return nil
+	}
+	var ids []string
+	for c := range e.learnedAt {
+		ids = append(ids, c.Upstream)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // HeartbeatCrashes returns the crashes to include in the next heartbeat.
 func (t *Table) HeartbeatCrashes(now time.Time) []Crash {
 	var recent, older []Crash
--- a/internal/telemetry/fields.go
+++ b/internal/telemetry/fields.go
@@ -38,4 +38,5 @@
 	FieldVersion           = "version"
 	FieldState             = "state"
 	FieldReason            = "reason"
+	FieldFingerprint       = "fingerprint"
 )
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -58,6 +58,8 @@
 	ConfigAge func() float64
 	// Peers returns the number of live peers.
 	Peers func() float64
+	// Quarantined returns the number of quarantined requests.
+	Quarantined func() float64
 }
 
 // Metrics holds the metrics of one instance. A nil *Metrics records nothing.
@@ -69,6 +71,7 @@
 	attempts   *prometheus.CounterVec
 	retries    prometheus.Counter
 	forwards   *prometheus.CounterVec
+	crashes    prometheus.Counter
 	tick       prometheus.Histogram
 	kinds      map[errkind.Kind]string
 }
@@ -99,12 +102,15 @@
 			Namespace: namespace, Name: "retries_total", Help: "Attempts after the first one of a request.",
 		}),
 		forwards: counterVec("forwards_total", "Requests passed to another region by result.", "kind"),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "upstream_crashes_total", Help: "Attempts during which this instance saw the upstream crash.",
+		}),
 		tick: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "tick_seconds", Buckets: tickBuckets, Help: "Duration of one control tick.",
 		}),
 		kinds: kindLabels(),
 	}
-	m.registry.MustRegister(m.requests, m.firstToken, m.duration, m.attempts, m.retries, m.forwards, m.tick,
+	m.registry.MustRegister(m.requests, m.firstToken, m.duration, m.attempts, m.retries, m.forwards, m.crashes, m.tick,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerGauges(s)
 	m.registerInvariants()
@@ -133,6 +139,7 @@
 	gauge("config_revision", "Revision of the configuration in force.", s.ConfigRevision)
 	gauge("config_age_seconds", "Time since the configuration was last known to be the latest one.", s.ConfigAge)
 	gauge("peers", "Live peers.", s.Peers)
+	gauge("quarantined_requests", "Requests that are rejected because they crashed upstreams.", s.Quarantined)
 }
 
 func (m *Metrics) registerInvariants() {
@@ -202,6 +209,13 @@
 	}
 }
 
+// RecordCrash counts one attempt during which the upstream crashed.
+func (m *Metrics) RecordCrash() {
+	if m != nil {
+		m.crashes.Inc()
+	}
+}
+
 // RecordTick records the duration of one control tick.
 func (m *Metrics) RecordTick(elapsed time.Duration) {
 	if m != nil {
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -32,6 +32,8 @@
 	// KindLocalStop means that one instance stopped sending requests to a version.
 	KindLocalStop Kind = "local_stop"
 	KindTLSReload Kind = "tls_files"
+	// KindQuarantine means that the quarantine of a request began or ended.
+	KindQuarantine Kind = "quarantine"
 )
 
 // Event is an event on one instance. Fields that do not apply are empty.
