Count an upstream that ends in the middle of its response as a crash

What callers saw: a request that ends the servers that run it was sent on without end where the servers ended in the middle of their response.

Cause: only a connection that broke before the first byte of the response was reported as a crash. The reason given was that a truncated stream can be resumed, but that concerns the one request; what is to be learned about its fingerprint is the same. An engine begins its response with the first token, the moment at which the request starts to run, so that on streams this is the usual way to see it. A stream without a length that ends inside an event was not counted either.

Change: a connection that breaks between the send and the end of the response is reported, wherever in the response that is, for API requests as well.

TestStreamThatCrashesEnginesIsQuarantined failed before and passes.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -417,13 +417,16 @@
 	return result
 }
 
-// countCrash records in result that the connection to the upstream broke. Only a break
-// before the response is reported as a crash, because a truncated stream can be resumed.
+// countCrash records in result that the connection to the upstream broke, and reports it as a
+// crash. A break in the middle of the response counts as well: the upstream may have ended
+// under the request, whether or not the stream can be resumed elsewhere.
 func (d *Dispatcher) countCrash(r *Request, u *routing.Upstream, result *relay.Result) {
-	if result.Outcome == retry.Crashed || (result.Outcome == retry.Truncated && result.ConnectionBroken) {
-		result.Crashes = 1
+	broken := result.Outcome == retry.Crashed || (result.Outcome == retry.Truncated && result.ConnectionBroken)
+	if !broken {
+		return
 	}
-	if result.Outcome == retry.Crashed && d.ReportCrash != nil {
+	result.Crashes = 1
+	if d.ReportCrash != nil {
 		d.ReportCrash(quarantine.Crash{Fingerprint: r.Fingerprint(), Upstream: u.ID, SeenAt: time.Now().UnixNano()})
 	}
 }
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -253,6 +253,18 @@
 	g.Expect(a.do(t, http.MethodPost, "/v1/completions", completionBody("fine", false), activeKey).status).To(Equal(http.StatusOK))
 }
 
+// Guards against a stream that is never quarantined because the engines end in the middle of it.
+func TestStreamThatCrashesEnginesIsQuarantined(t *testing.T) {
+	g := NewWithT(t)
+	const tokens = 5
+	e, _, healthy := startEnginePair(t, standin.EngineFaults{CutAfterTokens: tokens})
+	healthy.SetFaults(standin.EngineFaults{CutAfterTokens: tokens})
+	e.do(t, http.MethodPost, "/v1/completions", completionBody("question", true), activeKey)
+	eventually(t, func() bool { return len(e.loop.Snapshot().Quarantined) == 1 })
+	again := e.do(t, http.MethodPost, "/v1/completions", completionBody("question", true), activeKey)
+	g.Expect(rejectionOf(t, again).Error.Kind).To(Equal(errkind.RequestQuarantined))
+}
+
 // Guards against a stream that continues after its API key was revoked, and against a
 // write that is interrupted by the revocation.
 func TestKeyWithdrawnWhileRunning(t *testing.T) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -185,10 +185,15 @@
 }
 
 func finishNumberedStream(copier *EventCopier) Result {
-	if err := copier.Finish(); err != nil {
-		return StreamFailure(err, copier.Position.Started)
+	err := copier.Finish()
+	if err == nil {
+		return Result{Started: true}
 	}
-	return Result{Started: true}
+	result := StreamFailure(err, copier.Position.Started)
+	if errors.Is(err, errPartialEvent) {
+		result.Outcome, result.ConnectionBroken = retry.Truncated, true
+	}
+	return result
 }
 
 // hopByHopHeaders are the headers that apply to a single connection (RFC 9110, section
