Count crashes by process instead of by a window of five seconds

What callers saw: an upstream that came back within five seconds and crashed again under the same request counted as one crash, so that the request was quarantined later than after two.

Cause: reports on one upstream within five seconds were taken for reports on the same end, since the breaks of several connections must count once. The time says nothing about the process: an upstream can restart within it, and one end can be noticed by two instances further apart.

Change: a report names the start of the upstream's process, which upstreams state in their row, and two reports are of the same end if they name the same process. The window remains where the start is not known.

Evidence: TestCrashesAreCountedByProcess fails on the code before in both cases; the start of the process was not part of a report.

--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -115,6 +115,7 @@
 			ListedTargets:  row.instance.Models,
 			Draining:       drained || row.instance.State == external.InstanceDraining,
 			Down:           now.Before(row.downUntil) || row.awaitsHealthCheck,
+			StartedAt:      row.instance.StartedAtUnixMilli,
 			Version:        row.instance.Version,
 			MaxConcurrency: row.instance.MaxConcurrency,
 			CachesPrompts:  row.instance.CachesPrompts,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -427,6 +427,6 @@
 	}
 	result.Crashes = 1
 	if d.ReportCrash != nil {
-		d.ReportCrash(quarantine.Crash{Fingerprint: r.Fingerprint(), Upstream: u.ID, SeenAt: time.Now().UnixNano()})
+		d.ReportCrash(quarantine.Crash{Fingerprint: r.Fingerprint(), Upstream: u.ID, StartedAt: u.StartedAt, SeenAt: time.Now().UnixNano()})
 	}
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -14,8 +14,8 @@
 const (
 	// Duration is the time that a request stays in quarantine after its last crash.
 	Duration = 10 * time.Minute
-	// crashDedupWindow is the time within which several broken connections to one upstream
-	// count as a single crash.
+	// crashDedupWindow is the time within which several reports on one upstream count as a
+	// single crash if the start time of its process is not known.
 	crashDedupWindow = 5 * time.Second
 	// crashLimit is the number of crashes after which a request is quarantined.
 	crashLimit = 2
@@ -53,10 +53,12 @@
 	return Fingerprint(binary.LittleEndian.Uint64(h.Sum(nil)))
 }
 
-// Crash reports that the connection to an upstream broke while it executed a request.
+// Crash reports that an upstream ended while it executed a request.
 type Crash struct {
 	Fingerprint Fingerprint
 	Upstream    string
+	// StartedAt is the start of the upstream's process in Unix milliseconds; 0 if not known.
+	StartedAt int64
 	// SeenAt is the Unix time in nanoseconds on the clock of the instance that observed the
 	// crash.
 	SeenAt int64
@@ -112,14 +114,25 @@
 // isDuplicate reports whether the crash has already been counted.
 func (e *entry) isDuplicate(c Crash) bool {
 	for known := range e.learnedAt {
-		apart := time.Duration(known.SeenAt - c.SeenAt).Abs()
-		if known.Upstream == c.Upstream && apart < crashDedupWindow {
+		if known.sameEnd(c) {
 			return true
 		}
 	}
 	return false
 }
 
+// sameEnd reports whether two reports concern the end of the same process. A process ends once,
+// however far apart it is noticed.
+func (c Crash) sameEnd(other Crash) bool {
+	if c.Upstream != other.Upstream {
+		return false
+	}
+	if c.StartedAt != 0 && other.StartedAt != 0 {
+		return c.StartedAt == other.StartedAt
+	}
+	return time.Duration(c.SeenAt-other.SeenAt).Abs() < crashDedupWindow
+}
+
 // Expire removes the requests whose quarantine period has ended.
 func (t *Table) Expire(now time.Time) {
 	for f, e := range t.entries {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -46,6 +46,27 @@
 	}
 }
 
+// Guards against the crash of a restarted upstream that counts as a repeated report on its former
+// process, and against two reports on the end of one process that count as two crashes.
+func TestCrashesAreCountedByProcess(t *testing.T) {
+	now := time.Unix(100_000, 0)
+	for _, c := range []struct {
+		name   string
+		second Crash
+		want   int
+	}{
+		{"restarted process", Crash{Upstream: "a", StartedAt: 2, SeenAt: now.Add(time.Second).UnixNano()}, 1},
+		{"same process, noticed late", Crash{Upstream: "a", StartedAt: 1, SeenAt: now.Add(30 * time.Second).UnixNano()}, 0},
+	} {
+		table := NewTable()
+		table.Add(now, Crash{Upstream: "a", StartedAt: 1, SeenAt: now.UnixNano()})
+		table.Add(now, c.second)
+		if got := len(table.Quarantined()); got != c.want {
+			t.Errorf("%s: %d requests quarantined, want %d", c.name, got, c.want)
+		}
+	}
+}
+
 // Guards against equal fingerprints of requests whose fields differ but whose
 // concatenation is the same.
 func TestFingerprint(t *testing.T) {
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -40,6 +40,9 @@
 	Load external.Load
 	// Counters are shared by all snapshots in which the upstream appears.
 	Counters *Counters
+	// StartedAt is the start of the process in Unix milliseconds; 0 if the instance list does
+	// not tell.
+	StartedAt int64
 	// Version is the software version; empty if the instance list names none.
 	Version string
 	// MaxConcurrency is the number of requests that the upstream runs at once; 0 if not known.
