Recognize an upstream that ends silently under a request

What callers and operators saw: a request under which servers went dark was sent on to 8 to 11 more servers later than 5 s after the third end, and each of them ended.

Cause: an attempt that ends by a timeout, by the request's deadline or because its caller left said nothing about the upstream, and rightly so, as it may be slow or cut off. But nobody looked later whether the upstream had ended meanwhile, although the instance list tells it within seconds. A crash that no connection reports was never counted.

Change: each instance keeps its open and its given-up attempts for some seconds. When the instance list no longer names the process of an attempt, and the process has sent nothing for 2 s, the attempt counts as a crash. An upstream that announced its leaving, that responded to others after the attempt, or that is still listed is no crash. This holds for API requests and host routes, for streams, reads and writes, for callers that leave early, and while a long request still waits for its deadline.

--- /dev/null
+++ b/internal/dispatch/crashes.go
@@ -0,0 +1,84 @@
+package dispatch
+
+// This file detects upstreams that end while they execute a request.
+
+import (
+	"context"
+	"time"
+
+	"heatherloom/internal/clock"
+	"heatherloom/internal/errkind"
+	"heatherloom/internal/quarantine"
+	"heatherloom/internal/relay"
+	"heatherloom/internal/retry"
+	"heatherloom/internal/routing"
+)
+
+// crashSweepInterval is the time between two searches for upstreams that ended silently.
+const crashSweepInterval = 250 * time.Millisecond
+
+// DetectCrashes reports upstreams that ended silently, until ctx ends.
+func (d *Dispatcher) DetectCrashes(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, c := range d.openAttempts().Sweep(clock.Now(), listedProcesses(d.Snapshot())) {
+			d.reportCrash(c, "the upstream fell silent and is no longer listed")
+		}
+		clock.Sleep(ctx, crashSweepInterval)
+	}
+}
+
+// listedProcesses returns the processes of the listed upstreams and whether each is draining.
+func listedProcesses(s *routing.Snapshot) map[quarantine.Process]bool {
+	listed := make(map[quarantine.Process]bool, len(s.Upstreams))
+	for i := range s.Upstreams {
+		listed[processOf(&s.Upstreams[i])] = s.Upstreams[i].Draining
+	}
+	return listed
+}
+
+func processOf(u *routing.Upstream) quarantine.Process {
+	return quarantine.Process{Upstream: u.ID, Address: u.Address, StartedAt: u.StartedAt}
+}
+
+func (d *Dispatcher) openAttempts() *quarantine.Attempts {
+	d.attemptsOnce.Do(func() { d.attempts = quarantine.NewAttempts() })
+	return d.attempts
+}
+
+func (d *Dispatcher) beginAttempt(r *Request, u *routing.Upstream) *quarantine.Attempt {
+	return d.openAttempts().Begin(clock.Now(), processOf(u), r.Fingerprint)
+}
+
+// endAttempt records how an attempt ended. Nothing is known of the request if the upstream sent
+// no complete response and kept the connection open.
+func (d *Dispatcher) endAttempt(a *quarantine.Attempt, result relay.Result) {
+	unanswered := result.Outcome == retry.TimedOut || result.Outcome == retry.RequestEnded
+	if unanswered && result.Err.Execution != errkind.NotExecuted {
+		a.Abandon(clock.Now())
+		return
+	}
+	if result.Outcome == retry.Delivered || result.Outcome == retry.Rejected || result.Outcome == retry.Failed {
+		a.Progress(clock.Now())
+	}
+	a.Finish()
+}
+
+// countCrash records in result that the connection to the upstream broke, and reports it as a
+// crash. A break in the middle of the response counts as well: the upstream may have ended
+// under the request, whether or not the stream can be resumed elsewhere.
+func (d *Dispatcher) countCrash(r *Request, u *routing.Upstream, result *relay.Result) {
+	broken := result.Outcome == retry.Crashed || (result.Outcome == retry.Truncated && result.ConnectionBroken)
+	if !broken {
+		return
+	}
+	result.Crashes = 1
+	d.reportCrash(quarantine.Crash{
+		Fingerprint: r.Fingerprint(), Upstream: u.ID, StartedAt: u.StartedAt, SeenAt: clock.Now().UnixNano(),
+	}, "the connection broke")
+}
+
+func (d *Dispatcher) reportCrash(c quarantine.Crash, reason string) {
+	if d.ReportCrash != nil {
+		d.ReportCrash(c, reason)
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"heatherloom/internal/clock"
 	"heatherloom/internal/errkind"
 	"heatherloom/internal/promptprefix"
 	"heatherloom/internal/quarantine"
@@ -119,8 +120,10 @@
 	ServicePolicy       routing.Policy
 	Protocol            relay.Protocol
 	ServiceRetryBudgets *retry.Budgets
-	// ReportCrash is called for each crash of an upstream; nil to ignore crashes.
-	ReportCrash func(quarantine.Crash)
+	// ReportCrash is called for each crash of an upstream that this instance detects, with how
+	// it was detected; nil to ignore crashes. Silent ends are detected only while DetectCrashes
+	// runs.
+	ReportCrash func(c quarantine.Crash, reason string)
 	// ObserveRollout is called for each attempt on a target with an active rollout; nil to
 	// ignore them.
 	ObserveRollout func(RolloutObservation)
@@ -133,6 +136,9 @@
 	// routes are limited for each service by ServiceRetryBudgets instead.
 	budget    retry.Budget
 	estimates retry.Estimates
+
+	attemptsOnce sync.Once
+	attempts     *quarantine.Attempts
 }
 
 // Dispatch serves r and writes its response to sink. It returns nil if the complete
@@ -353,10 +359,12 @@
 // scratchPool pools the scratch space of routing decisions.
 var scratchPool = sync.Pool{New: func() any { return routing.NewScratch(rand.Uint64()) }}
 
-// firstByteSink records when the head of the response arrives.
+// firstByteSink records when the head of the response arrives, and each part of the response.
 type firstByteSink struct {
 	Sink
 	tracked *routing.TrackedAttempt
+	// attempt is nil for a forward.
+	attempt *quarantine.Attempt
 	// head is the time at which the head arrived; zero before.
 	head time.Time
 }
@@ -364,9 +372,21 @@
 func (s *firstByteSink) Head(status int, header http.Header) error {
 	s.head = time.Now()
 	s.tracked.FirstByte(s.head)
+	s.recordProgress()
 	return s.Sink.Head(status, header)
 }
 
+func (s *firstByteSink) Data(p []byte) error {
+	s.recordProgress()
+	return s.Sink.Data(p)
+}
+
+func (s *firstByteSink) recordProgress() {
+	if s.attempt != nil {
+		s.attempt.Progress(clock.Now())
+	}
+}
+
 // ForwardedCount returns the number of requests that were forwarded to another region.
 func (d *Dispatcher) ForwardedCount() int64 { return d.forwarded.Load() }
 
@@ -390,7 +410,8 @@
 	if d.Prefixes != nil {
 		d.Prefixes.Add(now.UnixNano(), u.Counters.HolderID(), promptHashes(r))
 	}
-	timed := &firstByteSink{Sink: sink, tracked: tracked}
+	open := d.beginAttempt(r, u)
+	timed := &firstByteSink{Sink: sink, tracked: tracked, attempt: open}
 	attempt := relay.Attempt{
 		RequestID:      r.ID,
 		Address:        u.Address,
@@ -413,20 +434,7 @@
 	} else if result.UpstreamFault && !d.versionFault(r, result) {
 		u.Counters.ConsecutiveFailures.Add(1)
 	}
+	d.endAttempt(open, result)
 	d.countCrash(r, u, &result)
 	return result
 }
-
-// countCrash records in result that the connection to the upstream broke, and reports it as a
-// crash. A break in the middle of the response counts as well: the upstream may have ended
-// under the request, whether or not the stream can be resumed elsewhere.
-func (d *Dispatcher) countCrash(r *Request, u *routing.Upstream, result *relay.Result) {
-	broken := result.Outcome == retry.Crashed || (result.Outcome == retry.Truncated && result.ConnectionBroken)
-	if !broken {
-		return
-	}
-	result.Crashes = 1
-	if d.ReportCrash != nil {
-		d.ReportCrash(quarantine.Crash{Fingerprint: r.Fingerprint(), Upstream: u.ID, StartedAt: u.StartedAt, SeenAt: time.Now().UnixNano()})
-	}
-}
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -109,7 +109,7 @@
 	if o.forwarder != nil {
 		e.dispatcher.Forwarder = o.forwarder
 	}
-	e.dispatcher.ReportCrash = func(c quarantine.Crash) { e.loop.Post(ctx, control.CrashEvent{Crash: c}) }
+	e.dispatcher.ReportCrash = func(c quarantine.Crash, _ string) { e.loop.Post(ctx, control.CrashEvent{Crash: c}) }
 	logger := logrus.New()
 	logger.SetOutput(e.log)
 	ledger := quota.NewLedger(id)
--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -161,5 +161,6 @@
 	n.wg.Go(func() { syncer.SyncFromPeers(ctx) })
 	n.wg.Go(func() { heartbeats.Run(ctx) })
 	n.wg.Go(func() { prober.Run(ctx) })
+	n.wg.Go(func() { n.dispatcher.DetectCrashes(ctx) })
 	n.wg.Go(func() { rollouts.Run(ctx) })
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -282,13 +282,14 @@
 }
 
 // crashReporter returns the function that passes crashes which this instance saw to control.
-func (n *Node) crashReporter(log *logrus.Entry, metrics *telemetry.Metrics) func(quarantine.Crash) {
-	return func(c quarantine.Crash) {
+func (n *Node) crashReporter(log *logrus.Entry, metrics *telemetry.Metrics) func(quarantine.Crash, string) {
+	return func(c quarantine.Crash, reason string) {
 		metrics.RecordCrash()
 		log.WithFields(logrus.Fields{
 			telemetry.FieldEvent:       "upstream_crashed",
 			telemetry.FieldFingerprint: c.Fingerprint,
 			telemetry.FieldUpstream:    c.Upstream,
+			telemetry.FieldReason:      reason,
 		}).Warn("the upstream ended while it ran a request; a second crash under the same fingerprint quarantines the request")
 		ctx, cancel := context.WithTimeout(n.ctx, crashPostTimeout)
 		defer cancel()
@@ -377,6 +378,7 @@
 	n.wg.Go(func() { n.loop.Run(ctx) })
 	n.wg.Go(func() { syncer.Run(ctx) })
 	n.wg.Go(func() { heartbeats.Run(ctx) })
+	n.wg.Go(func() { n.dispatcher.DetectCrashes(ctx) })
 	n.lease = lease.New(store, lease.DomainKey(identity.FailureDomain), identity.ID, n.options.LeaseTTL, time.Now)
 	// Only the two instances per failure domain that use the store compete for the leader
 	// lease, since every call counts against the rate limits of the store.
--- /dev/null
+++ b/internal/quarantine/attempts_test.go
@@ -0,0 +1,68 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against an upstream that ends silently and is not noticed, and against taking an
+// upstream that is only slow, cut off or leaving for one that ended.
+func TestAttemptsFindSilentEnds(t *testing.T) {
+	start := time.Unix(100_000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	old, restarted := Process{Upstream: "a", StartedAt: 1}, Process{Upstream: "a", StartedAt: 2}
+	listed := map[Process]bool{old: false}
+	gone, back := map[Process]bool{}, map[Process]bool{restarted: false}
+	abandon := func(_ *Attempts, a *Attempt) { a.Abandon(at(0.5)) }
+	respond := func(s float64) func(*Attempts, *Attempt) {
+		return func(tracker *Attempts, a *Attempt) {
+			abandon(tracker, a)
+			tracker.Begin(at(0), old, func() Fingerprint { return 8 }).Progress(at(s))
+		}
+	}
+	for _, c := range []struct {
+		name string
+		act  func(*Attempts, *Attempt)
+		list map[Process]bool
+		when float64
+		want int
+	}{
+		{"abandoned, then gone", abandon, gone, 4, 1},
+		{"abandoned, then restarted", abandon, back, 4, 1},
+		{"abandoned, still listed", abandon, listed, 4, 0},
+		{"abandoned long before it was gone", func(tracker *Attempts, a *Attempt) {
+			abandon(tracker, a)
+			tracker.Sweep(at(11), listed)
+		}, gone, 14, 0},
+		{"abandoned, others are served later", respond(1.6), gone, 4, 0},
+		{"abandoned, a response that was under way", respond(0.6), gone, 4, 1},
+		{"abandoned, draining when last listed", func(tracker *Attempts, a *Attempt) {
+			abandon(tracker, a)
+			tracker.Sweep(at(1), map[Process]bool{old: true})
+		}, gone, 4, 0},
+		{"still running, gone", func(*Attempts, *Attempt) {}, gone, 4, 1},
+		{"still running, gone a moment ago", func(*Attempts, *Attempt) {}, gone, 1, 0},
+		{"still running, sends parts", func(_ *Attempts, a *Attempt) { a.Progress(at(3)) }, gone, 4, 0},
+		{"complete", func(_ *Attempts, a *Attempt) { a.Finish() }, gone, 4, 0},
+	} {
+		tracker := NewAttempts()
+		a := tracker.Begin(at(0), old, func() Fingerprint { return 7 })
+		c.act(tracker, a)
+		crashes := tracker.Sweep(at(c.when), c.list)
+		if got := count(crashes, 7); got != c.want {
+			t.Errorf("%s: %d crashes, want %d", c.name, got, c.want)
+		}
+		if again := tracker.Sweep(at(c.when), c.list); count(again, 7) != 0 {
+			t.Errorf("%s: the crash was reported again", c.name)
+		}
+	}
+}
+
+func count(crashes []Crash, f Fingerprint) (n int) {
+	for _, c := range crashes {
+		if c.Fingerprint == f {
+			n++
+		}
+	}
+	return n
+}
