Keep quarantines in the platform's store

Cause: what must last or be agreed belongs in the store, but the quarantine lived in the memory of the instances and travelled with heartbeats only. A power loss forgot it, and each side of a cut counted for itself.

The feed reads the rows with everything else, before the configuration with which an instance starts to serve.

The API's other protocol (ProtocolEtcd) still keeps quarantines in memory only.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -237,6 +237,13 @@
 
 func (e CrashEvent) apply(t *tables, now time.Time) { t.crashes.Add(now, e.Crash) }
 
+// StoredQuarantinesEvent delivers the quarantines that the store holds.
+type StoredQuarantinesEvent struct {
+	Quarantines map[quarantine.Fingerprint]quarantine.Stored
+}
+
+func (e StoredQuarantinesEvent) apply(t *tables, _ time.Time) { t.crashes.SetStored(e.Quarantines) }
+
 // DrainEvent puts the instance into draining, in which it accepts no new requests.
 type DrainEvent struct{}
 
--- a/internal/external/documents.go
+++ b/internal/external/documents.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heatherloom/internal/opconfig"
+	"heatherloom/internal/quarantine"
 	"heatherloom/internal/rollout"
 )
 
@@ -53,6 +54,8 @@
 	Rollout *RolloutOrder
 	// RolloutState is the state of a rollout as published to the operators.
 	RolloutState *RolloutState
+	// Quarantined is the fingerprint of a request in quarantine.
+	Quarantined *quarantine.Fingerprint
 }
 
 // RolloutOrder requests that the traffic of a service of host routes be shifted to a version.
@@ -78,4 +81,6 @@
 	EncodeInstance(Instance) (Entry, error)
 	// EncodeRolloutState returns the entry with the state of a rollout.
 	EncodeRolloutState(RolloutState) (Entry, error)
+	// EncodeQuarantine returns the entry of a request in quarantine.
+	EncodeQuarantine(quarantine.Fingerprint) (Entry, error)
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -33,6 +34,15 @@
 	maxFingerprints = 4096
 )
 
+// ParseFingerprint parses the result of Fingerprint.String.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	value, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("fingerprint %q: %w", text, err)
+	}
+	return Fingerprint(value), nil
+}
+
 // Fingerprint identifies a request by the content that an upstream executes.
 type Fingerprint uint64
 
@@ -73,6 +83,7 @@
 // Table stores the crashes reported by all instances. It is not safe for concurrent use.
 type Table struct {
 	entries map[Fingerprint]*entry
+	stored  map[Fingerprint]Stored
 	// cached is the cached result of Quarantined; nil after a change.
 	cached Set
 }
@@ -80,6 +91,16 @@
 // Set maps each quarantined fingerprint to the end of its quarantine.
 type Set map[Fingerprint]time.Time
 
+// Stored is a quarantine that the platform's store holds. It also applies to an instance that
+// knows of no crash.
+type Stored struct {
+	// Until is the end of the quarantine by the local clock: Duration after this instance first
+	// read it.
+	Until time.Time
+	// Revision is the store revision of the row.
+	Revision int64
+}
+
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{entries: map[Fingerprint]*entry{}} }
 
@@ -133,6 +154,15 @@
 	return time.Duration(c.SeenAt-other.SeenAt).Abs() < crashDedupWindow
 }
 
+// SetStored replaces the quarantines that the store holds.
+func (t *Table) SetStored(stored map[Fingerprint]Stored) {
+	t.stored = stored
+	t.cached = nil
+}
+
+// Stored returns the quarantines that the store holds. The result is never modified.
+func (t *Table) Stored() map[Fingerprint]Stored { return t.stored }
+
 // Expire removes the requests whose quarantine period has ended.
 func (t *Table) Expire(now time.Time) {
 	for f, e := range t.entries {
@@ -154,6 +184,11 @@
 			t.cached[f] = e.until
 		}
 	}
+	for f, s := range t.stored {
+		if s.Until.After(t.cached[f]) {
+			t.cached[f] = s.Until
+		}
+	}
 	return t.cached
 }
 
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -189,6 +189,8 @@
 	RemotePeers map[string][]int32
 	// Quarantined are the requests that are rejected.
 	Quarantined quarantine.Set
+	// StoredQuarantines are those of them that the platform's store holds.
+	StoredQuarantines map[quarantine.Fingerprint]quarantine.Stored
 	// SharedCrashes are the crashes to report to other instances.
 	SharedCrashes []quarantine.Crash
 	// Ready is false until a configuration is in force.
--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -1,7 +1,7 @@
 // Package storefeed follows the platform's key-value service, here called the store: the
-// operators' configuration, the rows of upstreams and entry instances, evacuations and
-// rollouts of routed services. It posts each change to control, and registers this instance
-// by writing its row to the store.
+// operators' configuration, the rows of upstreams and entry instances, evacuations, rollouts
+// of routed services, and quarantined requests. It posts each change to control, registers
+// this instance by writing its row to the store, and writes quarantines there.
 //
 // It polls for changes with short calls instead of keeping a watch open. A call without a
 // response therefore delays the next one by no more than its timeout, and the age of the
@@ -67,6 +67,7 @@
 func (f *Feed) Run(ctx context.Context) {
 	f.view = newView(f.Documents, f.Log)
 	go f.register(ctx)
+	go f.keepQuarantines(ctx)
 	revision := int64(0)
 	for ctx.Err() == nil {
 		started := clock.Now()
@@ -148,6 +149,10 @@
 	f.lastSuccess = started
 	f.view.expire(started)
 	changed := f.view.takeChanges()
+	if changed.quarantines {
+		// Before the configuration, with which the instance starts to serve.
+		f.Loop.Post(ctx, control.StoredQuarantinesEvent{Quarantines: f.view.quarantines()})
+	}
 	if changed.config {
 		f.postConfig(ctx, f.view.config, started)
 	} else if f.view.config != nil {
--- a/internal/storefeed/view.go
+++ b/internal/storefeed/view.go
@@ -10,6 +10,7 @@
 
 	"heatherloom/internal/external"
 	"heatherloom/internal/opconfig"
+	"heatherloom/internal/quarantine"
 	"heatherloom/internal/rollout"
 	"heatherloom/internal/telemetry"
 )
@@ -27,7 +28,7 @@
 
 // changedParts says which parts of a view changed.
 type changedParts struct {
-	config, instances, evacuated, serviceRollouts bool
+	config, instances, evacuated, serviceRollouts, quarantines bool
 }
 
 // view holds the decoded rows of the store. The modRevision of a row that is present never
@@ -121,6 +122,7 @@
 func (v *view) markChanged(d external.Document) {
 	v.changed.instances = v.changed.instances || d.Instance != nil
 	v.changed.evacuated = v.changed.evacuated || d.EvacuatedDomain != ""
+	v.changed.quarantines = v.changed.quarantines || d.Quarantined != nil
 	v.changed.serviceRollouts = v.changed.serviceRollouts || d.Rollout != nil || d.RolloutState != nil
 }
 
@@ -162,6 +164,16 @@
 	return domains
 }
 
+func (v *view) quarantines() map[quarantine.Fingerprint]quarantine.Stored {
+	stored := map[quarantine.Fingerprint]quarantine.Stored{}
+	for _, r := range v.rows {
+		if r.document.Quarantined != nil {
+			stored[*r.document.Quarantined] = quarantine.Stored{Until: r.seen.Add(quarantine.Duration), Revision: r.modRevision}
+		}
+	}
+	return stored
+}
+
 // serviceRollouts returns the service rollouts that the operators ordered. A state that is
 // older than its order, or of another version, belongs to a previous order.
 func (v *view) serviceRollouts() []rollout.ServiceRollout {
--- a/internal/storefeed/view_test.go
+++ b/internal/storefeed/view_test.go
@@ -12,6 +12,7 @@
 
 	"heatherloom/internal/external"
 	"heatherloom/internal/opconfig"
+	"heatherloom/internal/quarantine"
 	"heatherloom/internal/rollout"
 )
 
@@ -30,6 +31,9 @@
 		return external.Document{Rollout: &external.RolloutOrder{Service: "s", Version: string(e.Value), TimeLimit: time.Minute}}, nil
 	case e.Key == "state":
 		return external.Document{RolloutState: &external.RolloutState{Service: "s", Version: string(e.Value), State: rollout.Done}}, nil
+	case strings.HasPrefix(e.Key, "quarantine-"):
+		f, err := quarantine.ParseFingerprint(strings.TrimPrefix(e.Key, "quarantine-"))
+		return external.Document{Quarantined: &f}, err
 	case strings.HasPrefix(e.Key, "entry-"):
 		return external.Document{Instance: &external.Instance{ID: e.Key, Role: external.RoleEntry, State: external.InstanceLive}}, nil
 	case string(e.Value) == "broken":
@@ -47,6 +51,10 @@
 	return external.Entry{}, nil
 }
 
+func (fakeDocuments) EncodeQuarantine(f quarantine.Fingerprint) (external.Entry, error) {
+	return external.Entry{Key: "quarantine-" + f.String()}, nil
+}
+
 func testView() view {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
