Do not hold a request responsible for an upstream that was silent before

Cause: every given-up attempt on a process that ended counted, also one that was sent when the process was already gone.

Change: an attempt counts only if the process was responsive when it began.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -60,7 +60,7 @@
 	if result.Outcome == retry.Delivered || result.Outcome == retry.Rejected || result.Outcome == retry.Failed {
 		a.Progress(clock.Now())
 	}
-	a.Finish()
+	a.Finish(clock.Now())
 }
 
 // countCrash records in result that the connection to the upstream broke, and reports it as a
--- a/internal/quarantine/attempts.go
+++ b/internal/quarantine/attempts.go
@@ -15,6 +15,9 @@
 	// abandonedRetention is how long an abandoned attempt is kept. The row of an upstream that
 	// fell silent disappears within it.
 	abandonedRetention = 10 * time.Second
+	// unresponsivePeriod is how long a process with requests may send nothing before requests
+	// that are sent to it later are not held responsible for its end.
+	unresponsivePeriod = 500 * time.Millisecond
 	// maxAbandoned bounds the number of abandoned attempts that are kept.
 	maxAbandoned = 2048
 )
@@ -36,8 +39,34 @@
 	// open holds the attempts that run or were abandoned, abandoned the number of the latter.
 	open      map[*Attempt]struct{}
 	abandoned int
-	// lastResponse is when each process last sent a part of a response.
-	lastResponse map[Process]time.Time
+	processes map[Process]*processState
+}
+
+// processState is what the attempts on a process tell about it.
+type processState struct {
+	running int
+	// lastResponse is when the process last sent a part of a response, and lastEnd when the last
+	// attempt ended.
+	lastResponse, lastEnd time.Time
+	// waitingSince is when the first attempt since lastResponse began; zero if there is none.
+	waitingSince time.Time
+}
+
+// begin records the start of an attempt and reports whether the process is unresponsive.
+func (p *processState) begin(now time.Time) bool {
+	idle := p.running == 0 && now.Sub(p.lastEnd) >= silentPeriod
+	if p.waitingSince.IsZero() || idle {
+		p.waitingSince = now
+	}
+	p.running++
+	return now.Sub(p.waitingSince) >= unresponsivePeriod
+}
+
+func (p *processState) respond(now time.Time) { p.lastResponse, p.waitingSince = now, time.Time{} }
+
+func (p *processState) end(now time.Time) {
+	p.running--
+	p.lastEnd = now
 }
 
 // Attempt is one attempt of a request on an upstream.
@@ -50,11 +79,13 @@
 	abandonedAt time.Time
 	// draining is true if the upstream announced that it leaves.
 	draining bool
+	// late is true if the process was unresponsive when the attempt began.
+	late bool
 }
 
 // NewAttempts returns a tracker without attempts.
 func NewAttempts() *Attempts {
-	return &Attempts{open: map[*Attempt]struct{}{}, lastResponse: map[Process]time.Time{}}
+	return &Attempts{open: map[*Attempt]struct{}{}, processes: map[Process]*processState{}}
 }
 
 // Begin records the start of an attempt. fingerprint is called only if it is needed.
@@ -62,6 +93,10 @@
 	a := &Attempt{owner: t, process: p, fingerprint: fingerprint, began: now}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.processes[p] == nil {
+		t.processes[p] = &processState{}
+	}
+	a.late = t.processes[p].begin(now)
 	t.open[a] = struct{}{}
 	return a
 }
@@ -70,14 +105,15 @@
 func (a *Attempt) Progress(now time.Time) {
 	a.owner.mu.Lock()
 	defer a.owner.mu.Unlock()
-	a.owner.lastResponse[a.process] = now
+	a.owner.state(a.process).respond(now)
 }
 
 // Finish records that the attempt ended and that its end shows what became of it.
-func (a *Attempt) Finish() {
+func (a *Attempt) Finish(now time.Time) {
 	a.owner.mu.Lock()
 	defer a.owner.mu.Unlock()
-	a.owner.remove(a)
+	a.owner.state(a.process).end(now)
+	delete(a.owner.open, a)
 }
 
 // Abandon records that the attempt was given up while the upstream may have been executing the
@@ -86,11 +122,12 @@
 	t := a.owner
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.state(a.process).end(now)
 	if _, open := t.open[a]; !open {
 		return
 	}
 	if t.abandoned >= maxAbandoned {
-		t.remove(a)
+		delete(t.open, a)
 		return
 	}
 	// The closure would keep the request and its body in memory.
@@ -100,10 +137,15 @@
 	t.abandoned++
 }
 
-func (t *Attempts) remove(a *Attempt) {
-	if _, open := t.open[a]; !open {
-		return
+// state returns the state of a process, a fresh one if it was forgotten.
+func (t *Attempts) state(p Process) *processState {
+	if s, ok := t.processes[p]; ok {
+		return s
 	}
+	return &processState{}
+}
+
+func (t *Attempts) remove(a *Attempt) {
 	delete(t.open, a)
 	if !a.abandonedAt.IsZero() {
 		t.abandoned--
@@ -126,6 +168,9 @@
 			}
 		case !present && t.silent(a, now):
 			t.remove(a)
+			if a.late {
+				continue
+			}
 			crashes = append(crashes, Crash{
 				Fingerprint: a.fingerprint(), Upstream: a.process.Upstream, StartedAt: a.process.StartedAt, SeenAt: now.UnixNano(),
 			})
@@ -141,7 +186,7 @@
 	if a.abandonedAt.IsZero() {
 		return false
 	}
-	if t.lastResponse[a.process].Sub(a.abandonedAt) >= survivalPeriod {
+	if t.state(a.process).lastResponse.Sub(a.abandonedAt) >= survivalPeriod {
 		return true
 	}
 	return present && now.Sub(a.abandonedAt) >= abandonedRetention
@@ -151,7 +196,7 @@
 // or was abandoned.
 func (t *Attempts) silent(a *Attempt, now time.Time) bool {
 	since := a.began
-	for _, at := range []time.Time{a.abandonedAt, t.lastResponse[a.process]} {
+	for _, at := range []time.Time{a.abandonedAt, t.state(a.process).lastResponse} {
 		if at.After(since) {
 			since = at
 		}
@@ -159,11 +204,11 @@
 	return now.Sub(since) >= silentPeriod
 }
 
-// forgetProcesses drops the times of processes that are gone.
+// forgetProcesses drops the state of processes that are gone.
 func (t *Attempts) forgetProcesses(now time.Time, listed map[Process]bool) {
-	for p, at := range t.lastResponse {
-		if _, present := listed[p]; !present && now.Sub(at) >= abandonedRetention {
-			delete(t.lastResponse, p)
+	for p, s := range t.processes {
+		if _, present := listed[p]; !present && s.running == 0 && now.Sub(s.lastEnd) >= abandonedRetention {
+			delete(t.processes, p)
 		}
 	}
 }
