Identify a request by what its caller sent, not by the service it goes to

What callers and operators saw: when a route moved to another service or is split over several, the same request counted anew for each service, so that it ended up to two upstreams more for each of them.

Cause: the fingerprint included the service of the request, which the operators' configuration chooses by weight and by the request's id. Its caller, path and body are the same.

Change: on host routes the fingerprint holds the host that the caller named instead of the service. For API requests it is the model without its version, as before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -76,10 +76,14 @@
 	return path == "/v1/chat/completions" || path == "/v1/completions"
 }
 
-// Fingerprint identifies the request in reports of crashes. It omits the model version, since
-// a request that crashes one version may crash the next.
+// Fingerprint identifies the request in reports of crashes. It depends only on what the caller
+// sent, so that it remains the same when the operators move a route to another service or a
+// model to another version.
 func (r *Request) Fingerprint() quarantine.Fingerprint {
 	target, _, _ := strings.Cut(r.Target, "@")
+	if r.RouteParams != nil {
+		target = strings.ToLower(r.RouteParams.Host)
+	}
 	return quarantine.FingerprintOf(r.Account, target, r.Method, r.Path, r.Body)
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -49,8 +49,8 @@
 // String returns the fingerprint as 16 hexadecimal digits.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
-// FingerprintOf returns the fingerprint of a request that a client account sent to a model
-// or route.
+// FingerprintOf returns the fingerprint of a request that a client account sent to a model,
+// a service of the API or a host.
 func FingerprintOf(account, target, method, path string, body []byte) Fingerprint {
 	h := sha256.New()
 	for _, part := range []string{account, target, method, path} {
