Do not retry a request whose quarantine began during its attempt

What callers saw: a request that was waiting for a slow upstream, or resumed a long stream, was sent on although it had been quarantined meanwhile.

Cause: the quarantine was checked once, before the first attempt.

Change: it is checked before each retry as well; the request then ends with the failure of its last attempt.

Evidence: TestNoRetryInQuarantine fails without the check.

--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -1,6 +1,31 @@
 package dispatch
 
-import "testing"
+import (
+	"testing"
+	"time"
+
+	"heatherloom/internal/errkind"
+	"heatherloom/internal/quarantine"
+	"heatherloom/internal/relay"
+	"heatherloom/internal/retry"
+	"heatherloom/internal/routing"
+)
+
+// Guards against a retry of a request whose quarantine began during its previous attempt.
+func TestNoRetryInQuarantine(t *testing.T) {
+	r := &Request{Account: "a", Path: "/p", Repeatable: true, Attempts: 1, Deadline: time.Now().Add(time.Minute)}
+	result := relay.Result{Outcome: retry.TimedOut, Err: errkind.New(errkind.UpstreamTimeout, "")}
+	for _, quarantined := range []bool{false, true} {
+		s := &routing.Snapshot{Quarantined: quarantine.Set{}}
+		if quarantined {
+			s.Quarantined[r.Fingerprint()] = time.Now().Add(time.Minute)
+		}
+		d := &Dispatcher{Snapshot: func() *routing.Snapshot { return s }}
+		if got := d.shouldRetry(r, result); got == quarantined {
+			t.Errorf("quarantined %t: retry %t", quarantined, got)
+		}
+	}
+}
 
 // Guards against a request that crashes upstreams again after its route was moved to another
 // service, and against one fingerprint for requests that differ in what their callers sent.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -266,6 +266,9 @@
 
 // shouldRetry reports whether a failed attempt may be retried.
 func (d *Dispatcher) shouldRetry(r *Request, result relay.Result) bool {
+	if until, quarantined := d.quarantinedUntil(r); quarantined && time.Now().Before(until) {
+		return false
+	}
 	if r.RouteParams != nil {
 		return d.shouldRetryOnRoute(r, result)
 	}
