Keep the crashes of one request when many upstreams crash at once

Cause: each request in flight at an upstream that crashes leaves a report. A heartbeat took 64 recent ones at random, so that two reports of one request could take many heartbeats to arrive together, and a table with 4,096 requests took no new one.

Change: the reports of quarantined requests go into each heartbeat first, and a full table drops its oldest request that is not quarantined.

Evidence: TestManyCrashesDoNotHideARequest fails in both parts on the code before.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -25,6 +25,8 @@
 	heartbeatShareDuration = 15 * time.Second
 	// maxRecentCrashes bounds the recent crashes in one heartbeat to about 3 KB.
 	maxRecentCrashes = 64
+	// maxQuarantineCrashes bounds those of quarantined requests, which take precedence.
+	maxQuarantineCrashes = 32
 	// maxOlderCrashes bounds the older crashes in one heartbeat. They are selected at
 	// random, so that instances that start later learn of them as well.
 	maxOlderCrashes = 8
@@ -113,7 +115,7 @@
 	}
 	e, ok := t.entries[c.Fingerprint]
 	if !ok {
-		if len(t.entries) >= maxFingerprints {
+		if len(t.entries) >= maxFingerprints && !t.evict() {
 			return
 		}
 		e = &entry{learnedAt: map[Crash]time.Time{}}
@@ -132,6 +134,20 @@
 	t.cached = nil
 }
 
+// evict removes the oldest request that is not quarantined, and reports whether there was one.
+// When many upstreams crash at once, each request in flight leaves an entry with one crash.
+func (t *Table) evict() bool {
+	var oldest Fingerprint
+	found := false
+	for f, e := range t.entries {
+		if len(e.learnedAt) < crashLimit && (!found || e.until.Before(t.entries[oldest].until)) {
+			oldest, found = f, true
+		}
+	}
+	delete(t.entries, oldest)
+	return found
+}
+
 // isDuplicate reports whether the crash has already been counted.
 func (e *entry) isDuplicate(c Crash) bool {
 	for known := range e.learnedAt {
@@ -206,11 +222,16 @@
 	return ids
 }
 
-// HeartbeatCrashes returns the crashes to include in the next heartbeat.
+// HeartbeatCrashes returns the crashes to include in the next heartbeat: those of quarantined
+// requests, then a random selection of the recent ones and a few of the older ones.
 func (t *Table) HeartbeatCrashes(now time.Time) []Crash {
-	var recent, older []Crash
-	// The random iteration order of the map selects among the older crashes.
+	var selected, recent, older []Crash
+	// The random iteration order of the map makes the selection.
 	for _, e := range t.entries {
+		if len(e.learnedAt) >= crashLimit && len(selected) <= maxQuarantineCrashes-crashLimit {
+			selected = append(selected, e.firstCrashes(crashLimit)...)
+			continue
+		}
 		for c, learnedAt := range e.learnedAt {
 			switch {
 			case now.Sub(learnedAt) < heartbeatShareDuration && len(recent) < maxRecentCrashes:
@@ -220,5 +241,17 @@
 			}
 		}
 	}
-	return append(recent, older...)
+	selected = append(selected, recent[:min(len(recent), maxRecentCrashes-len(selected))]...)
+	return append(selected, older...)
+}
+
+// firstCrashes returns up to n crashes of the request.
+func (e *entry) firstCrashes(n int) []Crash {
+	crashes := make([]Crash, 0, n)
+	for c := range e.learnedAt {
+		if len(crashes) < n {
+			crashes = append(crashes, c)
+		}
+	}
+	return crashes
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -67,6 +67,33 @@
 	}
 }
 
+// Guards against a request whose crashes are crowded out of the heartbeats, or of the table, by
+// those of the requests that were in flight when many upstreams crashed at once.
+func TestManyCrashesDoNotHideARequest(t *testing.T) {
+	now := time.Unix(100_000, 0)
+	table, peer := NewTable(), NewTable()
+	for f := range Fingerprint(maxFingerprints) {
+		table.Add(now, Crash{Fingerprint: f, Upstream: "a", StartedAt: 1, SeenAt: now.UnixNano()})
+	}
+	const harmful = Fingerprint(1 << 40)
+	for _, upstream := range []string{"b", "c"} {
+		table.Add(now, Crash{Fingerprint: harmful, Upstream: upstream, StartedAt: 1, SeenAt: now.UnixNano()})
+	}
+	if _, ok := table.Quarantined()[harmful]; !ok {
+		t.Error("the request is not quarantined in a full table")
+	}
+	shared := table.HeartbeatCrashes(now)
+	for _, c := range shared {
+		peer.Add(now, c)
+	}
+	if _, ok := peer.Quarantined()[harmful]; !ok {
+		t.Error("one heartbeat did not tell of the quarantine")
+	}
+	if len(shared) > maxRecentCrashes+maxOlderCrashes || len(shared) < maxRecentCrashes {
+		t.Errorf("%d crashes in a heartbeat", len(shared))
+	}
+}
+
 // Guards against equal fingerprints of requests whose fields differ but whose
 // concatenation is the same.
 func TestFingerprint(t *testing.T) {
