Share the age of a crash instead of a time of another clock

What operators would see: reports of an instance whose wall clock is more than ten minutes behind are ignored by all others as too old, and those of an instance whose clock is ahead keep a request in quarantine for as much longer.

Cause: a report carried the wall clock of the instance that saw the crash, and the receiver compared it with its own.

Change: heartbeats carry the age of each crash, and the receiver counts it from its own clock.

--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -122,7 +122,7 @@
 	req := &peerv1.HeartbeatRequest{
 		Self:    h.MemberCache.compact(SelfMember(h.Identity, snapshot)),
 		Known:   h.MemberCache.compactAll(knownMembers(snapshot, started, address)),
-		Crashes: encodeCrashes(snapshot),
+		Crashes: encodeCrashes(snapshot, started),
 
 		Moves:         encodeRollouts(snapshot),
 		VersionFaults: encodeLocalStops(snapshot),
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -110,7 +110,7 @@
 	return connect.NewResponse(&peerv1.HeartbeatResponse{
 		Self:    self,
 		Wanted:  wanted,
-		Crashes: encodeCrashes(snapshot),
+		Crashes: encodeCrashes(snapshot, clock.Now()),
 		Clock:   uint64(s.Timeline.Clock().Now()),
 
 		Moves:         encodeRollouts(snapshot),
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -71,8 +71,7 @@
 	Upstream    string
 	// StartedAt is the start of the upstream's process in Unix milliseconds; 0 if not known.
 	StartedAt int64
-	// SeenAt is the Unix time in nanoseconds on the clock of the instance that observed the
-	// crash.
+	// SeenAt is the time of the crash in Unix nanoseconds by the clock of this instance.
 	SeenAt int64
 }
 
