Do not quarantine a request that completes elsewhere

What callers saw: when several upstreams crashed at once, a request that many callers send, such as a status reading without a body, was in flight at two of them and was rejected for ten minutes although it had harmed nobody.

Cause: two crashes under one fingerprint were taken as proof against the request. A request that is always in flight is there at every crash.

One that ends every upstream which runs it completes nowhere.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"heatherloom/internal/clock"
@@ -14,6 +15,18 @@
 	"heatherloom/internal/routing"
 )
 
+// crashState holds what is known of the attempts of this instance. The zero value is ready to
+// use.
+type crashState struct {
+	once        sync.Once
+	attempts    *quarantine.Attempts
+	completions *quarantine.Completions
+}
+
+// maxCompletionBytes is the size of a body up to which completions are remembered. Longer bodies
+// are rarely sent twice, and hashing each of them costs time.
+const maxCompletionBytes = 4 << 10
+
 // crashSweepInterval is the time between two searches for upstreams that ended silently.
 const crashSweepInterval = 250 * time.Millisecond
 
@@ -40,9 +53,12 @@
 	return quarantine.Process{Upstream: u.ID, Address: u.Address, StartedAt: u.StartedAt}
 }
 
-func (d *Dispatcher) openAttempts() *quarantine.Attempts {
-	d.attemptsOnce.Do(func() { d.attempts = quarantine.NewAttempts() })
-	return d.attempts
+func (d *Dispatcher) openAttempts() *quarantine.Attempts { return d.crashes().attempts }
+
+func (d *Dispatcher) crashes() *crashState {
+	s := &d.crashState
+	s.once.Do(func() { s.attempts, s.completions = quarantine.NewAttempts(), quarantine.NewCompletions() })
+	return s
 }
 
 func (d *Dispatcher) beginAttempt(r *Request, u *routing.Upstream) *quarantine.Attempt {
@@ -51,12 +67,15 @@
 
 // endAttempt records how an attempt ended. Nothing is known of the request if the upstream sent
 // no complete response and kept the connection open.
-func (d *Dispatcher) endAttempt(a *quarantine.Attempt, result relay.Result) {
+func (d *Dispatcher) endAttempt(r *Request, a *quarantine.Attempt, result relay.Result) {
 	unanswered := result.Outcome == retry.TimedOut || result.Outcome == retry.RequestEnded
 	if unanswered && result.Err.Execution != errkind.NotExecuted {
 		a.Abandon(clock.Now())
 		return
 	}
+	if result.Err == nil && len(r.Body) <= maxCompletionBytes {
+		d.crashes().completions.Add(clock.Now(), r.Fingerprint())
+	}
 	if result.Outcome == retry.Delivered || result.Outcome == retry.Rejected || result.Outcome == retry.Failed {
 		a.Progress(clock.Now())
 	}
@@ -77,8 +96,9 @@
 	}, "the connection broke")
 }
 
+// reportCrash reports a crash unless the request recently completed elsewhere.
 func (d *Dispatcher) reportCrash(c quarantine.Crash, reason string) {
-	if d.ReportCrash != nil {
+	if d.ReportCrash != nil && !d.crashes().completions.Has(clock.Now(), c.Fingerprint) {
 		d.ReportCrash(c, reason)
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -141,8 +141,7 @@
 	budget    retry.Budget
 	estimates retry.Estimates
 
-	attemptsOnce sync.Once
-	attempts     *quarantine.Attempts
+	crashState crashState
 }
 
 // Dispatch serves r and writes its response to sink. It returns nil if the complete
@@ -441,7 +440,7 @@
 	} else if result.UpstreamFault && !d.versionFault(r, result) {
 		u.Counters.ConsecutiveFailures.Add(1)
 	}
-	d.endAttempt(open, result)
+	d.endAttempt(r, open, result)
 	d.countCrash(r, u, &result)
 	return result
 }
