Do not take invalid bytes of an upstream for its crash

What callers saw: an upstream that sends bytes which are no HTTP response counted as crashed. Its request was suspected of ending upstreams and was quarantined when a second upstream sent such bytes.

Cause: every error of net/http before or in a response, other than a timeout, was classified as a broken connection.

Change: only an end of the connection (EOF, reset) is one. Invalid bytes are a failed attempt, which is retried where the request allows it and counts against the upstream.

A response that ends inside its status line is taken for invalid bytes, since net/http does not tell the two apart.

--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -156,7 +156,10 @@
 		return result
 	}
 	result := upstreamFault(errkind.ResponseIncomplete, errkind.Executed, retry.Truncated, err, "the response of the upstream was truncated")
-	result.ConnectionBroken = !errors.Is(err, io.EOF) && !errors.Is(err, errNoLength)
+	result.ConnectionBroken = connectionBroke(err) && !errors.Is(err, io.EOF)
+	if !connectionBroke(err) && !started {
+		result.Outcome = retry.Failed
+	}
 	switch {
 	case w.timedOut():
 		result = upstreamFault(errkind.UpstreamTimeout, errkind.Executed, retry.TimedOut, err, "the upstream stopped sending during its response")
