End a stream whose upstream sends comments or empty lines without end

What callers saw: an upstream that sends empty lines as an event stream without end keeps the caller waiting until its deadline, and everything it sends is passed on.

Cause: the size of an event was bounded, but comments and empty lines between events were not. They are valid, as upstreams keep connections open with them.

Change: more than 64 KB between two events with data end the attempt as a fault of the upstream.

TestBytesWithoutEndFailTheAttempt sends bytes without end in a status line, in headers, in informational responses, in chunks, their extensions and trailers, and in events, and expects that the attempt fails within 2 s, counts against the upstream and closes the connection.

--- /dev/null
+++ b/internal/relay/endless_test.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"heatherloom/internal/retry"
+)
+
+// endlessAllowance bounds the time that an attempt may take after which its upstream sends
+// invalid bytes without end.
+const endlessAllowance = 2 * time.Second
+
+// sendWithoutEnd writes text until the connection is closed, and then closes done.
+func sendWithoutEnd(text string, done chan<- struct{}) func(net.Conn) {
+	return func(c net.Conn) {
+		defer close(done)
+		block := []byte(strings.Repeat(text, max(1, 16<<10/len(text))))
+		for {
+			if _, err := c.Write(block); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// Guards against an attempt that lasts until the deadline, is not retried elsewhere, keeps its
+// connection or spares its upstream because the bytes that the upstream sends never end.
+func TestBytesWithoutEndFailTheAttempt(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
+	for _, c := range []struct {
+		name, head, repeat string
+		outcome            retry.Outcome
+	}{
+		{"no status line", "", "z", retry.Failed},
+		{"lines that are no head", "", "zzz\r\n", retry.Failed},
+		{"status line", "HTTP/1.1 200 ", "O", retry.Failed},
+		{"one header", "HTTP/1.1 200 OK\r\nA: ", "a", retry.Failed},
+		{"headers", "HTTP/1.1 200 OK\r\n", "A: a\r\n", retry.Failed},
+		{"informational responses", "", "HTTP/1.1 103 Early Hints\r\nA: a\r\n\r\n", retry.Failed},
+		{"chunk that is no chunk", "HTTP/1.1 " + validHead + chunked, "z", retry.Failed},
+		{"chunk extension", "HTTP/1.1 " + validHead + chunked + "1;", "e", retry.Failed},
+		{"trailer", "HTTP/1.1 " + validHead + chunked + "0\r\n", "A: a\r\n", retry.Failed},
+		{"body without a signature", "HTTP/1.1 200 OK\r\nId: r1\r\n\r\n", "z", retry.Failed},
+		{"body of a rejection", "HTTP/1.1 503 Busy\r\nId: r1\r\nNot-Run: 1\r\n\r\n", "z", retry.Rejected},
+		{"event", "HTTP/1.1 " + validHead + "Content-Type: text/event-stream\r\n\r\n", "z", retry.Failed},
+		{"comments", "HTTP/1.1 " + validHead + "Content-Type: text/event-stream\r\n\r\n", ": c\n", retry.Failed},
+		{"empty events", "HTTP/1.1 " + validHead + "Content-Type: text/event-stream\r\n\r\n", "\n\n", retry.Truncated},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			closed := make(chan struct{})
+			u := startByteUpstream(t, func(int) (string, func(net.Conn)) { return c.head, sendWithoutEnd(c.repeat, closed) })
+			a := newAttempt(u)
+			a.Repeatable = true
+			a.Deadline = time.Now().Add(time.Minute)
+			if strings.Contains(c.head, "event-stream") {
+				a.StreamPosition = &StreamPosition{}
+			}
+			stream := a.StreamPosition != nil
+			sink := &memorySink{}
+			began := time.Now()
+			result := New(DefaultLimits()).Do(context.Background(), a, sink)
+			if took := time.Since(began); took > endlessAllowance {
+				t.Errorf("the attempt took %s", took)
+			}
+			if result.Err == nil || (sink.status != 0 && !stream) {
+				t.Fatalf("delivered %d", sink.status)
+			}
+			if result.Outcome != c.outcome || !result.UpstreamFault && c.outcome != retry.Rejected {
+				t.Errorf("outcome %d, fault of the upstream %t; want %d, true", result.Outcome, result.UpstreamFault, c.outcome)
+			}
+			if sink.body.Len() > maxEventlessBytes {
+				t.Errorf("%d bytes without an event were passed on", sink.body.Len())
+			}
+			select {
+			case <-closed:
+			case <-time.After(endlessAllowance):
+				t.Error("the connection is still open")
+			}
+		})
+	}
+}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -5,6 +5,10 @@
 	"net/http"
 )
 
+// maxEventlessBytes bounds the comments and empty lines between two events. Upstreams send them
+// to keep a connection open, a few bytes every some seconds.
+const maxEventlessBytes = 64 << 10
+
 // StreamPosition is the progress of a stream over all attempts of its request.
 type StreamPosition struct {
 	// Started is true once the head was passed to the sink.
@@ -25,6 +29,7 @@
 	errNotResumed     = errors.New("the upstream did not resume the stream after the last event")
 	errPartialEvent   = errors.New("the body ended inside an event")
 	errEventOrder     = errors.New("an event is out of sequence")
+	errNoEvents       = errors.New("the upstream sent too many bytes without an event")
 	errUpstreamError  = errors.New("the upstream ended the stream with an error event")
 )
 
@@ -52,7 +57,9 @@
 	// instead of [DONE].
 	Numbered bool
 
-	pending     []byte
+	pending []byte
+	// eventless is the number of bytes without data since the last event with data.
+	eventless   int
 	scanned     int
 	resumed     bool
 	initialized bool
@@ -129,8 +136,13 @@
 		return errUpstreamError
 	}
 	if e.data == nil {
+		c.eventless += len(raw)
+		if c.eventless > maxEventlessBytes {
+			return errNoEvents
+		}
 		return nil
 	}
+	c.eventless = 0
 	if c.Numbered {
 		return c.advanceNumbered(e, next)
 	}
