Retry elsewhere when a body without a length does not end

What callers saw: where an upstream sends a body without end, in chunks or without a length, the request failed with 502 although another upstream could have served it, and the upstream that sent it stayed in use.

Cause: a body above the size limit was taken for one that every upstream would send. That holds for a declared length only.

Change: a body that exceeds the limit without having declared a length is a failed attempt and counts against its upstream; the request is retried where it may run again. A declared length above the limit ends the request at its head, as before.

Evidence: the rows of TestBytesWithoutEndFailTheAttempt for bodies in chunks, without a length and of a failure failed before (not retried, no fault of the upstream) and pass.

--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -21,7 +21,10 @@
 )
 
 var (
+	// errResponseTooLarge reports a declared length above the limit, which every upstream would
+	// send, and errEndlessBody a body without a declared length that does not end.
 	errResponseTooLarge = errors.New("the response exceeds the size limit")
+	errEndlessBody      = errors.New("the response has no length and does not end within the size limit")
 	errNoLength         = errors.New("the response has neither a Content-Length nor chunked encoding")
 )
 
@@ -85,7 +88,7 @@
 		}
 		buffered.Write(buf[:n])
 		if buffered.Len() > r.limits.MaxBufferedBytes {
-			return nil, errResponseTooLarge
+			return nil, errEndlessBody
 		}
 		if errors.Is(err, io.EOF) {
 			return buffered.Bytes(), nil
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -41,9 +41,13 @@
 		{"one header", "HTTP/1.1 200 OK\r\nA: ", "a", retry.Failed},
 		{"headers", "HTTP/1.1 200 OK\r\n", "A: a\r\n", retry.Failed},
 		{"informational responses", "", "HTTP/1.1 103 Early Hints\r\nA: a\r\n\r\n", retry.Failed},
+		{"body of a fixed length", "HTTP/1.1 " + validHead + "Content-Length: 1000000000000\r\n\r\n", "z", retry.NotRetryable},
+		{"body in chunks", "HTTP/1.1 " + validHead + chunked, "1\r\nz\r\n", retry.Failed},
 		{"chunk that is no chunk", "HTTP/1.1 " + validHead + chunked, "z", retry.Failed},
 		{"chunk extension", "HTTP/1.1 " + validHead + chunked + "1;", "e", retry.Failed},
 		{"trailer", "HTTP/1.1 " + validHead + chunked + "0\r\n", "A: a\r\n", retry.Failed},
+		{"body without a length", "HTTP/1.1 " + validHead + "\r\n", "z", retry.Failed},
+		{"body of a failure", "HTTP/1.1 500 Failed\r\nId: r1\r\nSig: s\r\n\r\n", "z", retry.Failed},
 		{"body without a signature", "HTTP/1.1 200 OK\r\nId: r1\r\n\r\n", "z", retry.Failed},
 		{"body of a rejection", "HTTP/1.1 503 Busy\r\nId: r1\r\nNot-Run: 1\r\n\r\n", "z", retry.Rejected},
 		{"event", "HTTP/1.1 " + validHead + "Content-Type: text/event-stream\r\n\r\n", "z", retry.Failed},
@@ -69,8 +73,9 @@
 			if result.Err == nil || (sink.status != 0 && !stream) {
 				t.Fatalf("delivered %d", sink.status)
 			}
-			if result.Outcome != c.outcome || !result.UpstreamFault && c.outcome != retry.Rejected {
-				t.Errorf("outcome %d, fault of the upstream %t; want %d, true", result.Outcome, result.UpstreamFault, c.outcome)
+			fault := c.outcome == retry.Failed || c.outcome == retry.Truncated
+			if result.Outcome != c.outcome || result.UpstreamFault != fault {
+				t.Errorf("outcome %d, fault of the upstream %t; want %d, %t", result.Outcome, result.UpstreamFault, c.outcome, fault)
 			}
 			if sink.body.Len() > maxEventlessBytes {
 				t.Errorf("%d bytes without an event were passed on", sink.body.Len())
