Bound the memory of all buffered responses together

What operators would see: a process with 284 MB that buffers responses of up to 16 MB each runs out of memory when a few upstreams send large bodies, or bodies without end, at the same time.

Cause: the size of each response was bounded, but not their sum, and the bounds did not depend on the memory of the process.

Change: with a memory limit, the buffered responses together may hold an eighth of it. Above that, only responses up to a sixteenth of this may grow; a larger one fails with a message that says why, without blaming the upstream, and is retried where the request allows it. One event may hold 1/1024 of the memory.

Evidence: TestLargeBodiesShareTheMemory fails without the bound (two large responses are held at once) and passes with it, while a small response is served. Responses that arrive from another region are buffered a second time at the instance that forwarded the request and are not part of the sum.

--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -119,7 +119,7 @@
 // hostDispatcher returns the dispatcher for host routes.
 func (n *Node) hostDispatcher(s settings.Settings, log *logrus.Entry, peers *peer.Client, metrics *telemetry.Metrics) *dispatch.Dispatcher {
 	prefixes := routing.NewPrefixIndex()
-	limits := relay.DefaultLimits()
+	limits := relay.DefaultLimits().ForMemory(int64(s.Process.MemoryMB * 1e6))
 	limits.DialTimeout = hostDialTimeout
 	return &dispatch.Dispatcher{
 		Snapshot:            n.loop.Snapshot,
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -24,13 +24,16 @@
 	// errResponseTooLarge reports a declared length above the limit, which every upstream would
 	// send, and errEndlessBody a body without a declared length that does not end.
 	errResponseTooLarge = errors.New("the response exceeds the size limit")
+	errNoMemory         = errors.New("too many large responses are buffered at the same time")
 	errEndlessBody      = errors.New("the response has no length and does not end within the size limit")
 	errNoLength         = errors.New("the response has neither a Content-Length nor chunked encoding")
 )
 
 // copyBuffered delivers a non-streaming API response once its whole body has arrived.
 func (r *Relay) copyBuffered(w *watchdog, resp *http.Response, a Attempt, sink Sink) Result {
-	body, err := r.readBody(w, resp, a.Method, false)
+	share := r.memory.newShare()
+	defer share.release()
+	body, err := r.readBody(w, share, resp, a.Method, false)
 	if err != nil {
 		return classifyBodyError(w, err, false)
 	}
@@ -68,7 +71,7 @@
 
 // readBody reads the whole body. allowUnframed allows a body that is delimited by the close
 // of its connection; a connection reset is always an error.
-func (r *Relay) readBody(w *watchdog, resp *http.Response, method string, allowUnframed bool) ([]byte, error) {
+func (r *Relay) readBody(w *watchdog, share *bufferShare, resp *http.Response, method string, allowUnframed bool) ([]byte, error) {
 	if method == http.MethodHead {
 		return nil, nil
 	}
@@ -86,6 +89,9 @@
 		if n > 0 {
 			w.extend(r.limits.ReadIdleTimeout)
 		}
+		if !share.grow(n) {
+			return nil, errNoMemory
+		}
 		buffered.Write(buf[:n])
 		if buffered.Len() > r.limits.MaxBufferedBytes {
 			return nil, errEndlessBody
@@ -169,6 +175,9 @@
 	case errors.Is(err, errResponseTooLarge):
 		result = upstreamFault(errkind.ResponseIncomplete, errkind.Executed, retry.NotRetryable, err, "the response of the upstream exceeds the size limit")
 		result.UpstreamFault = false
+	case errors.Is(err, errNoMemory):
+		result.Err.Message = "this instance buffers too many large responses to hold this one"
+		result.UpstreamFault = false
 	}
 	result.Started = started
 	return result
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -27,6 +27,42 @@
 	}
 }
 
+// Guards against a process that runs out of memory because several upstreams send large or endless
+// bodies at once, and against failing small responses meanwhile.
+func TestLargeBodiesShareTheMemory(t *testing.T) {
+	const memory = 64 << 20
+	limits := DefaultLimits().ForMemory(memory)
+	hold := make(chan struct{})
+	t.Cleanup(func() { close(hold) })
+	u := startByteUpstream(t, func(n int) (string, func(net.Conn)) {
+		if n <= 2 {
+			// Both stop at less than the limit of one response and keep their memory.
+			return "HTTP/1.1 " + validHead + "\r\n" + strings.Repeat("z", int(limits.MaxTotalBufferedBytes)), func(net.Conn) { <-hold }
+		}
+		return response(validHead, "small"), nil
+	})
+	r := New(limits)
+	results := make(chan Result, 2)
+	for range 2 {
+		go func() { results <- r.Do(context.Background(), newAttempt(u), &memorySink{}) }()
+	}
+	select {
+	case result := <-results:
+		if result.Outcome != retry.Failed || result.UpstreamFault {
+			t.Errorf("outcome %d, fault of the upstream %t; want %d, false", result.Outcome, result.UpstreamFault, retry.Failed)
+		}
+	case <-time.After(endlessAllowance):
+		t.Fatal("two large responses are held at once")
+	}
+	if used := r.memory.used.Load(); used > 2*limits.MaxTotalBufferedBytes {
+		t.Errorf("%d bytes are buffered, the limit is %d", used, limits.MaxTotalBufferedBytes)
+	}
+	sink := &memorySink{}
+	if result := r.Do(context.Background(), newAttempt(u), sink); result.Err != nil || sink.body.String() != "small" {
+		t.Errorf("a small response meanwhile: %v %q", result.Err, sink.body.String())
+	}
+}
+
 // Guards against an attempt that lasts until the deadline, is not retried elsewhere, keeps its
 // connection or spares its upstream because the bytes that the upstream sends never end.
 func TestBytesWithoutEndFailTheAttempt(t *testing.T) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -141,7 +141,9 @@
 // copyHostBuffered delivers a non-streaming response of a host route once its whole body
 // has arrived. A response with a 5xx status is held back, since the request may be retried.
 func (r *Relay) copyHostBuffered(w *watchdog, resp *http.Response, a Attempt, sink Sink) Result {
-	body, err := r.readBody(w, resp, a.Method, true)
+	share := r.memory.newShare()
+	defer share.release()
+	body, err := r.readBody(w, share, resp, a.Method, true)
 	if err != nil {
 		return classifyBodyError(w, err, false)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -50,6 +50,9 @@
 	ReadIdleTimeout time.Duration
 	// MaxBufferedBytes bounds the size of a response that is buffered until it is complete.
 	MaxBufferedBytes int
+	// MaxTotalBufferedBytes bounds the responses that are buffered at the same time. Above it,
+	// only those up to a sixteenth of it may grow; 0 for no bound.
+	MaxTotalBufferedBytes int64
 	// MaxEventBytes bounds the size of one event of a stream.
 	MaxEventBytes int
 }
@@ -65,6 +68,24 @@
 	}
 }
 
+// ForMemory returns the limits of a process that may use the given number of bytes.
+func (l Limits) ForMemory(bytes int64) Limits {
+	if bytes <= 0 {
+		return l
+	}
+	l.MaxTotalBufferedBytes = bytes / bufferedMemoryDivisor
+	l.MaxEventBytes = min(l.MaxEventBytes, int(bytes/eventMemoryDivisor))
+	return l
+}
+
+const (
+	// bufferedMemoryDivisor leaves room for the copies that growing buffers leave to the garbage
+	// collector.
+	bufferedMemoryDivisor = 8
+	// eventMemoryDivisor bounds one event so that several hundred streams fit into the memory.
+	eventMemoryDivisor = 1024
+)
+
 // Sink receives a response. Head is called at most once and before Data. An error of
 // either means that the caller has disconnected. Data must not retain p.
 type Sink interface {
@@ -131,6 +152,7 @@
 // use.
 type Relay struct {
 	limits     Limits
+	memory     bufferMemory
 	pool       *connPool
 	repeatable *http.Transport
 	writes     *http.Transport
@@ -141,6 +163,7 @@
 	pool := newConnPool(net.Dialer{Timeout: limits.DialTimeout, KeepAlive: 15 * time.Second})
 	return &Relay{
 		limits:     limits,
+		memory:     bufferMemory{limit: limits.MaxTotalBufferedBytes},
 		pool:       pool,
 		repeatable: newTransport(pool, idleConnTimeout),
 		writes:     newTransport(pool, writeIdleConnTimeout),
