Bound the headers of health checks and of calls to engines

What operators would see: an upstream that sends a header without end makes each health check and each poll of its load read up to 10 MB.

Cause: requests had a bound on response headers, but the clients for health checks and for the API of engines had the default of net/http.

Change: health checks read at most 16 KB of header, calls to engines 64 KB. Their bodies were bounded already.

--- a/internal/external/engineapi/load.go
+++ b/internal/external/engineapi/load.go
@@ -32,7 +32,9 @@
 	callTimeout = time.Second
 	// maxResponseBytes bounds one response. Engines report a few hundred kilobytes.
 	maxResponseBytes = 4 << 20
-	idleConnTimeout  = 90 * time.Second
+	// maxHeaderBytes bounds a response header; the default of net/http is 10 MB.
+	maxHeaderBytes  = 64 << 10
+	idleConnTimeout = 90 * time.Second
 )
 
 // Client calls engines by their address, in the form host:port. It is safe for concurrent use.
@@ -49,7 +51,7 @@
 
 // New returns a client without open connections.
 func New() *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout}
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{
 		http:    &http.Client{Timeout: callTimeout, Transport: transport},
 		streams: &http.Client{Transport: transport},
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -31,6 +31,8 @@
 	checkTimeout = 500 * time.Millisecond
 	// maxBodyBytes limits how much of a response body is read.
 	maxBodyBytes = 4 << 10
+	// maxHeaderBytes limits the response header; the default of net/http is 10 MB.
+	maxHeaderBytes = 16 << 10
 )
 
 // Prober checks paused upstreams for one instance.
@@ -53,8 +55,7 @@
 
 // Run checks paused upstreams until ctx ends.
 func (p *Prober) Run(ctx context.Context) {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: checkTimeout}).DialContext, DisableKeepAlives: true}
-	p.client = &http.Client{Transport: transport, Timeout: checkTimeout}
+	p.client = newClient()
 	p.checks = map[string]*check{}
 	ticker := time.NewTicker(scanInterval)
 	defer ticker.Stop()
@@ -68,6 +69,13 @@
 	}
 }
 
+func newClient() *http.Client {
+	transport := &http.Transport{
+		DialContext: (&net.Dialer{Timeout: checkTimeout}).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+	return &http.Client{Transport: transport, Timeout: checkTimeout}
+}
+
 // scan starts the checks that are due and removes upstreams that recovered or no longer
 // exist.
 func (p *Prober) scan(ctx context.Context, now time.Time) {
