Charge the retry budget for requests that the transport sends again

What operators would see: more arrivals at a service than the retry budget allows, when many pooled connections break at once.

Cause: net/http sends a request that may be repeated again by itself if its pooled connection breaks before the response. This happens inside one attempt; neither the log nor the budget of the service knew of it.

Change: an attempt counts these sends, and they are charged to the budget after the fact, so that fewer other retries are allowed. They are not switched off, as a server that closes an idle connection is their usual cause.

Evidence: in TestExchangeCountsWhatTheTransportSendsAgain an upstream receives three requests for two attempts; the second attempt now reports one resend.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -441,6 +441,19 @@
 		u.Counters.ConsecutiveFailures.Add(1)
 	}
 	d.endAttempt(r, open, result)
+	d.recordResends(r, result)
 	d.countCrash(r, u, &result)
 	return result
 }
+
+// recordResends charges the retry budget for the sends that the transport repeated by itself.
+func (d *Dispatcher) recordResends(r *Request, result relay.Result) {
+	if result.Resends == 0 {
+		return
+	}
+	if r.RouteParams != nil {
+		d.ServiceRetryBudgets.RecordRetries(time.Now(), r.Target, result.Resends)
+		return
+	}
+	d.budget.Record(time.Now(), result.Resends)
+}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -51,6 +51,12 @@
 	return c.writes
 }
 
+func (c *conn) writeCount() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
 func (c *conn) release() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -166,6 +172,19 @@
 	return unsent
 }
 
+// resends returns how often net/http sent the request again by itself. It does so for a request
+// that may be repeated if a pooled connection breaks before the response.
+func (s *sendTracker) resends() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range s.uses[:max(len(s.uses)-1, 0)] {
+		if u.conn.writeCount() != u.writesBefore {
+			n++
+		}
+	}
+	return n
+}
+
 // seal seals the connections, so that no other attempt uses them.
 func (s *sendTracker) seal() {
 	s.mu.Lock()
--- a/internal/relay/exchange_test.go
+++ b/internal/relay/exchange_test.go
@@ -205,6 +205,27 @@
 	}
 }
 
+// Guards against requests that reach an upstream again without counting as retries.
+func TestExchangeCountsWhatTheTransportSendsAgain(t *testing.T) {
+	u := startByteUpstream(t, func(n int) (string, func(net.Conn)) {
+		if n == 2 {
+			return "", closeConn
+		}
+		return response(validHead, "right"), nil
+	})
+	r := New(DefaultLimits())
+	for _, want := range []int{0, 1} {
+		a := newAttempt(u)
+		a.Method, a.Body, a.Repeatable = "GET", nil, true
+		if result := r.Do(context.Background(), a, &memorySink{}); result.Err != nil || result.Resends != want {
+			t.Errorf("got %v and %d resends, want %d", result.Err, result.Resends, want)
+		}
+	}
+	if len(u.heads) != 3 {
+		t.Errorf("the upstream received %d requests, want 3", len(u.heads))
+	}
+}
+
 // Guards against rejecting a response whose body is delimited by the close of its
 // connection.
 func TestExchangeTakesAnAnswerThatEndsWithItsConnection(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -146,6 +146,9 @@
 	// Attempts and Crashes are the counts of the other instance for a forwarded request.
 	Attempts int
 	Crashes  int
+	// Resends is how often the request was sent to the upstream again within the attempt, after
+	// a pooled connection broke before the response.
+	Resends int
 }
 
 // Relay sends attempts to upstreams over pooled connections. It is safe for concurrent
@@ -213,11 +216,14 @@
 	}
 	resp, err := r.transport(a).RoundTrip(req)
 	if err != nil {
-		return r.classifySendError(w, sent, a, err)
+		result := r.classifySendError(w, sent, a, err)
+		result.Resends = sent.resends()
+		return result
 	}
 	defer sent.release()
 	defer resp.Body.Close()
 	result := r.handleResponse(w, sent, resp, a, sink)
+	result.Resends = sent.resends()
 	if result.Outcome == retry.TimedOut {
 		r.pool.dropIdle(a.Address)
 	}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -46,6 +46,13 @@
 	return b.take(now, func(requests int64) float64 { return max(budgetFloor, budgetShare*float64(requests)) })
 }
 
+// Record counts retries that were made without Take.
+func (b *Budget) Record(now time.Time, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bucket(now).retries += int64(n)
+}
+
 // take counts a retry if the limit for the number of requests in the window allows it.
 func (b *Budget) take(now time.Time, limit func(requests int64) float64) bool {
 	b.mu.Lock()
--- a/internal/retry/budgets.go
+++ b/internal/retry/budgets.go
@@ -48,6 +48,11 @@
 	b.forService(service).RecordRequest(now)
 }
 
+// RecordRetries counts retries to the service that were made without Take.
+func (b *Budgets) RecordRetries(now time.Time, service string, n int) {
+	b.forService(service).Record(now, n)
+}
+
 // Take reports whether one more retry to the service is allowed, and counts it if so.
 func (b *Budgets) Take(now time.Time, service string, instances int) bool {
 	share := b.limits.Share * budgetSafetyFactor
--- a/internal/retry/budgets_test.go
+++ b/internal/retry/budgets_test.go
@@ -49,3 +49,13 @@
 		t.Error("no retry was allowed")
 	}
 }
+
+// Guards against a budget that allows more retries because some were made without asking it.
+func TestBudgetsChargeRetriesMadeWithoutAsking(t *testing.T) {
+	budgets := retry.NewBudgets(retry.Limits{Slack: 10})
+	now := time.Unix(1000, 0)
+	budgets.RecordRetries(now, "s", 6)
+	if !budgets.Take(now, "s", 1) || budgets.Take(now, "s", 1) {
+		t.Error("want one more retry of seven after six")
+	}
+}
