Send a request that crashes servers in the soak

A caller of the soak now sends one request for a minute that ends every server that runs it; all servers of a run end in the same way (reset or silence, before or in the response, by the seed), lose their row 3.3 s later and are replaced. A rule checks the operators' bound: later than 5 s after the third crash, undisturbed instances send it to servers at most three times more.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -38,6 +39,7 @@
 	kindRerouted:    {http.MethodGet, "/m/"},
 	kindRegionBound: {http.MethodPost, "/b/"},
 	kindLimited:     {http.MethodGet, "/r/"},
+	kindHarmful:     {http.MethodGet, "/r/"},
 }
 
 // callerGroup holds all callers of a run and the calls that they recorded.
@@ -60,6 +62,8 @@
 	addresses []string
 	listed    time.Time
 	sent      int
+	// harmful is the path of the harmful request that the caller sends; empty for none.
+	harmful string
 }
 
 func (c *callerGroup) newCaller(name, region string, rng *rand.Rand) *caller {
@@ -87,6 +91,23 @@
 
 func pickLimited(*caller) (requestKind, string) { return kindLimited, limitedKey }
 
+const (
+	// harmfulPath is part of the path of a request that crashes every server.
+	harmfulPath = "harmful"
+	// harmfulPeriod is how long a caller repeats one harmful request before it sends another.
+	harmfulPeriod   = time.Minute
+	maxHarmfulPause = 150 * time.Millisecond
+)
+
+// pickHarmful returns a function that picks the harmful request of the current period.
+func pickHarmful() func(*caller) (requestKind, string) {
+	started := time.Now()
+	return func(c *caller) (requestKind, string) {
+		c.harmful = fmt.Sprintf("%s-%d", harmfulPath, time.Since(started)/harmfulPeriod)
+		return kindHarmful, mainKey
+	}
+}
+
 // send sends one request to an instance, records the call and returns its result.
 func (c *caller) send(k requestKind, key string) result {
 	e := c.pickInstance()
@@ -96,11 +117,12 @@
 	c.sent++
 	id := fmt.Sprintf("%s-%d", c.name, c.sent)
 	target := requestPaths[k]
-	request := standin.Call{ID: id, Method: target.method, Path: target.prefix + id + "?x=%20", Key: key, Timeout: requestDeadline}
+	path := cmp.Or(c.harmful, id+"?x=%20")
+	request := standin.Call{ID: id, Method: target.method, Path: target.prefix + path, Key: key, Timeout: requestDeadline}
 	if target.method == http.MethodPost {
 		request.Body = fmt.Appendf(nil, "body of %s", id)
 	}
-	record := call{id: id, kind: k, node: e, key: key, sent: time.Now()}
+	record := call{id: id, kind: k, node: e, key: key, sent: time.Now(), content: c.harmful}
 	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
 		WroteRequest: func(i httptrace.WroteRequestInfo) { record.written = i.Err == nil },
 	})
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -60,16 +60,18 @@
 	serverCount int
 	// unexpectedExits describe processes that exited without a request, or not in time after one.
 	unexpectedExits []string
+	closed          bool
+	crashMode       standin.CrashMode
 }
 
 // startCluster starts the platform and prepares the given number of entry instances in each
-// region.
-func startCluster(dir, program string, perRegion int) (*cluster, error) {
+// region. crashMode is how servers end under a harmful request.
+func startCluster(dir, program string, perRegion int, crashMode standin.CrashMode) (*cluster, error) {
 	store, err := standin.StartStore()
 	if err != nil {
 		return nil, err
 	}
-	s := &cluster{dir: dir, program: program, store: store, servers: map[string]*server{}}
+	s := &cluster{dir: dir, program: program, store: store, servers: map[string]*server{}, crashMode: crashMode}
 	for _, r := range regions {
 		for _, service := range []string{servicePlain, servicePlain, servicePlain, serviceStatus1, serviceStatus2, serviceStream, serviceStream} {
 			if _, err := s.addServer(service, r); err != nil {
@@ -110,6 +112,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for _, srv := range s.servers {
 		srv.link.Close()
 		srv.Close()
@@ -141,12 +144,38 @@
 		return nil, err
 	}
 	srv := &server{UpstreamServer: upstream, link: link}
+	upstream.SetCrash(harmfulPath, s.crashMode)
+	upstream.OnCrash = func() { s.replaceCrashed(srv) }
 	s.servers[config.ID] = srv
 	s.active = append(s.active, srv)
-	s.store.PutServer(config, link.Address(), false)
+	s.store.PutServer(upstream.Config, link.Address(), false)
 	return srv, nil
 }
 
+// crashModes are the ways in which servers end; all servers of a run end in the same way.
+var crashModes = []standin.CrashMode{
+	standin.CrashBeforeResponse, standin.CrashDuringResponse, standin.CrashSilently, standin.CrashSilentlyDuringResponse,
+}
+
+// rowExpiry is the time after which the store drops the row of a server that crashed.
+const rowExpiry = 3300 * time.Millisecond
+
+// replaceCrashed removes the row of a crashed server once it has expired, and starts another one.
+func (s *cluster) replaceCrashed(srv *server) {
+	srv.faults.begin()
+	s.removeActive(srv)
+	time.AfterFunc(rowExpiry, func() {
+		s.mu.Lock()
+		closed := s.closed
+		s.mu.Unlock()
+		if closed {
+			return
+		}
+		s.store.DeleteServer(srv.Config.ID)
+		_, _ = s.addServer(srv.Config.Service, regionOf(srv.Config.FailureDomain))
+	})
+}
+
 // randomServer returns a random server that is not draining.
 func (s *cluster) randomServer(rng *rand.Rand) *server {
 	s.mu.Lock()
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -20,10 +20,14 @@
 	kindRegionBound requestKind = "bound"
 	// kindLimited requests are reads of a client account that exceeds its rate limit.
 	kindLimited requestKind = "metered"
+	// kindHarmful requests are reads that crash every server which executes them.
+	kindHarmful requestKind = "harmful"
 )
 
 // idempotent reports whether a request may be executed more than once.
-func (k requestKind) idempotent() bool { return k == kindRead || k == kindRerouted || k == kindLimited }
+func (k requestKind) idempotent() bool {
+	return k == kindRead || k == kindRerouted || k == kindLimited || k == kindHarmful
+}
 
 // result classifies the response that a caller received.
 type result string
@@ -54,6 +58,8 @@
 	// written is true if the request was written to a connection completely.
 	written bool
 	detail  string
+	// content names the harmful content of a kindHarmful request.
+	content string
 }
 
 // configVersion is one version of the operators' configuration.
--- a/internal/soak/rules.go
+++ b/internal/soak/rules.go
@@ -29,11 +29,15 @@
 	// lateGrace is the time after its time limit by which a request must have its final
 	// response. The rule is violated by more than maxLate late requests that are also more
 	// than a quarter of the requests that reached their time limit.
-	lateGrace  = 500 * time.Millisecond
-	maxLate    = 8
-	rateWindow = 8 * time.Second
-	rateExcess = 0.1
-	quotaSlack = 20
+	lateGrace = 500 * time.Millisecond
+	maxLate   = 8
+	// tolerableCrashes is the number of servers that one request may crash. Later than
+	// settleTime after that, it may reach servers maxLateRetries more times.
+	tolerableCrashes = 3
+	maxLateRetries   = 3
+	rateWindow       = 8 * time.Second
+	rateExcess       = 0.1
+	quotaSlack       = 20
 )
 
 // Violation is one violation of a rule.
@@ -62,6 +66,7 @@
 	{"shutdown", checkShutdown},
 	{"sound_connections", checkHealthyConnections},
 	{"time_limits", checkTimeLimits},
+	{"harmful_requests", checkHarmfulRequests},
 }
 
 // checkRules returns the violations of all rules in a history.
@@ -367,3 +372,33 @@
 		report("%d of %d requests that reached their time limit had no final response %s after it", late, long, lateGrace)
 	}
 }
+
+// checkHarmfulRequests reports requests that were sent on after they had crashed
+// tolerableCrashes servers.
+func checkHarmfulRequests(e *history, report func(string, ...any)) {
+	type arrival struct {
+		call      call
+		execution standin.ExecutedRequest
+	}
+	byContent := map[string][]arrival{}
+	for _, c := range e.calls {
+		for _, execution := range e.executions[c.id] {
+			if c.kind == kindHarmful {
+				byContent[c.content] = append(byContent[c.content], arrival{c, execution})
+			}
+		}
+	}
+	for content, arrivals := range byContent {
+		slices.SortFunc(arrivals, func(a, b arrival) int { return a.execution.At.Compare(b.execution.At) })
+		late := 0
+		for _, a := range arrivals[min(tolerableCrashes, len(arrivals)):] {
+			third := arrivals[tolerableCrashes-1].execution.At
+			if a.execution.At.After(third.Add(settleTime)) && e.sendersUndisturbed(a.call, a.execution) {
+				late++
+			}
+		}
+		if late > maxLateRetries {
+			report("%s reached servers %d times later than %s after it had crashed %d servers, %d times in all", content, late, settleTime, tolerableCrashes, len(arrivals))
+		}
+	}
+}
--- a/internal/soak/rules_test.go
+++ b/internal/soak/rules_test.go
@@ -141,6 +141,12 @@
 				r.add(call{kind: kindRead, sent: at(time.Second), ended: at(4 * time.Second), result: failed})
 			}
 		}},
+		{"harmful request sent on", "harmful_requests", func(r env) { r.addHarmful(maxLateRetries + 1) }},
+		{"harmful request sent on a few times", "", func(r env) { r.addHarmful(maxLateRetries) }},
+		{"harmful request sent on by restarted instances", "", func(r env) {
+			r.a.faults.list = []interval{{at(3 * time.Second), at(4 * time.Second)}}
+			r.addHarmful(maxLateRetries + 1)
+		}},
 	} {
 		r := newEnv()
 		c.fill(r)
@@ -160,6 +166,18 @@
 	}
 }
 
+// addHarmful records a harmful request that crashes tolerableCrashes servers, and n times more
+// settleTime later.
+func (r env) addHarmful(n int) {
+	for i := range tolerableCrashes + n {
+		sent := at(time.Duration(i) * time.Millisecond)
+		if i >= tolerableCrashes {
+			sent = sent.Add(settleTime + time.Second)
+		}
+		r.add(call{kind: kindHarmful, content: "harmful-1", sent: sent, result: failed}, execution("s1", "a-1", servicePlain))
+	}
+}
+
 // addLost records one more request without a response than is tolerated.
 func (r env) addLost(execution standin.ExecutedRequest) {
 	for range maxLost + 1 {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -97,7 +97,7 @@
 // Run performs one run. It returns an error only for failures of the test setup; those of
 // the gateway are violations in the report.
 func Run(ctx context.Context, o Options) (Report, error) {
-	cluster, err := startCluster(o.Dir, o.Binary, o.InstancesPerRegion)
+	cluster, err := startCluster(o.Dir, o.Binary, o.InstancesPerRegion, crashModes[o.Seed%uint64(len(crashModes))])
 	if cluster != nil {
 		defer cluster.close()
 	}
@@ -191,6 +191,8 @@
 		c := s.callers.newCaller(fmt.Sprintf("m%d", n), regions[n%len(regions)], s.newRand("metered", n))
 		running.Go(func() { c.run(ctx, pickLimited, maxLimitedPause) })
 	}
+	harmful := s.callers.newCaller("h", regions[0], s.newRand("harmful", 0))
+	running.Go(func() { harmful.run(ctx, pickHarmful(), maxHarmfulPause) })
 }
 
 // newRand returns the random source of one part of the run.
