Bound the chunk framing of a response

What callers saw: an upstream that sends a body without end in chunks of one byte kept an attempt busy for 54 s beside load, as its 16 million chunks are read one by one until the size limit of the body is reached.

Cause: the limit counts the bytes of the body, not those that arrive. Chunks of one byte are six times as long as their content.

Change: a response may be longer than twice its body by at most 1 MB, its head included. Beyond that the attempt fails as a fault of the upstream.

--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -20,20 +20,25 @@
 	drainTimeout = 20 * time.Millisecond
 )
 
+// maxFramingBytes bounds the bytes of a response, head included, beyond twice its body. Chunks of
+// one byte are six times as long as the body and take long to read.
+const maxFramingBytes = 1 << 20
+
 var (
 	// errResponseTooLarge reports a declared length above the limit, which every upstream would
 	// send, and errEndlessBody a body without a declared length that does not end.
 	errResponseTooLarge = errors.New("the response exceeds the size limit")
 	errNoMemory         = errors.New("too many large responses are buffered at the same time")
+	errFraming          = errors.New("the response consists mostly of chunk framing")
 	errEndlessBody      = errors.New("the response has no length and does not end within the size limit")
 	errNoLength         = errors.New("the response has neither a Content-Length nor chunked encoding")
 )
 
 // copyBuffered delivers a non-streaming API response once its whole body has arrived.
-func (r *Relay) copyBuffered(w *watchdog, resp *http.Response, a Attempt, sink Sink) Result {
+func (r *Relay) copyBuffered(w *watchdog, sent *sendTracker, resp *http.Response, a Attempt, sink Sink) Result {
 	share := r.memory.newShare()
 	defer share.release()
-	body, err := r.readBody(w, share, resp, a.Method, false)
+	body, err := r.readBody(w, sent, share, resp, a.Method, false)
 	if err != nil {
 		return classifyBodyError(w, err, false)
 	}
@@ -70,8 +75,9 @@
 }
 
 // readBody reads the whole body. allowUnframed allows a body that is delimited by the close
-// of its connection; a connection reset is always an error.
-func (r *Relay) readBody(w *watchdog, share *bufferShare, resp *http.Response, method string, allowUnframed bool) ([]byte, error) {
+// of its connection; a connection reset is always an error. share counts the bytes that are
+// held, and sent those that arrive on the connection.
+func (r *Relay) readBody(w *watchdog, sent *sendTracker, share *bufferShare, resp *http.Response, method string, allowUnframed bool) ([]byte, error) {
 	if method == http.MethodHead {
 		return nil, nil
 	}
@@ -96,6 +102,9 @@
 		if buffered.Len() > r.limits.MaxBufferedBytes {
 			return nil, errEndlessBody
 		}
+		if sent.received()-2*int64(buffered.Len()) > maxFramingBytes {
+			return nil, errFraming
+		}
 		if errors.Is(err, io.EOF) {
 			return buffered.Bytes(), nil
 		}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 )
 
 var errSealed = errors.New("the connection was sealed because its attempt has ended")
@@ -17,6 +18,9 @@
 	pool    *connPool
 	address string
 
+	// received is the number of bytes read.
+	received atomic.Int64
+
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
@@ -25,6 +29,13 @@
 	users int
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -140,8 +151,10 @@
 
 type connUse struct {
 	conn *conn
-	// writesBefore is the number of writes before the attempt used the connection.
-	writesBefore uint64
+	// writesBefore is the number of writes, and receivedBefore that of received bytes, before
+	// the attempt used the connection.
+	writesBefore   uint64
+	receivedBefore int64
 }
 
 func (s *sendTracker) withTrace(ctx context.Context) context.Context {
@@ -156,7 +169,19 @@
 		s.unknownConn = true
 		return
 	}
-	s.uses = append(s.uses, connUse{conn: c, writesBefore: c.use()})
+	s.uses = append(s.uses, connUse{conn: c, writesBefore: c.use(), receivedBefore: c.received.Load()})
+}
+
+// received returns the number of bytes that the connection of the response has received since
+// the attempt began.
+func (s *sendTracker) received() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.uses) == 0 {
+		return 0
+	}
+	last := s.uses[len(s.uses)-1]
+	return last.conn.received.Load() - last.receivedBefore
 }
 
 // sealAndCheckUnsent seals the connections and reports whether provably no byte was sent.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -93,10 +93,10 @@
 // request.
 func (r *Relay) handleResponse(w *watchdog, sent *sendTracker, resp *http.Response, a Attempt, sink Sink) Result {
 	if a.Protocol == nil {
-		return r.handleAPIResponse(w, resp, a, sink)
+		return r.handleAPIResponse(w, sent, resp, a, sink)
 	}
 	metadata := a.Protocol.DecodeResponse(resp.StatusCode, resp.Header)
-	result := r.handleHostResponse(w, resp, metadata, a, sink)
+	result := r.handleHostResponse(w, sent, resp, metadata, a, sink)
 	result.Load = metadata.Load
 	if result.Err != nil && result.Outcome != retry.Rejected && result.ErrorResponse == nil {
 		sent.seal()
@@ -104,7 +104,7 @@
 	return result
 }
 
-func (r *Relay) handleHostResponse(w *watchdog, resp *http.Response, metadata ResponseMetadata, a Attempt, sink Sink) Result {
+func (r *Relay) handleHostResponse(w *watchdog, sent *sendTracker, resp *http.Response, metadata ResponseMetadata, a Attempt, sink Sink) Result {
 	idMatches := metadata.RequestID == a.RequestID
 	if metadata.NotExecuted && (idMatches || metadata.RequestID == "") {
 		return r.handleRejection(w, resp, metadata, a)
@@ -122,7 +122,7 @@
 	if a.StreamPosition != nil && a.StreamPosition.Started {
 		return upstreamFault(errkind.ResponseIncomplete, errkind.Executed, retry.Failed, nil, "the upstream could not resume the stream")
 	}
-	return r.copyHostBuffered(w, resp, a, sink)
+	return r.copyHostBuffered(w, sent, resp, a, sink)
 }
 
 // handleRejection handles a response which states that the request was not executed. It
@@ -140,10 +140,10 @@
 
 // copyHostBuffered delivers a non-streaming response of a host route once its whole body
 // has arrived. A response with a 5xx status is held back, since the request may be retried.
-func (r *Relay) copyHostBuffered(w *watchdog, resp *http.Response, a Attempt, sink Sink) Result {
+func (r *Relay) copyHostBuffered(w *watchdog, sent *sendTracker, resp *http.Response, a Attempt, sink Sink) Result {
 	share := r.memory.newShare()
 	defer share.release()
-	body, err := r.readBody(w, share, resp, a.Method, true)
+	body, err := r.readBody(w, sent, share, resp, a.Method, true)
 	if err != nil {
 		return classifyBodyError(w, err, false)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -237,7 +237,7 @@
 	return r.writes
 }
 
-func (r *Relay) handleAPIResponse(w *watchdog, resp *http.Response, a Attempt, sink Sink) Result {
+func (r *Relay) handleAPIResponse(w *watchdog, sent *sendTracker, resp *http.Response, a Attempt, sink Sink) Result {
 	if got := resp.Header.Get(HeaderRequestID); got != a.RequestID {
 		return upstreamFault(errkind.ResponseMismatched, errkind.ExecutionUnknown, retry.Failed, nil, "the upstream sent a response for another request")
 	}
@@ -256,7 +256,7 @@
 	if a.StreamPosition != nil && a.StreamPosition.HasLastEventID {
 		return upstreamFault(errkind.ResponseIncomplete, errkind.Executed, retry.Failed, nil, "the upstream could not resume the stream")
 	}
-	return r.copyBuffered(w, resp, a, sink)
+	return r.copyBuffered(w, sent, resp, a, sink)
 }
 
 // overloadedResult returns the result for an engine that responded with 429.
