Log the share that an instance sends to a candidate, and its limit for a cold upstream

Callers saw a bad version with too many requests, and a cold upstream that was flooded. Nothing in the logs told which share of a service's requests an instance sent to a candidate, or how many requests a second it allowed itself to a cold upstream, so that the hypotheses (a share that vanished, a limit that was divided wrongly, a limit that was not applied) could not be told apart. One line for each change of a share, and a field limit in the line of a cold upstream. No decision is changed; go test ./internal/control passes.

--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -39,12 +39,28 @@
 		l.observer.Timeline.Record(timeline.Event{Kind: timeline.KindConfigInForce, Detail: fmt.Sprintf("revision %d", new.Config.Revision)})
 	}
 	l.observeQuarantine(old, new)
+	l.observeServiceSplits(old, new)
 	diffSorted(old.Peers, new.Peers, func(p *routing.Peer) string { return p.ID }, l.observePeer)
 	diffSorted(old.ModelRollouts, new.ModelRollouts, func(r *rollout.Rollout) string { return r.ID() }, l.observeRollout)
 	diffSorted(old.RolloutStops, new.RolloutStops, func(s *rollout.Stop) string { return s.RolloutID + " " + s.Instance }, l.observeStop)
 	diffSorted(old.Upstreams, new.Upstreams, func(u *routing.Upstream) string { return u.ID }, l.observeUpstream)
 }
 
+// observeServiceSplits reports the changes of the traffic share that this instance sends to the
+// candidate of a service rollout.
+func (l *Loop) observeServiceSplits(old, new *routing.Snapshot) {
+	for service, split := range new.ServiceSplits {
+		if old.ServiceSplits[service] != split {
+			l.log("service_share", logrus.Fields{"service": service, "version": split.Candidate, "share": split.Share})
+		}
+	}
+	for service, split := range old.ServiceSplits {
+		if _, known := new.ServiceSplits[service]; !known {
+			l.log("service_share", logrus.Fields{"service": service, "version": split.Candidate, "share": "unlimited"})
+		}
+	}
+}
+
 // observeQuarantine reports the requests whose quarantine began or ended.
 func (l *Loop) observeQuarantine(old, new *routing.Snapshot) {
 	for f := range new.Quarantined {
@@ -109,11 +125,11 @@
 }
 
 // log writes a log line for a state change if the observer has a log. The event and the
-// fields tell which peer or upstream changed and how.
+// fields tell what changed and how.
 func (l *Loop) log(event string, fields logrus.Fields) {
 	if l.observer.Log != nil {
 		fields["event"] = event
-		l.observer.Log.WithFields(fields).Info("peer or upstream state changed")
+		l.observer.Log.WithFields(fields).Info("state of a peer, an upstream or a rollout changed")
 	}
 }
 
@@ -136,7 +152,7 @@
 	case new.Evacuated != old.Evacuated:
 		l.log("upstream", logrus.Fields{"upstream": new.ID, "change": "evacuated", "reason": new.Evacuated})
 	case new.Cold != old.Cold:
-		l.log("upstream", logrus.Fields{"upstream": new.ID, "change": "cold", "reason": new.Cold})
+		l.log("upstream", logrus.Fields{"upstream": new.ID, "change": "cold", "reason": new.Cold, "limit": new.ColdRateLimit})
 	}
 }
 
