--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -140,6 +140,75 @@
 	}
 }
 
+// Guards against a candidate that gets all requests of a region whose upstreams of the running
+// version leave or have crashed.
+func TestACandidateGetsOnlyItsShareWhereTheRunningVersionIsGone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	x := newServiceTables("e0", 8)
+	x.identity.CanaryShare = 0.1
+	listed := listedUpstream(func(i *external.Instance) { i.Version, i.State = "v2", external.InstanceLive })
+	running := external.Instance{ID: "old", Role: external.RoleService, Region: "a", Service: "s", Version: "v1", State: external.InstanceDraining}
+	ServiceRolloutsEvent{Rollouts: []rollout.ServiceRollout{{Service: "s", Version: "v2", State: rollout.Serving}}}.apply(x, now)
+	for name, event := range map[string]InstancesEvent{
+		"leaving": {Instances: append(listed.Instances, running)},
+		"crashed": listed,
+	} {
+		event.apply(x, now)
+		if split := buildSnapshot(x, now).ServiceSplits["s"]; split.Candidate != "v2" || split.Share <= 0 || split.Share > 0.1 {
+			t.Errorf("%s: the split is %+v", name, split)
+		}
+	}
+}
+
+// Guards against a cold upstream that is flooded because its row was missing for a moment.
+func TestAnUpstreamWhoseRowVanishesForAMomentStaysCold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	x := newServiceTables("e0", 3)
+	listedUpstream(nil).apply(x, now)
+	EvacuationEvent{Domains: map[string]struct{}{"a1": {}}}.apply(x, now)
+	EvacuationEvent{}.apply(x, now)
+	InstancesEvent{}.apply(x, now.Add(500*time.Millisecond))
+	listedUpstream(nil).apply(x, now.Add(time.Second))
+	if s := buildSnapshot(x, now.Add(time.Second)); !s.Upstreams[0].Cold {
+		t.Error("the same process is no longer cold")
+	}
+	listedUpstream(func(i *external.Instance) { i.StartedAtUnixMilli = 2 }).apply(x, now.Add(time.Second))
+	if s := buildSnapshot(x, now.Add(time.Second)); s.Upstreams[0].Cold {
+		t.Error("another process with the same id is cold")
+	}
+}
+
+// Guards against a cold upstream that is flooded by instances that restart and no longer know
+// what they sent, or that start for the first time and are not yet counted by the others.
+func TestAStartingInstanceSendsNothingToColdUpstreams(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name   string
+		listed bool
+		after  time.Duration
+		sends  bool
+	}{
+		{"restarted, at once", true, 0, false},
+		{"restarted, within the second of its last requests", true, time.Second, false},
+		{"restarted, later", true, 1200 * time.Millisecond, true},
+		{"new, not yet known to all", false, 3400 * time.Millisecond, false},
+		{"new, later", false, 5 * time.Second, true},
+	} {
+		x := newTables(Identity{ID: "e0", Region: "a", ColdExcess: 1.5, ColdSlack: 3})
+		x.config.Services["s"] = opconfig.Service{Name: "s", ColdRateLimit: 2.5}
+		event := listedUpstream(func(i *external.Instance) { i.ColdFor = time.Minute })
+		if c.listed {
+			event.Instances = append(event.Instances, external.Instance{ID: "e0", Role: external.RoleEntry, Region: "a"})
+		}
+		event.apply(x, now)
+		event.Instances = append(event.Instances, external.Instance{ID: "e0", Role: external.RoleEntry, Region: "a"})
+		event.apply(x, now.Add(50*time.Millisecond))
+		if limit := buildSnapshot(x, now.Add(c.after)).Upstreams[0].ColdRateLimit; (limit > 0) != c.sends {
+			t.Errorf("%s: %d requests a second", c.name, limit)
+		}
+	}
+}
+
 // Guards against an instance that detected a faulty version itself but keeps sending to it
 // because the fleet has not decided yet.
 func TestAVersionGetsNothingWhereItWasStopped(t *testing.T) {
