Keep a candidate to its share where the running version is gone

Cause: a region without a live upstream of the running version counted as a region that had moved to the candidate already, and its split was dropped: all requests of the region ran on the candidate. Rows of crashed upstreams expire after about 3 s and leaving ones count as not live, so that crashes, brittle servers or a replacement of the region's servers are enough. Other regions forwarded more requests there, because its candidates were reported as capacity.

Change: a split is dropped only if no region has listed an upstream of another version since the order. Otherwise the share holds, and the other requests go to another region or are rejected at once. Upstreams of a version with a small share are not reported as capacity.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"heatherloom/internal/external"
 	"heatherloom/internal/membership"
 	"heatherloom/internal/rollout"
 	"heatherloom/internal/routing"
@@ -56,7 +55,9 @@
 	maxFailedAttempts = 40
 )
 
-// serviceSplits returns the traffic split of each service with a rollout.
+// serviceSplits returns the traffic split of each service with a rollout. The share of a
+// candidate also holds in a region without an upstream of the running version: requests that
+// do not belong to the candidate go to another region or are rejected.
 func serviceSplits(t *tables, instances int) map[string]routing.ServiceSplit {
 	splits := make(map[string]routing.ServiceSplit, len(t.serviceRollouts))
 	for _, r := range t.serviceRollouts {
@@ -65,8 +66,7 @@
 		case r.State == rollout.Done:
 			split.Share = 1
 		case r.State == rollout.RolledBack || t.stoppedLocally(r, instances):
-		case !t.hasOtherVersion(r):
-			// All live upstreams of the region already run the candidate.
+		case r.OnlyVersion:
 			continue
 		default:
 			split.Share = canaryFraction * t.identity.CanaryShare
@@ -76,14 +76,6 @@
 	return splits
 }
 
-// hasOtherVersion reports whether the region has a live upstream of another version.
-func (t *tables) hasOtherVersion(r rollout.ServiceRollout) bool {
-	return slices.ContainsFunc(t.sortedUpstreams, func(row *upstreamRow) bool {
-		i := row.instance
-		return i.Service == r.Service && i.Version != r.Version && i.State == external.InstanceLive
-	})
-}
-
 // stoppedLocally reports whether this instance no longer sends to the candidate of a
 // rollout: it made a local stop, or saw its share of maxFailedAttempts. The second is not
 // reported to other instances.
--- a/internal/rollout/service.go
+++ b/internal/rollout/service.go
@@ -16,6 +16,8 @@
 	Deadline time.Time
 	// State is Serving until the rollout has ended.
 	State State
+	// OnlyVersion is true if no region has listed an upstream of another version since the order.
+	OnlyVersion bool
 	// Recorded is true once the state is stored where operators can read it. Revision is
 	// the revision of the key that holds a state, 0 if there is none.
 	Recorded bool
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -350,7 +350,13 @@
 	WaitSeconds float64
 }
 
-// ServiceLoads returns the load of each service in the local region at the given time.
+// majority reports whether most requests run on a version.
+func (v ServiceSplit) majority(version string) bool {
+	return v.Candidate == "" || (version == v.Candidate) == (v.Share > 0.5)
+}
+
+// ServiceLoads returns the load of each service in the local region at the given time. Upstreams
+// of a version that gets only a small share of the requests do not count.
 func (s *Snapshot) ServiceLoads(now int64) map[string]ServiceLoad {
 	loads := map[string]ServiceLoad{}
 	for target, candidates := range s.ByTarget {
@@ -358,7 +364,7 @@
 		total := 0.0
 		for _, i := range candidates {
 			u := &s.Upstreams[i]
-			if u.Draining || u.Down || u.Evacuated || u.Cold || u.Counters.Stalled(now, stallTimeout) {
+			if u.Draining || u.Down || u.Evacuated || u.Cold || u.Counters.Stalled(now, stallTimeout) || !s.ServiceSplits[target].majority(u.Version) {
 				continue
 			}
 			cost, _ := upstreamCost(u, now, 0)
--- a/internal/routing/service_test.go
+++ b/internal/routing/service_test.go
@@ -96,6 +96,27 @@
 	}
 }
 
+// Guards against requests that run on a candidate, or are forwarded to a region that has only the
+// candidate, because the running version is gone there.
+func TestARegionWithOnlyTheCandidateServesItsShareAlone(t *testing.T) {
+	s := serviceSnapshot(serviceUpstream("new", func(u *Upstream) { u.Version = "v2" }))
+	s.ServiceSplits = map[string]ServiceSplit{testService: {Candidate: "v2", Share: 0.05}}
+	if loads := s.ServiceLoads(testNow.UnixNano()); len(loads) != 0 {
+		t.Errorf("reported to other regions: %+v", loads)
+	}
+	if got := pickService(s, serviceRequest()); got != "" {
+		t.Errorf("picked %q in the only region", got)
+	}
+	s.Peers = []Peer{servicePeer("b1", "b", 0)}
+	if got := pickService(s, serviceRequest()); got != "b1" {
+		t.Errorf("picked %q although another region has the running version", got)
+	}
+	s.ServiceSplits[testService] = ServiceSplit{Candidate: "v2", Share: 1}
+	if loads := s.ServiceLoads(testNow.UnixNano()); len(loads) != 1 {
+		t.Error("a version that was rolled out is not reported to other regions")
+	}
+}
+
 // Guards against a request that stays in a region with a long queue while another region is
 // idle, and against one that is forwarded to another region without need.
 func TestServicePickSpillsWhenAnotherRegionIsClearlyFaster(t *testing.T) {
--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -164,7 +164,7 @@
 	if changed.evacuated {
 		f.Loop.Post(ctx, control.EvacuationEvent{Domains: f.view.evacuatedDomains()})
 	}
-	if changed.serviceRollouts {
+	if changed.serviceRollouts || changed.instances {
 		f.Loop.Post(ctx, control.ServiceRolloutsEvent{Rollouts: f.view.serviceRollouts()})
 	}
 }
--- a/internal/storefeed/view.go
+++ b/internal/storefeed/view.go
@@ -38,13 +38,16 @@
 	log       *logrus.Entry
 	rows      map[string]row
 	config    *opconfig.Config
+	// replaces holds the ids of the service rollouts for which an upstream of another version
+	// was listed, in any region.
+	replaces map[string]bool
 	// recovered is when the store last became available after an outage.
 	recovered time.Time
 	changed   changedParts
 }
 
 func newView(documents external.DocumentCodec, log *logrus.Entry) view {
-	return view{documents: documents, log: log, rows: map[string]row{}}
+	return view{documents: documents, log: log, rows: map[string]row{}, replaces: map[string]bool{}}
 }
 
 // replace applies a full read. Keys that it does not contain are removed.
@@ -174,6 +177,20 @@
 	return stored
 }
 
+// recordReplaced records for which orders an upstream of another version is listed.
+func (v *view) recordReplaced(rollouts []rollout.ServiceRollout) {
+	ordered := map[string]bool{}
+	for _, r := range rollouts {
+		ordered[r.ID()] = true
+		for _, row := range v.rows {
+			if i := row.document.Instance; i != nil && i.Service == r.Service && i.Version != r.Version {
+				v.replaces[r.ID()] = true
+			}
+		}
+	}
+	maps.DeleteFunc(v.replaces, func(id string, _ bool) bool { return !ordered[id] })
+}
+
 // serviceRollouts returns the service rollouts that the operators ordered. A state that is
 // older than its order, or of another version, belongs to a previous order.
 func (v *view) serviceRollouts() []rollout.ServiceRollout {
@@ -197,6 +214,10 @@
 		}
 		list = append(list, serviceRollout)
 	}
+	v.recordReplaced(list)
+	for i := range list {
+		list[i].OnlyVersion = !v.replaces[list[i].ID()]
+	}
 	slices.SortFunc(list, func(a, b rollout.ServiceRollout) int { return cmp.Compare(a.Service, b.Service) })
 	return list
 }
--- a/internal/storefeed/view_test.go
+++ b/internal/storefeed/view_test.go
@@ -38,6 +38,8 @@
 		return external.Document{Instance: &external.Instance{ID: e.Key, Role: external.RoleEntry, State: external.InstanceLive}}, nil
 	case string(e.Value) == "broken":
 		return external.Document{}, errors.New("broken")
+	case strings.HasPrefix(e.Key, "version-"):
+		return external.Document{Instance: &external.Instance{ID: e.Key, Role: external.RoleService, Service: "s", Version: string(e.Value)}}, nil
 	default:
 		return external.Document{Instance: &external.Instance{ID: e.Key, Role: external.RoleService, State: external.InstanceState(e.Value)}}, nil
 	}
@@ -160,6 +162,31 @@
 	}
 }
 
+// Guards against a candidate that gets all requests because the upstreams of the other version have
+// crashed everywhere, and against one that never gets them although it is the only version.
+func TestViewKnowsWhetherAnotherVersionWasListed(t *testing.T) {
+	order, candidate, running := entry("order", "v2", 5), entry("version-a", "v2", 1), entry("version-b", "v1", 2)
+	for _, c := range []struct {
+		name   string
+		reads  [][]external.Entry
+		wanted bool
+	}{
+		{"the only version", [][]external.Entry{{order, candidate}}, true},
+		{"another version", [][]external.Entry{{order, candidate, running}}, false},
+		{"another version that crashed", [][]external.Entry{{order, candidate, running}, {order, candidate}}, false},
+	} {
+		v := testView()
+		var got []rollout.ServiceRollout
+		for _, read := range c.reads {
+			v.replace(read, start, time.Time{})
+			got = v.serviceRollouts()
+		}
+		if len(got) != 1 || got[0].OnlyVersion != c.wanted {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+}
+
 // Guards against sending requests to upstreams that left, in a large fleet. Upstreams that
 // leave without reporting it are known only by their missing row. Instances of a large fleet
 // read less often and must not take the time between two reads for an outage of the service.
