Keep what was read when the store returns from an older copy

Cause: instances took revisions of the store for the age of a row and the presence of a row for a fact. After a restore revisions go back and are given out again: - rows with a lower revision than a known one were ignored, so that an upstream that became cold, or left, kept its old row until the revisions had caught up; - an order that the copy lacked ended its rollout: the candidate was an ordinary upstream until the order was written again; - a rollout whose final state was lost, or whose order was written again under a later revision, ran again, a version that had been rolled back included; - the rows of instances were never written again. Instances that also do not hear each other then divide the limit of a cold upstream by too few; - an upstream that had left could return, and a watch from a revision that was given out again missed changes.

In a new era everything is read again, and what an instance has read before takes precedence over the copy until it is written again: rows of operators and upstreams for a bounded time, rows that instances write until they have written them. The end of a rollout belongs to its order, by its content and not by revisions.

--- a/internal/external/documents.go
+++ b/internal/external/documents.go
@@ -19,6 +19,9 @@
 	Entries []Entry
 	// Revision is a store revision. Every entry is at least as recent.
 	Revision int64
+	// Era increases each time the store is restored from a copy: revisions of different eras must
+	// not be compared. 0 if the store does not report it.
+	Era int64
 }
 
 // Changes are the changes below a prefix after a store revision, in order.
@@ -26,6 +29,9 @@
 	Events []WatchEvent
 	// Revision is the revision to continue from.
 	Revision int64
+	// Era is that of ReadResult. If it differs from that of the revision in the call, the changes
+	// are meaningless and everything has to be read again.
+	Era int64
 }
 
 // PollingStore is a key-value service whose changes are read by long polling instead of a
--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -59,6 +59,8 @@
 	view view
 	// lastSuccess is when the last successful call began.
 	lastSuccess time.Time
+	// era is that of the last successful call.
+	era int64
 	// unavailable is true while calls to the store fail.
 	unavailable bool
 }
@@ -66,7 +68,6 @@
 // Run registers this instance and follows the store until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	f.view = newView(f.Documents, f.Log)
-	go f.register(ctx)
 	go f.keepQuarantines(ctx)
 	revision := int64(0)
 	for ctx.Err() == nil {
@@ -91,23 +92,47 @@
 // from which to read next.
 func (f *Feed) poll(ctx context.Context, revision int64, started time.Time) (int64, error) {
 	if revision == 0 {
-		reading, err := f.Store.Read(ctx, "")
-		if err != nil {
-			return 0, err
-		}
-		f.view.replace(reading.Entries, started, f.keepExpiredUntil(started))
-		return reading.Revision, nil
+		return f.readAll(ctx, started)
 	}
 	changes, err := f.Store.Changes(ctx, "", revision, pollWait)
 	if err != nil {
 		return 0, err
 	}
+	if changes.Era != f.era {
+		return f.readAll(ctx, started)
+	}
 	for _, e := range changes.Events {
 		f.view.apply(e, started, f.keepExpiredUntil(started))
 	}
 	return changes.Revision, nil
 }
 
+// readAll reads everything. After the first read, and if the store was restored from a copy, it
+// registers this instance.
+func (f *Feed) readAll(ctx context.Context, started time.Time) (int64, error) {
+	reading, err := f.Store.Read(ctx, "")
+	if err != nil {
+		return 0, err
+	}
+	first, restored := f.lastSuccess.IsZero(), reading.Era != f.era
+	f.era = reading.Era
+	switch {
+	case restored && !first:
+		carried := f.view.restore(reading.Entries, started)
+		f.Log.WithFields(logrus.Fields{
+			telemetry.FieldEvent:    "store_restored",
+			telemetry.FieldRevision: reading.Revision,
+			"kept_rows":             carried,
+		}).Warn("the store was restored from a copy; rows that were read before stay in use until they are written again")
+	default:
+		f.view.replace(reading.Entries, started, f.keepExpiredUntil(started))
+	}
+	if first || restored {
+		go f.register(ctx)
+	}
+	return reading.Revision, nil
+}
+
 // interval returns the time between two reads of changes.
 func (f *Feed) interval() time.Duration {
 	if f.view.entryInstances() > membership.MaxFullMeshMembers {
--- a/internal/storefeed/quarantine.go
+++ b/internal/storefeed/quarantine.go
@@ -88,9 +88,9 @@
 	for f, until := range s.Quarantined {
 		stored, known := s.StoredQuarantines[f]
 		switch {
-		case known && !now.Before(stored.Until):
+		case known && stored.Revision != 0 && !now.Before(stored.Until):
 			wanted[quarantineChange{f, stored.Revision}] = true
-		case !known && now.Before(until) && len(s.StoredQuarantines) < maxStoredQuarantines:
+		case (!known || stored.Revision == 0) && now.Before(until) && len(s.StoredQuarantines) < maxStoredQuarantines:
 			wanted[quarantineChange{fingerprint: f}] = true
 		}
 	}
--- a/internal/storefeed/quarantine_test.go
+++ b/internal/storefeed/quarantine_test.go
@@ -32,6 +32,10 @@
 	if due := keeper.due(s, until); len(due) != 1 || due[0] != (quarantineChange{f, 5}) {
 		t.Errorf("changes after the end: %v, want the deletion of revision 5", due)
 	}
+	s.StoredQuarantines = map[quarantine.Fingerprint]quarantine.Stored{f: {Until: until}}
+	if due := keeper.due(s, start); len(due) != 1 || due[0] != (quarantineChange{fingerprint: f}) {
+		t.Errorf("changes after the store lost the row: %v, want a new row", due)
+	}
 }
 
 // Guards against all instances writing a quarantine at once, and against one that nobody writes
--- /dev/null
+++ b/internal/storefeed/restore.go
@@ -0,0 +1,141 @@
+package storefeed
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"heatherloom/internal/external"
+	"heatherloom/internal/quarantine"
+)
+
+// A store that was restored from a copy has lost its latest writes, and gives their revisions out
+// again. The operators and the upstreams write again what they had written, and the instances
+// what is theirs. Until then, what an instance has read before takes precedence over the copy.
+
+const (
+	// restoreGrace is how long rows of the operators that a restored store lacks, or has an older
+	// value of, are kept unless they are written again.
+	restoreGrace = 10 * time.Second
+	// upstreamRestoreGrace is restoreGrace for the rows of upstreams, which write every second.
+	upstreamRestoreGrace = 5 * time.Second
+	// goneRetention is how long the rows of upstreams that were removed are remembered. The copy
+	// is some seconds old.
+	goneRetention = time.Minute
+)
+
+// hashValue identifies the value of a row.
+func hashValue(value []byte) uint64 { return xxhash.Sum64(value) }
+
+// carry returns a row that is kept although the restored store lacks it.
+func (r row) carry(keepUntil time.Time) row {
+	r.carried, r.copied = true, nil
+	r.modRevision, r.keepUntil = 0, keepUntil
+	return r
+}
+
+// writtenByInstances reports whether entry instances write the row, so that no one else writes it
+// again.
+func (r row) writtenByInstances() bool {
+	d := r.document
+	return d.Quarantined != nil || d.RolloutState != nil || (d.Instance != nil && d.Instance.Role == external.RoleEntry)
+}
+
+// restoreDeadline returns until when the row is kept in place of what a restored store has of it;
+// zero if until it is written again.
+func (r row) restoreDeadline(now time.Time) time.Time {
+	switch {
+	case r.writtenByInstances():
+		return time.Time{}
+	case r.document.Instance != nil:
+		return now.Add(upstreamRestoreGrace)
+	default:
+		return now.Add(restoreGrace)
+	}
+}
+
+// restore applies the first full read after the store was restored from a copy, and returns the
+// number of rows that were read before and that the copy lacks or has another value of.
+func (v *view) restore(entries []external.Entry, now time.Time) (carried int) {
+	v.restoredAt = now
+	before := v.rows
+	v.rows = make(map[string]row, len(before))
+	for key, old := range before {
+		v.rows[key] = old.carry(old.restoreDeadline(now))
+	}
+	for _, e := range entries {
+		old, known := before[e.Key]
+		_, gone := v.gone[e.Key]
+		switch {
+		case known && old.hash == hashValue(e.Value):
+			old.modRevision, old.keepUntil, old.carried, old.copied = e.ModRevision, time.Time{}, false, nil
+			v.rows[e.Key] = old
+		case known && v.isNewerUpstream(old, e):
+			delete(v.rows, e.Key)
+			v.put(e, now)
+		case known:
+			kept := v.rows[e.Key]
+			kept.modRevision, kept.copied = e.ModRevision, &e
+			v.rows[e.Key] = kept
+		case gone:
+			// Upstreams that still run write their rows again.
+			v.gone[e.Key] = goneRow{at: now, modRevision: e.ModRevision}
+		default:
+			v.put(e, now)
+		}
+	}
+	for _, r := range v.rows {
+		if r.carried {
+			carried++
+			v.markChanged(r.document)
+		}
+	}
+	return carried
+}
+
+// isNewerUpstream reports whether an entry of a restored store is the row of an upstream that is not
+// older than the known one as far as it matters: a later process, or the same one, which was not
+// draining.
+func (v *view) isNewerUpstream(old row, e external.Entry) bool {
+	document, err := v.documents.Decode(e)
+	known, read := old.document.Instance, document.Instance
+	if err != nil || known == nil || read == nil || known.Role == external.RoleEntry {
+		return false
+	}
+	if read.StartedAtUnixMilli != known.StartedAtUnixMilli {
+		return read.StartedAtUnixMilli > known.StartedAtUnixMilli
+	}
+	return known.State != external.InstanceDraining
+}
+
+// expireCarried removes a carried row that was not written again in time, or replaces it by the
+// older one of the restored store.
+func (v *view) expireCarried(key string, r row, now time.Time) {
+	v.markChanged(r.document)
+	delete(v.rows, key)
+	if r.copied != nil {
+		v.put(*r.copied, now)
+	}
+}
+
+// expireQuarantine removes a carried quarantine that has ended.
+func (v *view) expireQuarantine(key string, r row, now time.Time) {
+	if r.document.Quarantined != nil && now.Sub(r.seen) >= quarantine.Duration {
+		v.markChanged(r.document)
+		delete(v.rows, key)
+	}
+}
+
+// rewritten reports whether a write only repeats what the row has held since before the store was
+// restored, so that a rollout or a quarantine does not begin anew.
+func (v *view) rewritten(old row, hash uint64, now time.Time) bool {
+	recent := !v.restoredAt.IsZero() && now.Sub(v.restoredAt) < restoreGrace
+	return old.hash == hash && (old.carried || recent)
+}
+
+// goneRow is what is known of the row of an upstream that was removed.
+type goneRow struct {
+	at time.Time
+	// modRevision is the revision up to which the row is ignored: that of a restored copy.
+	modRevision int64
+}
--- a/internal/storefeed/view.go
+++ b/internal/storefeed/view.go
@@ -24,6 +24,14 @@
 	seen time.Time
 	// keepUntil is when a row that disappeared is removed; zero while it exists.
 	keepUntil time.Time
+	// hash identifies the value.
+	hash uint64
+	// carried is true if a restored store lacks the value, and copied the older value that it has
+	// instead; modRevision is that of the latter.
+	carried bool
+	copied  *external.Entry
+	// decided is the final state of the rollout that the row orders; empty if there is none.
+	decided rollout.State
 }
 
 // changedParts says which parts of a view changed.
@@ -32,7 +40,8 @@
 }
 
 // view holds the decoded rows of the store. The modRevision of a row that is present never
-// decreases, so that a delayed or stale read does not overwrite a newer one.
+// decreases, so that a delayed or stale read does not overwrite a newer one, until the store is
+// restored from a copy.
 type view struct {
 	documents external.DocumentCodec
 	log       *logrus.Entry
@@ -41,13 +50,17 @@
 	// replaces holds the ids of the service rollouts for which an upstream of another version
 	// was listed, in any region.
 	replaces map[string]bool
+	// gone holds the rows of upstreams that were removed, by key.
+	gone map[string]goneRow
+	// restoredAt is when the store was last known to be restored from a copy; zero if it was not.
+	restoredAt time.Time
 	// recovered is when the store last became available after an outage.
 	recovered time.Time
 	changed   changedParts
 }
 
 func newView(documents external.DocumentCodec, log *logrus.Entry) view {
-	return view{documents: documents, log: log, rows: map[string]row{}, replaces: map[string]bool{}}
+	return view{documents: documents, log: log, rows: map[string]row{}, replaces: map[string]bool{}, gone: map[string]goneRow{}}
 }
 
 // replace applies a full read. Keys that it does not contain are removed.
@@ -80,16 +93,24 @@
 // An undecodable configuration is the exception: v.config keeps the previous one.
 func (v *view) put(e external.Entry, now time.Time) {
 	old, known := v.rows[e.Key]
-	if known && (e.ModRevision < old.modRevision || (e.ModRevision == old.modRevision && old.keepUntil.IsZero())) {
+	if known && (e.ModRevision < old.modRevision || (e.ModRevision == old.modRevision && (old.carried || old.keepUntil.IsZero()))) {
 		return
 	}
+	if gone, ok := v.gone[e.Key]; ok && e.ModRevision <= gone.modRevision {
+		return
+	}
+	delete(v.gone, e.Key)
 	document, err := v.documents.Decode(e)
 	if err != nil {
 		v.log.WithField(telemetry.FieldEvent, "row_unreadable").WithError(err).Warn("cannot decode a value of the store; its row counts as absent, except that the last configuration stays in use")
 	}
 	v.markChanged(old.document)
 	v.markChanged(document)
-	v.rows[e.Key] = row{document: document, modRevision: e.ModRevision, seen: now}
+	next := row{document: document, modRevision: e.ModRevision, seen: now, hash: hashValue(e.Value)}
+	if known && v.rewritten(old, next.hash, now) {
+		next.seen, next.decided = old.seen, old.decided
+	}
+	v.rows[e.Key] = next
 	if document.Config != nil && (v.config == nil || document.Config.Revision > v.config.Revision) {
 		v.config = document.Config
 		v.changed.config = true
@@ -100,6 +121,9 @@
 // expired because the upstream could not reach the store either.
 func (v *view) remove(key string, now, keepUntil time.Time) {
 	old := v.rows[key]
+	if old.carried && old.modRevision == 0 {
+		return
+	}
 	upstream := old.document.Instance
 	if upstream != nil && upstream.Role != external.RoleEntry && now.Before(keepUntil) {
 		if old.keepUntil.IsZero() {
@@ -108,18 +132,32 @@
 		}
 		return
 	}
+	v.drop(key, old, now)
+}
+
+// drop removes a row and remembers it if it is that of an upstream.
+func (v *view) drop(key string, old row, now time.Time) {
 	delete(v.rows, key)
 	v.markChanged(old.document)
+	if upstream := old.document.Instance; upstream != nil && upstream.Role != external.RoleEntry {
+		v.gone[key] = goneRow{at: now}
+	}
 }
 
 // expire removes the rows whose retention has ended without their being written again.
 func (v *view) expire(now time.Time) {
 	for key, r := range v.rows {
-		if !r.keepUntil.IsZero() && !now.Before(r.keepUntil) {
-			delete(v.rows, key)
-			v.markChanged(r.document)
+		expired := !r.keepUntil.IsZero() && !now.Before(r.keepUntil)
+		switch {
+		case expired && r.carried:
+			v.expireCarried(key, r, now)
+		case expired:
+			v.drop(key, r, now)
+		case r.carried:
+			v.expireQuarantine(key, r, now)
 		}
 	}
+	maps.DeleteFunc(v.gone, func(_ string, g goneRow) bool { return now.Sub(g.at) >= goneRetention })
 }
 
 func (v *view) markChanged(d external.Document) {
@@ -191,8 +229,25 @@
 	maps.DeleteFunc(v.replaces, func(id string, _ bool) bool { return !ordered[id] })
 }
 
-// serviceRollouts returns the service rollouts that the operators ordered. A state that is
-// older than its order, or of another version, belongs to a previous order.
+// serviceRolloutOf returns the rollout of an order; state is the row of the last state of the
+// service. A state that is older than its order, or of another version, belongs to a previous
+// order. A decided rollout keeps its state, which is not recorded while the store lacks it.
+func serviceRolloutOf(order, state row) rollout.ServiceRollout {
+	o := order.document.Rollout
+	r := rollout.ServiceRollout{Service: o.Service, Version: o.Version, Deadline: order.seen.Add(o.TimeLimit), State: rollout.Serving, Revision: state.modRevision}
+	written := state.document.RolloutState
+	if order.decided != "" {
+		r.State = order.decided
+		r.Recorded = written != nil && !state.carried && written.Version == o.Version && written.State == order.decided
+		return r
+	}
+	if written != nil && !state.carried && state.modRevision > order.modRevision && written.Version == o.Version {
+		r.State, r.Recorded = written.State, true
+	}
+	return r
+}
+
+// serviceRollouts returns the service rollouts that the operators ordered.
 func (v *view) serviceRollouts() []rollout.ServiceRollout {
 	states := map[string]row{}
 	for _, r := range v.rows {
@@ -201,16 +256,14 @@
 		}
 	}
 	var list []rollout.ServiceRollout
-	for _, r := range v.rows {
-		order := r.document.Rollout
-		if order == nil {
+	for key, r := range v.rows {
+		if r.document.Rollout == nil {
 			continue
 		}
-		serviceRollout := rollout.ServiceRollout{Service: order.Service, Version: order.Version, Deadline: r.seen.Add(order.TimeLimit), State: rollout.Serving}
-		state, known := states[order.Service]
-		serviceRollout.Revision = state.modRevision
-		if known && state.modRevision > r.modRevision && state.document.RolloutState.Version == order.Version {
-			serviceRollout.State, serviceRollout.Recorded = state.document.RolloutState.State, true
+		serviceRollout := serviceRolloutOf(r, states[r.document.Rollout.Service])
+		if serviceRollout.Final() {
+			r.decided = serviceRollout.State
+			v.rows[key] = r
 		}
 		list = append(list, serviceRollout)
 	}
