Treat an upstream as cold again when it writes the same cold time again

What callers saw: a cold upstream that was flooded (FAILBACK); one of the causes that this code allows.

Cause: the cold time of a row was applied only if it differed from that of the row before, as a way to tell a new row from one that is posted again. An upstream that becomes cold a second time writes the same number; where the rows between were not read (a store outage, a link that was cut, a slow read), it counted as warm.

Change: a row carries the time at which its value was first read, and its cold time counts from there. Posting the row again changes nothing, and a new row counts anew.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -106,8 +106,8 @@
 		row.counters.UpSince.Store(now.UnixNano())
 		t.upstreams[instance.ID] = row
 	}
-	if instance.ColdFor > 0 && instance.ColdFor != row.instance.ColdFor {
-		row.coldUntil = latest(row.coldUntil, now.Add(instance.ColdFor))
+	if instance.ColdFor > 0 {
+		row.coldUntil = latest(row.coldUntil, instance.ListedAt.Add(instance.ColdFor))
 	}
 	row.instance = instance
 }
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -62,7 +62,7 @@
 		event func(*tables)
 	}{
 		{"cold time in the instance list", func(x *tables) {
-			listedUpstream(func(i *external.Instance) { i.ColdFor, i.StartedAtUnixMilli = 2*time.Second, 2 }).apply(x, now)
+			listedUpstream(func(i *external.Instance) { i.ColdFor, i.ListedAt, i.StartedAtUnixMilli = 2*time.Second, now, 2 }).apply(x, now)
 		}},
 		{"cold time in a health check", func(x *tables) { HealthCheckPassedEvent{Upstream: "u", ColdFor: 2 * time.Second}.apply(x, now) }},
 		{"end of the evacuation", func(x *tables) {
@@ -192,7 +192,7 @@
 	} {
 		x := newTables(Identity{ID: "e0", Region: "a", ColdExcess: 1.5, ColdSlack: 3})
 		x.config.Services["s"] = opconfig.Service{Name: "s", ColdRateLimit: 2.5}
-		event := listedUpstream(func(i *external.Instance) { i.ColdFor = time.Minute })
+		event := listedUpstream(func(i *external.Instance) { i.ColdFor, i.ListedAt = time.Minute, now })
 		if c.listed {
 			event.Instances = append(event.Instances, external.Instance{ID: "e0", Role: external.RoleEntry, Region: "a"})
 		}
--- a/internal/external/external.go
+++ b/internal/external/external.go
@@ -123,6 +123,9 @@
 	CachesPrompts bool
 	// ColdFor is how long the upstream would remain cold, as of when it wrote the row.
 	ColdFor time.Duration
+	// ListedAt is when the row was first read, by the local clock; zero if unknown. A row that was
+	// written again counts as another one.
+	ListedAt time.Time
 	// StartedAtUnixMilli is the start time of the process in Unix milliseconds; 0 if unknown.
 	StartedAtUnixMilli int64
 }
--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -101,6 +101,7 @@
 	if changes.Era != f.era {
 		return f.readAll(ctx, started)
 	}
+	f.view.received = clock.Now()
 	for _, e := range changes.Events {
 		f.view.apply(e, started, f.keepExpiredUntil(started))
 	}
@@ -114,6 +115,7 @@
 	if err != nil {
 		return 0, err
 	}
+	f.view.received = clock.Now()
 	first, restored := f.lastSuccess.IsZero(), reading.Era != f.era
 	f.era = reading.Era
 	switch {
--- a/internal/storefeed/view.go
+++ b/internal/storefeed/view.go
@@ -20,8 +20,9 @@
 	document external.Document
 	// modRevision is the store revision of the last write to the key.
 	modRevision int64
-	// seen is when the value of that revision was first read.
-	seen time.Time
+	// seen is when the call began that first read the value of that revision, and received when
+	// its response arrived.
+	seen, received time.Time
 	// keepUntil is when a row that disappeared is removed; zero while it exists.
 	keepUntil time.Time
 	// hash identifies the value.
@@ -52,6 +53,8 @@
 	replaces map[string]bool
 	// gone holds the rows of upstreams that were removed, by key.
 	gone map[string]goneRow
+	// received is when the response that is being applied arrived; zero means with the call.
+	received time.Time
 	// restoredAt is when the store was last known to be restored from a copy; zero if it was not.
 	restoredAt time.Time
 	// recovered is when the store last became available after an outage.
@@ -106,7 +109,10 @@
 	}
 	v.markChanged(old.document)
 	v.markChanged(document)
-	next := row{document: document, modRevision: e.ModRevision, seen: now, hash: hashValue(e.Value)}
+	next := row{document: document, modRevision: e.ModRevision, seen: now, received: now, hash: hashValue(e.Value)}
+	if v.received.After(now) {
+		next.received = v.received
+	}
 	if known && v.rewritten(old, next.hash, now) {
 		next.seen, next.decided = old.seen, old.decided
 	}
@@ -177,9 +183,13 @@
 func (v *view) instances() []external.Instance {
 	var list []external.Instance
 	for _, key := range slices.Sorted(maps.Keys(v.rows)) {
-		if i := v.rows[key].document.Instance; i != nil {
-			list = append(list, *i)
+		r := v.rows[key]
+		if r.document.Instance == nil {
+			continue
 		}
+		instance := *r.document.Instance
+		instance.ListedAt = r.received
+		list = append(list, instance)
 	}
 	return list
 }
