Keep the cold time of an upstream whose row is missing for a moment

What callers saw: a cold upstream that was flooded (FAILBACK); one of the causes that this code allows.

Cause: the cold time of an upstream, and what an instance had sent to it within the last second, were dropped with its row. A row that is missing for a moment (leases that ran out during a store outage, a store that returns from a copy) came back as that of a new, warm upstream, unless it happened to state a cold time itself; after an evacuation it does not.

Change: the row of a cold upstream is kept beside the list until it would be warm, and is used again if the same process is listed again.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -89,18 +89,34 @@
 		t.setUpstream(instance, now)
 	}
 	t.listedContacts = entryContacts(t.listedInstances)
-	for id := range t.upstreams {
-		if !listed[id] {
-			delete(t.upstreams, id)
-		}
-	}
+	t.unlistUpstreams(listed, now)
 	t.sortedUpstreams = slices.SortedFunc(maps.Values(t.upstreams), func(a, b *upstreamRow) int {
 		return strings.Compare(a.instance.ID, b.instance.ID)
 	})
 }
 
+// unlistUpstreams removes the upstreams that are not listed. The rows of cold ones are kept until
+// they would be warm, because a row can be missing for a moment.
+func (t *tables) unlistUpstreams(listed map[string]bool, now time.Time) {
+	for id, row := range t.upstreams {
+		if listed[id] {
+			continue
+		}
+		delete(t.upstreams, id)
+		if now.Before(row.coldUntil) {
+			t.unlistedCold[id] = row
+		}
+	}
+	maps.DeleteFunc(t.unlistedCold, func(_ string, row *upstreamRow) bool { return !now.Before(row.coldUntil) })
+}
+
 func (t *tables) setUpstream(instance external.Instance, now time.Time) {
 	row, ok := t.upstreams[instance.ID]
+	if !ok {
+		row, ok = t.unlistedCold[instance.ID]
+		t.upstreams[instance.ID] = row
+		delete(t.unlistedCold, instance.ID)
+	}
 	if !ok || row.instance.Address != instance.Address || row.instance.StartedAtUnixMilli != instance.StartedAtUnixMilli {
 		row = &upstreamRow{counters: &routing.Counters{}}
 		row.counters.UpSince.Store(now.UnixNano())
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -102,6 +102,8 @@
 	// sortedUpstreams holds the rows of upstreams sorted by id. It is rebuilt only with the
 	// instance list, because sorting on every tick took more than half of the tick.
 	sortedUpstreams []*upstreamRow
+	// unlistedCold holds the rows of upstreams that were cold when they were no longer listed.
+	unlistedCold map[string]*upstreamRow
 	members         *membership.Table
 	crashes         *quarantine.Table
 	// listedInstances holds the other entry instances of the instance list by id.
@@ -147,6 +149,7 @@
 		config:        opconfig.New(),
 		division:      quota.NewDivision(opconfig.New()),
 		upstreams:     map[string]*upstreamRow{},
+		unlistedCold:  map[string]*upstreamRow{},
 		members:       membership.NewTable(),
 		confirmations: map[string]confirmation{},
 		peers:         map[string]*peerRow{},
