Send nothing to cold upstreams shortly after the start of an instance

What callers saw: a cold upstream that was flooded (FAILBACK); one of the causes that this code allows.

Cause: an instance that restarts does not know what it sent within the last second and took its whole part of the limit again. A new instance took a part at once, while the others, which had not read its row yet, still divided the limit without it: three instances with 2 requests each and a new one with 1 exceed a limit of 6; in a region of two, 8 do.

Change: a starting instance sends nothing to cold upstreams for 1.1 s if its row was listed before, so that the others count it, and for 4 s otherwise, within which all others read its row.

The rigs of the other tests in control start as instances that run already.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -78,7 +78,9 @@
 func (e InstancesEvent) apply(t *tables, now time.Time) {
 	listed := make(map[string]bool, len(e.Instances))
 	t.listedInstances = map[string]external.Instance{}
+	selfListed := false
 	for _, instance := range e.Instances {
+		selfListed = selfListed || (instance.Role == external.RoleEntry && instance.ID == t.identity.ID)
 		if instance.Role == external.RoleEntry && instance.ID != t.identity.ID {
 			t.listedInstances[instance.ID] = instance
 		}
@@ -88,6 +90,9 @@
 		listed[instance.ID] = true
 		t.setUpstream(instance, now)
 	}
+	if t.coldSendsFrom.IsZero() {
+		t.pauseColdSends(selfListed, now)
+	}
 	t.listedContacts = entryContacts(t.listedInstances)
 	t.unlistUpstreams(listed, now)
 	t.sortedUpstreams = slices.SortedFunc(maps.Values(t.upstreams), func(a, b *upstreamRow) int {
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -101,7 +101,7 @@
 
 func upstreamsOf(t *tables, now time.Time) []routing.Upstream {
 	upstreams := make([]routing.Upstream, 0, len(t.sortedUpstreams))
-	budget := coldBudget{tables: t}
+	budget := coldBudget{tables: t, now: now}
 	for _, row := range t.sortedUpstreams {
 		cold := now.Before(row.coldUntil)
 		id := row.instance.ID
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -117,18 +117,40 @@
 	return ok
 }
 
+const (
+	// coldRestartPause is how long a restarted instance sends nothing to cold upstreams: what it
+	// sent before the restart counts for a second, and is not known any more.
+	coldRestartPause = 1100 * time.Millisecond
+	// coldNewInstancePause is coldRestartPause for an instance that was not listed before. By then
+	// all others have read its row, also those that read every 2 s and lost one call, and have
+	// reduced their parts of the limit.
+	coldNewInstancePause = 4 * time.Second
+)
+
+// pauseColdSends sets when this instance may first send to cold upstreams. It is called with the
+// first instance list.
+func (t *tables) pauseColdSends(selfListed bool, now time.Time) {
+	pause := coldNewInstancePause
+	if selfListed {
+		pause = coldRestartPause
+	}
+	t.coldSendsFrom = now.Add(pause)
+}
+
 // coldBudget divides the request limits of cold upstreams over the instances of the region.
 type coldBudget struct {
 	tables *tables
+	now    time.Time
 	// instances are the entry instances of the region; nil until first needed.
 	instances []string
 }
 
 // requestsPerSecond returns how many requests per second this instance may send to a cold
-// upstream; 0 if the upstream is not cold. The limit is divided equally. If it is lower
+// upstream; 0 if the upstream is not cold, or shortly after the start of this instance. The limit is
+// divided equally. If it is lower
 // than the number of instances, those with the highest rendezvous weight send one request.
 func (c *coldBudget) requestsPerSecond(row *upstreamRow, cold bool) int {
-	if !cold {
+	if !cold || c.now.Before(c.tables.coldSendsFrom) {
 		return 0
 	}
 	if c.instances == nil {
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -15,6 +15,7 @@
 
 func newServiceTables(id string, instances int) *tables {
 	t := newTables(Identity{ID: id, Region: "a", ColdExcess: 1.5, ColdSlack: 3})
+	t.coldSendsFrom = time.Unix(900, 0)
 	t.config = opconfig.New()
 	t.config.Revision = 1
 	t.config.Services["s"] = opconfig.Service{Name: "s", ColdRateLimit: 2.5, ColdFor: 3 * time.Second, HealthPath: "/h"}
@@ -45,7 +46,7 @@
 		for i := range instances {
 			tables := newServiceTables(fmt.Sprint("e", i), instances)
 			listedUpstream(nil).apply(tables, time.Unix(1000, 0))
-			sum += (&coldBudget{tables: tables}).requestsPerSecond(testUpstream(tables), true)
+			sum += (&coldBudget{tables: tables, now: time.Unix(1000, 0)}).requestsPerSecond(testUpstream(tables), true)
 		}
 		if sum < 1 || sum > 6 {
 			t.Errorf("%d instances send %d requests a second", instances, sum)
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -104,8 +104,11 @@
 	sortedUpstreams []*upstreamRow
 	// unlistedCold holds the rows of upstreams that were cold when they were no longer listed.
 	unlistedCold map[string]*upstreamRow
-	members         *membership.Table
-	crashes         *quarantine.Table
+	// coldSendsFrom is when this instance may first send to cold upstreams; zero before the first
+	// instance list.
+	coldSendsFrom time.Time
+	members       *membership.Table
+	crashes       *quarantine.Table
 	// listedInstances holds the other entry instances of the instance list by id.
 	listedInstances map[string]external.Instance
 	// listedContacts holds the contacts of listedInstances; snapshots share it.
