Count requests to a cold upstream from the time they are sent

Cause: a request took its place in the window of a second when its upstream was picked. A connection may take up to 300 ms to open, and longer where the process stands still. Requests that were held up arrived together with those of the next second; what the transport sent again by itself was not counted.

Change: a pick reserves a place, which counts until the request is written to a connection and for 1.1 s from then on. Each write counts.

Evidence: TestColdSendsCountFromTheTimeTheyAreSent plays reservations that are sent 2 s later: with the window as it was (a place counts for 1.1 s from the pick) a third request is allowed at 1.5 s, and none is counted at 2.05 s. TestExchangeCountsWhatTheTransportSendsAgain counts the reports of the relay. internal/relay and internal/dispatch pass under the race detector.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -413,6 +413,8 @@
 	now := time.Now()
 	tracked := u.Counters.Begin(now, choice.PrefillTokens, choice.QueuedTokens)
 	defer tracked.End()
+	cold := u.Counters.ColdReservation(choice)
+	defer func() { cold.End(time.Now()) }()
 	if d.Prefixes != nil {
 		d.Prefixes.Add(now.UnixNano(), u.Counters.HolderID(), promptHashes(r))
 	}
@@ -429,6 +431,9 @@
 		Repeatable:     r.Repeatable,
 		Completion:     r.RouteParams == nil && r.IsCompletion(),
 	}
+	if cold != nil {
+		attempt.OnSent = func() { cold.Sent(time.Now()) }
+	}
 	d.applyRouteParams(&attempt, r, u, choice)
 	result := d.Relay.Do(ctx, attempt, timed)
 	if r.RouteParams != nil {
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -147,6 +147,8 @@
 	uses []connUse
 	// unknownConn is true if the attempt used a connection of an unknown type.
 	unknownConn bool
+	// onSent is Attempt.OnSent.
+	onSent func()
 }
 
 type connUse struct {
@@ -158,7 +160,11 @@
 }
 
 func (s *sendTracker) withTrace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: s.gotConn})
+	trace := &httptrace.ClientTrace{GotConn: s.gotConn}
+	if s.onSent != nil {
+		trace.WroteRequest = func(httptrace.WroteRequestInfo) { s.onSent() }
+	}
+	return httptrace.WithClientTrace(ctx, trace)
 }
 
 func (s *sendTracker) gotConn(info httptrace.GotConnInfo) {
--- a/internal/relay/exchange_test.go
+++ b/internal/relay/exchange_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -214,15 +215,17 @@
 		return response(validHead, "right"), nil
 	})
 	r := New(DefaultLimits())
+	var sends atomic.Int64
 	for _, want := range []int{0, 1} {
 		a := newAttempt(u)
 		a.Method, a.Body, a.Repeatable = "GET", nil, true
+		a.OnSent = func() { sends.Add(1) }
 		if result := r.Do(context.Background(), a, &memorySink{}); result.Err != nil || result.Resends != want {
 			t.Errorf("got %v and %d resends, want %d", result.Err, result.Resends, want)
 		}
 	}
-	if len(u.heads) != 3 {
-		t.Errorf("the upstream received %d requests, want 3", len(u.heads))
+	if len(u.heads) != 3 || sends.Load() != 3 {
+		t.Errorf("the upstream received %d requests, and %d were reported as sent, want 3", len(u.heads), sends.Load())
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -125,6 +125,9 @@
 	Deadline time.Time
 	// HostFirstByteTimeout is the timeout for the first byte of the response; 0 for Deadline.
 	HostFirstByteTimeout time.Duration
+	// OnSent is called each time the request was written to a connection, completely or not; nil to
+	// ignore it. The transport may write a request more than once.
+	OnSent func()
 }
 
 // Result is the outcome of an attempt.
@@ -209,7 +212,7 @@
 func (r *Relay) doOnce(ctx context.Context, a Attempt, sink Sink) Result {
 	w := newWatchdog(ctx, firstByteTimeout(a, r.limits))
 	defer w.stop()
-	sent := &sendTracker{}
+	sent := &sendTracker{onSent: a.OnSent}
 	req, err := newUpstreamRequest(sent.withTrace(w.ctx), a)
 	if err != nil {
 		return Result{Err: errkind.Wrap(err, errkind.Internal, errkind.NotExecuted, "the upstream request could not be created"), Outcome: retry.NotRetryable}
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -121,10 +121,10 @@
 		return Choice{}, noServiceUpstreamError(s, r)
 	}
 	u := &s.Upstreams[best.index]
-	if u.Cold && !u.Counters.AllowCold(r.Now, u.ColdRateLimit) {
+	if u.Cold && !u.Counters.reserveCold(r.Now, u.ColdRateLimit) {
 		return Choice{}, noServiceUpstreamError(s, r)
 	}
-	return Choice{Upstream: best.index, Peer: none, PrefillTokens: best.tokens, QueuedTokens: best.queued}, nil
+	return Choice{Upstream: best.index, Peer: none, PrefillTokens: best.tokens, QueuedTokens: best.queued, ColdReserved: u.Cold}, nil
 }
 
 const (
@@ -261,20 +261,6 @@
 	return split.allows(r.ID, u.Version)
 }
 
-// coldSendAllowed reports whether AllowCold would succeed.
-func (c *Counters) coldSendAllowed(now int64, limit int) bool {
-	w := &c.coldSends
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	used := 0
-	for _, at := range w.sends {
-		if now-at < int64(coldWindowLength) {
-			used++
-		}
-	}
-	return used < limit
-}
-
 // upstreamCost returns the estimated time to the first byte in seconds, with the cost of
 // recent failures, and the number of prompt tokens queued ahead of the request.
 func upstreamCost(u *Upstream, now, tokens int64) (cost float64, queued int64) {
--- a/internal/routing/service_test.go
+++ b/internal/routing/service_test.go
@@ -148,7 +148,8 @@
 	var taken []time.Time
 	for ms := 0; ms < 5000; ms += 10 {
 		now := testNow.Add(time.Duration(ms) * time.Millisecond)
-		if c.AllowCold(now.UnixNano(), 2) {
+		if c.reserveCold(now.UnixNano(), 2) {
+			c.ColdReservation(Choice{ColdReserved: true}).Sent(now)
 			taken = append(taken, now)
 		}
 	}
@@ -162,6 +163,40 @@
 	}
 }
 
+// Guards against a cold upstream that gets two seconds' worth of requests at once because the first
+// of them were held up on their way.
+func TestColdSendsCountFromTheTimeTheyAreSent(t *testing.T) {
+	var c Counters
+	at := func(ms int) time.Time { return testNow.Add(time.Duration(ms) * time.Millisecond) }
+	reserve := func(ms int) *ColdReservation {
+		if !c.reserveCold(at(ms).UnixNano(), 2) {
+			return nil
+		}
+		return c.ColdReservation(Choice{ColdReserved: true})
+	}
+	first, second := reserve(0), reserve(0)
+	if reserve(1500) != nil {
+		t.Error("a third request is allowed while two are held up")
+	}
+	first.Sent(at(2000))
+	first.End(at(2100))
+	second.End(at(2000))
+	for ms, allowed := range map[int]bool{2050: false, 2900: false, 3050: false} {
+		if got := reserve(ms) != nil; got != allowed {
+			t.Errorf("%d ms: allowed %v, want %v", ms, got, allowed)
+		}
+	}
+	third := reserve(3150)
+	if third == nil {
+		t.Fatal("no request is allowed after the second of the others")
+	}
+	third.Sent(at(3150))
+	third.Sent(at(3200))
+	if reserve(3250) != nil {
+		t.Error("a request that the transport sent twice counts once")
+	}
+}
+
 // Guards against instances that have the same shared parts computed at different upstreams,
 // against an owner that gets requests while it is clearly slower than the others, and
 // against an uneven distribution of shared parts over the upstreams.
--- a/internal/routing/servicecounters.go
+++ b/internal/routing/servicecounters.go
@@ -95,14 +95,12 @@
 type coldWindow struct {
 	mu    sync.Mutex
 	sends []int64
+	// reserved is the number of requests that were picked and not sent yet.
+	reserved int
 }
 
-// AllowCold reports whether one more request may go to the cold upstream, and counts it
-// if so. At most limit requests are allowed within coldWindowLength.
-func (c *Counters) AllowCold(now int64, limit int) bool {
-	w := &c.coldSends
-	w.mu.Lock()
-	defer w.mu.Unlock()
+// used returns the number of requests that count at the given time. The mutex must be held.
+func (w *coldWindow) used(now int64) int {
 	recent := w.sends[:0]
 	for _, at := range w.sends {
 		if now-at < int64(coldWindowLength) {
@@ -110,9 +108,67 @@
 		}
 	}
 	w.sends = recent
-	if len(recent) >= limit {
+	return w.reserved + len(recent)
+}
+
+// coldSendAllowed reports whether reserveCold would succeed.
+func (c *Counters) coldSendAllowed(now int64, limit int) bool {
+	w := &c.coldSends
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.used(now) < limit
+}
+
+// reserveCold reports whether one more request may go to the cold upstream, and reserves a place
+// for it if so. At most limit requests are reserved or were sent within coldWindowLength.
+func (c *Counters) reserveCold(now int64, limit int) bool {
+	w := &c.coldSends
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.used(now) >= limit {
 		return false
 	}
-	w.sends = append(recent, now)
+	w.reserved++
 	return true
 }
+
+// ColdReservation is the place of one attempt among the requests to a cold upstream. It counts from
+// the pick until coldWindowLength after the request was sent, however long a connection, or this
+// process, took in between. It is safe for concurrent use, and nil does nothing.
+type ColdReservation struct {
+	window *coldWindow
+	once   sync.Once
+}
+
+// ColdReservation returns the reservation that a pick made; nil if the pick reserved none.
+func (c *Counters) ColdReservation(choice Choice) *ColdReservation {
+	if !choice.ColdReserved {
+		return nil
+	}
+	return &ColdReservation{window: &c.coldSends}
+}
+
+// Sent records that the request was sent. The transport may send it more than once.
+func (r *ColdReservation) Sent(now time.Time) {
+	if r == nil {
+		return
+	}
+	r.window.mu.Lock()
+	defer r.window.mu.Unlock()
+	r.window.sends = append(r.window.sends, now.UnixNano())
+	r.once.Do(func() { r.window.reserved-- })
+}
+
+// End records the end of the attempt. If it is not known that the request was sent, it counts as
+// sent now, because a part of it may have left.
+func (r *ColdReservation) End(now time.Time) {
+	if r == nil {
+		return
+	}
+	r.window.mu.Lock()
+	defer r.window.mu.Unlock()
+	r.once.Do(func() {
+		r.window.reserved--
+		r.window.sends = append(r.window.sends, now.UnixNano())
+	})
+}
