Log the prompt parts of interrupted requests

Lines of requests that were interrupted at an upstream or are in quarantine now also name the ids of the parts of their prompt. No decision is changed.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -91,6 +92,19 @@
 // complete response.
 func (r *Request) Interrupted() bool { return r.interrupted }
 
+// PromptPartIDs returns the ids of the parts of the prompt in hexadecimal, separated by commas;
+// empty if they are not known.
+func (r *Request) PromptPartIDs() string {
+	if r.RouteParams == nil {
+		return ""
+	}
+	var ids []string
+	for _, part := range r.RouteParams.PromptParts {
+		ids = append(ids, strconv.FormatUint(part.ID, 16))
+	}
+	return strings.Join(ids, ",")
+}
+
 // estimateKey groups requests that are expected to have similar service times.
 func (r *Request) estimateKey() string {
 	if r.Stream {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -176,6 +176,7 @@
 	}
 	if r.Interrupted() || err.Kind == errkind.RequestQuarantined {
 		fields["fingerprint"] = r.Fingerprint()
+		fields["prompt_parts"] = r.PromptPartIDs()
 	}
 	fields["kind"] = err.Kind
 	fields["ran"] = err.Execution
--- a/internal/telemetry/fields.go
+++ b/internal/telemetry/fields.go
@@ -33,6 +33,7 @@
 	FieldFirstByte         = "first_ms"
 	FieldExpectedFirstByte = "expected_ms"
 	FieldPromptTokens      = "prompt_tokens"
+	FieldPromptParts       = "prompt_parts"
 	FieldStore             = "store"
 	FieldService           = "service"
 	FieldVersion           = "version"
