--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -258,6 +258,19 @@
 
 func (e CrashEvent) apply(t *tables, now time.Time) { t.crashes.Add(now, e.Crash) }
 
+// PartsCompletedEvent reports when requests with suspected parts in their prompts completed, observed
+// by this instance or by another one.
+type PartsCompletedEvent struct {
+	// Completed holds the time of the latest completion by part, by the clock of this instance.
+	Completed map[quarantine.Fingerprint]time.Time
+}
+
+func (e PartsCompletedEvent) apply(t *tables, _ time.Time) {
+	for part, at := range e.Completed {
+		t.crashes.Complete(part, at)
+	}
+}
+
 // StoredQuarantinesEvent delivers the quarantines that the store holds.
 type StoredQuarantinesEvent struct {
 	Quarantines map[quarantine.Fingerprint]quarantine.Stored
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -30,6 +30,8 @@
 		Peers:             peersOf(t),
 		Quarantined:       t.crashes.Quarantined(),
 		StoredQuarantines: t.crashes.Stored(),
+		SuspectedParts:    t.crashes.Suspects(),
+		CompletedParts:    t.crashes.Completed(),
 		SharedCrashes:     t.crashes.HeartbeatCrashes(now),
 		ListedPeers:       t.listedContacts,
 		FormerPeers:       memberContacts(t.members.Former()),
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -13,7 +13,7 @@
 	prunePeerRows,
 	confirmConfig,
 	updateHealth,
-	expireCrashes,
+	updateQuarantines,
 	pruneRollouts,
 }
 
@@ -53,7 +53,7 @@
 	}
 }
 
-func expireCrashes(t *tables, now time.Time) { t.crashes.Expire(now) }
+func updateQuarantines(t *tables, now time.Time) { t.crashes.Update(now) }
 
 func updateHealth(t *tables, now time.Time) {
 	for _, row := range t.sortedUpstreams {
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +23,10 @@
 	once        sync.Once
 	attempts    *quarantine.Attempts
 	completions *quarantine.Completions
+	// partCompletions remembers the parts of the prompts of completed requests, and
+	// reportedParts when those of suspected parts were last reported.
+	partCompletions *quarantine.Completions
+	reportedParts   map[quarantine.Fingerprint]time.Time
 }
 
 // maxCompletionBytes is the size of a body up to which completions are remembered. Longer bodies
@@ -30,16 +36,38 @@
 // crashSweepInterval is the time between two searches for upstreams that ended silently.
 const crashSweepInterval = 250 * time.Millisecond
 
-// DetectCrashes reports upstreams that ended silently, until ctx ends.
+// DetectCrashes reports upstreams that ended silently, and completions of requests with suspected
+// parts in their prompts, until ctx ends.
 func (d *Dispatcher) DetectCrashes(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, c := range d.openAttempts().Sweep(clock.Now(), listedProcesses(d.Snapshot())) {
+		snapshot := d.Snapshot()
+		for _, c := range d.openAttempts().Sweep(clock.Now(), listedProcesses(snapshot)) {
 			d.reportCrash(c, "the upstream fell silent and is no longer listed")
 		}
+		d.reportCompletedParts(snapshot.SuspectedParts)
 		clock.Sleep(ctx, crashSweepInterval)
 	}
 }
 
+// reportCompletedParts reports the completions of requests with suspected parts that were not
+// reported yet.
+func (d *Dispatcher) reportCompletedParts(suspected map[quarantine.Fingerprint]int) {
+	if d.ReportCompletedParts == nil || len(suspected) == 0 {
+		return
+	}
+	s, now := d.crashes(), clock.Now()
+	completed := map[quarantine.Fingerprint]time.Time{}
+	for part := range suspected {
+		if at, known := s.partCompletions.Last(now, part); known && at.After(s.reportedParts[part]) {
+			completed[part] = at
+		}
+	}
+	if len(completed) > 0 {
+		s.reportedParts = completed
+		d.ReportCompletedParts(completed)
+	}
+}
+
 // listedProcesses returns the processes of the listed upstreams and whether each is draining.
 func listedProcesses(s *routing.Snapshot) map[quarantine.Process]bool {
 	listed := make(map[quarantine.Process]bool, len(s.Upstreams))
@@ -57,24 +85,44 @@
 
 func (d *Dispatcher) crashes() *crashState {
 	s := &d.crashState
-	s.once.Do(func() { s.attempts, s.completions = quarantine.NewAttempts(), quarantine.NewCompletions() })
+	s.once.Do(func() {
+		s.attempts = quarantine.NewAttempts()
+		s.completions, s.partCompletions = quarantine.NewCompletions(), quarantine.NewCompletions()
+	})
 	return s
 }
 
 func (d *Dispatcher) beginAttempt(r *Request, u *routing.Upstream) *quarantine.Attempt {
-	return d.openAttempts().Begin(clock.Now(), processOf(u), r.Fingerprint)
+	return d.openAttempts().Begin(clock.Now(), processOf(u), r.subject)
+}
+
+// subject returns what a crash under the request may be due to.
+func (r *Request) subject() quarantine.Subject {
+	return quarantine.Subject{Request: r.Fingerprint(), Parts: r.parts}
+}
+
+// sharedParts returns the parts of the prompt that other requests may share: all but the last, which
+// belongs to the request or its session.
+func sharedParts(p *RouteParams) (parts []quarantine.Fingerprint) {
+	if p == nil || len(p.PromptParts) < 2 {
+		return nil
+	}
+	for _, part := range p.PromptParts[:len(p.PromptParts)-1] {
+		parts = append(parts, quarantine.PartFingerprint(part.ID))
+	}
+	return parts
 }
 
-// endAttempt records how an attempt ended. Nothing is known of the request if the upstream sent
-// no complete response and kept the connection open.
-func (d *Dispatcher) endAttempt(r *Request, a *quarantine.Attempt, result relay.Result) {
+// endAttempt records how an attempt ended; status is that of the response. Nothing is known of the
+// request if the upstream sent no complete response and kept the connection open.
+func (d *Dispatcher) endAttempt(r *Request, a *quarantine.Attempt, result relay.Result, status int) {
 	unanswered := result.Outcome == retry.TimedOut || result.Outcome == retry.RequestEnded
 	if unanswered && result.Err.Execution != errkind.NotExecuted {
 		a.Abandon(clock.Now())
 		return
 	}
-	if result.Err == nil && len(r.Body) <= maxCompletionBytes {
-		d.crashes().completions.Add(clock.Now(), r.Fingerprint())
+	if result.Err == nil && !result.EndedByClose {
+		d.recordCompletion(r, status)
 	}
 	if result.Outcome == retry.Delivered || result.Outcome == retry.Rejected || result.Outcome == retry.Failed {
 		a.Progress(clock.Now())
@@ -82,6 +130,20 @@
 	a.Finish(clock.Now())
 }
 
+// recordCompletion remembers that a request got its complete response. An upstream that answers with
+// an error has not generated from the prompt.
+func (d *Dispatcher) recordCompletion(r *Request, status int) {
+	if len(r.Body) <= maxCompletionBytes {
+		d.crashes().completions.Add(clock.Now(), r.Fingerprint())
+	}
+	if status < http.StatusOK || status >= http.StatusMultipleChoices {
+		return
+	}
+	for _, part := range r.parts {
+		d.crashes().partCompletions.Add(clock.Now(), part)
+	}
+}
+
 // countCrash records in result that the connection to the upstream broke, and reports it as a
 // crash. A break in the middle of the response counts as well: the upstream may have ended
 // under the request, whether or not the stream can be resumed elsewhere.
@@ -92,13 +154,29 @@
 	}
 	result.Crashes = 1
 	d.reportCrash(quarantine.Crash{
-		Fingerprint: r.Fingerprint(), Upstream: u.ID, StartedAt: u.StartedAt, SeenAt: clock.Now().UnixNano(),
+		Fingerprint: r.Fingerprint(), Parts: r.parts, Upstream: u.ID, StartedAt: u.StartedAt, SeenAt: clock.Now().UnixNano(),
 	}, "the connection broke")
 }
 
-// reportCrash reports a crash unless the request recently completed elsewhere.
+// reportCrash reports a crash unless the request recently completed elsewhere. Parts of its prompt
+// that recently completed are left out.
 func (d *Dispatcher) reportCrash(c quarantine.Crash, reason string) {
-	if d.ReportCrash != nil && !d.crashes().completions.Has(clock.Now(), c.Fingerprint) {
-		d.ReportCrash(c, reason)
+	if d.ReportCrash == nil || d.crashes().completions.Has(clock.Now(), c.Fingerprint) {
+		return
+	}
+	c.Parts = d.crashes().partCompletions.Uncovered(time.Unix(0, c.SeenAt), c.Parts)
+	d.ReportCrash(c, reason)
+}
+
+// maxCrashesBeforeRetry is the number of processes that may have ended under a part of the prompt of
+// an interrupted request that is sent to another upstream.
+const maxCrashesBeforeRetry = 1
+
+// suspected reports whether upstreams repeatedly ended under a part of the prompt.
+func (d *Dispatcher) suspected(r *Request) bool {
+	suspected := d.Snapshot().SuspectedParts
+	if len(suspected) == 0 {
+		return false
 	}
+	return slices.ContainsFunc(r.parts, func(part quarantine.Fingerprint) bool { return suspected[part] > maxCrashesBeforeRetry })
 }
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -54,3 +54,58 @@
 		}
 	}
 }
+
+// Guards against blaming the last part of a prompt, which no other request has, and against a request
+// with a quarantined part that is sent or sent again.
+func TestRequestsWithAQuarantinedPartAreNotSent(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		quarantined uint64
+		want        bool
+	}{
+		{"first part", 1, true},
+		{"second part", 2, true},
+		{"last part", 3, false},
+		{"another part", 4, false},
+	} {
+		s := &routing.Snapshot{Quarantined: quarantine.Set{quarantine.PartFingerprint(c.quarantined): time.Now().Add(time.Minute)}}
+		d := &Dispatcher{Snapshot: func() *routing.Snapshot { return s }}
+		params := &RouteParams{PromptParts: []routing.PromptPart{{ID: 1}, {ID: 2}, {ID: 3}}, MaxExecutions: 2}
+		r := &Request{RouteParams: params, parts: sharedParts(params), Deadline: time.Now().Add(time.Minute), Repeatable: true, Attempts: 1}
+		if err := d.rejectEarly(r); (err != nil) != c.want {
+			t.Errorf("%s: got %v", c.name, err)
+		}
+		s.Quarantined = quarantine.Set{}
+		s.SuspectedParts = map[quarantine.Fingerprint]int{quarantine.PartFingerprint(c.quarantined): 2}
+		if got := d.suspected(r); got != c.want {
+			t.Errorf("%s: an interrupted request is suspected: %v", c.name, got)
+		}
+	}
+}
+
+// Guards against a response that ends with its connection, as that of an upstream that crashed may,
+// and an error response, which is not generated from the prompt, that count as completions.
+func TestOnlyWholeGenerationsClearAPart(t *testing.T) {
+	part := quarantine.PartFingerprint(1)
+	for _, c := range []struct {
+		name   string
+		result relay.Result
+		status int
+		want   bool
+	}{
+		{"complete", relay.Result{}, 200, true},
+		{"ended with the connection", relay.Result{EndedByClose: true}, 200, false},
+		{"rejected by the upstream", relay.Result{}, 400, false},
+		{"broken", relay.Result{Err: errkind.New(errkind.ResponseIncomplete, ""), Outcome: retry.Truncated}, 200, false},
+	} {
+		d := &Dispatcher{Snapshot: func() *routing.Snapshot { return &routing.Snapshot{} }}
+		r := &Request{parts: []quarantine.Fingerprint{part}}
+		d.endAttempt(r, d.beginAttempt(r, &routing.Upstream{ID: "u"}), c.result, c.status)
+		reported := false
+		d.ReportCompletedParts = func(completed map[quarantine.Fingerprint]time.Time) { reported = !completed[part].IsZero() }
+		d.reportCompletedParts(map[quarantine.Fingerprint]int{part: 1})
+		if reported != c.want {
+			t.Errorf("%s: reported %v, want %v", c.name, reported, c.want)
+		}
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -58,6 +58,8 @@
 	RouteParams *RouteParams
 	// partHashes caches the prefix hashes of the prompt parts in RouteParams.
 	partHashes []uint64
+	// parts are the parts of the prompt that other requests may share; set by Dispatch.
+	parts []quarantine.Fingerprint
 	// attemptLog lists the upstreams and peers that were tried, with their outcomes.
 	attemptLog []string
 	// expectedFirstByte is the estimated time to the first byte of the response.
@@ -142,6 +144,9 @@
 	// it was detected; nil to ignore crashes. Silent ends are detected only while DetectCrashes
 	// runs.
 	ReportCrash func(c quarantine.Crash, reason string)
+	// ReportCompletedParts is called with the time of the latest completions of requests with
+	// suspected parts in their prompts, by part; nil to ignore them.
+	ReportCompletedParts func(map[quarantine.Fingerprint]time.Time)
 	// ObserveRollout is called for each attempt on a target with an active rollout; nil to
 	// ignore them.
 	ObserveRollout func(RolloutObservation)
@@ -177,6 +182,7 @@
 		d.ServiceRetryBudgets.RecordRequest(time.Now(), r.Target)
 	}
 	d.budget.RecordRequest(time.Now())
+	r.parts = sharedParts(r.RouteParams)
 	if err := d.rejectEarly(r); err != nil {
 		return err
 	}
@@ -191,7 +197,7 @@
 	now := time.Now()
 	if until, ok := d.quarantinedUntil(r); ok && now.Before(until) {
 		err := errkind.New(errkind.RequestQuarantined,
-			"this request crashed two upstreams and is rejected until %s; other requests are not affected", until.UTC().Format(time.RFC3339))
+			"this request, or requests that share a part of its prompt, crashed upstreams; it is rejected until %s, and requests without that part are not affected", until.UTC().Format(time.RFC3339))
 		err.RetryAfter = until.Sub(now)
 		return err
 	}
@@ -210,14 +216,19 @@
 	return nil
 }
 
-// quarantinedUntil returns the end of the request's quarantine; ok is false if it is not
-// quarantined.
+// quarantinedUntil returns the end of the quarantine of the request or of a part of its prompt; ok is
+// false if neither is quarantined.
 func (d *Dispatcher) quarantinedUntil(r *Request) (time.Time, bool) {
 	set := d.Snapshot().Quarantined
 	if len(set) == 0 {
 		return time.Time{}, false
 	}
 	until, ok := set[r.Fingerprint()]
+	for _, part := range r.parts {
+		if end, quarantined := set[part]; quarantined && end.After(until) {
+			until, ok = end, true
+		}
+	}
 	return until, ok
 }
 
@@ -282,6 +293,9 @@
 	if until, quarantined := d.quarantinedUntil(r); quarantined && time.Now().Before(until) {
 		return false
 	}
+	if result.Crashes > 0 && d.suspected(r) {
+		return false
+	}
 	if r.RouteParams != nil {
 		return d.shouldRetryOnRoute(r, result)
 	}
@@ -385,12 +399,13 @@
 	tracked *routing.TrackedAttempt
 	// attempt is nil for a forward.
 	attempt *quarantine.Attempt
-	// head is the time at which the head arrived; zero before.
-	head time.Time
+	// head is the time at which the head arrived, and status its status; zero before.
+	head   time.Time
+	status int
 }
 
 func (s *firstByteSink) Head(status int, header http.Header) error {
-	s.head = time.Now()
+	s.head, s.status = time.Now(), status
 	s.tracked.FirstByte(s.head)
 	s.recordProgress()
 	return s.Sink.Head(status, header)
@@ -459,7 +474,7 @@
 	} else if result.UpstreamFault && !d.versionFault(r, result) {
 		u.Counters.ConsecutiveFailures.Add(1)
 	}
-	d.endAttempt(r, open, result)
+	d.endAttempt(r, open, result, timed.status)
 	d.recordResends(r, result)
 	d.countCrash(r, u, &result)
 	return result
--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -130,8 +130,10 @@
 		ServiceRetryBudgets: retry.NewBudgets(retry.Limits{Share: s.Bounds.RetryShare, Slack: s.Bounds.RetrySlack}),
 		Prefixes:            prefixes,
 		ReportCrash:         n.crashReporter(log, metrics),
-		Timeline:            n.timeline,
-		Metrics:             metrics,
+
+		ReportCompletedParts: n.completedPartsReporter(),
+		Timeline:             n.timeline,
+		Metrics:              metrics,
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -290,13 +290,24 @@
 			telemetry.FieldFingerprint: c.Fingerprint,
 			telemetry.FieldUpstream:    c.Upstream,
 			telemetry.FieldReason:      reason,
-		}).Warn("the upstream ended while it ran a request; a second crash under the same fingerprint quarantines the request")
+			telemetry.FieldSuspects:    c.Parts,
+		}).Warn("the upstream ended while it ran a request; a second crash under the same fingerprint quarantines the request, and crashes under three requests that share a suspected part quarantine the part")
 		ctx, cancel := context.WithTimeout(n.ctx, crashPostTimeout)
 		defer cancel()
 		n.loop.Post(ctx, control.CrashEvent{Crash: c})
 	}
 }
 
+// completedPartsReporter returns the function that posts completions of requests with suspected parts
+// in their prompts to the control loop.
+func (n *Node) completedPartsReporter() func(map[quarantine.Fingerprint]time.Time) {
+	return func(completed map[quarantine.Fingerprint]time.Time) {
+		ctx, cancel := context.WithTimeout(n.ctx, crashPostTimeout)
+		defer cancel()
+		n.loop.Post(ctx, control.PartsCompletedEvent{Completed: completed})
+	}
+}
+
 func (n *Node) metrics() *telemetry.Metrics {
 	return telemetry.NewMetrics(telemetry.Sources{
 		InFlight:       func() float64 { return float64(n.drain.Progress().InFlight) },
--- a/internal/peer/crashes.go
+++ b/internal/peer/crashes.go
@@ -17,13 +17,43 @@
 	crashes := make([]*peerv1.Crash, 0, len(s.SharedCrashes))
 	for _, c := range s.SharedCrashes {
 		age := now.Sub(time.Unix(0, c.SeenAt)).Milliseconds()
-		crashes = append(crashes, &peerv1.Crash{
+		crash := &peerv1.Crash{
 			Fingerprint: uint64(c.Fingerprint), Upstream: c.Upstream, StartedAt: c.StartedAt, SeenAt: c.SeenAt, AgeMs: max(age, 1),
-		})
+		}
+		for _, part := range c.Parts {
+			crash.Parts = append(crash.Parts, uint64(part))
+		}
+		crashes = append(crashes, crash)
 	}
 	return crashes
 }
 
+// maxCompletedParts bounds the completions in one message.
+const maxCompletedParts = 64
+
+func encodeCompletedParts(s *routing.Snapshot, now time.Time) (completed []*peerv1.PartCompletion) {
+	// The random iteration order of the map selects them if there are more.
+	for part, at := range s.CompletedParts {
+		if len(completed) < maxCompletedParts {
+			completed = append(completed, &peerv1.PartCompletion{Part: uint64(part), AgeMs: max(now.Sub(at).Milliseconds(), 0)})
+		}
+	}
+	return completed
+}
+
+// postCompletedParts posts completions that a peer reported.
+func postCompletedParts(ctx context.Context, loop *control.Loop, completed []*peerv1.PartCompletion) {
+	if len(completed) == 0 {
+		return
+	}
+	now := clock.Now()
+	event := control.PartsCompletedEvent{Completed: map[quarantine.Fingerprint]time.Time{}}
+	for _, c := range completed {
+		event.Completed[quarantine.Fingerprint(c.GetPart())] = now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)
+	}
+	loop.Post(ctx, event)
+}
+
 func postCrashes(ctx context.Context, loop *control.Loop, crashes []*peerv1.Crash) {
 	now := clock.Now()
 	for _, c := range crashes {
@@ -36,10 +66,14 @@
 	if c.GetAgeMs() > 0 {
 		seenAt = now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond).UnixNano()
 	}
-	return quarantine.Crash{
+	crash := quarantine.Crash{
 		Fingerprint: quarantine.Fingerprint(c.GetFingerprint()),
 		Upstream:    c.GetUpstream(),
 		StartedAt:   c.GetStartedAt(),
 		SeenAt:      seenAt,
 	}
+	for _, part := range c.GetParts() {
+		crash.Parts = append(crash.Parts, quarantine.Fingerprint(part))
+	}
+	return crash
 }
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -124,6 +124,8 @@
 		Known:   h.MemberCache.compactAll(knownMembers(snapshot, started, address)),
 		Crashes: encodeCrashes(snapshot, started),
 
+		CompletedParts: encodeCompletedParts(snapshot, started),
+
 		Moves:         encodeRollouts(snapshot),
 		VersionFaults: encodeLocalStops(snapshot),
 		Samples:       h.samplesFor(snapshot, address),
@@ -143,6 +145,7 @@
 	}
 	postMember(ctx, h.Loop, self, started, nil, resp.GetHost())
 	postCrashes(ctx, h.Loop, resp.GetCrashes())
+	postCompletedParts(ctx, h.Loop, resp.GetCompletedParts())
 	postRollouts(ctx, h.Loop, resp.GetMoves())
 	postLocalStops(ctx, h.Loop, resp.GetVersionFaults())
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -99,6 +99,7 @@
 	}
 	postMember(ctx, s.Loop, sender, time.Time{}, known, req.Msg.GetHost())
 	postCrashes(ctx, s.Loop, req.Msg.GetCrashes())
+	postCompletedParts(ctx, s.Loop, req.Msg.GetCompletedParts())
 	postRollouts(ctx, s.Loop, req.Msg.GetMoves())
 	postLocalStops(ctx, s.Loop, req.Msg.GetVersionFaults())
 	s.postSamples(ctx, sender, req.Msg.GetSamples())
@@ -111,7 +112,10 @@
 		Self:    self,
 		Wanted:  wanted,
 		Crashes: encodeCrashes(snapshot, clock.Now()),
-		Clock:   uint64(s.Timeline.Clock().Now()),
+
+		CompletedParts: encodeCompletedParts(snapshot, clock.Now()),
+
+		Clock: uint64(s.Timeline.Clock().Now()),
 
 		Moves:         encodeRollouts(snapshot),
 		VersionFaults: encodeLocalStops(snapshot),
--- a/internal/quarantine/attempts.go
+++ b/internal/quarantine/attempts.go
@@ -71,10 +71,10 @@
 
 // Attempt is one attempt of a request on an upstream.
 type Attempt struct {
-	owner       *Attempts
-	process     Process
-	fingerprint func() Fingerprint
-	began       time.Time
+	owner   *Attempts
+	process Process
+	subject func() Subject
+	began   time.Time
 	// abandonedAt is when the attempt ended without a response; zero while it runs.
 	abandonedAt time.Time
 	// draining is true if the upstream announced that it leaves.
@@ -88,9 +88,9 @@
 	return &Attempts{open: map[*Attempt]struct{}{}, processes: map[Process]*processState{}}
 }
 
-// Begin records the start of an attempt. fingerprint is called only if it is needed.
-func (t *Attempts) Begin(now time.Time, p Process, fingerprint func() Fingerprint) *Attempt {
-	a := &Attempt{owner: t, process: p, fingerprint: fingerprint, began: now}
+// Begin records the start of an attempt. subject is called only if it is needed.
+func (t *Attempts) Begin(now time.Time, p Process, subject func() Subject) *Attempt {
+	a := &Attempt{owner: t, process: p, subject: subject, began: now}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.processes[p] == nil {
@@ -131,8 +131,8 @@
 		return
 	}
 	// The closure would keep the request and its body in memory.
-	value := a.fingerprint()
-	a.fingerprint = func() Fingerprint { return value }
+	value := a.subject()
+	a.subject = func() Subject { return value }
 	a.abandonedAt = now
 	t.abandoned++
 }
@@ -171,8 +171,10 @@
 			if a.late {
 				continue
 			}
+			subject := a.subject()
 			crashes = append(crashes, Crash{
-				Fingerprint: a.fingerprint(), Upstream: a.process.Upstream, StartedAt: a.process.StartedAt, SeenAt: now.UnixNano(),
+				Fingerprint: subject.Request, Parts: subject.Parts, Upstream: a.process.Upstream,
+				StartedAt: a.process.StartedAt, SeenAt: t.lastSign(a).UnixNano(),
 			})
 		}
 	}
@@ -195,13 +197,19 @@
 // silent reports whether the upstream has sent nothing for silentPeriod since the attempt began
 // or was abandoned.
 func (t *Attempts) silent(a *Attempt, now time.Time) bool {
-	since := a.began
-	for _, at := range []time.Time{a.abandonedAt, t.state(a.process).lastResponse} {
-		if at.After(since) {
-			since = at
-		}
+	return now.Sub(later(t.lastSign(a), a.abandonedAt)) >= silentPeriod
+}
+
+// lastSign returns when the upstream last showed that it was running, or when the attempt began.
+func (t *Attempts) lastSign(a *Attempt) time.Time {
+	return later(a.began, t.state(a.process).lastResponse)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return now.Sub(since) >= silentPeriod
+	return b
 }
 
 // forgetProcesses drops the state of processes that are gone.
--- a/internal/quarantine/attempts_test.go
+++ b/internal/quarantine/attempts_test.go
@@ -17,7 +17,7 @@
 	respond := func(s float64) func(*Attempts, *Attempt) {
 		return func(tracker *Attempts, a *Attempt) {
 			abandon(tracker, a)
-			tracker.Begin(at(0), old, func() Fingerprint { return 8 }).Progress(at(s))
+			tracker.Begin(at(0), old, func() Subject { return Subject{Request: 8} }).Progress(at(s))
 		}
 	}
 	for _, c := range []struct {
@@ -45,16 +45,16 @@
 		{"still running, sends parts", func(_ *Attempts, a *Attempt) { a.Progress(at(3)) }, gone, 4, 0},
 		{"sent to a process that was silent already", func(tracker *Attempts, a *Attempt) {
 			a.Finish(at(0.4))
-			tracker.Begin(at(0.6), old, func() Fingerprint { return 7 }).Abandon(at(0.8))
+			tracker.Begin(at(0.6), old, func() Subject { return Subject{Request: 7} }).Abandon(at(0.8))
 		}, gone, 4, 0},
 		{"sent to a process that had nothing to do", func(tracker *Attempts, a *Attempt) {
 			a.Finish(at(0.4))
-			tracker.Begin(at(2.6), old, func() Fingerprint { return 7 }).Abandon(at(2.8))
+			tracker.Begin(at(2.6), old, func() Subject { return Subject{Request: 7} }).Abandon(at(2.8))
 		}, gone, 5, 1},
 		{"complete", func(_ *Attempts, a *Attempt) { a.Finish(at(0.5)) }, gone, 4, 0},
 	} {
 		tracker := NewAttempts()
-		a := tracker.Begin(at(0), old, func() Fingerprint { return 7 })
+		a := tracker.Begin(at(0), old, func() Subject { return Subject{Request: 7} })
 		c.act(tracker, a)
 		crashes := tracker.Sweep(at(c.when), c.list)
 		if got := count(crashes, 7); got != c.want {
--- a/internal/quarantine/completions.go
+++ b/internal/quarantine/completions.go
@@ -13,36 +13,54 @@
 	maxCompletions = 4096
 )
 
-// Completions remembers which requests recently got their complete response. A request that
+// Completions remembers when requests, or requests with a part in their prompt, recently got their
+// complete response. A request that
 // crashes every upstream which runs it completes nowhere; one that does is sent often and was
 // in flight by chance when upstreams crashed. It is safe for concurrent use.
 type Completions struct {
 	mu                sync.Mutex
-	current, previous map[Fingerprint]struct{}
+	current, previous map[Fingerprint]time.Time
 	rotated           time.Time
 }
 
 // NewCompletions returns an empty memory.
-func NewCompletions() *Completions { return &Completions{current: map[Fingerprint]struct{}{}} }
+func NewCompletions() *Completions { return &Completions{current: map[Fingerprint]time.Time{}} }
 
 // Add records a completion.
 func (c *Completions) Add(now time.Time, f Fingerprint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.rotate(now)
-	if len(c.current) < maxCompletions {
-		c.current[f] = struct{}{}
+	if _, known := c.current[f]; known || len(c.current) < maxCompletions {
+		c.current[f] = now
 	}
 }
 
 // Has reports whether the request completed recently.
 func (c *Completions) Has(now time.Time, f Fingerprint) bool {
+	_, known := c.Last(now, f)
+	return known
+}
+
+// Last returns when the request last completed; known is false if it did not recently.
+func (c *Completions) Last(now time.Time, f Fingerprint) (at time.Time, known bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.rotate(now)
-	_, current := c.current[f]
-	_, previous := c.previous[f]
-	return current || previous
+	if at, known = c.current[f]; !known {
+		at, known = c.previous[f]
+	}
+	return at, known
+}
+
+// Uncovered returns the parts that did not complete within completionCover.
+func (c *Completions) Uncovered(now time.Time, parts []Fingerprint) (uncovered []Fingerprint) {
+	for _, part := range parts {
+		if at, known := c.Last(now, part); !known || now.Sub(at) > completionCover {
+			uncovered = append(uncovered, part)
+		}
+	}
+	return uncovered
 }
 
 func (c *Completions) rotate(now time.Time) {
@@ -54,5 +72,5 @@
 	if age < 2*completionPeriod {
 		c.previous = c.current
 	}
-	c.current, c.rotated = map[Fingerprint]struct{}{}, now
+	c.current, c.rotated = map[Fingerprint]time.Time{}, now
 }
--- /dev/null
+++ b/internal/quarantine/parts.go
@@ -0,0 +1,267 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A part of a prompt may crash each upstream that generates from it, in requests that have nothing
+// else in common. It was in flight at every crash and never completes, whereas parts that other
+// requests share with it do.
+
+const (
+	// partCrashLimit is the number of processes that ended under a part, and of requests with it
+	// that ran there, after which the part is quarantined. It is higher than crashLimit because
+	// many requests run on an upstream at the same time.
+	partCrashLimit = 3
+	// partObservation is the time from the first of these crashes in which instances that
+	// complete requests with the part can report so: two heartbeats.
+	partObservation = 2500 * time.Millisecond
+	// completionCover is the time after a completion for which crashes are not held against the
+	// parts of its prompt. A popular part completes more often.
+	completionCover = 5 * time.Second
+	// completionRetention is how long the completions of suspected parts are kept.
+	completionRetention = 30 * time.Second
+	// maxParts and maxPartCrashes bound the suspected parts, and the crashes kept for each.
+	maxParts       = 4096
+	maxPartCrashes = 24
+)
+
+// PartFingerprint identifies a part of a prompt by its id. It depends on nothing else, because
+// requests with such a part need not have anything else in common.
+func PartFingerprint(id uint64) Fingerprint {
+	var b [16]byte
+	copy(b[:], "prompt-p")
+	for i := range 8 {
+		b[8+i] = byte(id >> (8 * i))
+	}
+	return Fingerprint(xxhash.Sum64(b[:]))
+}
+
+// Subject is what a crash may be due to: a request, or a part of its prompt.
+type Subject struct {
+	Request Fingerprint
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []Fingerprint
+}
+
+// partEntry holds the crashes under one part.
+type partEntry struct {
+	crashes []Crash
+	// until is the end of the quarantine; zero if the part is only suspected.
+	until time.Time
+}
+
+func (e *partEntry) add(c Crash) {
+	for _, known := range e.crashes {
+		if known.Fingerprint == c.Fingerprint && known.sameEnd(c) {
+			return
+		}
+	}
+	if len(e.crashes) < maxPartCrashes {
+		e.crashes = append(e.crashes, c)
+	}
+}
+
+// processes returns one crash for each process that ended, without those for which skip is true.
+func (e *partEntry) processes(skip func(Crash) bool) (ends []Crash) {
+	for _, c := range e.crashes {
+		if !slices.ContainsFunc(ends, c.sameEnd) && !skip(c) {
+			ends = append(ends, c)
+		}
+	}
+	return ends
+}
+
+func (e *partEntry) requests() int {
+	distinct := map[Fingerprint]struct{}{}
+	for _, c := range e.crashes {
+		distinct[c.Fingerprint] = struct{}{}
+	}
+	return len(distinct)
+}
+
+// mature reports whether the first crash is partObservation old.
+func (e *partEntry) mature(now time.Time) bool {
+	return slices.ContainsFunc(e.crashes, func(c Crash) bool { return now.Sub(time.Unix(0, c.SeenAt)) >= partObservation })
+}
+
+// covered reports whether a request with the part completed shortly before a crash, or later.
+func (t *Table) covered(part Fingerprint, c Crash) bool {
+	at, known := t.completed[part]
+	return known && !time.Unix(0, c.SeenAt).After(at.Add(completionCover))
+}
+
+// addParts records a crash for the parts of its request.
+func (t *Table) addParts(c Crash) {
+	for _, part := range c.Parts {
+		if t.covered(part, c) {
+			continue
+		}
+		e, known := t.parts[part]
+		if !known {
+			if len(t.parts) >= maxParts {
+				t.evictPart()
+			}
+			e = &partEntry{}
+			t.parts[part] = e
+			t.suspects = nil
+		}
+		e.add(c)
+	}
+}
+
+// evictPart removes the part with the fewest crashes, the oldest of several.
+func (t *Table) evictPart() {
+	var weakest Fingerprint
+	var found *partEntry
+	for part, e := range t.parts {
+		if found == nil || len(e.crashes) < len(found.crashes) ||
+			(len(e.crashes) == len(found.crashes) && e.crashes[0].SeenAt < found.crashes[0].SeenAt) {
+			weakest, found = part, e
+		}
+	}
+	delete(t.parts, weakest)
+}
+
+// Complete records that a request with a part in its prompt got its complete response at a time by
+// the clock of this instance. Crashes before it, and those shortly after it, are not due to the part.
+func (t *Table) Complete(part Fingerprint, at time.Time) {
+	if !at.After(t.completed[part]) {
+		return
+	}
+	t.completed[part] = at
+	t.cached, t.shared = nil, nil
+	e, known := t.parts[part]
+	if !known {
+		return
+	}
+	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return t.covered(part, c) })
+	if len(e.processes(none)) < partCrashLimit {
+		e.until = time.Time{}
+	}
+	if len(e.crashes) == 0 {
+		delete(t.parts, part)
+		t.suspects = nil
+	}
+}
+
+func none(Crash) bool { return false }
+
+// expireParts removes old crashes and completions.
+func (t *Table) expireParts(now time.Time) {
+	for part, e := range t.parts {
+		e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return now.Sub(time.Unix(0, c.SeenAt)) >= Duration })
+		if len(e.crashes) == 0 {
+			delete(t.parts, part)
+			t.cached, t.suspects = nil, nil
+		}
+	}
+	for part, at := range t.completed {
+		if now.Sub(at) >= completionRetention {
+			delete(t.completed, part)
+			t.cached, t.shared = nil, nil
+		}
+	}
+}
+
+// judgeParts quarantines the parts to which crashes are due. A process ends once: crashes that a
+// part with more of them explains do not count against other parts.
+func (t *Table) judgeParts(now time.Time) {
+	var suspected []Fingerprint
+	for part, e := range t.parts {
+		if len(e.crashes) >= partCrashLimit && e.requests() >= partCrashLimit && e.mature(now) {
+			suspected = append(suspected, part)
+		}
+	}
+	if len(suspected) == 0 {
+		return
+	}
+	counts := make(map[Fingerprint]int, len(suspected))
+	for _, part := range suspected {
+		counts[part] = len(t.parts[part].processes(none))
+	}
+	slices.SortFunc(suspected, func(a, b Fingerprint) int { return counts[b] - counts[a] })
+	var explained []Crash
+	for len(suspected) > 0 {
+		equal := 1
+		for equal < len(suspected) && counts[suspected[equal]] == counts[suspected[0]] {
+			equal++
+		}
+		explained = t.judgeEqualParts(suspected[:equal], explained)
+		suspected = suspected[equal:]
+	}
+}
+
+// judgeEqualParts judges parts with the same number of crashes, given those that are explained, and
+// returns the latter with the crashes of the quarantined parts.
+func (t *Table) judgeEqualParts(parts []Fingerprint, explained []Crash) []Crash {
+	isExplained := func(c Crash) bool { return slices.ContainsFunc(explained, c.sameEnd) }
+	var due []Crash
+	for _, part := range parts {
+		e := t.parts[part]
+		if e.until.IsZero() && len(e.processes(isExplained)) < partCrashLimit {
+			continue
+		}
+		last := int64(0)
+		for _, c := range e.processes(none) {
+			due = append(due, c)
+			last = max(last, c.SeenAt)
+		}
+		if until := time.Unix(0, last).Add(Duration); until.After(e.until) {
+			e.until = until
+			t.cached = nil
+		}
+	}
+	return append(explained, due...)
+}
+
+// Suspects returns the number of processes that ended under each suspected part; 0 for a quarantine
+// of which only the store tells. The result is never modified.
+func (t *Table) Suspects() map[Fingerprint]int {
+	if t.suspects != nil {
+		return t.suspects
+	}
+	t.suspects = map[Fingerprint]int{}
+	for f := range t.stored {
+		t.suspects[f] = 0
+	}
+	for part, e := range t.parts {
+		t.suspects[part] = len(e.processes(none))
+	}
+	return t.suspects
+}
+
+// Completed returns the latest completions of requests with suspected parts. The result is never
+// modified.
+func (t *Table) Completed() map[Fingerprint]time.Time {
+	if t.shared == nil {
+		t.shared = make(map[Fingerprint]time.Time, len(t.completed))
+		for part, at := range t.completed {
+			t.shared[part] = at
+		}
+	}
+	return t.shared
+}
+
+// refuted reports whether a quarantine that the store holds is contradicted by a completion, and no
+// crash after it.
+func (t *Table) refuted(f Fingerprint) bool {
+	_, completed := t.completed[f]
+	e, suspected := t.parts[f]
+	return completed && (!suspected || e.until.IsZero())
+}
+
+// weight returns the largest number of crashes of a part in a crash, and the parts of it that are
+// still suspected.
+func (t *Table) weight(c Crash) (weight int, parts []Fingerprint) {
+	for _, part := range c.Parts {
+		if e, suspected := t.parts[part]; suspected && !t.covered(part, c) {
+			parts = append(parts, part)
+			weight = max(weight, len(e.crashes))
+		}
+	}
+	return weight, parts
+}
--- /dev/null
+++ b/internal/quarantine/parts_test.go
@@ -0,0 +1,148 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const (
+	harmful = Fingerprint(1 << 40)
+	popular = Fingerprint(1 << 41)
+	rare    = Fingerprint(1 << 42)
+)
+
+var partStart = time.Unix(100_000, 0)
+
+func after(d time.Duration) time.Time { return partStart.Add(d) }
+
+// partCrash returns the crash of a process under a request, after a time.
+func partCrash(process int, request Fingerprint, at time.Duration, parts ...Fingerprint) Crash {
+	return Crash{
+		Fingerprint: request, Parts: parts, Upstream: fmt.Sprint("u", process), StartedAt: int64(process + 1), SeenAt: after(at).UnixNano(),
+	}
+}
+
+// Guards against a part that goes on crashing upstreams, and against blaming parts that were in flight
+// by chance, that only one request has, or that complete elsewhere.
+func TestPartsAreQuarantinedByTheirCrashes(t *testing.T) {
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	for _, c := range []struct {
+		name string
+		act  func(*Table)
+		at   time.Duration
+		want bool
+	}{
+		{"three crashes under three requests", func(table *Table) {
+			for i := range 3 {
+				table.Add(after(ms(i)), partCrash(i, Fingerprint(i), ms(i), harmful))
+			}
+		}, 3 * time.Second, true},
+		{"before others could report completions", func(table *Table) {
+			for i := range 3 {
+				table.Add(after(ms(i)), partCrash(i, Fingerprint(i), ms(i), harmful))
+			}
+		}, time.Second, false},
+		{"two crashes", func(table *Table) {
+			for i := range 4 {
+				table.Add(after(ms(i)), partCrash(i%2, Fingerprint(i), ms(i), harmful))
+			}
+		}, 3 * time.Second, false},
+		{"one request again and again", func(table *Table) {
+			for i := range 4 {
+				table.Add(after(ms(i)), partCrash(i, 7, ms(i), harmful))
+			}
+		}, 3 * time.Second, false},
+		{"a completion before", func(table *Table) {
+			table.Complete(harmful, after(-time.Second))
+			for i := range 3 {
+				table.Add(after(ms(i)), partCrash(i, Fingerprint(i), ms(i), harmful))
+			}
+		}, 3 * time.Second, false},
+		{"a completion long before", func(table *Table) {
+			table.Complete(harmful, after(-time.Minute))
+			for i := range 3 {
+				table.Add(after(ms(i)), partCrash(i, Fingerprint(i), ms(i), harmful))
+			}
+		}, 3 * time.Second, true},
+		{"a completion after the crashes", func(table *Table) {
+			for i := range 3 {
+				table.Add(after(ms(i)), partCrash(i, Fingerprint(i), ms(i), harmful))
+			}
+			table.Complete(harmful, after(time.Second))
+		}, 3 * time.Second, false},
+		{"a completion after the quarantine began", func(table *Table) {
+			for i := range 3 {
+				table.Add(after(ms(i)), partCrash(i, Fingerprint(i), ms(i), harmful))
+			}
+			table.Update(after(3 * time.Second))
+			table.SetStored(map[Fingerprint]Stored{harmful: {Until: after(time.Hour)}})
+			table.Complete(harmful, after(4*time.Second))
+		}, 5 * time.Second, false},
+	} {
+		table := NewTable()
+		c.act(table)
+		table.Update(after(c.at))
+		if _, got := table.Quarantined()[harmful]; got != c.want {
+			t.Errorf("%s: quarantined %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against the quarantine of innocent parts that ran beside a harmful one when several upstreams
+// ended, and against a harmful part that is taken for one of them.
+func TestCrashesAreExplainedByThePartWithMostOfThem(t *testing.T) {
+	table := NewTable()
+	for i := range 6 {
+		table.Add(after(0), partCrash(i, Fingerprint(i), 0, harmful))
+		table.Add(after(0), partCrash(i, Fingerprint(100+i), 0, popular))
+		if i < 4 {
+			table.Add(after(0), partCrash(i, Fingerprint(200+i), 0, rare))
+		}
+	}
+	table.Complete(popular, after(time.Second))
+	table.Update(after(3 * time.Second))
+	for part, want := range map[Fingerprint]bool{harmful: true, popular: false, rare: false} {
+		if _, got := table.Quarantined()[part]; got != want {
+			t.Errorf("part %s: quarantined %v, want %v", part, got, want)
+		}
+	}
+	for i := range 3 {
+		table.Add(after(4*time.Second), partCrash(10+i, Fingerprint(300+i), 4*time.Second, rare))
+	}
+	table.Update(after(8 * time.Second))
+	if _, got := table.Quarantined()[rare]; !got {
+		t.Error("crashes that the harmful part does not explain are not held against another part")
+	}
+}
+
+// Guards against a harmful part whose crashes are crowded out of the heartbeats by those of the many
+// requests that were in flight.
+func TestHeartbeatsTellOfSuspectedPartsFirst(t *testing.T) {
+	table, peer := NewTable(), NewTable()
+	for i := range 300 {
+		table.Add(after(0), partCrash(i%10, Fingerprint(1000+i), 0, Fingerprint(5000+i)))
+	}
+	for i := range 3 {
+		table.Add(after(0), partCrash(i, Fingerprint(i), 0, harmful))
+	}
+	shared := table.HeartbeatCrashes(after(time.Second))
+	if len(shared) > maxRecentCrashes+maxOlderCrashes {
+		t.Errorf("%d crashes in a heartbeat", len(shared))
+	}
+	for _, c := range shared {
+		peer.Add(after(time.Second), c)
+	}
+	peer.Update(after(3 * time.Second))
+	if _, ok := peer.Quarantined()[harmful]; !ok {
+		t.Error("one heartbeat did not tell of the part")
+	}
+	table.Complete(harmful, after(time.Second))
+	for _, c := range table.HeartbeatCrashes(after(time.Second)) {
+		for _, part := range c.Parts {
+			if part == harmful {
+				t.Fatal("a part that completed is still reported")
+			}
+		}
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,6 +1,6 @@
-// Package quarantine detects requests that crash the upstreams that execute them. It
-// collects the crashes reported by all instances and rejects such a request for a limited
-// time.
+// Package quarantine detects requests, and parts of prompts, that crash the upstreams that execute
+// them. It collects the crashes reported by all instances and rejects such a request, and each
+// request with such a part, for a limited time.
 package quarantine
 
 import (
@@ -68,7 +68,10 @@
 // Crash reports that an upstream ended while it executed a request.
 type Crash struct {
 	Fingerprint Fingerprint
-	Upstream    string
+	// Parts are the parts of the prompt that other requests may share, without those that
+	// completed shortly before.
+	Parts    []Fingerprint
+	Upstream string
 	// StartedAt is the start of the upstream's process in Unix milliseconds; 0 if not known.
 	StartedAt int64
 	// SeenAt is the time of the crash in Unix nanoseconds by the clock of this instance.
@@ -76,17 +79,29 @@
 }
 
 type entry struct {
-	// learnedAt maps each crash to the local time at which this instance learned of it.
-	learnedAt map[Crash]time.Time
-	until     time.Time
+	crashes []learnedCrash
+	until   time.Time
+}
+
+// learnedCrash is a crash and the local time at which this instance learned of it.
+type learnedCrash struct {
+	Crash
+	learnedAt time.Time
 }
 
 // Table stores the crashes reported by all instances. It is not safe for concurrent use.
 type Table struct {
 	entries map[Fingerprint]*entry
 	stored  map[Fingerprint]Stored
-	// cached is the cached result of Quarantined; nil after a change.
-	cached Set
+	// parts holds the suspected parts of prompts, and completed the latest completions of requests
+	// with a suspected part.
+	parts     map[Fingerprint]*partEntry
+	completed map[Fingerprint]time.Time
+	// cached, suspects and shared are the cached results of Quarantined, Suspects and Completed;
+	// nil after a change.
+	cached   Set
+	suspects map[Fingerprint]int
+	shared   map[Fingerprint]time.Time
 }
 
 // Set maps each quarantined fingerprint to the end of its quarantine.
@@ -103,7 +118,9 @@
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{entries: map[Fingerprint]*entry{}} }
+func NewTable() *Table {
+	return &Table{entries: map[Fingerprint]*entry{}, parts: map[Fingerprint]*partEntry{}, completed: map[Fingerprint]time.Time{}}
+}
 
 // Add records a crash. Duplicate or expired crashes and those that exceed the limits of the
 // table are ignored.
@@ -112,21 +129,23 @@
 	if age >= Duration {
 		return
 	}
+	t.addParts(c)
+	t.suspects = nil
 	e, ok := t.entries[c.Fingerprint]
 	if !ok {
 		if len(t.entries) >= maxFingerprints && !t.evict() {
 			return
 		}
-		e = &entry{learnedAt: map[Crash]time.Time{}}
+		e = &entry{}
 		t.entries[c.Fingerprint] = e
 	}
 	if e.isDuplicate(c) {
 		return
 	}
-	if len(e.learnedAt) >= maxPerFingerprint {
+	if len(e.crashes) >= maxPerFingerprint {
 		return
 	}
-	e.learnedAt[c] = now
+	e.crashes = append(e.crashes, learnedCrash{c, now})
 	if until := now.Add(Duration - max(age, 0)); until.After(e.until) {
 		e.until = until
 	}
@@ -139,7 +158,7 @@
 	var oldest Fingerprint
 	found := false
 	for f, e := range t.entries {
-		if len(e.learnedAt) < crashLimit && (!found || e.until.Before(t.entries[oldest].until)) {
+		if len(e.crashes) < crashLimit && (!found || e.until.Before(t.entries[oldest].until)) {
 			oldest, found = f, true
 		}
 	}
@@ -149,12 +168,7 @@
 
 // isDuplicate reports whether the crash has already been counted.
 func (e *entry) isDuplicate(c Crash) bool {
-	for known := range e.learnedAt {
-		if known.sameEnd(c) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(e.crashes, func(known learnedCrash) bool { return known.sameEnd(c) })
 }
 
 // sameEnd reports whether two reports concern the end of the same process. A process ends once,
@@ -172,20 +186,23 @@
 // SetStored replaces the quarantines that the store holds.
 func (t *Table) SetStored(stored map[Fingerprint]Stored) {
 	t.stored = stored
-	t.cached = nil
+	t.cached, t.suspects = nil, nil
 }
 
 // Stored returns the quarantines that the store holds. The result is never modified.
 func (t *Table) Stored() map[Fingerprint]Stored { return t.stored }
 
-// Expire removes the requests whose quarantine period has ended.
-func (t *Table) Expire(now time.Time) {
+// Update removes the requests whose quarantine period has ended, and decides which parts of prompts
+// are quarantined. It is to be called regularly.
+func (t *Table) Update(now time.Time) {
 	for f, e := range t.entries {
 		if !now.Before(e.until) {
 			delete(t.entries, f)
 			t.cached = nil
 		}
 	}
+	t.expireParts(now)
+	t.judgeParts(now)
 }
 
 // Quarantined returns the quarantined fingerprints. The result is never modified later.
@@ -195,12 +212,17 @@
 	}
 	t.cached = Set{}
 	for f, e := range t.entries {
-		if len(e.learnedAt) >= crashLimit {
+		if len(e.crashes) >= crashLimit {
 			t.cached[f] = e.until
 		}
 	}
+	for part, e := range t.parts {
+		if !e.until.IsZero() {
+			t.cached[part] = e.until
+		}
+	}
 	for f, s := range t.stored {
-		if s.Until.After(t.cached[f]) {
+		if !t.refuted(f) && s.Until.After(t.cached[f]) {
 			t.cached[f] = s.Until
 		}
 	}
@@ -209,48 +231,56 @@
 
 // Upstreams returns the ids of the upstreams that crashed under the fingerprint, sorted.
 func (t *Table) Upstreams(f Fingerprint) []string {
-	e, ok := t.entries[f]
-	if !ok {
-		return nil
-	}
 	var ids []string
-	for c := range e.learnedAt {
-		ids = append(ids, c.Upstream)
+	if e, ok := t.entries[f]; ok {
+		for _, c := range e.crashes {
+			ids = append(ids, c.Upstream)
+		}
+	}
+	if e, ok := t.parts[f]; ok {
+		for _, c := range e.processes(none) {
+			ids = append(ids, c.Upstream)
+		}
 	}
 	slices.Sort(ids)
 	return ids
 }
 
 // HeartbeatCrashes returns the crashes to include in the next heartbeat: those of quarantined
-// requests, then a random selection of the recent ones and a few of the older ones.
+// requests, then the recent ones, those first whose prompt parts have most crashes, and a few of the
+// older ones.
 func (t *Table) HeartbeatCrashes(now time.Time) []Crash {
-	var selected, recent, older []Crash
+	var selected, older []Crash
+	var recent []weightedCrash
 	// The random iteration order of the map makes the selection.
 	for _, e := range t.entries {
-		if len(e.learnedAt) >= crashLimit && len(selected) <= maxQuarantineCrashes-crashLimit {
-			selected = append(selected, e.firstCrashes(crashLimit)...)
+		if len(e.crashes) >= crashLimit && len(selected) <= maxQuarantineCrashes-crashLimit {
+			for _, c := range e.crashes[:crashLimit] {
+				_, c.Parts = t.weight(c.Crash)
+				selected = append(selected, c.Crash)
+			}
 			continue
 		}
-		for c, learnedAt := range e.learnedAt {
+		for _, c := range e.crashes {
+			weight, parts := t.weight(c.Crash)
+			c.Parts = parts
 			switch {
-			case now.Sub(learnedAt) < heartbeatShareDuration && len(recent) < maxRecentCrashes:
-				recent = append(recent, c)
+			case now.Sub(c.learnedAt) < heartbeatShareDuration || weight >= partCrashLimit:
+				recent = append(recent, weightedCrash{c.Crash, weight})
 			case len(older) < maxOlderCrashes:
-				older = append(older, c)
+				older = append(older, c.Crash)
 			}
 		}
 	}
-	selected = append(selected, recent[:min(len(recent), maxRecentCrashes-len(selected))]...)
+	slices.SortStableFunc(recent, func(a, b weightedCrash) int { return b.weight - a.weight })
+	for _, c := range recent[:min(len(recent), maxRecentCrashes-len(selected))] {
+		selected = append(selected, c.Crash)
+	}
 	return append(selected, older...)
 }
 
-// firstCrashes returns up to n crashes of the request.
-func (e *entry) firstCrashes(n int) []Crash {
-	crashes := make([]Crash, 0, n)
-	for c := range e.learnedAt {
-		if len(crashes) < n {
-			crashes = append(crashes, c)
-		}
-	}
-	return crashes
+// weightedCrash is a crash with the number of crashes of the most suspected part in its prompt.
+type weightedCrash struct {
+	Crash
+	weight int
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -32,11 +32,11 @@
 	if !late.Quarantined()[1].Equal(table.Quarantined()[1]) {
 		t.Fatalf("an instance that started later quarantines %v, want %v", late.Quarantined(), table.Quarantined())
 	}
-	table.Expire(now.Add(Duration - time.Second))
+	table.Update(now.Add(Duration - time.Second))
 	if quarantined() != 1 {
 		t.Fatal("the quarantine ended early")
 	}
-	table.Expire(now.Add(Duration + 2*time.Second))
+	table.Update(now.Add(Duration + 2*time.Second))
 	if quarantined() != 0 {
 		t.Fatal("the quarantine did not end")
 	}
--- a/internal/relay/exchange_test.go
+++ b/internal/relay/exchange_test.go
@@ -235,7 +235,7 @@
 	u := startByteUpstream(t, func(int) (string, func(net.Conn)) { return "HTTP/1.1 " + validHead + "\r\nall", closeConn })
 	sink := &memorySink{}
 	result := New(DefaultLimits()).Do(context.Background(), newAttempt(u), sink)
-	if result.Err != nil || sink.body.String() != "all" || sink.header.Get("Content-Length") != "3" {
+	if result.Err != nil || !result.EndedByClose || sink.body.String() != "all" || sink.header.Get("Content-Length") != "3" {
 		t.Fatalf("got %v, %q, %v", result.Err, sink.body.String(), sink.header)
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -139,6 +139,9 @@
 	Started bool
 	// UpstreamFault is true if the upstream caused the failure.
 	UpstreamFault bool
+	// EndedByClose is true if only the end of the connection marked the end of the response, so that
+	// an upstream that ended in the middle of it may have closed the connection.
+	EndedByClose bool
 	// ConnectionBroken is true if the connection broke during the response.
 	ConnectionBroken bool
 	// ErrorResponse is a complete response of the upstream with a 5xx status. It is
@@ -227,6 +230,7 @@
 	defer resp.Body.Close()
 	result := r.handleResponse(w, sent, resp, a, sink)
 	result.Resends = sent.resends()
+	result.EndedByClose = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	if result.Outcome == retry.TimedOut {
 		r.pool.dropIdle(a.Address)
 	}
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -187,10 +187,15 @@
 	// RemotePeers lists, for each target, the indexes into Peers of those whose region
 	// serves it.
 	RemotePeers map[string][]int32
-	// Quarantined are the requests that are rejected.
+	// Quarantined are the requests that are rejected, and the parts of prompts whose requests are.
 	Quarantined quarantine.Set
-	// StoredQuarantines are those of them that the platform's store holds.
+	// StoredQuarantines are the quarantines that the platform's store holds. One that is not in
+	// Quarantined was refuted by a completion.
 	StoredQuarantines map[quarantine.Fingerprint]quarantine.Stored
+	// SuspectedParts holds the number of processes that ended under each suspected part of a prompt,
+	// and CompletedParts when requests with such parts last completed.
+	SuspectedParts map[quarantine.Fingerprint]int
+	CompletedParts map[quarantine.Fingerprint]time.Time
 	// SharedCrashes are the crashes to report to other instances.
 	SharedCrashes []quarantine.Crash
 	// Ready is false until a configuration is in force.
--- a/internal/storefeed/quarantine.go
+++ b/internal/storefeed/quarantine.go
@@ -44,8 +44,8 @@
 	revision int64
 }
 
-// keepQuarantines writes the quarantines that the store lacks, and deletes those that have ended,
-// until ctx ends.
+// keepQuarantines writes the quarantines that the store lacks, and deletes those that have ended or
+// were refuted by a completion, until ctx ends.
 func (f *Feed) keepQuarantines(ctx context.Context) {
 	keeper := quarantineKeeper{self: f.Self.ID, wantedSince: map[quarantineChange]time.Time{}}
 	for ctx.Err() == nil {
@@ -85,6 +85,12 @@
 
 func wantedQuarantineChanges(s *routing.Snapshot, now time.Time) map[quarantineChange]bool {
 	wanted := map[quarantineChange]bool{}
+	for f, stored := range s.StoredQuarantines {
+		_, refuted := s.CompletedParts[f]
+		if _, quarantined := s.Quarantined[f]; refuted && !quarantined && stored.Revision != 0 {
+			wanted[quarantineChange{f, stored.Revision}] = true
+		}
+	}
 	for f, until := range s.Quarantined {
 		stored, known := s.StoredQuarantines[f]
 		switch {
@@ -116,7 +122,7 @@
 	case err != nil:
 		log.WithError(err).Warn("writing a quarantine to the store failed; the next comparison writes it again")
 	case ok && write.Delete:
-		log.Info("deleted a quarantine that has ended from the store")
+		log.Info("deleted a quarantine that has ended or was refuted from the store")
 	case ok:
 		log.Info("wrote a quarantine to the store, where all instances read it")
 	}
--- a/internal/storefeed/quarantine_test.go
+++ b/internal/storefeed/quarantine_test.go
@@ -36,6 +36,13 @@
 	if due := keeper.due(s, start); len(due) != 1 || due[0] != (quarantineChange{fingerprint: f}) {
 		t.Errorf("changes after the store lost the row: %v, want a new row", due)
 	}
+	refuted := &routing.Snapshot{
+		StoredQuarantines: map[quarantine.Fingerprint]quarantine.Stored{f: {Until: until, Revision: 6}},
+		CompletedParts:    map[quarantine.Fingerprint]time.Time{f: start},
+	}
+	if due := keeper.due(refuted, start); len(due) != 1 || due[0] != (quarantineChange{f, 6}) {
+		t.Errorf("changes after a completion refuted the quarantine: %v, want the deletion of revision 6", due)
+	}
 }
 
 // Guards against all instances writing a quarantine at once, and against one that nobody writes
--- a/internal/telemetry/fields.go
+++ b/internal/telemetry/fields.go
@@ -40,4 +40,5 @@
 	FieldState             = "state"
 	FieldReason            = "reason"
 	FieldFingerprint       = "fingerprint"
+	FieldSuspects          = "suspects"
 )
