Do not quarantine a request for crashes that a part of prompts explains

Cause: a crash counted in full against each request that was in flight.

Change: once a part is quarantined, the ends of the processes that it explains do not count against requests any more, and rows of such quarantines are deleted from the store. Heartbeats carry no more crashes of a quarantined part than its quarantine needs.

Evidence: TestAnInnocentRequestIsNotQuarantinedForTheCrashesOfAPart fails if all crashes count and passes now; TestHeartbeatsTellOfSuspectedPartsFirst covers an instance that starts later.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -176,15 +176,18 @@
 			suspected = append(suspected, part)
 		}
 	}
-	if len(suspected) == 0 {
-		return
-	}
 	counts := make(map[Fingerprint]int, len(suspected))
 	for _, part := range suspected {
 		counts[part] = len(t.parts[part].processes(none))
 	}
 	slices.SortFunc(suspected, func(a, b Fingerprint) int { return counts[b] - counts[a] })
 	var explained []Crash
+	defer func() {
+		if len(explained) != len(t.explained) {
+			t.cached = nil
+		}
+		t.explained = explained
+	}()
 	for len(suspected) > 0 {
 		equal := 1
 		for equal < len(suspected) && counts[suspected[equal]] == counts[suspected[0]] {
@@ -246,14 +249,55 @@
 	return t.shared
 }
 
-// refuted reports whether a quarantine that the store holds is contradicted by a completion, and no
-// crash after it.
+// refuted reports whether a quarantine that the store holds is contradicted: by a completion of a
+// request with the part and no crash after it, or by a part that explains the crashes of a request.
 func (t *Table) refuted(f Fingerprint) bool {
+	if e, known := t.entries[f]; known && len(e.crashes) >= crashLimit {
+		return t.unexplained(e) < crashLimit
+	}
 	_, completed := t.completed[f]
 	e, suspected := t.parts[f]
 	return completed && (!suspected || e.until.IsZero())
 }
 
+// Refuted returns the quarantines in the store that are contradicted. They do not apply, and are to
+// be deleted.
+func (t *Table) Refuted() map[Fingerprint]struct{} {
+	refuted := map[Fingerprint]struct{}{}
+	for f := range t.stored {
+		if t.refuted(f) {
+			refuted[f] = struct{}{}
+		}
+	}
+	return refuted
+}
+
+// unexplained returns the number of crashes under a request that no quarantined part explains.
+func (t *Table) unexplained(e *entry) (n int) {
+	for _, c := range e.crashes {
+		if !slices.ContainsFunc(t.explained, c.sameEnd) {
+			n++
+		}
+	}
+	return n
+}
+
+// proof returns crashes that suffice to quarantine the part.
+func (e *partEntry) proof() []Crash {
+	var proof partEntry
+	for _, c := range e.crashes {
+		processes, requests := len(proof.processes(none)), proof.requests()
+		if processes >= partCrashLimit && requests >= partCrashLimit {
+			break
+		}
+		proof.add(c)
+		if len(proof.processes(none)) == processes && proof.requests() == requests {
+			proof.crashes = proof.crashes[:len(proof.crashes)-1]
+		}
+	}
+	return proof.crashes
+}
+
 // weight returns the largest number of crashes of a part in a crash, and the parts of it that are
 // still suspected.
 func (t *Table) weight(c Crash) (weight int, parts []Fingerprint) {
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -137,6 +137,15 @@
 	if _, ok := peer.Quarantined()[harmful]; !ok {
 		t.Error("one heartbeat did not tell of the part")
 	}
+	table.Update(after(3 * time.Second))
+	restarted := NewTable()
+	for _, c := range table.HeartbeatCrashes(after(time.Minute)) {
+		restarted.Add(after(time.Minute), c)
+	}
+	restarted.Update(after(time.Minute))
+	if _, ok := restarted.Quarantined()[harmful]; !ok {
+		t.Error("an instance that started later did not learn of the part with one heartbeat")
+	}
 	table.Complete(harmful, after(time.Second))
 	for _, c := range table.HeartbeatCrashes(after(time.Second)) {
 		for _, part := range c.Parts {
@@ -146,3 +155,32 @@
 		}
 	}
 }
+
+// Guards against the quarantine of an innocent request that was sent to two upstreams which a harmful
+// part ended.
+func TestAnInnocentRequestIsNotQuarantinedForTheCrashesOfAPart(t *testing.T) {
+	table := NewTable()
+	const innocent = Fingerprint(9)
+	for i := range 3 {
+		table.Add(after(0), partCrash(i, Fingerprint(100+i), 0, harmful))
+		table.Add(after(0), partCrash(min(i, 1), innocent, 0, rare))
+	}
+	table.SetStored(map[Fingerprint]Stored{innocent: {Until: after(time.Hour), Revision: 1}})
+	if _, ok := table.Quarantined()[innocent]; !ok {
+		t.Fatal("two crashes do not quarantine a request")
+	}
+	table.Update(after(3 * time.Second))
+	if _, ok := table.Quarantined()[innocent]; ok {
+		t.Error("the request is quarantined although a part explains its crashes")
+	}
+	if _, ok := table.Refuted()[innocent]; !ok {
+		t.Error("its row remains in the store")
+	}
+	for i := range 2 {
+		table.Add(after(4*time.Second), partCrash(10+i, innocent, 4*time.Second, rare))
+	}
+	table.Update(after(5 * time.Second))
+	if _, ok := table.Quarantined()[innocent]; !ok {
+		t.Error("further crashes do not quarantine the request")
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -97,6 +97,8 @@
 	// with a suspected part.
 	parts     map[Fingerprint]*partEntry
 	completed map[Fingerprint]time.Time
+	// explained holds a crash of each process that ended under a quarantined part.
+	explained []Crash
 	// cached, suspects and shared are the cached results of Quarantined, Suspects and Completed;
 	// nil after a change.
 	cached   Set
@@ -212,7 +214,7 @@
 	}
 	t.cached = Set{}
 	for f, e := range t.entries {
-		if len(e.crashes) >= crashLimit {
+		if t.unexplained(e) >= crashLimit {
 			t.cached[f] = e.until
 		}
 	}
@@ -247,25 +249,22 @@
 }
 
 // HeartbeatCrashes returns the crashes to include in the next heartbeat: those of quarantined
-// requests, then the recent ones, those first whose prompt parts have most crashes, and a few of the
-// older ones.
+// requests and parts, then the recent ones, those first whose prompt parts have most crashes, and a few
+// of the older ones.
 func (t *Table) HeartbeatCrashes(now time.Time) []Crash {
-	var selected, older []Crash
+	selected := t.quarantineCrashes()
+	var older []Crash
 	var recent []weightedCrash
 	// The random iteration order of the map makes the selection.
 	for _, e := range t.entries {
-		if len(e.crashes) >= crashLimit && len(selected) <= maxQuarantineCrashes-crashLimit {
-			for _, c := range e.crashes[:crashLimit] {
-				_, c.Parts = t.weight(c.Crash)
-				selected = append(selected, c.Crash)
-			}
+		if len(e.crashes) >= crashLimit {
 			continue
 		}
 		for _, c := range e.crashes {
 			weight, parts := t.weight(c.Crash)
 			c.Parts = parts
 			switch {
-			case now.Sub(c.learnedAt) < heartbeatShareDuration || weight >= partCrashLimit:
+			case now.Sub(c.learnedAt) < heartbeatShareDuration:
 				recent = append(recent, weightedCrash{c.Crash, weight})
 			case len(older) < maxOlderCrashes:
 				older = append(older, c.Crash)
@@ -273,12 +272,35 @@
 		}
 	}
 	slices.SortStableFunc(recent, func(a, b weightedCrash) int { return b.weight - a.weight })
-	for _, c := range recent[:min(len(recent), maxRecentCrashes-len(selected))] {
+	for _, c := range recent[:min(len(recent), max(maxRecentCrashes-len(selected), 0))] {
 		selected = append(selected, c.Crash)
 	}
 	return append(selected, older...)
 }
 
+// quarantineCrashes returns crashes that suffice for the quarantines that follow from them.
+func (t *Table) quarantineCrashes() (selected []Crash) {
+	for part, e := range t.parts {
+		if e.until.IsZero() || len(selected) >= maxQuarantineCrashes {
+			continue
+		}
+		for _, c := range e.proof() {
+			c.Parts = []Fingerprint{part}
+			selected = append(selected, c)
+		}
+	}
+	for _, e := range t.entries {
+		if len(e.crashes) < crashLimit || len(selected) > maxQuarantineCrashes-crashLimit {
+			continue
+		}
+		for _, c := range e.crashes[:crashLimit] {
+			_, c.Parts = t.weight(c.Crash)
+			selected = append(selected, c.Crash)
+		}
+	}
+	return selected
+}
+
 // weightedCrash is a crash with the number of crashes of the most suspected part in its prompt.
 type weightedCrash struct {
 	Crash
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -189,9 +189,10 @@
 	RemotePeers map[string][]int32
 	// Quarantined are the requests that are rejected, and the parts of prompts whose requests are.
 	Quarantined quarantine.Set
-	// StoredQuarantines are the quarantines that the platform's store holds. One that is not in
-	// Quarantined was refuted by a completion.
-	StoredQuarantines map[quarantine.Fingerprint]quarantine.Stored
+	// StoredQuarantines are the quarantines that the platform's store holds, and RefutedQuarantines
+	// those of them that are contradicted and do not apply.
+	StoredQuarantines  map[quarantine.Fingerprint]quarantine.Stored
+	RefutedQuarantines map[quarantine.Fingerprint]struct{}
 	// SuspectedParts holds the number of processes that ended under each suspected part of a prompt,
 	// and CompletedParts when requests with such parts last completed.
 	SuspectedParts map[quarantine.Fingerprint]int
--- a/internal/storefeed/quarantine.go
+++ b/internal/storefeed/quarantine.go
@@ -45,7 +45,7 @@
 }
 
 // keepQuarantines writes the quarantines that the store lacks, and deletes those that have ended or
-// were refuted by a completion, until ctx ends.
+// are contradicted, until ctx ends.
 func (f *Feed) keepQuarantines(ctx context.Context) {
 	keeper := quarantineKeeper{self: f.Self.ID, wantedSince: map[quarantineChange]time.Time{}}
 	for ctx.Err() == nil {
@@ -85,9 +85,8 @@
 
 func wantedQuarantineChanges(s *routing.Snapshot, now time.Time) map[quarantineChange]bool {
 	wanted := map[quarantineChange]bool{}
-	for f, stored := range s.StoredQuarantines {
-		_, refuted := s.CompletedParts[f]
-		if _, quarantined := s.Quarantined[f]; refuted && !quarantined && stored.Revision != 0 {
+	for f := range s.RefutedQuarantines {
+		if stored := s.StoredQuarantines[f]; stored.Revision != 0 {
 			wanted[quarantineChange{f, stored.Revision}] = true
 		}
 	}
