Send requests with a harmful prompt part, and restore the store, in the soak

The soak sends streams that have nothing in common but a part of their prompt, under which every server ends, beside sound streams that share their first part, and checks that they reach servers no more than three times later than 5 s after the fifth crash. The store fault store_restored returns the store to a copy, after which operators and servers write again what they had written.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -40,6 +40,7 @@
 	kindRegionBound: {http.MethodPost, "/b/"},
 	kindLimited:     {http.MethodGet, "/r/"},
 	kindHarmful:     {http.MethodGet, "/r/"},
+	kindHarmfulPart: {http.MethodPost, "/g/"},
 }
 
 // callerGroup holds all callers of a run and the calls that they recorded.
@@ -62,8 +63,9 @@
 	addresses []string
 	listed    time.Time
 	sent      int
-	// harmful is the path of the harmful request that the caller sends; empty for none.
-	harmful string
+	// harmful is the path of the harmful request that the caller sends, and harmfulPart the part of
+	// the prompts of all of its requests that crashes servers; empty for none.
+	harmful, harmfulPart string
 }
 
 func (c *callerGroup) newCaller(name, region string, rng *rand.Rand) *caller {
@@ -94,7 +96,10 @@
 const (
 	// harmfulPath is part of the path of a request that crashes every server.
 	harmfulPath = "harmful"
-	// harmfulPeriod is how long a caller repeats one harmful request before it sends another.
+	// harmfulPart begins the id of a prompt part that crashes every server.
+	harmfulPart = "bad"
+	// harmfulPeriod is how long a caller repeats one harmful request, or uses one harmful part, before
+	// the next one.
 	harmfulPeriod   = time.Minute
 	maxHarmfulPause = 150 * time.Millisecond
 )
@@ -108,6 +113,25 @@
 	}
 }
 
+// pickHarmfulPart returns a function that picks the harmful prompt part of the current period.
+func pickHarmfulPart() func(*caller) (requestKind, string) {
+	started := time.Now()
+	return func(c *caller) (requestKind, string) {
+		c.harmfulPart = fmt.Sprintf("%s%x", harmfulPart, time.Since(started)/harmfulPeriod)
+		return kindHarmfulPart, mainKey
+	}
+}
+
+// prompt returns the parts of the prompt of a streaming request. All have the first one in common, and
+// none the last one.
+func (c *caller) prompt() string {
+	first, own := "aa:100", fmt.Sprintf("%x:10", c.rng.Uint32())
+	if c.harmfulPart == "" {
+		return first + "," + own
+	}
+	return fmt.Sprintf("%s,%s:100,%s", first, c.harmfulPart, own)
+}
+
 // send sends one request to an instance, records the call and returns its result.
 func (c *caller) send(k requestKind, key string) result {
 	e := c.pickInstance()
@@ -122,7 +146,10 @@
 	if target.method == http.MethodPost {
 		request.Body = fmt.Appendf(nil, "body of %s", id)
 	}
-	record := call{id: id, kind: k, node: e, key: key, sent: time.Now(), content: c.harmful}
+	if k == kindStream || k == kindHarmfulPart {
+		request.Prompt = c.prompt()
+	}
+	record := call{id: id, kind: k, node: e, key: key, sent: time.Now(), content: cmp.Or(c.harmful, c.harmfulPart)}
 	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
 		WroteRequest: func(i httptrace.WroteRequestInfo) { record.written = i.Err == nil },
 	})
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -144,7 +144,7 @@
 		return nil, err
 	}
 	srv := &server{UpstreamServer: upstream, link: link}
-	upstream.SetCrash(harmfulPath, s.crashMode)
+	upstream.SetCrash(s.crashMode, harmfulPath, harmfulPart)
 	upstream.OnCrash = func() { s.replaceCrashed(srv) }
 	s.servers[config.ID] = srv
 	s.active = append(s.active, srv)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -76,6 +76,7 @@
 		{"store_busy", storeFault(standin.StoreFaults{Unavailable: true})},
 		{"store_answers_lost", storeFault(standin.StoreFaults{DropResponses: true})},
 		{"store_slow", storeFault(standin.StoreFaults{Delay: slowStoreDelay})},
+		{"store_restored", restoreStore},
 		{"store_compacted", func(d *injector) (string, func()) { d.cluster.store.Compact(); return "", func() {} }},
 	},
 }
@@ -303,6 +304,23 @@
 	}
 }
 
+// maxRewriteDelay is the time within which the operator and the servers write again what a restored
+// store has lost.
+const maxRewriteDelay = time.Second
+
+// restoreStore replaces the contents of the store, at the end of the fault, by those at its start.
+func restoreStore(d *injector) (string, func()) {
+	end := d.cluster.storeFaults.begin()
+	restored, delay := d.cluster.store.Backup(), time.Duration(d.rng.Int64N(int64(maxRewriteDelay)))
+	return "store", func() {
+		latest := d.cluster.store.Backup()
+		d.cluster.store.Restore(restored)
+		time.Sleep(delay)
+		d.cluster.store.Rewrite(restored, latest, "op/", "servers/")
+		end()
+	}
+}
+
 // faultLog counts the injected faults by name and writes each to a file.
 type faultLog struct {
 	mu     sync.Mutex
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -22,6 +22,8 @@
 	kindLimited requestKind = "metered"
 	// kindHarmful requests are reads that crash every server which executes them.
 	kindHarmful requestKind = "harmful"
+	// kindHarmfulPart requests are streams with a prompt part that crashes every server.
+	kindHarmfulPart requestKind = "harmful_part"
 )
 
 // idempotent reports whether a request may be executed more than once.
@@ -58,7 +60,7 @@
 	// written is true if the request was written to a connection completely.
 	written bool
 	detail  string
-	// content names the harmful content of a kindHarmful request.
+	// content names the harmful content of a kindHarmful or kindHarmfulPart request.
 	content string
 }
 
--- a/internal/soak/rules.go
+++ b/internal/soak/rules.go
@@ -31,13 +31,15 @@
 	// than a quarter of the requests that reached their time limit.
 	lateGrace = 500 * time.Millisecond
 	maxLate   = 8
-	// tolerableCrashes is the number of servers that one request may crash. Later than
-	// settleTime after that, it may reach servers maxLateRetries more times.
-	tolerableCrashes = 3
-	maxLateRetries   = 3
-	rateWindow       = 8 * time.Second
-	rateExcess       = 0.1
-	quotaSlack       = 20
+	// tolerableCrashes is the number of servers that one request may crash, and
+	// tolerablePartCrashes that of requests with one part in their prompts. Later than settleTime
+	// after that, they may reach servers maxLateRetries more times.
+	tolerableCrashes     = 3
+	tolerablePartCrashes = 5
+	maxLateRetries       = 3
+	rateWindow           = 8 * time.Second
+	rateExcess           = 0.1
+	quotaSlack           = 20
 )
 
 // Violation is one violation of a rule.
@@ -373,9 +375,14 @@
 	}
 }
 
-// checkHarmfulRequests reports requests that were sent on after they had crashed
-// tolerableCrashes servers.
+// checkHarmfulRequests reports requests that were sent on after they had crashed tolerableCrashes
+// servers, and prompt parts whose requests were after tolerablePartCrashes.
 func checkHarmfulRequests(e *history, report func(string, ...any)) {
+	checkHarmful(e, kindHarmful, tolerableCrashes, report)
+	checkHarmful(e, kindHarmfulPart, tolerablePartCrashes, report)
+}
+
+func checkHarmful(e *history, kind requestKind, tolerable int, report func(string, ...any)) {
 	type arrival struct {
 		call      call
 		execution standin.ExecutedRequest
@@ -383,7 +390,7 @@
 	byContent := map[string][]arrival{}
 	for _, c := range e.calls {
 		for _, execution := range e.executions[c.id] {
-			if c.kind == kindHarmful {
+			if c.kind == kind {
 				byContent[c.content] = append(byContent[c.content], arrival{c, execution})
 			}
 		}
@@ -391,14 +398,14 @@
 	for content, arrivals := range byContent {
 		slices.SortFunc(arrivals, func(a, b arrival) int { return a.execution.At.Compare(b.execution.At) })
 		late := 0
-		for _, a := range arrivals[min(tolerableCrashes, len(arrivals)):] {
-			third := arrivals[tolerableCrashes-1].execution.At
-			if a.execution.At.After(third.Add(settleTime)) && e.sendersUndisturbed(a.call, a.execution) {
+		for _, a := range arrivals[min(tolerable, len(arrivals)):] {
+			last := arrivals[tolerable-1].execution.At
+			if a.execution.At.After(last.Add(settleTime)) && e.sendersUndisturbed(a.call, a.execution) {
 				late++
 			}
 		}
 		if late > maxLateRetries {
-			report("%s reached servers %d times later than %s after it had crashed %d servers, %d times in all", content, late, settleTime, tolerableCrashes, len(arrivals))
+			report("%s reached servers %d times later than %s after it had crashed %d servers, %d times in all", content, late, settleTime, tolerable, len(arrivals))
 		}
 	}
 }
--- a/internal/soak/rules_test.go
+++ b/internal/soak/rules_test.go
@@ -141,11 +141,13 @@
 				r.add(call{kind: kindRead, sent: at(time.Second), ended: at(4 * time.Second), result: failed})
 			}
 		}},
-		{"harmful request sent on", "harmful_requests", func(r env) { r.addHarmful(maxLateRetries + 1) }},
-		{"harmful request sent on a few times", "", func(r env) { r.addHarmful(maxLateRetries) }},
+		{"harmful request sent on", "harmful_requests", func(r env) { r.addHarmful(kindHarmful, maxLateRetries+1) }},
+		{"harmful request sent on a few times", "", func(r env) { r.addHarmful(kindHarmful, maxLateRetries) }},
+		{"harmful part sent on", "harmful_requests", func(r env) { r.addHarmful(kindHarmfulPart, maxLateRetries+1) }},
+		{"harmful part sent on a few times", "", func(r env) { r.addHarmful(kindHarmfulPart, maxLateRetries) }},
 		{"harmful request sent on by restarted instances", "", func(r env) {
 			r.a.faults.list = []interval{{at(3 * time.Second), at(4 * time.Second)}}
-			r.addHarmful(maxLateRetries + 1)
+			r.addHarmful(kindHarmful, maxLateRetries+1)
 		}},
 	} {
 		r := newEnv()
@@ -166,15 +168,19 @@
 	}
 }
 
-// addHarmful records a harmful request that crashes tolerableCrashes servers, and n times more
+// addHarmful records harmful content that crashes as many servers as tolerable, and n times more
 // settleTime later.
-func (r env) addHarmful(n int) {
-	for i := range tolerableCrashes + n {
+func (r env) addHarmful(kind requestKind, n int) {
+	tolerable := tolerableCrashes
+	if kind == kindHarmfulPart {
+		tolerable = tolerablePartCrashes
+	}
+	for i := range tolerable + n {
 		sent := at(time.Duration(i) * time.Millisecond)
-		if i >= tolerableCrashes {
+		if i >= tolerable {
 			sent = sent.Add(settleTime + time.Second)
 		}
-		r.add(call{kind: kindHarmful, content: "harmful-1", sent: sent, result: failed}, execution("s1", "a-1", servicePlain))
+		r.add(call{kind: kind, content: "harmful-1", sent: sent, result: failed}, execution("s1", "a-1", servicePlain))
 	}
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -193,6 +193,8 @@
 	}
 	harmful := s.callers.newCaller("h", regions[0], s.newRand("harmful", 0))
 	running.Go(func() { harmful.run(ctx, pickHarmful(), maxHarmfulPause) })
+	part := s.callers.newCaller("p", regions[0], s.newRand("harmful part", 0))
+	running.Go(func() { part.run(ctx, pickHarmfulPart(), maxHarmfulPause) })
 }
 
 // newRand returns the random source of one part of the run.
