Do not blame a part of prompts for upstreams that end together

Cause: upstreams that end at the same time were counted as separate evidence, although one cause, such as a loss of power, ends them all, whatever runs on them.

Change: ends within 300 ms count as one time, and as none if three or more processes ended then. A part needs crashes at three times, or six processes and six requests.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -12,10 +13,21 @@
 // requests share with it do.
 
 const (
-	// partCrashLimit is the number of processes that ended under a part, and of requests with it
-	// that ran there, after which the part is quarantined. It is higher than crashLimit because
-	// many requests run on an upstream at the same time.
+	// partCrashLimit is the number of times at which processes ended under a part, and of requests
+	// with it that ran there, after which the part is quarantined. It is higher than crashLimit
+	// because many requests run on an upstream at the same time.
 	partCrashLimit = 3
+	// partProcessLimit is the number of processes, and of requests, that suffice whenever the
+	// processes ended.
+	partProcessLimit = 6
+	// sameCause is the time within which processes that end may have a common cause, such as a
+	// loss of power. They count as one time, and not at all if there are commonCauseProcesses.
+	sameCause            = 300 * time.Millisecond
+	commonCauseProcesses = 3
+	// judgeInterval is the time between two decisions on the suspected parts.
+	judgeInterval = 250 * time.Millisecond
+	// maxEnds bounds the ends of processes that are kept.
+	maxEnds = 512
 	// partObservation is the time from the first of these crashes in which instances that
 	// complete requests with the part can report so: two heartbeats.
 	partObservation = 2500 * time.Millisecond
@@ -83,6 +95,41 @@
 	return len(distinct)
 }
 
+// due reports whether crashes of different processes, under a number of requests, suffice to
+// quarantine a part.
+func (t *Table) due(crashes []Crash, requests int) bool {
+	return (requests >= partCrashLimit && len(crashes) >= partCrashLimit && t.times(crashes) >= partCrashLimit) ||
+		(requests >= partProcessLimit && len(crashes) >= partProcessLimit)
+}
+
+// times returns at how many times the crashes happened, without those at which many processes ended.
+func (t *Table) times(crashes []Crash) (n int) {
+	for rest := t.ends; len(rest) > 0; {
+		together := 1
+		for together < len(rest) && rest[together].SeenAt-rest[0].SeenAt < int64(sameCause) {
+			together++
+		}
+		isOne := func(c Crash) bool { return slices.ContainsFunc(rest[:together], c.sameEnd) }
+		if together < commonCauseProcesses && slices.ContainsFunc(crashes, isOne) {
+			n++
+		}
+		rest = rest[together:]
+	}
+	return n
+}
+
+// addEnd records that a process ended.
+func (t *Table) addEnd(c Crash) {
+	if slices.ContainsFunc(t.ends, c.sameEnd) {
+		return
+	}
+	at, _ := slices.BinarySearchFunc(t.ends, c, func(a, b Crash) int { return cmp.Compare(a.SeenAt, b.SeenAt) })
+	t.ends = slices.Insert(t.ends, at, Crash{Upstream: c.Upstream, StartedAt: c.StartedAt, SeenAt: c.SeenAt})
+	if len(t.ends) > maxEnds {
+		t.ends = t.ends[1:]
+	}
+}
+
 // mature reports whether the first crash is partObservation old.
 func (e *partEntry) mature(now time.Time) bool {
 	return slices.ContainsFunc(e.crashes, func(c Crash) bool { return now.Sub(time.Unix(0, c.SeenAt)) >= partObservation })
@@ -139,7 +186,7 @@
 		return
 	}
 	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return t.covered(part, c) })
-	if len(e.processes(none)) < partCrashLimit {
+	if !t.due(e.processes(none), e.requests()) {
 		e.until = time.Time{}
 	}
 	if len(e.crashes) == 0 {
@@ -152,6 +199,9 @@
 
 // expireParts removes old crashes and completions.
 func (t *Table) expireParts(now time.Time) {
+	for len(t.ends) > 0 && now.Sub(time.Unix(0, t.ends[0].SeenAt)) >= Duration {
+		t.ends = t.ends[1:]
+	}
 	for part, e := range t.parts {
 		e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return now.Sub(time.Unix(0, c.SeenAt)) >= Duration })
 		if len(e.crashes) == 0 {
@@ -172,7 +222,7 @@
 func (t *Table) judgeParts(now time.Time) {
 	var suspected []Fingerprint
 	for part, e := range t.parts {
-		if len(e.crashes) >= partCrashLimit && e.requests() >= partCrashLimit && e.mature(now) {
+		if len(e.crashes) >= partCrashLimit && e.mature(now) && t.due(e.processes(none), e.requests()) {
 			suspected = append(suspected, part)
 		}
 	}
@@ -202,15 +252,15 @@
 // returns the latter with the crashes of the quarantined parts.
 func (t *Table) judgeEqualParts(parts []Fingerprint, explained []Crash) []Crash {
 	isExplained := func(c Crash) bool { return slices.ContainsFunc(explained, c.sameEnd) }
-	var due []Crash
+	var ended []Crash
 	for _, part := range parts {
 		e := t.parts[part]
-		if e.until.IsZero() && len(e.processes(isExplained)) < partCrashLimit {
+		if e.until.IsZero() && !t.due(e.processes(isExplained), e.requests()) {
 			continue
 		}
 		last := int64(0)
 		for _, c := range e.processes(none) {
-			due = append(due, c)
+			ended = append(ended, c)
 			last = max(last, c.SeenAt)
 		}
 		if until := time.Unix(0, last).Add(Duration); until.After(e.until) {
@@ -218,7 +268,7 @@
 			t.cached = nil
 		}
 	}
-	return append(explained, due...)
+	return append(explained, ended...)
 }
 
 // Suspects returns the number of processes that ended under each suspected part; 0 for a quarantine
@@ -283,17 +333,13 @@
 }
 
 // proof returns crashes that suffice to quarantine the part.
-func (e *partEntry) proof() []Crash {
+func (t *Table) proof(e *partEntry) []Crash {
 	var proof partEntry
 	for _, c := range e.crashes {
-		processes, requests := len(proof.processes(none)), proof.requests()
-		if processes >= partCrashLimit && requests >= partCrashLimit {
+		if t.due(proof.processes(none), proof.requests()) {
 			break
 		}
 		proof.add(c)
-		if len(proof.processes(none)) == processes && proof.requests() == requests {
-			proof.crashes = proof.crashes[:len(proof.crashes)-1]
-		}
 	}
 	return proof.crashes
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -97,6 +97,10 @@
 	// with a suspected part.
 	parts     map[Fingerprint]*partEntry
 	completed map[Fingerprint]time.Time
+	// ends holds one crash of each process that ended, by time.
+	ends []Crash
+	// judgedAt is when judgeParts last ran.
+	judgedAt time.Time
 	// explained holds a crash of each process that ended under a quarantined part.
 	explained []Crash
 	// cached, suspects and shared are the cached results of Quarantined, Suspects and Completed;
@@ -131,6 +135,7 @@
 	if age >= Duration {
 		return
 	}
+	t.addEnd(c)
 	t.addParts(c)
 	t.suspects = nil
 	e, ok := t.entries[c.Fingerprint]
@@ -203,8 +208,11 @@
 			t.cached = nil
 		}
 	}
-	t.expireParts(now)
-	t.judgeParts(now)
+	if now.Sub(t.judgedAt) >= judgeInterval {
+		t.judgedAt = now
+		t.expireParts(now)
+		t.judgeParts(now)
+	}
 }
 
 // Quarantined returns the quarantined fingerprints. The result is never modified later.
@@ -284,7 +292,7 @@
 		if e.until.IsZero() || len(selected) >= maxQuarantineCrashes {
 			continue
 		}
-		for _, c := range e.proof() {
+		for _, c := range t.proof(e) {
 			c.Parts = []Fingerprint{part}
 			selected = append(selected, c)
 		}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -108,7 +108,7 @@
 func pickHarmful() func(*caller) (requestKind, string) {
 	started := time.Now()
 	return func(c *caller) (requestKind, string) {
-		c.harmful = fmt.Sprintf("%s-%d", harmfulPath, time.Since(started)/harmfulPeriod)
+		c.harmful = fmt.Sprintf("%s-%d", harmfulPath, int(time.Since(started)/harmfulPeriod))
 		return kindHarmful, mainKey
 	}
 }
@@ -117,7 +117,7 @@
 func pickHarmfulPart() func(*caller) (requestKind, string) {
 	started := time.Now()
 	return func(c *caller) (requestKind, string) {
-		c.harmfulPart = fmt.Sprintf("%s%x", harmfulPart, time.Since(started)/harmfulPeriod)
+		c.harmfulPart = fmt.Sprintf("%s%d", harmfulPart, int(time.Since(started)/harmfulPeriod))
 		return kindHarmfulPart, mainKey
 	}
 }
