--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -313,11 +313,15 @@
 // Refuted returns the quarantines in the store that are contradicted. They do not apply, and are to
 // be deleted.
 func (t *Table) Refuted() map[Fingerprint]struct{} {
-	refuted := map[Fingerprint]struct{}{}
+	var refuted map[Fingerprint]struct{}
 	for f := range t.stored {
-		if t.refuted(f) {
-			refuted[f] = struct{}{}
+		if !t.refuted(f) {
+			continue
+		}
+		if refuted == nil {
+			refuted = map[Fingerprint]struct{}{}
 		}
+		refuted[f] = struct{}{}
 	}
 	return refuted
 }
