--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -115,12 +115,21 @@
 	maps.DeleteFunc(t.unlistedCold, func(_ string, row *upstreamRow) bool { return !now.Before(row.coldUntil) })
 }
 
+// relistCold returns the row of an upstream that was cold when it was no longer listed, if there is
+// one, and lists it again.
+func (t *tables) relistCold(id string) (*upstreamRow, bool) {
+	row, ok := t.unlistedCold[id]
+	if ok {
+		t.upstreams[id] = row
+		delete(t.unlistedCold, id)
+	}
+	return row, ok
+}
+
 func (t *tables) setUpstream(instance external.Instance, now time.Time) {
 	row, ok := t.upstreams[instance.ID]
 	if !ok {
-		row, ok = t.unlistedCold[instance.ID]
-		t.upstreams[instance.ID] = row
-		delete(t.unlistedCold, instance.ID)
+		row, ok = t.relistCold(instance.ID)
 	}
 	if !ok || row.instance.Address != instance.Address || row.instance.StartedAtUnixMilli != instance.StartedAtUnixMilli {
 		row = &upstreamRow{counters: &routing.Counters{}}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -147,8 +147,8 @@
 
 // requestsPerSecond returns how many requests per second this instance may send to a cold
 // upstream; 0 if the upstream is not cold, or shortly after the start of this instance. The limit is
-// divided equally. If it is lower
-// than the number of instances, those with the highest rendezvous weight send one request.
+// divided equally. If it is lower than the number of instances, those with the highest rendezvous
+// weight send one request.
 func (c *coldBudget) requestsPerSecond(row *upstreamRow, cold bool) int {
 	if !cold || c.now.Before(c.tables.coldSendsFrom) {
 		return 0
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -56,14 +56,19 @@
 		return
 	}
 	s, now := d.crashes(), clock.Now()
-	completed := map[quarantine.Fingerprint]time.Time{}
+	completed, reported := map[quarantine.Fingerprint]time.Time{}, map[quarantine.Fingerprint]time.Time{}
 	for part := range suspected {
-		if at, known := s.partCompletions.Last(now, part); known && at.After(s.reportedParts[part]) {
+		at, known := s.partCompletions.Last(now, part)
+		if !known {
+			continue
+		}
+		reported[part] = at
+		if at.After(s.reportedParts[part]) {
 			completed[part] = at
 		}
 	}
+	s.reportedParts = reported
 	if len(completed) > 0 {
-		s.reportedParts = completed
 		d.ReportCompletedParts(completed)
 	}
 }
@@ -164,7 +169,7 @@
 	if d.ReportCrash == nil || d.crashes().completions.Has(clock.Now(), c.Fingerprint) {
 		return
 	}
-	c.Parts = d.crashes().partCompletions.Uncovered(time.Unix(0, c.SeenAt), c.Parts)
+	c.Parts = d.crashes().partCompletions.NotRecent(time.Unix(0, c.SeenAt), c.Parts)
 	d.ReportCrash(c, reason)
 }
 
--- a/internal/quarantine/completions.go
+++ b/internal/quarantine/completions.go
@@ -53,14 +53,14 @@
 	return at, known
 }
 
-// Uncovered returns the parts that did not complete within completionCover.
-func (c *Completions) Uncovered(now time.Time, parts []Fingerprint) (uncovered []Fingerprint) {
+// NotRecent returns the parts that did not complete within completionGrace.
+func (c *Completions) NotRecent(now time.Time, parts []Fingerprint) (notRecent []Fingerprint) {
 	for _, part := range parts {
-		if at, known := c.Last(now, part); !known || now.Sub(at) > completionCover {
-			uncovered = append(uncovered, part)
+		if at, known := c.Last(now, part); !known || now.Sub(at) > completionGrace {
+			notRecent = append(notRecent, part)
 		}
 	}
-	return uncovered
+	return notRecent
 }
 
 func (c *Completions) rotate(now time.Time) {
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -8,9 +8,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// A part of a prompt may crash each upstream that generates from it, in requests that have nothing
-// else in common. It was in flight at every crash and never completes, whereas parts that other
-// requests share with it do.
+// This file finds parts of prompts that crash each upstream that generates from them, in requests that
+// have nothing else in common. Such a part is in flight at every crash and never completes, whereas
+// the parts that its requests share with others do.
 
 const (
 	// partCrashLimit is the number of times at which processes ended under a part, and of requests
@@ -24,16 +24,16 @@
 	// loss of power. They count as one time, and not at all if there are commonCauseProcesses.
 	sameCause            = 300 * time.Millisecond
 	commonCauseProcesses = 3
-	// judgeInterval is the time between two decisions on the suspected parts.
-	judgeInterval = 250 * time.Millisecond
+	// partsInterval is the time between two runs of updateParts.
+	partsInterval = 250 * time.Millisecond
 	// maxEnds bounds the ends of processes that are kept.
 	maxEnds = 512
 	// partObservation is the time from the first of these crashes in which instances that
 	// complete requests with the part can report so: two heartbeats.
 	partObservation = 2500 * time.Millisecond
-	// completionCover is the time after a completion for which crashes are not held against the
+	// completionGrace is the time after a completion for which crashes are not held against the
 	// parts of its prompt. A popular part completes more often.
-	completionCover = 5 * time.Second
+	completionGrace = 5 * time.Second
 	// completionRetention is how long the completions of suspected parts are kept.
 	completionRetention = 30 * time.Second
 	// maxParts and maxPartCrashes bound the suspected parts, and the crashes kept for each.
@@ -95,9 +95,9 @@
 	return len(distinct)
 }
 
-// due reports whether crashes of different processes, under a number of requests, suffice to
+// sufficient reports whether crashes of different processes, under a number of requests, suffice to
 // quarantine a part.
-func (t *Table) due(crashes []Crash, requests int) bool {
+func (t *Table) sufficient(crashes []Crash, requests int) bool {
 	return (requests >= partCrashLimit && len(crashes) >= partCrashLimit && t.times(crashes) >= partCrashLimit) ||
 		(requests >= partProcessLimit && len(crashes) >= partProcessLimit)
 }
@@ -135,16 +135,16 @@
 	return slices.ContainsFunc(e.crashes, func(c Crash) bool { return now.Sub(time.Unix(0, c.SeenAt)) >= partObservation })
 }
 
-// covered reports whether a request with the part completed shortly before a crash, or later.
-func (t *Table) covered(part Fingerprint, c Crash) bool {
+// completedAfter reports whether a request with the part completed shortly before a crash, or later.
+func (t *Table) completedAfter(part Fingerprint, c Crash) bool {
 	at, known := t.completed[part]
-	return known && !time.Unix(0, c.SeenAt).After(at.Add(completionCover))
+	return known && !time.Unix(0, c.SeenAt).After(at.Add(completionGrace))
 }
 
 // addParts records a crash for the parts of its request.
 func (t *Table) addParts(c Crash) {
 	for _, part := range c.Parts {
-		if t.covered(part, c) {
+		if t.completedAfter(part, c) {
 			continue
 		}
 		e, known := t.parts[part]
@@ -185,8 +185,8 @@
 	if !known {
 		return
 	}
-	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return t.covered(part, c) })
-	if !t.due(e.processes(none), e.requests()) {
+	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return t.completedAfter(part, c) })
+	if !t.sufficient(e.processes(none), e.requests()) {
 		e.until = time.Time{}
 	}
 	if len(e.crashes) == 0 {
@@ -217,12 +217,12 @@
 	}
 }
 
-// judgeParts quarantines the parts to which crashes are due. A process ends once: crashes that a
-// part with more of them explains do not count against other parts.
-func (t *Table) judgeParts(now time.Time) {
+// updateParts quarantines the parts with sufficient crashes. A process ends once: an end that is
+// attributed to a part with more crashes does not count against other parts.
+func (t *Table) updateParts(now time.Time) {
 	var suspected []Fingerprint
 	for part, e := range t.parts {
-		if len(e.crashes) >= partCrashLimit && e.mature(now) && t.due(e.processes(none), e.requests()) {
+		if len(e.crashes) >= partCrashLimit && e.mature(now) && t.sufficient(e.processes(none), e.requests()) {
 			suspected = append(suspected, part)
 		}
 	}
@@ -231,31 +231,31 @@
 		counts[part] = len(t.parts[part].processes(none))
 	}
 	slices.SortFunc(suspected, func(a, b Fingerprint) int { return counts[b] - counts[a] })
-	var explained []Crash
+	var attributed []Crash
 	defer func() {
-		if len(explained) != len(t.explained) {
+		if len(attributed) != len(t.attributed) {
 			t.cached = nil
 		}
-		t.explained = explained
+		t.attributed = attributed
 	}()
 	for len(suspected) > 0 {
 		equal := 1
 		for equal < len(suspected) && counts[suspected[equal]] == counts[suspected[0]] {
 			equal++
 		}
-		explained = t.judgeEqualParts(suspected[:equal], explained)
+		attributed = t.quarantineEqualParts(suspected[:equal], attributed)
 		suspected = suspected[equal:]
 	}
 }
 
-// judgeEqualParts judges parts with the same number of crashes, given those that are explained, and
-// returns the latter with the crashes of the quarantined parts.
-func (t *Table) judgeEqualParts(parts []Fingerprint, explained []Crash) []Crash {
-	isExplained := func(c Crash) bool { return slices.ContainsFunc(explained, c.sameEnd) }
+// quarantineEqualParts decides on parts with the same number of crashes. It returns the crashes that
+// are attributed already with those of the quarantined parts.
+func (t *Table) quarantineEqualParts(parts []Fingerprint, attributed []Crash) []Crash {
+	isAttributed := func(c Crash) bool { return slices.ContainsFunc(attributed, c.sameEnd) }
 	var ended []Crash
 	for _, part := range parts {
 		e := t.parts[part]
-		if e.until.IsZero() && !t.due(e.processes(isExplained), e.requests()) {
+		if e.until.IsZero() && !t.sufficient(e.processes(isAttributed), e.requests()) {
 			continue
 		}
 		last := int64(0)
@@ -268,7 +268,7 @@
 			t.cached = nil
 		}
 	}
-	return append(explained, ended...)
+	return append(attributed, ended...)
 }
 
 // Suspects returns the number of processes that ended under each suspected part; 0 for a quarantine
@@ -300,10 +300,11 @@
 }
 
 // refuted reports whether a quarantine that the store holds is contradicted: by a completion of a
-// request with the part and no crash after it, or by a part that explains the crashes of a request.
+// request with the part and no crash after it, or because the crashes under a request are attributed
+// to a part.
 func (t *Table) refuted(f Fingerprint) bool {
 	if e, known := t.entries[f]; known && len(e.crashes) >= crashLimit {
-		return t.unexplained(e) < crashLimit
+		return t.unattributed(e) < crashLimit
 	}
 	_, completed := t.completed[f]
 	e, suspected := t.parts[f]
@@ -326,33 +327,33 @@
 	return refuted
 }
 
-// unexplained returns the number of crashes under a request that no quarantined part explains.
-func (t *Table) unexplained(e *entry) (n int) {
+// unattributed returns the number of crashes under a request that are not attributed to a part.
+func (t *Table) unattributed(e *entry) (n int) {
 	for _, c := range e.crashes {
-		if !slices.ContainsFunc(t.explained, c.sameEnd) {
+		if !slices.ContainsFunc(t.attributed, c.sameEnd) {
 			n++
 		}
 	}
 	return n
 }
 
-// proof returns crashes that suffice to quarantine the part.
-func (t *Table) proof(e *partEntry) []Crash {
-	var proof partEntry
+// sufficientCrashes returns crashes that suffice to quarantine the part.
+func (t *Table) sufficientCrashes(e *partEntry) []Crash {
+	var chosen partEntry
 	for _, c := range e.crashes {
-		if t.due(proof.processes(none), proof.requests()) {
+		if t.sufficient(chosen.processes(none), chosen.requests()) {
 			break
 		}
-		proof.add(c)
+		chosen.add(c)
 	}
-	return proof.crashes
+	return chosen.crashes
 }
 
-// weight returns the largest number of crashes of a part in a crash, and the parts of it that are
+// suspicion returns the largest number of crashes of a part in a crash, and the parts of it that are
 // still suspected.
-func (t *Table) weight(c Crash) (weight int, parts []Fingerprint) {
+func (t *Table) suspicion(c Crash) (weight int, parts []Fingerprint) {
 	for _, part := range c.Parts {
-		if e, suspected := t.parts[part]; suspected && !t.covered(part, c) {
+		if e, suspected := t.parts[part]; suspected && !t.completedAfter(part, c) {
 			parts = append(parts, part)
 			weight = max(weight, len(e.crashes))
 		}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -110,7 +110,7 @@
 
 // Guards against the quarantine of innocent parts that ran beside a harmful one when several upstreams
 // ended, and against a harmful part that is taken for one of them.
-func TestCrashesAreExplainedByThePartWithMostOfThem(t *testing.T) {
+func TestCrashesAreAttributedToThePartWithMostOfThem(t *testing.T) {
 	table := NewTable()
 	for i := range 6 {
 		table.Add(after(0), partCrash(i, Fingerprint(i), apart(i), harmful))
@@ -131,7 +131,7 @@
 	}
 	table.Update(after(8 * time.Second))
 	if _, got := table.Quarantined()[rare]; !got {
-		t.Error("crashes that the harmful part does not explain are not held against another part")
+		t.Error("crashes that are not attributed to the harmful part do not count against another part")
 	}
 }
 
@@ -190,7 +190,7 @@
 	}
 	table.Update(after(3 * time.Second))
 	if _, ok := table.Quarantined()[innocent]; ok {
-		t.Error("the request is quarantined although a part explains its crashes")
+		t.Error("the request is quarantined although its crashes are attributed to a part")
 	}
 	if _, ok := table.Refuted()[innocent]; !ok {
 		t.Error("its row remains in the store")
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -99,10 +99,10 @@
 	completed map[Fingerprint]time.Time
 	// ends holds one crash of each process that ended, by time.
 	ends []Crash
-	// judgedAt is when judgeParts last ran.
-	judgedAt time.Time
-	// explained holds a crash of each process that ended under a quarantined part.
-	explained []Crash
+	// partsUpdatedAt is when updateParts last ran.
+	partsUpdatedAt time.Time
+	// attributed holds crashes whose ends of processes are attributed to quarantined parts.
+	attributed []Crash
 	// cached, suspects and shared are the cached results of Quarantined, Suspects and Completed;
 	// nil after a change.
 	cached   Set
@@ -208,10 +208,10 @@
 			t.cached = nil
 		}
 	}
-	if now.Sub(t.judgedAt) >= judgeInterval {
-		t.judgedAt = now
+	if now.Sub(t.partsUpdatedAt) >= partsInterval {
+		t.partsUpdatedAt = now
 		t.expireParts(now)
-		t.judgeParts(now)
+		t.updateParts(now)
 	}
 }
 
@@ -222,7 +222,7 @@
 	}
 	t.cached = Set{}
 	for f, e := range t.entries {
-		if t.unexplained(e) >= crashLimit {
+		if t.unattributed(e) >= crashLimit {
 			t.cached[f] = e.until
 		}
 	}
@@ -262,24 +262,24 @@
 func (t *Table) HeartbeatCrashes(now time.Time) []Crash {
 	selected := t.quarantineCrashes()
 	var older []Crash
-	var recent []weightedCrash
+	var recent []rankedCrash
 	// The random iteration order of the map makes the selection.
 	for _, e := range t.entries {
 		if len(e.crashes) >= crashLimit {
 			continue
 		}
 		for _, c := range e.crashes {
-			weight, parts := t.weight(c.Crash)
+			weight, parts := t.suspicion(c.Crash)
 			c.Parts = parts
 			switch {
 			case now.Sub(c.learnedAt) < heartbeatShareDuration:
-				recent = append(recent, weightedCrash{c.Crash, weight})
+				recent = append(recent, rankedCrash{c.Crash, weight})
 			case len(older) < maxOlderCrashes:
 				older = append(older, c.Crash)
 			}
 		}
 	}
-	slices.SortStableFunc(recent, func(a, b weightedCrash) int { return b.weight - a.weight })
+	slices.SortStableFunc(recent, func(a, b rankedCrash) int { return b.weight - a.weight })
 	for _, c := range recent[:min(len(recent), max(maxRecentCrashes-len(selected), 0))] {
 		selected = append(selected, c.Crash)
 	}
@@ -292,7 +292,7 @@
 		if e.until.IsZero() || len(selected) >= maxQuarantineCrashes {
 			continue
 		}
-		for _, c := range t.proof(e) {
+		for _, c := range t.sufficientCrashes(e) {
 			c.Parts = []Fingerprint{part}
 			selected = append(selected, c)
 		}
@@ -302,15 +302,15 @@
 			continue
 		}
 		for _, c := range e.crashes[:crashLimit] {
-			_, c.Parts = t.weight(c.Crash)
+			_, c.Parts = t.suspicion(c.Crash)
 			selected = append(selected, c.Crash)
 		}
 	}
 	return selected
 }
 
-// weightedCrash is a crash with the number of crashes of the most suspected part in its prompt.
-type weightedCrash struct {
+// rankedCrash is a crash with the number of crashes of the most suspected part in its prompt.
+type rankedCrash struct {
 	Crash
 	weight int
 }
--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -120,11 +120,11 @@
 	f.era = reading.Era
 	switch {
 	case restored && !first:
-		carried := f.view.restore(reading.Entries, started)
+		retained := f.view.restore(reading.Entries, started)
 		f.Log.WithFields(logrus.Fields{
 			telemetry.FieldEvent:    "store_restored",
 			telemetry.FieldRevision: reading.Revision,
-			"kept_rows":             carried,
+			"kept_rows":             retained,
 		}).Warn("the store was restored from a copy; rows that were read before stay in use until they are written again")
 	default:
 		f.view.replace(reading.Entries, started, f.keepExpiredUntil(started))
--- a/internal/storefeed/restore.go
+++ b/internal/storefeed/restore.go
@@ -27,9 +27,9 @@
 // hashValue identifies the value of a row.
 func hashValue(value []byte) uint64 { return xxhash.Sum64(value) }
 
-// carry returns a row that is kept although the restored store lacks it.
-func (r row) carry(keepUntil time.Time) row {
-	r.carried, r.copied = true, nil
+// retain returns a row that is kept although the restored store lacks it.
+func (r row) retain(keepUntil time.Time) row {
+	r.retained, r.copied = true, nil
 	r.modRevision, r.keepUntil = 0, keepUntil
 	return r
 }
@@ -56,19 +56,19 @@
 
 // restore applies the first full read after the store was restored from a copy, and returns the
 // number of rows that were read before and that the copy lacks or has another value of.
-func (v *view) restore(entries []external.Entry, now time.Time) (carried int) {
+func (v *view) restore(entries []external.Entry, now time.Time) (retained int) {
 	v.restoredAt = now
 	before := v.rows
 	v.rows = make(map[string]row, len(before))
 	for key, old := range before {
-		v.rows[key] = old.carry(old.restoreDeadline(now))
+		v.rows[key] = old.retain(old.restoreDeadline(now))
 	}
 	for _, e := range entries {
 		old, known := before[e.Key]
 		_, gone := v.gone[e.Key]
 		switch {
 		case known && old.hash == hashValue(e.Value):
-			old.modRevision, old.keepUntil, old.carried, old.copied = e.ModRevision, time.Time{}, false, nil
+			old.modRevision, old.keepUntil, old.retained, old.copied = e.ModRevision, time.Time{}, false, nil
 			v.rows[e.Key] = old
 		case known && v.isNewerUpstream(old, e):
 			delete(v.rows, e.Key)
@@ -85,12 +85,12 @@
 		}
 	}
 	for _, r := range v.rows {
-		if r.carried {
-			carried++
+		if r.retained {
+			retained++
 			v.markChanged(r.document)
 		}
 	}
-	return carried
+	return retained
 }
 
 // isNewerUpstream reports whether an entry of a restored store is the row of an upstream that is not
@@ -108,9 +108,9 @@
 	return known.State != external.InstanceDraining
 }
 
-// expireCarried removes a carried row that was not written again in time, or replaces it by the
+// expireRetained removes a retained row that was not written again in time, or replaces it by the
 // older one of the restored store.
-func (v *view) expireCarried(key string, r row, now time.Time) {
+func (v *view) expireRetained(key string, r row, now time.Time) {
 	v.markChanged(r.document)
 	delete(v.rows, key)
 	if r.copied != nil {
@@ -118,7 +118,7 @@
 	}
 }
 
-// expireQuarantine removes a carried quarantine that has ended.
+// expireQuarantine removes a retained quarantine that has ended.
 func (v *view) expireQuarantine(key string, r row, now time.Time) {
 	if r.document.Quarantined != nil && now.Sub(r.seen) >= quarantine.Duration {
 		v.markChanged(r.document)
@@ -130,7 +130,7 @@
 // restored, so that a rollout or a quarantine does not begin anew.
 func (v *view) rewritten(old row, hash uint64, now time.Time) bool {
 	recent := !v.restoredAt.IsZero() && now.Sub(v.restoredAt) < restoreGrace
-	return old.hash == hash && (old.carried || recent)
+	return old.hash == hash && (old.retained || recent)
 }
 
 // goneRow is what is known of the row of an upstream that was removed.
--- a/internal/storefeed/view.go
+++ b/internal/storefeed/view.go
@@ -27,10 +27,10 @@
 	keepUntil time.Time
 	// hash identifies the value.
 	hash uint64
-	// carried is true if a restored store lacks the value, and copied the older value that it has
+	// retained is true if a restored store lacks the value, and copied the older value that it has
 	// instead; modRevision is that of the latter.
-	carried bool
-	copied  *external.Entry
+	retained bool
+	copied   *external.Entry
 	// decided is the final state of the rollout that the row orders; empty if there is none.
 	decided rollout.State
 }
@@ -96,7 +96,7 @@
 // An undecodable configuration is the exception: v.config keeps the previous one.
 func (v *view) put(e external.Entry, now time.Time) {
 	old, known := v.rows[e.Key]
-	if known && (e.ModRevision < old.modRevision || (e.ModRevision == old.modRevision && (old.carried || old.keepUntil.IsZero()))) {
+	if known && (e.ModRevision < old.modRevision || (e.ModRevision == old.modRevision && (old.retained || old.keepUntil.IsZero()))) {
 		return
 	}
 	if gone, ok := v.gone[e.Key]; ok && e.ModRevision <= gone.modRevision {
@@ -127,7 +127,7 @@
 // expired because the upstream could not reach the store either.
 func (v *view) remove(key string, now, keepUntil time.Time) {
 	old := v.rows[key]
-	if old.carried && old.modRevision == 0 {
+	if old.retained && old.modRevision == 0 {
 		return
 	}
 	upstream := old.document.Instance
@@ -155,11 +155,11 @@
 	for key, r := range v.rows {
 		expired := !r.keepUntil.IsZero() && !now.Before(r.keepUntil)
 		switch {
-		case expired && r.carried:
-			v.expireCarried(key, r, now)
+		case expired && r.retained:
+			v.expireRetained(key, r, now)
 		case expired:
 			v.drop(key, r, now)
-		case r.carried:
+		case r.retained:
 			v.expireQuarantine(key, r, now)
 		}
 	}
@@ -248,10 +248,10 @@
 	written := state.document.RolloutState
 	if order.decided != "" {
 		r.State = order.decided
-		r.Recorded = written != nil && !state.carried && written.Version == o.Version && written.State == order.decided
+		r.Recorded = written != nil && !state.retained && written.Version == o.Version && written.State == order.decided
 		return r
 	}
-	if written != nil && !state.carried && state.modRevision > order.modRevision && written.Version == o.Version {
+	if written != nil && !state.retained && state.modRevision > order.modRevision && written.Version == o.Version {
 		r.State, r.Recorded = written.State, true
 	}
 	return r
