Stop sending to a candidate as soon as its rollback is decided

Cause: every instance decides on a rollback from the counts of all instances, but went on sending until one of them had written it to the store and it had read it from there: a rank of 0.7 s each, a call, and up to 1.4 s for the read, and without end while the store is away.

Change: an instance that decides on a rollback makes a local stop at once and tells the others. The rollback itself is written as before.

Evidence: TestAServiceRollbackTakesEffectWithoutTheStore fails without the change (no stop in 5 s) and passes with it, under the race detector.

--- a/internal/rolloutctl/service.go
+++ b/internal/rolloutctl/service.go
@@ -58,6 +58,9 @@
 		if r.Recorded && r.State == state {
 			continue
 		}
+		if state == rollout.RolledBack && !r.Final() {
+			c.stopLocally(ctx, s, r, reason)
+		}
 		next := external.RolloutState{Service: r.Service, Version: r.Version, State: state}
 		wanted[next] = true
 		if c.mayWrite(s, next, now) {
@@ -71,6 +74,18 @@
 	}
 }
 
+// stopLocally stops this instance from sending to the candidate. The rollback itself takes effect only
+// once it was written to the store and read from there.
+func (c *ServiceController) stopLocally(ctx context.Context, s *routing.Snapshot, r rollout.ServiceRollout, reason string) {
+	for _, stop := range s.RolloutStops {
+		if stop.RolloutID == r.ID() && stop.Instance == c.Identity.ID {
+			return
+		}
+	}
+	stop := rollout.Stop{RolloutID: r.ID(), Instance: c.Identity.ID, Reason: reason, SeenAt: clock.Now().UnixNano()}
+	c.Loop.Post(ctx, control.LocalStopsEvent{Stops: []rollout.Stop{stop}})
+}
+
 // evidence merges the samples and local stops of this instance and its peers for a rollout.
 func (c *ServiceController) evidence(s *routing.Snapshot, r rollout.ServiceRollout) rollout.Evidence {
 	samples := rollout.Samples{}
