Do not confirm the configuration of a restored store before it is written again

Cause: a configuration that took keys away was accepted, could not be read by some instances in time, and was lost when the store returned from an older copy. The instances then took the copy's configuration for the latest one and went on admitting the keys, with a fresh confirmation, until the operators had written the later one again.

Change: for 3 s after a restore the store confirms only a configuration that is written again. Keys are rejected meanwhile once the last confirmation is too old, as in any outage.

TestRestoredStoreDoesNotConfirmItsConfiguration covers the four moments. Not covered: an instance that restarts within the moment in which the store has only the copy, and that no peer tells of the later configuration.

--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -182,7 +182,7 @@
 	}
 	if changed.config {
 		f.postConfig(ctx, f.view.config, started)
-	} else if f.view.config != nil {
+	} else if f.view.config != nil && f.view.configConfirmed(started) {
 		f.Loop.Post(ctx, control.ConfigConfirmedEvent{Revision: f.view.config.Revision, At: started})
 	}
 	if changed.instances {
--- a/internal/storefeed/restore.go
+++ b/internal/storefeed/restore.go
@@ -19,6 +19,9 @@
 	restoreGrace = 10 * time.Second
 	// upstreamRestoreGrace is restoreGrace for the rows of upstreams, which write every second.
 	upstreamRestoreGrace = 5 * time.Second
+	// confirmGrace is how long the configuration of a restored store does not count as the latest
+	// one unless it is written again: the store may have lost a later one that took API keys away.
+	confirmGrace = 3 * time.Second
 	// goneRetention is how long the rows of upstreams that were removed are remembered. The copy
 	// is some seconds old.
 	goneRetention = time.Minute
@@ -93,6 +96,11 @@
 	return retained
 }
 
+// configConfirmed reports whether the configuration in the store counts as the latest one.
+func (v *view) configConfirmed(now time.Time) bool {
+	return v.restoredAt.IsZero() || v.configWritten.After(v.restoredAt) || now.Sub(v.restoredAt) >= confirmGrace
+}
+
 // isNewerUpstream reports whether an entry of a restored store is the row of an upstream that is not
 // older than the known one as far as it matters: a later process, or the same one, which was not
 // draining.
--- a/internal/storefeed/restore_test.go
+++ b/internal/storefeed/restore_test.go
@@ -102,3 +102,25 @@
 		}
 	}
 }
+
+// Guards against API keys that were taken away by a configuration that a restored store has lost, and
+// that an instance goes on admitting because it takes the older configuration for the latest one.
+func TestRestoredStoreDoesNotConfirmItsConfiguration(t *testing.T) {
+	v := testView()
+	v.replace([]external.Entry{entry("c", "x", 5)}, start, time.Time{})
+	if !v.configConfirmed(start) {
+		t.Error("not confirmed before the restore")
+	}
+	restored := start.Add(time.Second)
+	v.restore([]external.Entry{entry("c", "x", 5)}, restored)
+	if v.configConfirmed(restored.Add(confirmGrace - time.Millisecond)) {
+		t.Error("confirmed although a later one may be lost")
+	}
+	if !v.configConfirmed(restored.Add(confirmGrace)) {
+		t.Error("never confirmed")
+	}
+	v.write(2*time.Second, entry("c", "xx", 6))
+	if !v.configConfirmed(start.Add(2 * time.Second)) {
+		t.Error("not confirmed after it was written again")
+	}
+}
--- a/internal/storefeed/view.go
+++ b/internal/storefeed/view.go
@@ -48,6 +48,8 @@
 	log       *logrus.Entry
 	rows      map[string]row
 	config    *opconfig.Config
+	// configWritten is when a value of the configuration was last read that was new to this instance.
+	configWritten time.Time
 	// replaces holds the ids of the service rollouts for which an upstream of another version
 	// was listed, in any region.
 	replaces map[string]bool
@@ -117,6 +119,9 @@
 		next.seen, next.decided = old.seen, old.decided
 	}
 	v.rows[e.Key] = next
+	if document.Config != nil {
+		v.configWritten = next.received
+	}
 	if document.Config != nil && (v.config == nil || document.Config.Revision > v.config.Revision) {
 		v.config = document.Config
 		v.changed.config = true
