Reproduce a request that is released from quarantine, listed as a known failure

What callers would see: a request under which one upstream after another ended is sent on.

TestARequestIsNotReleasedForEndsThatItExplainsItself fails in all four cases on: once a part of other prompts, or of its own, that was in flight at three of the ends is quarantined, the request is released and its row in the store is to be deleted. In three cases the part is quarantined although all of its ends are those of the request.

--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -203,3 +203,47 @@
 		t.Error("further crashes do not quarantine the request")
 	}
 }
+
+// Guards against a request that is released from quarantine, or never gets into it, because the
+// processes that it ended are attributed to a part of other prompts.
+func TestARequestIsNotReleasedForEndsThatItExplainsItself(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// own are the suspected parts of the request's prompt.
+		own []Fingerprint
+		// shared is the number of its crashes at which requests with the part rare were in flight.
+		shared int
+		// others is the number of further ends of processes under requests with the part.
+		others int
+	}{
+		{"fewer ends under the part", nil, 3, 0},
+		{"as many ends under the part", nil, 4, 0},
+		{"a part of its own prompt", []Fingerprint{rare}, 3, 0},
+		{"a part of its own prompt with more ends", []Fingerprint{rare}, 3, 1},
+	} {
+		table := NewTable()
+		const request = Fingerprint(7)
+		for i := range 4 {
+			table.Add(after(0), partCrash(i, request, apart(i), c.own...))
+			if i < c.shared {
+				table.Add(after(0), partCrash(i, Fingerprint(100+i), apart(i), rare))
+			}
+		}
+		for i := range c.others {
+			table.Add(after(0), partCrash(10+i, Fingerprint(200+i), apart(5+i), rare))
+		}
+		table.SetStored(map[Fingerprint]Stored{request: {Until: after(time.Hour), Revision: 1}})
+		for i := range 3 {
+			table.Update(after(time.Duration(3+i) * time.Second))
+		}
+		if _, ok := table.Quarantined()[request]; !ok {
+			t.Errorf("%s: the request is not quarantined", c.name)
+		}
+		if _, ok := table.Refuted()[request]; ok {
+			t.Errorf("%s: its row is to be deleted from the store", c.name)
+		}
+		if _, ok := table.Quarantined()[rare]; ok && c.others == 0 {
+			t.Errorf("%s: the part is quarantined although all of its ends are those of the request", c.name)
+		}
+	}
+}
