Keep a request in quarantine that explains the ends of upstreams best

What callers would see: a request under which one upstream after another ended is sent on, and its quarantine, once written to the store, is deleted there.

Cause: once a part of prompts was quarantined, all ends of processes under it were taken from all requests that were in flight, even from one without the part, and under which more upstreams had ended. A suspect of one kind could not be weighed against one of the other kind.

Change: an end is attributed to a part only against requests with fewer ends whose prompts lack the part, and ends under a quarantined request with as many of them do not count against a part. A completion that ends the quarantine of a part drops what was attributed to it at once, not up to 250 ms later.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -188,6 +188,7 @@
 	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return t.completedAfter(part, c) })
 	if !t.sufficient(e.processes(none), e.requests()) {
 		e.until = time.Time{}
+		t.attributed = slices.DeleteFunc(t.attributed, func(a attribution) bool { return a.part == part })
 	}
 	if len(e.crashes) == 0 {
 		delete(t.parts, part)
@@ -217,8 +218,26 @@
 	}
 }
 
+// attribution attributes the end of a process to a part under which more processes ended.
+type attribution struct {
+	Crash
+	part Fingerprint
+	// ends is the number of processes that ended under the part.
+	ends int
+}
+
+// attributedToOther reports whether a crash under a request with a number of crashes is attributed to a
+// part of other prompts. A part with no more ends of processes than the request explains them no
+// better, and one of the request's own prompt does not clear it.
+func (t *Table) attributedToOther(c Crash, crashes int) bool {
+	return slices.ContainsFunc(t.attributed, func(a attribution) bool {
+		return a.ends > crashes && a.sameEnd(c) && !slices.Contains(c.Parts, a.part)
+	})
+}
+
 // updateParts quarantines the parts with sufficient crashes. A process ends once: an end that is
-// attributed to a part with more crashes does not count against other parts.
+// attributed to a part with more crashes, or to a request with as many, does not count against other
+// parts.
 func (t *Table) updateParts(now time.Time) {
 	var suspected []Fingerprint
 	for part, e := range t.parts {
@@ -231,36 +250,37 @@
 		counts[part] = len(t.parts[part].processes(none))
 	}
 	slices.SortFunc(suspected, func(a, b Fingerprint) int { return counts[b] - counts[a] })
-	var attributed []Crash
-	defer func() {
-		if len(attributed) != len(t.attributed) {
-			t.cached = nil
-		}
-		t.attributed = attributed
-	}()
+	before := len(t.attributed)
+	t.attributed = nil
 	for len(suspected) > 0 {
 		equal := 1
 		for equal < len(suspected) && counts[suspected[equal]] == counts[suspected[0]] {
 			equal++
 		}
-		attributed = t.quarantineEqualParts(suspected[:equal], attributed)
+		t.attributed = append(t.attributed, t.quarantineEqualParts(suspected[:equal], counts[suspected[0]])...)
 		suspected = suspected[equal:]
 	}
+	if before+len(t.attributed) > 0 {
+		t.cached = nil
+	}
 }
 
-// quarantineEqualParts decides on parts with the same number of crashes. It returns the crashes that
-// are attributed already with those of the quarantined parts.
-func (t *Table) quarantineEqualParts(parts []Fingerprint, attributed []Crash) []Crash {
-	isAttributed := func(c Crash) bool { return slices.ContainsFunc(attributed, c.sameEnd) }
-	var ended []Crash
+// quarantineEqualParts decides on parts with the same number of ends. It returns the ends that are
+// attributed to them.
+func (t *Table) quarantineEqualParts(parts []Fingerprint, ends int) (attributed []attribution) {
+	repeated := t.crashesOfRequests(ends)
+	elsewhere := func(c Crash) bool {
+		isSame := func(a attribution) bool { return a.sameEnd(c) }
+		return slices.ContainsFunc(t.attributed, isSame) || slices.ContainsFunc(repeated, c.sameEnd)
+	}
 	for _, part := range parts {
 		e := t.parts[part]
-		if e.until.IsZero() && !t.sufficient(e.processes(isAttributed), e.requests()) {
+		if e.until.IsZero() && !t.sufficient(e.processes(elsewhere), e.requests()) {
 			continue
 		}
 		last := int64(0)
 		for _, c := range e.processes(none) {
-			ended = append(ended, c)
+			attributed = append(attributed, attribution{Crash: c, part: part, ends: ends})
 			last = max(last, c.SeenAt)
 		}
 		if until := time.Unix(0, last).Add(Duration); until.After(e.until) {
@@ -268,7 +288,20 @@
 			t.cached = nil
 		}
 	}
-	return append(attributed, ended...)
+	return attributed
+}
+
+// crashesOfRequests returns the crashes of the quarantined requests with at least a number of them.
+func (t *Table) crashesOfRequests(atLeast int) (crashes []Crash) {
+	for _, e := range t.entries {
+		if len(e.crashes) < atLeast || t.unattributed(e) < crashLimit {
+			continue
+		}
+		for _, c := range e.crashes {
+			crashes = append(crashes, c.Crash)
+		}
+	}
+	return crashes
 }
 
 // Suspects returns the number of processes that ended under each suspected part; 0 for a quarantine
@@ -327,10 +360,11 @@
 	return refuted
 }
 
-// unattributed returns the number of crashes under a request that are not attributed to a part.
+// unattributed returns the number of crashes under a request that are not attributed to a part of other
+// prompts.
 func (t *Table) unattributed(e *entry) (n int) {
 	for _, c := range e.crashes {
-		if !slices.ContainsFunc(t.attributed, c.sameEnd) {
+		if !t.attributedToOther(c.Crash, len(e.crashes)) {
 			n++
 		}
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -101,8 +101,8 @@
 	ends []Crash
 	// partsUpdatedAt is when updateParts last ran.
 	partsUpdatedAt time.Time
-	// attributed holds crashes whose ends of processes are attributed to quarantined parts.
-	attributed []Crash
+	// attributed holds the ends of processes that are attributed to quarantined parts.
+	attributed []attribution
 	// cached, suspects and shared are the cached results of Quarantined, Suspects and Completed;
 	// nil after a change.
 	cached   Set
@@ -222,7 +222,7 @@
 	}
 	t.cached = Set{}
 	for f, e := range t.entries {
-		if t.unattributed(e) >= crashLimit {
+		if len(e.crashes) >= crashLimit && t.unattributed(e) >= crashLimit {
 			t.cached[f] = e.until
 		}
 	}
