Tell of crashes without suspected parts in some of the heartbeats

What callers would see: when many upstreams end, a request under which each of several instances saw one end is sent on for longer, as no instance learns of two.

Cause: a heartbeat carries at most 64 recent crashes, those under suspected parts of prompts first. A request without such parts, as on routes without prompts or whose parts completed recently, came after all of them, in each heartbeat.

Change: half of the places go by rank, the others to the remaining crashes in turn.

--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -247,3 +247,23 @@
 		}
 	}
 }
+
+// Guards against a request whose crashes no heartbeat tells of because many requests in flight have
+// suspected parts.
+func TestHeartbeatsTellOfRequestsWithoutSuspectedParts(t *testing.T) {
+	table, peer := NewTable(), NewTable()
+	const request = Fingerprint(7)
+	for i := range 300 {
+		table.Add(after(0), partCrash(i%10, Fingerprint(1000+i), apart(i%10), Fingerprint(5000+i)))
+	}
+	table.Add(after(0), partCrash(0, request, 0))
+	peer.Add(after(0), partCrash(1, request, apart(1)))
+	for at := range heartbeatShareDuration / time.Second {
+		for _, c := range table.HeartbeatCrashes(after(at * time.Second)) {
+			peer.Add(after(at*time.Second), c)
+		}
+	}
+	if _, ok := peer.Quarantined()[request]; !ok {
+		t.Error("the heartbeats of 15 s did not tell of a crash")
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -4,6 +4,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
@@ -257,8 +258,8 @@
 }
 
 // HeartbeatCrashes returns the crashes to include in the next heartbeat: those of quarantined
-// requests and parts, then the recent ones, those first whose prompt parts have most crashes, and a few
-// of the older ones.
+// requests and parts, then the recent ones, of which those whose prompt parts have most crashes take half
+// of the places, and a few of the older ones.
 func (t *Table) HeartbeatCrashes(now time.Time) []Crash {
 	selected := t.quarantineCrashes()
 	var older []Crash
@@ -280,12 +281,32 @@
 		}
 	}
 	slices.SortStableFunc(recent, func(a, b rankedCrash) int { return b.weight - a.weight })
-	for _, c := range recent[:min(len(recent), max(maxRecentCrashes-len(selected), 0))] {
+	places := max(maxRecentCrashes-len(selected), 0)
+	if len(recent) > places {
+		recent = mixRecent(now, recent, places)
+	}
+	for _, c := range recent {
 		selected = append(selected, c.Crash)
 	}
 	return append(selected, older...)
 }
 
+// mixRecent selects n of more crashes that are sorted by rank: the first ones for one half, and for the
+// rest the others in turn, so that the heartbeats of some seconds also tell of requests without
+// suspected parts.
+func mixRecent(now time.Time, sorted []rankedCrash, n int) []rankedCrash {
+	selected, others := slices.Clone(sorted[:n/2]), sorted[n/2:]
+	slices.SortFunc(others, func(a, b rankedCrash) int {
+		return cmp.Or(cmp.Compare(a.Fingerprint, b.Fingerprint), cmp.Compare(a.Upstream, b.Upstream))
+	})
+	places := n - len(selected)
+	turn := int(now.Unix()) * places
+	for i := range places {
+		selected = append(selected, others[(turn+i)%len(others)])
+	}
+	return selected
+}
+
 // quarantineCrashes returns crashes that suffice for the quarantines that follow from them.
 func (t *Table) quarantineCrashes() (selected []Crash) {
 	for part, e := range t.parts {
