Recognize upstreams that end with a response without a length

Cause: the end of the connection was taken for the end of the response. The attempt was finished, no crash was reported, and nothing was left that the later disappearance of the process could be held against.

Change: such an attempt is kept, as one without a response is, until the process proves to live on (it responds to others 1 to 2 s later; the response then counts as a completion) or to be gone (its row vanishes, or another connection to it broke at the same time and nothing came after that). An upstream that leaves in order or is still listed after 10 s counts neither way.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -41,8 +41,13 @@
 func (d *Dispatcher) DetectCrashes(ctx context.Context) {
 	for ctx.Err() == nil {
 		snapshot := d.Snapshot()
-		for _, c := range d.openAttempts().Sweep(clock.Now(), listedProcesses(snapshot)) {
-			d.reportCrash(c, "the upstream fell silent and is no longer listed")
+		crashes, completed := d.openAttempts().Sweep(clock.Now(), listedProcesses(snapshot))
+		for _, c := range crashes {
+			d.reportCrash(c, "its row, or the end of another connection, shows that the upstream ended")
+		}
+		for _, c := range completed {
+			d.crashes().completions.Add(clock.Now(), c.Request)
+			d.recordParts(c.Parts, c.Status)
 		}
 		d.reportCompletedParts(snapshot.SuspectedParts)
 		clock.Sleep(ctx, crashSweepInterval)
@@ -119,32 +124,54 @@
 }
 
 // endAttempt records how an attempt ended; status is that of the response. Nothing is known of the
-// request if the upstream sent no complete response and kept the connection open.
+// request if the upstream sent no complete response and kept the connection open, or if only the end
+// of the connection marked the end of the response.
 func (d *Dispatcher) endAttempt(r *Request, a *quarantine.Attempt, result relay.Result, status int) {
+	now := clock.Now()
 	unanswered := result.Outcome == retry.TimedOut || result.Outcome == retry.RequestEnded
 	if unanswered && result.Err.Execution != errkind.NotExecuted {
-		a.Abandon(clock.Now())
+		a.Abandon(now)
 		return
 	}
-	if result.Err == nil && !result.EndedByClose {
-		d.recordCompletion(r, status)
-	}
 	if result.Outcome == retry.Delivered || result.Outcome == retry.Rejected || result.Outcome == retry.Failed {
-		a.Progress(clock.Now())
+		a.Progress(now)
+	}
+	switch {
+	case connectionBroke(result):
+		a.Break(now)
+	case result.EndedByClose && result.Outcome != retry.Rejected:
+		if result.Err != nil {
+			status = 0
+		}
+		a.FinishUnproven(now, status)
+	default:
+		if result.Err == nil {
+			d.recordCompletion(r, status)
+		}
+		a.Finish(now)
 	}
-	a.Finish(clock.Now())
 }
 
-// recordCompletion remembers that a request got its complete response. An upstream that answers with
-// an error has not generated from the prompt.
+// connectionBroke reports whether the connection to the upstream broke before the end of the response.
+func connectionBroke(result relay.Result) bool {
+	return result.Outcome == retry.Crashed || (result.Outcome == retry.Truncated && result.ConnectionBroken)
+}
+
+// recordCompletion remembers that a request got its complete response.
 func (d *Dispatcher) recordCompletion(r *Request, status int) {
 	if len(r.Body) <= maxCompletionBytes {
 		d.crashes().completions.Add(clock.Now(), r.Fingerprint())
 	}
+	d.recordParts(r.parts, status)
+}
+
+// recordParts remembers the parts of the prompt of a request with a complete response. An upstream that
+// answers with an error has not generated from the prompt.
+func (d *Dispatcher) recordParts(parts []quarantine.Fingerprint, status int) {
 	if status < http.StatusOK || status >= http.StatusMultipleChoices {
 		return
 	}
-	for _, part := range r.parts {
+	for _, part := range parts {
 		d.crashes().partCompletions.Add(clock.Now(), part)
 	}
 }
@@ -153,8 +180,7 @@
 // crash. A break in the middle of the response counts as well: the upstream may have ended
 // under the request, whether or not the stream can be resumed elsewhere.
 func (d *Dispatcher) countCrash(r *Request, u *routing.Upstream, result *relay.Result) {
-	broken := result.Outcome == retry.Crashed || (result.Outcome == retry.Truncated && result.ConnectionBroken)
-	if !broken {
+	if !connectionBroke(*result) {
 		return
 	}
 	result.Crashes = 1
--- a/internal/quarantine/attempts.go
+++ b/internal/quarantine/attempts.go
@@ -12,6 +12,11 @@
 	// survivalPeriod is the time after the end of an attempt at which an upstream that still
 	// responds has survived it.
 	survivalPeriod = time.Second
+	// restartPeriod is the least time in which an upstream that ended is started again under its id.
+	restartPeriod = 2 * time.Second
+	// breakPeriod is how long an upstream must have sent nothing after a connection broke. It sends
+	// something within it if only that connection was reset.
+	breakPeriod = 500 * time.Millisecond
 	// abandonedRetention is how long an abandoned attempt is kept. The row of an upstream that
 	// fell silent disappears within it.
 	abandonedRetention = 10 * time.Second
@@ -30,10 +35,10 @@
 	StartedAt int64
 }
 
-// Attempts tracks the attempts of one instance that have no complete response, and finds those
-// during which the upstream ended without closing the connection. That an upstream ended is
-// known from the instance list, which names another process or none; silence alone proves
-// nothing. It is safe for concurrent use, and times are passed in.
+// Attempts tracks the attempts of one instance whose end does not show what became of the upstream, and
+// finds those during which it ended: attempts without a complete response, and those whose response
+// ended with the connection. That an upstream ended is known from the instance list, which names
+// another process or none; silence alone proves nothing. It is safe for concurrent use, and times are passed in.
 type Attempts struct {
 	mu sync.Mutex
 	// open holds the attempts that run or were abandoned, abandoned the number of the latter.
@@ -48,6 +53,8 @@
 	// lastResponse is when the process last sent a part of a response, and lastEnd when the last
 	// attempt ended.
 	lastResponse, lastEnd time.Time
+	// lastBreak is when a connection with a request last broke.
+	lastBreak time.Time
 	// waitingSince is when the first attempt since lastResponse began; zero if there is none.
 	waitingSince time.Time
 }
@@ -69,18 +76,29 @@
 	p.lastEnd = now
 }
 
+// Completion is a response that ended with its connection and turned out to be complete.
+type Completion struct {
+	Subject
+	Status int
+}
+
 // Attempt is one attempt of a request on an upstream.
 type Attempt struct {
 	owner   *Attempts
 	process Process
 	subject func() Subject
 	began   time.Time
-	// abandonedAt is when the attempt ended without a response; zero while it runs.
+	// abandonedAt is when the attempt ended without a response that proves that the upstream lived on;
+	// zero while it runs.
 	abandonedAt time.Time
 	// draining is true if the upstream announced that it leaves.
 	draining bool
 	// late is true if the process was unresponsive when the attempt began.
 	late bool
+	// unproven is true if the response ended with its connection, as it also does if the upstream ended.
+	unproven bool
+	// status is that of the delivered unproven response; 0 if none was delivered.
+	status int16
 }
 
 // NewAttempts returns a tracker without attempts.
@@ -116,6 +134,23 @@
 	delete(a.owner.open, a)
 }
 
+// Break records that the attempt ended because its connection broke.
+func (a *Attempt) Break(now time.Time) {
+	a.Finish(now)
+	a.owner.mu.Lock()
+	defer a.owner.mu.Unlock()
+	a.owner.state(a.process).lastBreak = now
+}
+
+// FinishUnproven records that the response of the attempt ended with its connection. Sweep tells later
+// whether the upstream ended with it. status is that of the response; 0 if it was not delivered.
+func (a *Attempt) FinishUnproven(now time.Time, status int) {
+	a.Abandon(now)
+	a.owner.mu.Lock()
+	defer a.owner.mu.Unlock()
+	a.unproven, a.status = true, int16(status)
+}
+
 // Abandon records that the attempt was given up while the upstream may have been executing the
 // request.
 func (a *Attempt) Abandon(now time.Time) {
@@ -152,34 +187,58 @@
 	}
 }
 
-// Sweep returns the crashes that the current instance list reveals. The map holds the listed
-// processes and whether each of them is draining. Each attempt is returned at most once.
-func (t *Attempts) Sweep(now time.Time, listed map[Process]bool) []Crash {
+// Sweep returns the crashes that the current instance list, and the responses and broken connections
+// since the last call, reveal, and the unproven responses that turned out to be complete. The
+// map holds the listed processes and whether each of them is draining. Each attempt is returned at
+// most once.
+func (t *Attempts) Sweep(now time.Time, listed map[Process]bool) (crashes []Crash, completed []Completion) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var crashes []Crash
 	for a := range t.open {
 		draining, present := listed[a.process]
 		a.draining = a.draining || draining
 		switch {
+		case a.unproven && t.answeredLater(a):
+			t.remove(a)
+			if a.status != 0 {
+				completed = append(completed, Completion{a.subject(), int(a.status)})
+			}
 		case a.draining || t.survived(a, now, present):
 			if !a.abandonedAt.IsZero() {
 				t.remove(a)
 			}
-		case !present && t.silent(a, now):
+		case a.unproven && t.broke(a, now), !present && t.silent(a, now):
 			t.remove(a)
-			if a.late {
-				continue
+			if !a.late {
+				crashes = append(crashes, t.crash(a))
 			}
-			subject := a.subject()
-			crashes = append(crashes, Crash{
-				Fingerprint: subject.Request, Parts: subject.Parts, Upstream: a.process.Upstream,
-				StartedAt: a.process.StartedAt, SeenAt: t.lastSign(a).UnixNano(),
-			})
 		}
 	}
 	t.forgetProcesses(now, listed)
-	return crashes
+	return crashes, completed
+}
+
+// crash returns the report of a crash under the attempt.
+func (t *Attempts) crash(a *Attempt) Crash {
+	subject := a.subject()
+	return Crash{
+		Fingerprint: subject.Request, Parts: subject.Parts, Upstream: a.process.Upstream,
+		StartedAt: a.process.StartedAt, SeenAt: t.lastSign(a).UnixNano(),
+	}
+}
+
+// answeredLater reports whether the upstream responded to others so soon after the end of the attempt
+// that it cannot have been started again in between.
+func (t *Attempts) answeredLater(a *Attempt) bool {
+	since := t.state(a.process).lastResponse.Sub(a.abandonedAt)
+	return since >= survivalPeriod && since < restartPeriod
+}
+
+// broke reports whether a connection of another attempt broke when this one ended, and the upstream
+// has not responded since.
+func (t *Attempts) broke(a *Attempt, now time.Time) bool {
+	p := t.state(a.process)
+	return p.lastBreak.Sub(a.abandonedAt).Abs() < sameCause && now.Sub(p.lastBreak) >= breakPeriod && !p.lastResponse.After(p.lastBreak)
 }
 
 // survived reports whether an abandoned attempt did not end its upstream: the upstream responded
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -230,7 +230,7 @@
 	defer resp.Body.Close()
 	result := r.handleResponse(w, sent, resp, a, sink)
 	result.Resends = sent.resends()
-	result.EndedByClose = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	result.EndedByClose = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && a.Method != http.MethodHead
 	if result.Outcome == retry.TimedOut {
 		r.pool.dropIdle(a.Address)
 	}
