Send responses without a length, and end right after them, in the soak

In one of three runs, by seed, the servers of plain services send responses with neither a length nor chunks, and those that end during a response end right after the whole of it, as a part cannot be told from it. The fault that cuts responses leaves such servers out for the same reason.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -29,6 +29,7 @@
 // restarts, link failures and configuration changes coincide.
 var _ = Describe("soak", func() {
 	It("finds no violation in a short run", func() { runSoak("1", shortSoak) })
+	It("finds no violation with servers that end right after responses without a length", func() { runSoak("9", shortSoak) })
 
 	It("finds no violation with seeds that failed before", func() {
 		file, err := os.Open(seedsFile)
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -61,17 +61,35 @@
 	// unexpectedExits describe processes that exited without a request, or not in time after one.
 	unexpectedExits []string
 	closed          bool
-	crashMode       standin.CrashMode
+	ends            serverEnds
+}
+
+// serverEnds is how the servers of a run end under harmful requests, and their responses otherwise.
+type serverEnds struct {
+	mode standin.CrashMode
+	// unframed makes the responses of plain services end with their connections.
+	unframed bool
+}
+
+// drawServerEnds returns the ends of the run with a seed.
+func drawServerEnds(seed uint64) serverEnds {
+	modes := uint64(len(crashModes))
+	ends := serverEnds{mode: crashModes[seed%modes], unframed: seed/modes%3 == 2}
+	if ends.unframed && ends.mode == standin.CrashDuringResponse {
+		// A part of such a response cannot be told from a whole one.
+		ends.mode = standin.CrashAfterResponse
+	}
+	return ends
 }
 
 // startCluster starts the platform and prepares the given number of entry instances in each
-// region. crashMode is how servers end under a harmful request.
-func startCluster(dir, program string, perRegion int, crashMode standin.CrashMode) (*cluster, error) {
+// region.
+func startCluster(dir, program string, perRegion int, ends serverEnds) (*cluster, error) {
 	store, err := standin.StartStore()
 	if err != nil {
 		return nil, err
 	}
-	s := &cluster{dir: dir, program: program, store: store, servers: map[string]*server{}, crashMode: crashMode}
+	s := &cluster{dir: dir, program: program, store: store, servers: map[string]*server{}, ends: ends}
 	for _, r := range regions {
 		for _, service := range []string{servicePlain, servicePlain, servicePlain, serviceStatus1, serviceStatus2, serviceStream, serviceStream} {
 			if _, err := s.addServer(service, r); err != nil {
@@ -130,6 +148,7 @@
 	s.serverCount++
 	config := standin.ServerConfig{
 		ID: fmt.Sprintf("s-%s-%d", service, s.serverCount), Service: service, FailureDomain: domainOf(region), MaxConcurrency: serverSlots,
+		Unframed: s.ends.unframed && service != serviceStream,
 	}
 	if service == serviceStream {
 		config.Events, config.EventInterval = streamEvents, eventInterval
@@ -144,7 +163,7 @@
 		return nil, err
 	}
 	srv := &server{UpstreamServer: upstream, link: link}
-	upstream.SetCrash(s.crashMode, harmfulPath, harmfulPart)
+	upstream.SetCrash(s.ends.mode, harmfulPath, harmfulPart)
 	upstream.OnCrash = func() { s.replaceCrashed(srv) }
 	s.servers[config.ID] = srv
 	s.active = append(s.active, srv)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -247,6 +247,9 @@
 func serverFault(f standin.ServerFaults) func(*injector) (string, func()) {
 	return func(d *injector) (string, func()) {
 		srv := d.cluster.randomServer(d.rng)
+		if f.TruncateResponse && srv.Config.Unframed {
+			return "", nil
+		}
 		end := srv.faults.begin()
 		srv.SetFaults(f)
 		return srv.Config.ID, func() {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -97,7 +97,7 @@
 // Run performs one run. It returns an error only for failures of the test setup; those of
 // the gateway are violations in the report.
 func Run(ctx context.Context, o Options) (Report, error) {
-	cluster, err := startCluster(o.Dir, o.Binary, o.InstancesPerRegion, crashModes[o.Seed%uint64(len(crashModes))])
+	cluster, err := startCluster(o.Dir, o.Binary, o.InstancesPerRegion, drawServerEnds(o.Seed))
 	if cluster != nil {
 		defer cluster.close()
 	}
