Send upstreams no more than the request rate that they name

Cause: nothing read the rate. An upstream in need looked like any other one, and its short queue attracted more requests.

Change: the rate is read when the head of a response arrives. All instances of the region divide it equally, each with a token bucket that starts empty; if they are many, only some send, as each may send one request at any time. Picks, retries, resends of the transport and health checks take from it. It ends or rises with the response to a request that was sent after it was named. An upstream at its rate is left out, and does not count as capacity of its region; if all are at their rates, the request goes to another region or is rejected at once with the time of the next token. The row of such an upstream is kept for 10 s while it is missing from the list.

A server that names no rate any more, or was started again, is used again.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -100,28 +100,35 @@
 	})
 }
 
+// rateRetention is how long the row of an upstream that named a request rate is kept while it is not
+// listed.
+const rateRetention = 10 * time.Second
+
 // unlistUpstreams removes the upstreams that are not listed. The rows of cold ones are kept until
-// they would be warm, because a row can be missing for a moment.
+// they would be warm, and those of upstreams that name a request rate for rateRetention, because a
+// row can be missing for a moment.
 func (t *tables) unlistUpstreams(listed map[string]bool, now time.Time) {
 	for id, row := range t.upstreams {
 		if listed[id] {
 			continue
 		}
 		delete(t.upstreams, id)
-		if now.Before(row.coldUntil) {
-			t.unlistedCold[id] = row
+		row.keptUntil = row.coldUntil
+		if _, named := row.counters.NamedRate(); named {
+			row.keptUntil = latest(row.coldUntil, now.Add(rateRetention))
 		}
+		t.unlisted[id] = row
 	}
-	maps.DeleteFunc(t.unlistedCold, func(_ string, row *upstreamRow) bool { return !now.Before(row.coldUntil) })
+	maps.DeleteFunc(t.unlisted, func(_ string, row *upstreamRow) bool { return !now.Before(row.keptUntil) })
 }
 
-// relistCold returns the row of an upstream that was cold when it was no longer listed, if there is
-// one, and lists it again.
-func (t *tables) relistCold(id string) (*upstreamRow, bool) {
-	row, ok := t.unlistedCold[id]
+// relist returns the row of an upstream that was kept when it was no longer listed, if there is one, and
+// lists it again.
+func (t *tables) relist(id string) (*upstreamRow, bool) {
+	row, ok := t.unlisted[id]
 	if ok {
 		t.upstreams[id] = row
-		delete(t.unlistedCold, id)
+		delete(t.unlisted, id)
 	}
 	return row, ok
 }
@@ -129,7 +136,7 @@
 func (t *tables) setUpstream(instance external.Instance, now time.Time) {
 	row, ok := t.upstreams[instance.ID]
 	if !ok {
-		row, ok = t.relistCold(instance.ID)
+		row, ok = t.relist(instance.ID)
 	}
 	if !ok || row.instance.Address != instance.Address || row.instance.StartedAtUnixMilli != instance.StartedAtUnixMilli {
 		row = &upstreamRow{counters: &routing.Counters{}}
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -151,6 +151,8 @@
 		record(timeline.KindUpstreamLeaving, new.ID, "")
 	case new.Evacuated != old.Evacuated:
 		l.log("upstream", logrus.Fields{"upstream": new.ID, "change": "evacuated", "reason": new.Evacuated})
+	case new.RateLimited != old.RateLimited:
+		l.log("upstream", logrus.Fields{"upstream": new.ID, "change": "rate", "reason": new.RateLimited, "limit": new.RequestRate})
 	case new.Cold != old.Cold:
 		l.log("upstream", logrus.Fields{"upstream": new.ID, "change": "cold", "reason": new.Cold, "limit": new.ColdRateLimit})
 	}
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -104,11 +104,12 @@
 
 func upstreamsOf(t *tables, now time.Time) []routing.Upstream {
 	upstreams := make([]routing.Upstream, 0, len(t.sortedUpstreams))
-	budget := coldBudget{tables: t, now: now}
+	budget := regionBudget{tables: t, now: now}
 	for _, row := range t.sortedUpstreams {
 		cold := now.Before(row.coldUntil)
 		id := row.instance.ID
 		_, drained := t.config.Drains[id]
+		requestRate, limited := budget.requestRate(row)
 		upstreams = append(upstreams, routing.Upstream{
 			ID:             id,
 			Address:        row.instance.Address,
@@ -126,7 +127,9 @@
 			Evacuated:      evacuated(t, row),
 			Cold:           cold,
 			ColdUntil:      row.coldUntil,
-			ColdRateLimit:  budget.requestsPerSecond(row, cold),
+			ColdRateLimit:  budget.coldRequests(row, cold),
+			RateLimited:    limited,
+			RequestRate:    requestRate,
 			Load:           row.load,
 			Counters:       row.counters,
 		})
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -137,25 +137,23 @@
 	t.coldSendsFrom = now.Add(pause)
 }
 
-// coldBudget divides the request limits of cold upstreams over the instances of the region.
-type coldBudget struct {
+// regionBudget divides the request limits of upstreams over the instances of the region.
+type regionBudget struct {
 	tables *tables
 	now    time.Time
 	// instances are the entry instances of the region; nil until first needed.
 	instances []string
 }
 
-// requestsPerSecond returns how many requests per second this instance may send to a cold
+// coldRequests returns how many requests per second this instance may send to a cold
 // upstream; 0 if the upstream is not cold, or shortly after the start of this instance. The limit is
 // divided equally. If it is lower than the number of instances, those with the highest rendezvous
 // weight send one request.
-func (c *coldBudget) requestsPerSecond(row *upstreamRow, cold bool) int {
+func (c *regionBudget) coldRequests(row *upstreamRow, cold bool) int {
 	if !cold || c.now.Before(c.tables.coldSendsFrom) {
 		return 0
 	}
-	if c.instances == nil {
-		c.instances = regionInstances(c.tables)
-	}
+	c.findInstances()
 	t := c.tables
 	limit := math.Floor(t.config.Services[row.instance.Service].ColdRateLimit*t.identity.ColdExcess + t.identity.ColdSlack)
 	if part := math.Floor(limit / float64(len(c.instances))); part >= 1 {
@@ -168,6 +166,35 @@
 	return 0
 }
 
+// rateSenders is how many more instances than requests a second of an upstream's rate may send to it.
+// Each of them may send one request at any time.
+const rateSenders = 4
+
+// requestRate returns the part, in requests a second, that this instance may use of the rate that an
+// upstream names; limited is false if it names none. The rate is divided equally over all instances, or
+// over those with the highest rendezvous weights if they are many.
+func (c *regionBudget) requestRate(row *upstreamRow) (part float64, limited bool) {
+	rate, limited := row.counters.NamedRate()
+	if !limited {
+		return 0, false
+	}
+	c.findInstances()
+	senders := min(len(c.instances), int(min(rate, float64(len(c.instances))))+rateSenders)
+	if senders < len(c.instances) {
+		ranked := membership.Ranked(row.instance.ID, c.instances)
+		if slices.Index(ranked, c.tables.identity.ID) >= senders {
+			return 0, true
+		}
+	}
+	return rate / float64(senders), true
+}
+
+func (c *regionBudget) findInstances() {
+	if c.instances == nil {
+		c.instances = regionInstances(c.tables)
+	}
+}
+
 // regionInstances returns the ids of the region's live or listed entry instances,
 // including this one. A listed instance that sends no heartbeats may still send requests.
 func regionInstances(t *tables) []string {
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -46,7 +46,7 @@
 		for i := range instances {
 			tables := newServiceTables(fmt.Sprint("e", i), instances)
 			listedUpstream(nil).apply(tables, time.Unix(1000, 0))
-			sum += (&coldBudget{tables: tables, now: time.Unix(1000, 0)}).requestsPerSecond(testUpstream(tables), true)
+			sum += (&regionBudget{tables: tables, now: time.Unix(1000, 0)}).coldRequests(testUpstream(tables), true)
 		}
 		if sum < 1 || sum > 6 {
 			t.Errorf("%d instances send %d requests a second", instances, sum)
@@ -54,6 +54,59 @@
 	}
 }
 
+// Guards against instances that together send more than the rate that an upstream names, or less, and
+// against so many of them that one request from each exceeds it.
+func TestRequestRatesOfAllInstancesAddUp(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, rate := range []float64{0.25, 1, 2.4, 40} {
+		for _, instances := range []int{1, 2, 3, 8, 30, 200} {
+			sum, senders := 0.0, 0
+			for i := range instances {
+				tables := newServiceTables(fmt.Sprint("e", i), instances)
+				listedUpstream(nil).apply(tables, now)
+				testUpstream(tables).counters.RecordNamedRate(now, now, rate, true)
+				part, limited := (&regionBudget{tables: tables, now: now}).requestRate(testUpstream(tables))
+				if !limited {
+					t.Fatalf("rate %v: not limited", rate)
+				}
+				sum += part
+				if part > 0 {
+					senders++
+				}
+			}
+			if math.Abs(sum-rate) > 1e-9 || float64(senders) > 2*rate+5 {
+				t.Errorf("%d instances, of which %d may send, send %v requests a second, want %v", instances, senders, sum, rate)
+			}
+		}
+	}
+}
+
+// Guards against an upstream that gets requests without a limit because its row was missing for a
+// moment.
+func TestRequestRatesOutlastAMissingRow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name    string
+		missing time.Duration
+		change  func(*external.Instance)
+		want    bool
+	}{
+		{"the same process", time.Second, nil, true},
+		{"another process", time.Second, func(i *external.Instance) { i.StartedAtUnixMilli = 2 }, false},
+		{"missing for long", 2 * rateRetention, nil, false},
+	} {
+		tables := newServiceTables("e0", 2)
+		listedUpstream(nil).apply(tables, now)
+		testUpstream(tables).counters.RecordNamedRate(now, now, 1, true)
+		InstancesEvent{}.apply(tables, now)
+		InstancesEvent{}.apply(tables, now.Add(c.missing))
+		listedUpstream(c.change).apply(tables, now.Add(c.missing))
+		if _, got := testUpstream(tables).counters.NamedRate(); got != c.want {
+			t.Errorf("%s: limited %t, want %t", c.name, got, c.want)
+		}
+	}
+}
+
 // Guards against treating an upstream as warm after a restart, after a pause or after the
 // evacuation of its domain.
 func TestUpstreamsAreColdAfterTheyReturn(t *testing.T) {
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -69,6 +69,8 @@
 	paused bool
 	// coldUntil is the time until which the upstream can handle only few requests.
 	coldUntil time.Time
+	// keptUntil is until when the row is kept while it is not listed.
+	keptUntil time.Time
 	// pauses counts the pauses since the last successful request.
 	pauses int
 	// awaitsHealthCheck is true after a pause, until a health check succeeds.
@@ -102,8 +104,9 @@
 	// sortedUpstreams holds the rows of upstreams sorted by id. It is rebuilt only with the
 	// instance list, because sorting on every tick took more than half of the tick.
 	sortedUpstreams []*upstreamRow
-	// unlistedCold holds the rows of upstreams that were cold when they were no longer listed.
-	unlistedCold map[string]*upstreamRow
+	// unlisted holds the rows of upstreams that were cold, or named a request rate, when they were no
+	// longer listed.
+	unlisted map[string]*upstreamRow
 	// coldSendsFrom is when this instance may first send to cold upstreams; zero before the first
 	// instance list.
 	coldSendsFrom time.Time
@@ -152,7 +155,7 @@
 		config:        opconfig.New(),
 		division:      quota.NewDivision(opconfig.New()),
 		upstreams:     map[string]*upstreamRow{},
-		unlistedCold:  map[string]*upstreamRow{},
+		unlisted:      map[string]*upstreamRow{},
 		members:       membership.NewTable(),
 		confirmations: map[string]confirmation{},
 		peers:         map[string]*peerRow{},
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -476,6 +476,7 @@
 	}
 	d.endAttempt(r, open, result, timed.status)
 	d.recordResends(r, result)
+	u.ChargeResends(result.Resends)
 	d.countCrash(r, u, &result)
 	return result
 }
--- a/internal/dispatch/route_params.go
+++ b/internal/dispatch/route_params.go
@@ -95,6 +95,16 @@
 	a.Deadline = r.Deadline
 	r.expectedFirstByte = choice.ExpectedFirstByte()
 	a.HostFirstByteTimeout = r.RouteParams.firstByteTimeout(r, choice.ExpectedFirstByte())
+	sent := time.Now()
+	a.OnMetadata = func(m relay.ResponseMetadata) {
+		switch {
+		case m.RateInvalid:
+		case m.Rate != nil:
+			u.Counters.RecordNamedRate(time.Now(), sent, *m.Rate, true)
+		default:
+			u.Counters.RecordNamedRate(time.Now(), sent, 0, false)
+		}
+	}
 }
 
 // shouldRetryOnRoute reports whether a failed attempt may be retried within the limits of
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -93,7 +93,7 @@
 			c = &check{due: now.Add(initialDelay), interval: initialDelay}
 			p.checks[u.ID] = c
 		}
-		if now.Before(c.due) {
+		if now.Before(c.due) || !u.TakeRequest(time.Now().UnixNano()) {
 			continue
 		}
 		c.interval = min(2*c.interval, maxInterval)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -37,6 +37,10 @@
 	Misdirected bool
 	// Load is the load that the upstream reports; nil if it reports none.
 	Load *external.Load
+	// Rate is the request rate that the upstream names, in requests a second from all instances
+	// together; nil if it names none. RateInvalid is true if it cannot be read.
+	Rate        *float64
+	RateInvalid bool
 }
 
 // BufferedResponse is a response whose body was read completely.
@@ -106,6 +110,9 @@
 
 func (r *Relay) handleHostResponse(w *watchdog, sent *sendTracker, resp *http.Response, metadata ResponseMetadata, a Attempt, sink Sink) Result {
 	idMatches := metadata.RequestID == a.RequestID
+	if a.OnMetadata != nil && idMatches && !metadata.Misdirected {
+		a.OnMetadata(metadata)
+	}
 	if metadata.NotExecuted && (idMatches || metadata.RequestID == "") {
 		return r.handleRejection(w, resp, metadata, a)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -128,6 +128,9 @@
 	// OnSent is called each time the request was written to a connection, completely or not; nil to
 	// ignore it. The transport may write a request more than once.
 	OnSent func()
+	// OnMetadata is called when the head of a response to the request arrives from the upstream;
+	// nil to ignore it. Responses that name another request or upstream are left out.
+	OnMetadata func(ResponseMetadata)
 }
 
 // Result is the outcome of an attempt.
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -43,6 +43,9 @@
 	// the bits of a float64.
 	meanTokens atomic.Uint64
 	coldSends  coldWindow
+	// named is the request rate that the upstream names; nil for none.
+	named atomic.Pointer[namedRate]
+	rate  rateBucket
 
 	holderID        atomic.Uint32
 	secondsPerToken atomic.Uint64
--- /dev/null
+++ b/internal/routing/requestrate_test.go
@@ -0,0 +1,65 @@
+package routing
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a request rate that an older response ends or raises, and against one that never ends.
+func TestNamedRateFollowsTheLatestResponse(t *testing.T) {
+	at := func(s float64) time.Time { return testNow.Add(time.Duration(s * float64(time.Second))) }
+	type response struct {
+		sent, arrived, rate float64
+		named               bool
+	}
+	named := response{0, 1, 2, true}
+	for _, c := range []struct {
+		name string
+		then response
+		want float64
+	}{
+		{"older response without a rate", response{0.5, 2, 0, false}, 2},
+		{"later response without a rate", response{1.5, 2, 0, false}, 0},
+		{"older response with a higher rate", response{0.5, 2, 8, true}, 2},
+		{"later response with a higher rate", response{1.5, 2, 8, true}, 8},
+		{"older response with a lower rate", response{0.5, 2, 1, true}, 1},
+		{"no request at all", response{1.5, 2, 0, true}, minNamedRate},
+	} {
+		var counters Counters
+		for _, r := range []response{named, c.then} {
+			counters.RecordNamedRate(at(r.arrived), at(r.sent), r.rate, r.named)
+		}
+		if got, _ := counters.NamedRate(); got != c.want {
+			t.Errorf("%s: rate %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against more requests in a time than the rate of this instance and one burst, and against a
+// bucket that is full at the start.
+func TestRateBucketBoundsTheRequests(t *testing.T) {
+	for _, rate := range []float64{0, 0.3, 1, 10} {
+		u := serviceUpstream("u", func(u *Upstream) { u.RateLimited, u.RequestRate = true, rate })
+		taken := 0
+		for ms := range 20_000 {
+			if u.TakeRequest(testNow.Add(time.Duration(ms) * time.Millisecond).UnixNano()) {
+				taken++
+			}
+		}
+		if low, high := int(20*rate)-1, int(20*rate); taken < low || taken > high {
+			t.Errorf("rate %v: %d requests in 20 s, want %d to %d", rate, taken, low, high)
+		}
+		idle := testNow.Add(time.Minute).UnixNano()
+		burst := 0
+		for u.TakeRequest(idle) {
+			burst++
+		}
+		if burst > 1+int(rateBurst*rate) {
+			t.Errorf("rate %v: %d requests at once", rate, burst)
+		}
+		u.ChargeResends(3)
+		if rate > 0 && u.untilRateAllows(idle) < time.Duration(3/rate*float64(time.Second)) {
+			t.Errorf("rate %v: resends do not count", rate)
+		}
+	}
+}
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -121,6 +121,9 @@
 		return Choice{}, noServiceUpstreamError(s, r)
 	}
 	u := &s.Upstreams[best.index]
+	if !u.TakeRequest(r.Now) {
+		return Choice{}, noServiceUpstreamError(s, r)
+	}
 	if u.Cold && !u.Counters.reserveCold(r.Now, u.ColdRateLimit) {
 		return Choice{}, noServiceUpstreamError(s, r)
 	}
@@ -258,7 +261,7 @@
 	if u.Cold && !u.Counters.coldSendAllowed(r.Now, u.ColdRateLimit) {
 		return false
 	}
-	return split.allows(r.ID, u.Version)
+	return u.untilRateAllows(r.Now) == 0 && split.allows(r.ID, u.Version)
 }
 
 // upstreamCost returns the estimated time to the first byte in seconds, with the cost of
@@ -350,7 +353,7 @@
 		total := 0.0
 		for _, i := range candidates {
 			u := &s.Upstreams[i]
-			if u.Draining || u.Down || u.Evacuated || u.Cold || u.Counters.Stalled(now, stallTimeout) || !s.ServiceSplits[target].majority(u.Version) {
+			if u.Draining || u.Down || u.Evacuated || u.Cold || u.RateLimited || u.Counters.Stalled(now, stallTimeout) || !s.ServiceSplits[target].majority(u.Version) {
 				continue
 			}
 			cost, _ := upstreamCost(u, now, 0)
@@ -370,9 +373,32 @@
 	if len(r.Service.AllowedRegions) > 0 && !slices.Contains(r.Service.AllowedRegions, s.Region) {
 		return errkind.New(errkind.HomeUnavailable, "the data must stay in the regions %v, none of which can serve %q now", r.Service.AllowedRegions, r.Target)
 	}
+	if wait, limited := untilAnyRateAllows(s, r); limited {
+		err := errkind.New(errkind.Overloaded, "the upstreams of %q take no more requests now: %s", r.Target, exclusionSummary(s, r))
+		err.RetryAfter = min(wait+retryAfterMargin, maxRetryAfter)
+		return err
+	}
 	return errkind.New(errkind.NoUpstream, "no upstream can serve %q now: %s", r.Target, exclusionSummary(s, r))
 }
 
+// untilAnyRateAllows returns the time until the first upstream that is left out only for the request rate
+// that it names may get a request from this instance; limited is false if there is none.
+func untilAnyRateAllows(s *Snapshot, r *Request) (wait time.Duration, limited bool) {
+	for _, i := range s.ByTarget[r.Target] {
+		u := &s.Upstreams[i]
+		if exclusionReason(s, u, r) != atNamedRate {
+			continue
+		}
+		if until := u.untilRateAllows(r.Now); !limited || until < wait {
+			wait, limited = until, true
+		}
+	}
+	return wait, limited
+}
+
+// atNamedRate is the reason of exclusionReason for an upstream that gets as many requests as it takes.
+const atNamedRate = "at the request rate that they name"
+
 // exclusionSummary counts the upstreams of the local region by the reason why they cannot
 // serve the request.
 func exclusionSummary(s *Snapshot, r *Request) string {
@@ -406,6 +432,8 @@
 		return "cold"
 	case !s.ServiceSplits[r.Target].allows(r.ID, u.Version):
 		return "of another version"
+	case u.untilRateAllows(r.Now) > 0:
+		return atNamedRate
 	default:
 		return "available, but passed over because a state changed during the pick"
 	}
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -54,6 +54,10 @@
 	// Cold upstreams get at most ColdRateLimit requests a second from this instance.
 	Cold          bool
 	ColdRateLimit int
+	// RateLimited upstreams name a request rate, of which this instance may use RequestRate, in
+	// requests a second.
+	RateLimited bool
+	RequestRate float64
 	// ColdUntil is when the upstream is warm.
 	ColdUntil time.Time
 	// idHash is a hash of ID, set by BuildIndexes.
