Offer regions whose upstreams take requests by a rate to other regions

What callers would see: while all upstreams of a service name request rates, requests that enter in another region than their home are rejected although the home takes some.

Cause: an upstream with a rate did not count as capacity of its region, like a cold one.

Change: it counts if its next request is allowed within a second, the time between two reports, and the wait for it is part of the reported one.

Evidence: TestUpstreamsWithARequestRateCountAsCapacity fails without the change (rate 2, not offered, as any such upstream was left out); the tests of rates in platform pass.

--- a/internal/routing/requestrate_test.go
+++ b/internal/routing/requestrate_test.go
@@ -63,3 +63,21 @@
 		}
 	}
 }
+
+// Guards against a region that is not offered to others although its upstreams take requests, and against
+// one that is although this instance may send none.
+func TestUpstreamsWithARequestRateCountAsCapacity(t *testing.T) {
+	for _, c := range []struct {
+		rate float64
+		want bool
+	}{{0, false}, {0.1, false}, {2, true}} {
+		s := serviceSnapshot(serviceUpstream("u", func(u *Upstream) { u.RateLimited, u.RequestRate = true, c.rate }))
+		load, got := s.ServiceLoads(testNow.UnixNano())[testService]
+		if got != c.want {
+			t.Errorf("rate %v: offered %t", c.rate, got)
+		}
+		if want := 1 / c.rate; got && load.WaitSeconds < want {
+			t.Errorf("rate %v: a wait of %v s is reported, at least %v s are needed", c.rate, load.WaitSeconds, want)
+		}
+	}
+}
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -344,6 +344,10 @@
 	return v.Candidate == "" || (version == v.Candidate) == (v.Share > 0.5)
 }
 
+// maxReportedRateWait is the wait for the next request that an upstream's rate allows up to which it counts
+// as available: the time between two reports to other regions.
+const maxReportedRateWait = time.Second
+
 // ServiceLoads returns the load of each service in the local region at the given time. Upstreams
 // of a version that gets only a small share of the requests do not count.
 func (s *Snapshot) ServiceLoads(now int64) map[string]ServiceLoad {
@@ -353,11 +357,15 @@
 		total := 0.0
 		for _, i := range candidates {
 			u := &s.Upstreams[i]
-			if u.Draining || u.Down || u.Evacuated || u.Cold || u.RateLimited || u.Counters.Stalled(now, stallTimeout) || !s.ServiceSplits[target].majority(u.Version) {
+			if u.Draining || u.Down || u.Evacuated || u.Cold || u.Counters.Stalled(now, stallTimeout) || !s.ServiceSplits[target].majority(u.Version) {
+				continue
+			}
+			untilAllowed := u.untilRateAllows(now)
+			if untilAllowed > maxReportedRateWait {
 				continue
 			}
 			cost, _ := upstreamCost(u, now, 0)
-			total += cost - failurePenaltySeconds*u.Counters.FailureRate()
+			total += untilAllowed.Seconds() + cost - failurePenaltySeconds*u.Counters.FailureRate()
 			load.Upstreams++
 		}
 		if load.Upstreams > 0 {
