Let servers name request rates in the soak

In one of three runs, by seed, one server of the plain service in each region names 3 requests a second, and a new rule checks what it gets from undisturbed instances.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -30,6 +30,7 @@
 var _ = Describe("soak", func() {
 	It("finds no violation in a short run", func() { runSoak("1", shortSoak) })
 	It("finds no violation with servers that end right after responses without a length", func() { runSoak("9", shortSoak) })
+	It("finds no violation with servers that name a request rate", func() { runSoak("5", shortSoak) })
 
 	It("finds no violation with seeds that failed before", func() {
 		file, err := os.Open(seedsFile)
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -41,6 +42,25 @@
 	*standin.UpstreamServer
 	link   *faultproxy.Proxy
 	faults intervals
+	// ratedSince is when the server began to name namedRate; zero if it names no rate.
+	ratedSince time.Time
+}
+
+// namedRate is the request rate, in requests a second, that some servers name.
+const namedRate = 3
+
+// nameRate makes the first active server of the plain service in each region name namedRate.
+func (s *cluster) nameRate() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	done := map[string]bool{}
+	for _, srv := range s.active {
+		if domain := srv.Config.FailureDomain; srv.Config.Service == servicePlain && !done[domain] {
+			done[domain] = true
+			srv.SetLimit(strconv.Itoa(namedRate))
+			srv.ratedSince = time.Now()
+		}
+	}
 }
 
 // cluster is the stand-in platform of a run with its entry instances.
--- a/internal/soak/rules.go
+++ b/internal/soak/rules.go
@@ -40,6 +40,11 @@
 	rateWindow           = 8 * time.Second
 	rateExcess           = 0.1
 	quotaSlack           = 20
+	// A server that names a request rate gets in each namedRateWindow, from settleTime on, at most
+	// namedRateExcess times what the rate allows and namedRateSlack requests more.
+	namedRateWindow = 4 * time.Second
+	namedRateExcess = 1.5
+	namedRateSlack  = 5
 )
 
 // Violation is one violation of a rule.
@@ -69,6 +74,7 @@
 	{"sound_connections", checkHealthyConnections},
 	{"time_limits", checkTimeLimits},
 	{"harmful_requests", checkHarmfulRequests},
+	{"named_rates", checkNamedRates},
 }
 
 // checkRules returns the violations of all rules in a history.
@@ -382,6 +388,36 @@
 	checkHarmful(e, kindHarmfulPart, tolerablePartCrashes, report)
 }
 
+// checkNamedRates reports servers that got more requests than the rate that they name, from undisturbed
+// instances. A link that held requests back may deliver many at once.
+func checkNamedRates(e *history, report func(string, ...any)) {
+	arrivals := map[string][]time.Time{}
+	for _, c := range e.calls {
+		for _, execution := range e.executions[c.id] {
+			s := e.servers[execution.Server]
+			if s == nil || s.ratedSince.IsZero() || !execution.At.After(s.ratedSince.Add(settleTime)) {
+				continue
+			}
+			if e.sendersUndisturbed(c, execution) && !s.faults.overlaps(execution.At.Add(-settleTime), execution.At) {
+				arrivals[execution.Server] = append(arrivals[execution.Server], execution.At)
+			}
+		}
+	}
+	allowed := namedRateExcess*namedRate*namedRateWindow.Seconds() + namedRateSlack
+	for server, times := range arrivals {
+		slices.SortFunc(times, time.Time.Compare)
+		for first, last := 0, 0; last < len(times); last++ {
+			for times[last].Sub(times[first]) >= namedRateWindow {
+				first++
+			}
+			if n := last - first + 1; float64(n) > allowed {
+				report("%s got %d requests within %s, %v are allowed", server, n, namedRateWindow, allowed)
+				break
+			}
+		}
+	}
+}
+
 func checkHarmful(e *history, kind requestKind, tolerable int, report func(string, ...any)) {
 	type arrival struct {
 		call      call
--- a/internal/soak/rules_test.go
+++ b/internal/soak/rules_test.go
@@ -149,6 +149,12 @@
 			r.a.faults.list = []interval{{at(3 * time.Second), at(4 * time.Second)}}
 			r.addHarmful(kindHarmful, maxLateRetries+1)
 		}},
+		{"over a named rate", "named_rates", func(r env) { r.addRated(24, 4*time.Second) }},
+		{"within a named rate", "", func(r env) { r.addRated(23, 4*time.Second) }},
+		{"over a named rate, the server's link held back", "", func(r env) {
+			r.servers["s1"].faults.list = []interval{{at(8 * time.Second), at(9 * time.Second)}}
+			r.addRated(24, 4*time.Second)
+		}},
 	} {
 		r := newEnv()
 		c.fill(r)
@@ -168,6 +174,16 @@
 	}
 }
 
+// addRated records n requests to a server that names a rate, spread over a time.
+func (r env) addRated(n int, d time.Duration) {
+	r.servers["s1"].ratedSince = at(0)
+	for i := range n {
+		sent := at(settleTime + time.Second + time.Duration(i)*d/time.Duration(n))
+		r.calls = append(r.calls, call{id: sent.String(), kind: kindRead, node: r.a, sent: sent, ended: sent, result: valid})
+		r.executions[sent.String()] = []standin.ExecutedRequest{{Server: "s1", FailureDomain: "a-1", Service: servicePlain, At: sent}}
+	}
+}
+
 // addHarmful records harmful content that crashes as many servers as tolerable, and n times more
 // settleTime later.
 func (r env) addHarmful(kind requestKind, n int) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -117,6 +117,9 @@
 	if err := s.waitReady(ctx); err != nil {
 		return Report{}, err
 	}
+	if o.Seed%3 == 2 {
+		cluster.nameRate()
+	}
 	if err := s.injectFaults(ctx); err != nil {
 		return Report{}, err
 	}
