Tell rejected callers of a rate one after another when to come back

What callers would see: while all upstreams of a service are at the rates that they name, every rejected caller is told the time of the next token. All come back then, and one is served.

Change: each rejection names the time of a token that no caller before was told of, at most 2 s.

Evidence: TestCallersRejectedForARateComeBackOneAfterAnother: at 2 a second, callers are told 0.5, 1, 1.5 and 2 s; before, all 0.5 s plus the margin.

--- a/internal/routing/requestrate.go
+++ b/internal/routing/requestrate.go
@@ -59,6 +59,9 @@
 	tokens float64
 	// filledAt is when tokens was last updated in Unix nanoseconds; 0 before the first use.
 	filledAt int64
+	// announcedAt is the latest time at which a rejected caller was told to come back, in Unix
+	// nanoseconds.
+	announcedAt int64
 }
 
 // fill adds the tokens since the last call. The mutex must be held.
@@ -85,6 +88,23 @@
 	return time.Duration((1 - b.tokens) / perSecond * float64(time.Second))
 }
 
+// announce returns when a rejected caller should come back, as the time from now: when the bucket will have
+// a token for it after those for the callers rejected before, at most maxRetryAfter.
+func (b *rateBucket) announce(now int64, perSecond float64) time.Duration {
+	wait := b.untilAllowed(now, perSecond)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at := now + int64(wait)
+	if perSecond > 0 {
+		at = max(at, b.announcedAt+int64(float64(time.Second)/perSecond))
+	}
+	if at-now >= int64(maxRetryAfter) {
+		return maxRetryAfter
+	}
+	b.announcedAt = at
+	return time.Duration(at - now)
+}
+
 func (b *rateBucket) take(now int64, perSecond float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/routing/requestrate_test.go
+++ b/internal/routing/requestrate_test.go
@@ -1,8 +1,11 @@
 package routing
 
 import (
+	"errors"
 	"testing"
 	"time"
+
+	"heatherloom/internal/errkind"
 )
 
 // Guards against a request rate that an older response ends or raises, and against one that never ends.
@@ -81,3 +84,22 @@
 		}
 	}
 }
+
+// Guards against rejected callers that are all told to come back for the same place.
+func TestCallersRejectedForARateComeBackOneAfterAnother(t *testing.T) {
+	s := serviceSnapshot(serviceUpstream("u", func(u *Upstream) { u.RateLimited, u.RequestRate = true, 2 }))
+	var waits []time.Duration
+	for range 6 {
+		_, err := ServicePolicy{Index: NewPrefixIndex()}.Pick(s, serviceRequest(), NewScratch(1))
+		var rejection *errkind.Error
+		if !errors.As(err, &rejection) || rejection.Kind != errkind.Overloaded {
+			t.Fatalf("got %v", err)
+		}
+		waits = append(waits, rejection.RetryAfter)
+	}
+	for i, want := range []time.Duration{500, 1000, 1500, 2000, 2000, 2000} {
+		if got := waits[i]; got < want*time.Millisecond || got > maxRetryAfter {
+			t.Errorf("caller %d is told to come back after %s, want at least %d ms", i, got, want)
+		}
+	}
+}
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -381,27 +381,28 @@
 	if len(r.Service.AllowedRegions) > 0 && !slices.Contains(r.Service.AllowedRegions, s.Region) {
 		return errkind.New(errkind.HomeUnavailable, "the data must stay in the regions %v, none of which can serve %q now", r.Service.AllowedRegions, r.Target)
 	}
-	if wait, limited := untilAnyRateAllows(s, r); limited {
+	if u := firstAllowedByRate(s, r); u != nil {
 		err := errkind.New(errkind.Overloaded, "the upstreams of %q take no more requests now: %s", r.Target, exclusionSummary(s, r))
-		err.RetryAfter = min(wait+retryAfterMargin, maxRetryAfter)
+		err.RetryAfter = min(u.Counters.rate.announce(r.Now, u.RequestRate)+retryAfterMargin, maxRetryAfter)
 		return err
 	}
 	return errkind.New(errkind.NoUpstream, "no upstream can serve %q now: %s", r.Target, exclusionSummary(s, r))
 }
 
-// untilAnyRateAllows returns the time until the first upstream that is left out only for the request rate
-// that it names may get a request from this instance; limited is false if there is none.
-func untilAnyRateAllows(s *Snapshot, r *Request) (wait time.Duration, limited bool) {
+// firstAllowedByRate returns the upstream that may get a request from this instance first, of those that
+// are left out only for the request rate that they name; nil if there is none.
+func firstAllowedByRate(s *Snapshot, r *Request) (first *Upstream) {
+	var wait time.Duration
 	for _, i := range s.ByTarget[r.Target] {
 		u := &s.Upstreams[i]
 		if exclusionReason(s, u, r) != atNamedRate {
 			continue
 		}
-		if until := u.untilRateAllows(r.Now); !limited || until < wait {
-			wait, limited = until, true
+		if until := u.untilRateAllows(r.Now); first == nil || until < wait {
+			first, wait = u, until
 		}
 	}
-	return wait, limited
+	return first
 }
 
 // atNamedRate is the reason of exclusionReason for an upstream that gets as many requests as it takes.
