Keep sending to upstreams that name a rate when the clock is set back

What callers would see: after a step of an instance's wall clock backwards, an upstream that names a request rate gets nothing from it until the clock has caught up, and its rate never ends meanwhile.

Cause: the token bucket and the time at which a rate was named were kept by the wall clock.

Change: the bucket goes on from the new time, and named rates use the clock that no step affects.

Evidence: TestRateBucketSurvivesAClockThatIsSetBack fails without the change and passes with it.

--- a/internal/dispatch/route_params.go
+++ b/internal/dispatch/route_params.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"heatherloom/internal/clock"
 	"heatherloom/internal/errkind"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/retry"
@@ -95,14 +96,14 @@
 	a.Deadline = r.Deadline
 	r.expectedFirstByte = choice.ExpectedFirstByte()
 	a.HostFirstByteTimeout = r.RouteParams.firstByteTimeout(r, choice.ExpectedFirstByte())
-	sent := time.Now()
+	sent := clock.Now()
 	a.OnMetadata = func(m relay.ResponseMetadata) {
 		switch {
 		case m.RateInvalid:
 		case m.Rate != nil:
-			u.Counters.RecordNamedRate(time.Now(), sent, *m.Rate, true)
+			u.Counters.RecordNamedRate(clock.Now(), sent, *m.Rate, true)
 		default:
-			u.Counters.RecordNamedRate(time.Now(), sent, 0, false)
+			u.Counters.RecordNamedRate(clock.Now(), sent, 0, false)
 		}
 	}
 }
--- a/internal/routing/requestrate.go
+++ b/internal/routing/requestrate.go
@@ -26,7 +26,7 @@
 // RecordNamedRate records the request rate that the upstream named in a response, in requests a second
 // from all instances together; named is false if the response names none. Responses may overtake each
 // other: a rate ends, or rises, only with the response to a request that was sent after the rate
-// had been named.
+// had been named. The times are those of package clock.
 func (c *Counters) RecordNamedRate(now, sent time.Time, perSecond float64, named bool) {
 	for {
 		old := c.named.Load()
@@ -71,7 +71,8 @@
 	}
 	b.tokens += perSecond * time.Duration(max(now-b.filledAt, 0)).Seconds()
 	b.tokens = min(b.tokens, 1+rateBurst*perSecond)
-	b.filledAt = max(now, b.filledAt)
+	// Also after a step of the wall clock backwards, which must not stop the bucket.
+	b.filledAt = now
 }
 
 // untilAllowed returns the time until the bucket has a token; 0 if it has one.
@@ -95,7 +96,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	at := now + int64(wait)
-	if perSecond > 0 {
+	if perSecond > 0 && b.announcedAt-now < int64(maxRetryAfter) {
 		at = max(at, b.announcedAt+int64(float64(time.Second)/perSecond))
 	}
 	if at-now >= int64(maxRetryAfter) {
--- a/internal/routing/requestrate_test.go
+++ b/internal/routing/requestrate_test.go
@@ -85,6 +85,20 @@
 	}
 }
 
+// Guards against an upstream that gets no requests until a clock that was set back has caught up.
+func TestRateBucketSurvivesAClockThatIsSetBack(t *testing.T) {
+	u := serviceUpstream("u", func(u *Upstream) { u.RateLimited, u.RequestRate = true, 1 })
+	u.TakeRequest(testNow.UnixNano())
+	back := testNow.Add(-time.Hour)
+	u.TakeRequest(back.UnixNano())
+	if !u.TakeRequest(back.Add(1100 * time.Millisecond).UnixNano()) {
+		t.Error("no request is allowed a second after the clock was set back")
+	}
+	if wait := u.Counters.rate.announce(back.UnixNano(), 1); wait > maxRetryAfter {
+		t.Errorf("a caller is told to come back after %s", wait)
+	}
+}
+
 // Guards against rejected callers that are all told to come back for the same place.
 func TestCallersRejectedForARateComeBackOneAfterAnother(t *testing.T) {
 	s := serviceSnapshot(serviceUpstream("u", func(u *Upstream) { u.RateLimited, u.RequestRate = true, 2 }))
