--- a/internal/quarantine/attempts_bench_test.go
+++ b/internal/quarantine/attempts_bench_test.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// BenchmarkAttempts measures one attempt with a part of its response at 500 attempts a second on 100
-// processes, with its share of four sweeps a second.
+// BenchmarkAttempts measures an attempt, at 500 a second on 100 processes, with its share of the sweeps.
 func BenchmarkAttempts(b *testing.B) {
 	tracker, now := NewAttempts(), time.Unix(100_000, 0)
 	listed := map[Process]bool{}
--- a/internal/quarantine/attempts_test.go
+++ b/internal/quarantine/attempts_test.go
@@ -66,8 +66,7 @@
 	}
 }
 
-// Guards against an upstream that ends with a response without a length and is not noticed, against
-// taking one that lives on for one that ended, and against a completion that a restarted one proves.
+// Guards against taking a response that ended with its upstream for a complete one, and the reverse.
 func TestAttemptsSettleResponsesThatEndWithTheConnection(t *testing.T) {
 	start := time.Unix(100_000, 0)
 	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -204,8 +204,7 @@
 	}
 }
 
-// Guards against a request that is released from quarantine, or never gets into it, because the
-// processes that it ended are attributed to a part of other prompts.
+// Guards against a request that is released because its ends are attributed to a part of other prompts.
 func TestARequestIsNotReleasedForEndsThatItExplainsItself(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -248,8 +247,7 @@
 	}
 }
 
-// Guards against a request whose crashes no heartbeat tells of because many requests in flight have
-// suspected parts.
+// Guards against a request whose crashes are crowded out by those under suspected parts.
 func TestHeartbeatsTellOfRequestsWithoutSuspectedParts(t *testing.T) {
 	table, peer := NewTable(), NewTable()
 	const request = Fingerprint(7)
