--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -54,8 +54,7 @@
 	}
 }
 
-// Guards against instances that together send more than the rate that an upstream names, or less, and
-// against so many of them that one request from each exceeds it.
+// Guards against instances that together send more or less than the rate that an upstream names.
 func TestRequestRatesOfAllInstancesAddUp(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for _, rate := range []float64{0.25, 1, 2.4, 40} {
@@ -81,8 +80,7 @@
 	}
 }
 
-// Guards against an upstream that gets requests without a limit because its row was missing for a
-// moment.
+// Guards against an upstream whose rate is forgotten because its row was missing for a moment.
 func TestRequestRatesOutlastAMissingRow(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for _, c := range []struct {
--- a/internal/routing/requestrate_test.go
+++ b/internal/routing/requestrate_test.go
@@ -38,8 +38,7 @@
 	}
 }
 
-// Guards against more requests in a time than the rate of this instance and one burst, and against a
-// bucket that is full at the start.
+// Guards against more requests than the rate of this instance and one burst, from the start on.
 func TestRateBucketBoundsTheRequests(t *testing.T) {
 	for _, rate := range []float64{0, 0.3, 1, 10} {
 		u := serviceUpstream("u", func(u *Upstream) { u.RateLimited, u.RequestRate = true, rate })
@@ -67,8 +66,7 @@
 	}
 }
 
-// Guards against a region that is not offered to others although its upstreams take requests, and against
-// one that is although this instance may send none.
+// Guards against a region that is not offered to others although its upstreams take requests.
 func TestUpstreamsWithARequestRateCountAsCapacity(t *testing.T) {
 	for _, c := range []struct {
 		rate float64
