Log whether a quarantine expired or was contradicted

Operators saw that a quarantine had ended, and not whether its time was over or whether completions or other crashes explained it away; the record of a request that goes on crashing upstreams cannot tell the two apart. The line of the event has a reason now. No decision changes; the tests of control pass.

--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -65,22 +65,29 @@
 func (l *Loop) observeQuarantine(old, new *routing.Snapshot) {
 	for f := range new.Quarantined {
 		if _, known := old.Quarantined[f]; !known {
-			l.recordQuarantine(f, "began")
+			l.recordQuarantine(f, "began", "crashes")
 		}
 	}
-	for f := range old.Quarantined {
-		if _, still := new.Quarantined[f]; !still {
-			l.recordQuarantine(f, "ended")
+	for f, until := range old.Quarantined {
+		if _, still := new.Quarantined[f]; still {
+			continue
 		}
+		reason := "contradicted"
+		if !new.Published.Before(until) {
+			reason = "expired"
+		}
+		l.recordQuarantine(f, "ended", reason)
 	}
 }
 
-func (l *Loop) recordQuarantine(f quarantine.Fingerprint, change string) {
+// recordQuarantine records that a quarantine began or ended. One is contradicted if a completion or the
+// crashes under other requests and parts explain its crashes.
+func (l *Loop) recordQuarantine(f quarantine.Fingerprint, change, reason string) {
 	upstreams := strings.Join(l.tables.crashes.Upstreams(f), " ")
 	l.observer.Timeline.Record(timeline.Event{Kind: timeline.KindQuarantine, Detail: strings.TrimSpace(f.String() + " " + change + " " + upstreams)})
 	if l.observer.Log != nil {
 		l.observer.Log.WithFields(logrus.Fields{
-			"event": "quarantine", "fingerprint": f, "change": change, "upstreams": upstreams,
+			"event": "quarantine", "fingerprint": f, "change": change, "reason": reason, "upstreams": upstreams,
 		}).Warn("requests with this fingerprint are rejected while they are in quarantine")
 	}
 }
