Keep requests in quarantine when a part was in flight at the ends of several

Callers saw servers end one after another under requests that had been quarantined and were released again.

A part of prompts that is in flight at the ends of two harmful requests has more ends than each of them. It was quarantined, the ends were attributed to it, and both requests were released: ends counted for a request only if it had as many as the part. The same happened to one request with more ends than the 16 that were kept of it, as 24 were kept of a part.

Ends under a quarantined request that was sent again and again now count only against parts of its own prompt, and as many ends are kept of requests as of parts. A harmful part keeps the ends that no such request explains, and takes the others once it is quarantined.

TestHarmfulRequestsAreNotReleasedForAPartInFlightAtTheEndsOfAllOfThem failed before with two requests of 3 ends, three of 4, and one of 18; it passes now, with the other tests of the package.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -20,6 +20,9 @@
 	// partProcessLimit is the number of processes, and of requests, that suffice whenever the
 	// processes ended.
 	partProcessLimit = 6
+	// repeatedCrashes is the number of crashes of a request that was sent again and again. Its
+	// retries alone leave fewer.
+	repeatedCrashes = 3
 	// sameCause is the time within which processes that end may have a common cause, such as a
 	// loss of power. They count as one time, and not at all if there are commonCauseProcesses.
 	sameCause            = 300 * time.Millisecond
@@ -36,9 +39,8 @@
 	completionGrace = 5 * time.Second
 	// completionRetention is how long the completions of suspected parts are kept.
 	completionRetention = 30 * time.Second
-	// maxParts and maxPartCrashes bound the suspected parts, and the crashes kept for each.
-	maxParts       = 4096
-	maxPartCrashes = 24
+	// maxParts bounds the suspected parts.
+	maxParts = 4096
 )
 
 // PartFingerprint identifies a part of a prompt by its id. It depends on nothing else, because
@@ -72,7 +74,7 @@
 			return
 		}
 	}
-	if len(e.crashes) < maxPartCrashes {
+	if len(e.crashes) < maxCrashes {
 		e.crashes = append(e.crashes, c)
 	}
 }
@@ -236,8 +238,7 @@
 }
 
 // updateParts quarantines the parts with sufficient crashes. A process ends once: an end that is
-// attributed to a part with more crashes, or to a request with as many, does not count against other
-// parts.
+// attributed to a part with more crashes, or that a request explains, does not count against other parts.
 func (t *Table) updateParts(now time.Time) {
 	var suspected []Fingerprint
 	for part, e := range t.parts {
@@ -268,13 +269,14 @@
 // quarantineEqualParts decides on parts with the same number of ends. It returns the ends that are
 // attributed to them.
 func (t *Table) quarantineEqualParts(parts []Fingerprint, ends int) (attributed []attribution) {
-	repeated := t.crashesOfRequests(ends)
-	elsewhere := func(c Crash) bool {
-		isSame := func(a attribution) bool { return a.sameEnd(c) }
-		return slices.ContainsFunc(t.attributed, isSame) || slices.ContainsFunc(repeated, c.sameEnd)
-	}
+	repeated := t.repeatedRequests()
 	for _, part := range parts {
 		e := t.parts[part]
+		elsewhere := func(c Crash) bool {
+			isSame := func(a attribution) bool { return a.sameEnd(c) }
+			explains := func(request *entry) bool { return request.explains(c, part, ends) }
+			return slices.ContainsFunc(t.attributed, isSame) || slices.ContainsFunc(repeated, explains)
+		}
 		if e.until.IsZero() && !t.sufficient(e.processes(elsewhere), e.requests()) {
 			continue
 		}
@@ -291,17 +293,26 @@
 	return attributed
 }
 
-// crashesOfRequests returns the crashes of the quarantined requests with at least a number of them.
-func (t *Table) crashesOfRequests(atLeast int) (crashes []Crash) {
+// repeatedRequests returns the quarantined requests that were sent again and again.
+func (t *Table) repeatedRequests() (repeated []*entry) {
 	for _, e := range t.entries {
-		if len(e.crashes) < atLeast || t.unattributed(e) < crashLimit {
-			continue
-		}
-		for _, c := range e.crashes {
-			crashes = append(crashes, c.Crash)
+		if len(e.crashes) >= repeatedCrashes && t.unattributed(e) >= crashLimit {
+			repeated = append(repeated, e)
 		}
 	}
-	return crashes
+	return repeated
+}
+
+// explains reports whether a repeated request explains the end of a process, rather than a part under
+// which a number of processes ended. A part that is in flight at the ends of several harmful requests has more of
+// them than each request, so that only a part of the request's own prompt explains more by its number.
+func (e *entry) explains(c Crash, part Fingerprint, ends int) bool {
+	return (len(e.crashes) >= ends || !e.hasPart(part)) && e.isDuplicate(c)
+}
+
+// hasPart reports whether the part is a suspected one of the request's own prompt.
+func (e *entry) hasPart(part Fingerprint) bool {
+	return slices.ContainsFunc(e.crashes, func(c learnedCrash) bool { return slices.Contains(c.Parts, part) })
 }
 
 // Suspects returns the number of processes that ended under each suspected part; 0 for a quarantine
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -247,6 +247,31 @@
 	}
 }
 
+// Guards against harmful requests that are released because one part of other prompts was in flight at
+// the ends of several of them, and against the quarantine of that part.
+func TestHarmfulRequestsAreNotReleasedForAPartInFlightAtTheEndsOfAllOfThem(t *testing.T) {
+	for _, c := range []struct{ requests, endsOfEach int }{{2, 3}, {3, 4}, {1, maxCrashes + 4}} {
+		table := NewTable()
+		process := 0
+		for request := range c.requests {
+			for range c.endsOfEach {
+				table.Add(after(0), partCrash(process, Fingerprint(request+1), apart(process)))
+				table.Add(after(0), partCrash(process, Fingerprint(100+process), apart(process), rare))
+				process++
+			}
+		}
+		table.Update(after(20 * time.Second))
+		for request := range c.requests {
+			if _, ok := table.Quarantined()[Fingerprint(request+1)]; !ok {
+				t.Errorf("%d requests with %d ends each: request %d is released", c.requests, c.endsOfEach, request+1)
+			}
+		}
+		if _, ok := table.Quarantined()[rare]; ok {
+			t.Errorf("%d requests with %d ends each: the part is quarantined", c.requests, c.endsOfEach)
+		}
+	}
+}
+
 // Guards against a request whose crashes are crowded out by those under suspected parts.
 func TestHeartbeatsTellOfRequestsWithoutSuspectedParts(t *testing.T) {
 	table, peer := NewTable(), NewTable()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -31,8 +31,9 @@
 	// maxOlderCrashes bounds the older crashes in one heartbeat. They are selected at
 	// random, so that instances that start later learn of them as well.
 	maxOlderCrashes = 8
-	// maxPerFingerprint bounds the stored crashes of one request.
-	maxPerFingerprint = 16
+	// maxCrashes bounds the crashes kept for one request or part. It is the same for both, because
+	// their numbers are compared.
+	maxCrashes = 24
 	// maxFingerprints bounds the number of requests in the table.
 	maxFingerprints = 4096
 )
@@ -150,7 +151,7 @@
 	if e.isDuplicate(c) {
 		return
 	}
-	if len(e.crashes) >= maxPerFingerprint {
+	if len(e.crashes) >= maxCrashes {
 		return
 	}
 	e.crashes = append(e.crashes, learnedCrash{c, now})
