Recognize upstreams that end inside the head of their response

Callers saw 502 and one server after another ended: a server that ended while it wrote the head of its response counted as one that sends invalid bytes, so that no crash was counted and the request went on to others.

net/http reports the part of a line that arrived before the end of a connection as a malformed line. Whether that looked like a broken connection depended on the byte at which the server ended. The connection now keeps the first bytes of a response and its last one, so that an end inside a line of a head counts as a break; so does an end after the last chunk and before the end of the body. Bytes that do not begin a response, and lines that are complete and malformed, still fail the attempt without a crash.

Both pass, three times with the race detector.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http/httptrace"
+	"strings"
 	"sync"
 	"sync/atomic"
 )
@@ -24,6 +25,11 @@
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
+	// start holds the first bytes that were read since the last write, last is the last byte
+	// read, and ended is true once a read has failed.
+	start []byte
+	last  byte
+	ended bool
 	// users counts the attempts that use the connection. net/http may assign it to the next
 	// attempt before the previous one has ended.
 	users int
@@ -33,9 +39,27 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received.Add(int64(n))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = c.ended || err != nil
+	if n > 0 {
+		c.last = p[n-1]
+		c.start = append(c.start, p[:min(n, len(statusLineStart)-len(c.start))]...)
+	}
 	return n, err
 }
 
+// statusLineStart begins the head of each response.
+const statusLineStart = "HTTP/1."
+
+// endedInsideLine reports whether the connection ended inside a line of the head of a response.
+// net/http reports the part of the line as a malformed one.
+func (c *conn) endedInsideLine() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended && len(c.start) > 0 && c.last != '\n' && strings.HasPrefix(statusLineStart, string(c.start))
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -44,6 +68,7 @@
 		return 0, errSealed
 	}
 	c.writes++
+	c.start = c.start[:0]
 	c.mu.Unlock()
 	return c.Conn.Write(p)
 }
@@ -190,6 +215,13 @@
 	return last.conn.received.Load() - last.receivedBefore
 }
 
+// endedInsideLine reports whether the connection of the response ended inside a line of its head.
+func (s *sendTracker) endedInsideLine() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.uses) > 0 && s.uses[len(s.uses)-1].conn.endedInsideLine()
+}
+
 // sealAndCheckUnsent seals the connections and reports whether provably no byte was sent.
 func (s *sendTracker) sealAndCheckUnsent() bool {
 	s.mu.Lock()
--- a/internal/relay/exchange_test.go
+++ b/internal/relay/exchange_test.go
@@ -164,6 +164,8 @@
 		{"rejected", response("503 Busy\r\nId: r1\r\nNot-Run: 1\r\n", ""), nil, errkind.NotExecuted, retry.Rejected},
 		{"rejection of another request", response("503 Busy\r\nId: r0\r\nNot-Run: 1\r\n", ""), nil, errkind.ExecutionUnknown, retry.Failed},
 		{"bytes that are no answer", "hello\r\n\r\n", closeConn, errkind.ExecutionUnknown, retry.Failed},
+		{"bytes that are no answer, without an end of line", "hello", closeConn, errkind.ExecutionUnknown, retry.Failed},
+		{"a line that is none in the head", "HTTP/1.1 200 OK\r\nnone\r\n", closeConn, errkind.ExecutionUnknown, retry.Failed},
 		{"a head that ends early", "HTTP/1.1 200 OK\r\nId: r", closeConn, errkind.ExecutionUnknown, retry.Crashed},
 		{"a head that is reset", "HTTP/1.1 200 OK\r\nId: r", resetConn, errkind.ExecutionUnknown, retry.Crashed},
 		{"a chunk that is none", "HTTP/1.1 " + validHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", closeConn, errkind.Executed, retry.Failed},
@@ -186,6 +188,34 @@
 	}
 }
 
+// Guards against an upstream that ends inside the head of its response and counts as sending invalid bytes.
+func TestExchangeRecognizesEndsInsideTheHead(t *testing.T) {
+	head := "HTTP/1.1 " + validHead + "Content-Length: 9\r\n\r\n"
+	for _, end := range []func(net.Conn){closeConn, resetConn} {
+		for n := range head {
+			u := startByteUpstream(t, func(int) (string, func(net.Conn)) { return head[:n], end })
+			result := New(DefaultLimits()).Do(context.Background(), newAttempt(u), &memorySink{})
+			if result.Err == nil || result.Outcome != retry.Crashed {
+				t.Errorf("end after %q: outcome %d, want %d (%v)", head[:n], result.Outcome, retry.Crashed, result.Err)
+			}
+		}
+	}
+}
+
+// Guards against an upstream that ends between two chunks, or inside the line before one, and counts as
+// sending invalid bytes.
+func TestExchangeRecognizesEndsInsideChunks(t *testing.T) {
+	head := "HTTP/1.1 " + validHead + "Transfer-Encoding: chunked\r\n\r\n"
+	body := chunk("one") + chunk("two") + "0\r\n\r\n"
+	for n := range body {
+		u := startByteUpstream(t, func(int) (string, func(net.Conn)) { return head + body[:n], closeConn })
+		result := New(DefaultLimits()).Do(context.Background(), newAttempt(u), &memorySink{})
+		if result.Err == nil || result.Outcome != retry.Truncated || !result.ConnectionBroken {
+			t.Errorf("end after %q: outcome %d, broken %t (%v)", body[:n], result.Outcome, result.ConnectionBroken, result.Err)
+		}
+	}
+}
+
 // Guards against reusing a connection after an invalid response, whose trailing bytes
 // would be parsed as the next response.
 func TestExchangeClosesTheConnectionOfAWrongAnswer(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -342,7 +342,7 @@
 	if outcome == retry.NotSent {
 		return upstreamFault(errkind.UpstreamFailed, execution, outcome, err, "the upstream could not be reached")
 	}
-	if !connectionBroke(err) {
+	if !connectionBroke(err) && !sent.endedInsideLine() {
 		return upstreamFault(errkind.UpstreamFailed, execution, retry.Failed, err, "the upstream sent bytes that are not a response")
 	}
 	return upstreamFault(errkind.UpstreamFailed, execution, outcome, err, "the connection to the upstream broke before a response")
@@ -352,12 +352,16 @@
 // upstream closed the connection before it read the request.
 const idleCloseText = "server closed idle connection"
 
+// trailerEndText is the text of the error that net/http returns, and does not export, if the
+// connection ended after the last chunk of a body and before the end of the response.
+const trailerEndText = "unexpected EOF reading trailer"
+
 // connectionBroke reports whether an attempt failed because its connection was closed or reset.
 // Otherwise the upstream sent something that is not valid HTTP.
 func connectionBroke(err error) bool {
 	var operation *net.OpError
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &operation) ||
-		strings.Contains(err.Error(), idleCloseText)
+		strings.Contains(err.Error(), idleCloseText) || strings.Contains(err.Error(), trailerEndText)
 }
 
 func upstreamFault(k errkind.Kind, execution errkind.Execution, outcome retry.Outcome, cause error, format string, args ...any) Result {
