Count crashes under a request for its content, not for each client account

Callers saw 502, and servers ended one after another, under a request that several client accounts sent: each account's copy ended two servers before it was rejected, and nothing bounded the sum.

The fingerprint of a request covered its client account. What an upstream executes is the method, the request target and the body; evidence is now kept for that content at its service and at its host, so that neither another account, another host of the service, a route that moves nor another percent encoding begins without evidence. Completions count for all accounts too. The text of a rejection says nothing of who sent what.

The soak sends harmful requests from 12 accounts.

The two tests of the gateway that wait for one quarantined fingerprint wait for exactly two now, that of the account's request and that of its content.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -46,7 +47,7 @@
 			d.reportCrash(c, "its row, or the end of another connection, shows that the upstream ended")
 		}
 		for _, c := range completed {
-			d.crashes().completions.Add(clock.Now(), c.Request)
+			d.crashes().completions.Add(clock.Now(), c.AtService)
 			d.recordParts(c.Parts, c.Status)
 		}
 		d.reportCompletedParts(snapshot.SuspectedParts)
@@ -108,7 +109,40 @@
 
 // subject returns what a crash under the request may be due to.
 func (r *Request) subject() quarantine.Subject {
-	return quarantine.Subject{Request: r.Fingerprint(), Parts: r.parts}
+	content := r.content()
+	s := quarantine.Subject{Request: r.Fingerprint(), AtService: content.AtService(r.service()), Parts: r.parts}
+	if r.RouteParams != nil {
+		s.AtHost = content.AtHost(r.RouteParams.Host)
+	}
+	return s
+}
+
+// Fingerprint identifies the request of its client account in reports of crashes. It depends only on
+// what the caller sent.
+func (r *Request) Fingerprint() quarantine.Fingerprint {
+	target := r.service()
+	if r.RouteParams != nil {
+		target = strings.ToLower(r.RouteParams.Host)
+	}
+	return quarantine.FingerprintOf(r.Account, target, r.Method, r.Path, r.Body)
+}
+
+// ContentFingerprints returns the fingerprints of the content of the request, whichever client account
+// sends it, at its service and at its host. A quarantine names one of them if several accounts sent it.
+func (r *Request) ContentFingerprints() []quarantine.Fingerprint {
+	s := r.subject()
+	return []quarantine.Fingerprint{s.AtService, s.AtHost}
+}
+
+// content identifies what an upstream executes.
+func (r *Request) content() quarantine.Content {
+	return quarantine.ContentOf(r.Method, r.Path, r.Body)
+}
+
+// service returns the service or model that the request is sent to, without a version.
+func (r *Request) service() string {
+	service, _, _ := strings.Cut(r.Target, "@")
+	return service
 }
 
 // sharedParts returns the parts of the prompt that other requests may share: all but the last, which
@@ -160,7 +194,7 @@
 // recordCompletion remembers that a request got its complete response.
 func (d *Dispatcher) recordCompletion(r *Request, status int) {
 	if len(r.Body) <= maxCompletionBytes {
-		d.crashes().completions.Add(clock.Now(), r.Fingerprint())
+		d.crashes().completions.Add(clock.Now(), r.content().AtService(r.service()))
 	}
 	d.recordParts(r.parts, status)
 }
@@ -184,15 +218,17 @@
 		return
 	}
 	result.Crashes = 1
+	s := r.subject()
 	d.reportCrash(quarantine.Crash{
-		Fingerprint: r.Fingerprint(), Parts: r.parts, Upstream: u.ID, StartedAt: u.StartedAt, SeenAt: clock.Now().UnixNano(),
+		Fingerprint: s.Request, AtService: s.AtService, AtHost: s.AtHost, Parts: s.Parts,
+		Upstream: u.ID, StartedAt: u.StartedAt, SeenAt: clock.Now().UnixNano(),
 	}, "the connection broke")
 }
 
-// reportCrash reports a crash unless the request recently completed elsewhere. Parts of its prompt
-// that recently completed are left out.
+// reportCrash reports a crash unless the content of the request recently completed at the service,
+// whichever client account sent it. Parts of its prompt that recently completed are left out.
 func (d *Dispatcher) reportCrash(c quarantine.Crash, reason string) {
-	if d.ReportCrash == nil || d.crashes().completions.Has(clock.Now(), c.Fingerprint) {
+	if d.ReportCrash == nil || d.crashes().completions.Has(clock.Now(), c.AtService) {
 		return
 	}
 	c.Parts = d.crashes().partCompletions.NotRecent(time.Unix(0, c.SeenAt), c.Parts)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -79,17 +79,6 @@
 	return path == "/v1/chat/completions" || path == "/v1/completions"
 }
 
-// Fingerprint identifies the request in reports of crashes. It depends only on what the caller
-// sent, so that it remains the same when the operators move a route to another service or a
-// model to another version.
-func (r *Request) Fingerprint() quarantine.Fingerprint {
-	target, _, _ := strings.Cut(r.Target, "@")
-	if r.RouteParams != nil {
-		target = strings.ToLower(r.RouteParams.Host)
-	}
-	return quarantine.FingerprintOf(r.Account, target, r.Method, r.Path, r.Body)
-}
-
 // Interrupted reports whether an attempt was sent to an upstream and ended without its
 // complete response.
 func (r *Request) Interrupted() bool { return r.interrupted }
@@ -197,7 +186,7 @@
 	now := time.Now()
 	if until, ok := d.quarantinedUntil(r); ok && now.Before(until) {
 		err := errkind.New(errkind.RequestQuarantined,
-			"this request, or requests that share a part of its prompt, crashed upstreams; it is rejected until %s, and requests without that part are not affected", until.UTC().Format(time.RFC3339))
+			"upstreams cannot execute the content of this request, or a part of its prompt; it is rejected until %s, and other requests are not affected", until.UTC().Format(time.RFC3339))
 		err.RetryAfter = until.Sub(now)
 		return err
 	}
@@ -218,14 +207,14 @@
 
 // quarantinedUntil returns the end of the quarantine of the request or of a part of its prompt; ok is
 // false if neither is quarantined.
-func (d *Dispatcher) quarantinedUntil(r *Request) (time.Time, bool) {
+func (d *Dispatcher) quarantinedUntil(r *Request) (until time.Time, ok bool) {
 	set := d.Snapshot().Quarantined
 	if len(set) == 0 {
 		return time.Time{}, false
 	}
-	until, ok := set[r.Fingerprint()]
-	for _, part := range r.parts {
-		if end, quarantined := set[part]; quarantined && end.After(until) {
+	s := r.subject()
+	for _, f := range append([]quarantine.Fingerprint{s.Request, s.AtService, s.AtHost}, s.Parts...) {
+		if end, quarantined := set[f]; quarantined && end.After(until) {
 			until, ok = end, true
 		}
 	}
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -218,6 +218,9 @@
 	g.Eventually(engine.RunningRequests, "5s", "10ms").Should(BeZero())
 }
 
+// fingerprintsPerRequest counts that of the request of its client account and that of its content.
+const fingerprintsPerRequest = 2
+
 // Guards against a request that crashes one upstream after another, also when its caller
 // resends it to another instance, and against rejecting other requests of the account.
 func TestQuarantine(t *testing.T) {
@@ -239,7 +242,7 @@
 	}
 	first := rejectionOf(t, a.do(t, http.MethodPost, "/v1/completions", completionBody("poison", false), activeKey))
 	g.Expect(first.Error.Kind).To(Equal(errkind.UpstreamFailed))
-	eventually(t, func() bool { return len(b.loop.Snapshot().Quarantined) == 1 })
+	eventually(t, func() bool { return len(b.loop.Snapshot().Quarantined) == fingerprintsPerRequest })
 	for _, e := range []*entry{a, b} {
 		again := e.do(t, http.MethodPost, "/v1/completions", completionBody("poison", false), activeKey)
 		g.Expect(rejectionOf(t, again).Error.Kind).To(Equal(errkind.RequestQuarantined))
@@ -260,7 +263,7 @@
 	e, _, healthy := startEnginePair(t, standin.EngineFaults{CutAfterTokens: tokens})
 	healthy.SetFaults(standin.EngineFaults{CutAfterTokens: tokens})
 	e.do(t, http.MethodPost, "/v1/completions", completionBody("question", true), activeKey)
-	eventually(t, func() bool { return len(e.loop.Snapshot().Quarantined) == 1 })
+	eventually(t, func() bool { return len(e.loop.Snapshot().Quarantined) == fingerprintsPerRequest })
 	again := e.do(t, http.MethodPost, "/v1/completions", completionBody("question", true), activeKey)
 	g.Expect(rejectionOf(t, again).Error.Kind).To(Equal(errkind.RequestQuarantined))
 }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -366,6 +366,7 @@
 	}
 	if c.dispatched != nil && (c.dispatched.Interrupted() || err.Kind == errkind.RequestQuarantined) {
 		fields[telemetry.FieldFingerprint] = c.dispatched.Fingerprint()
+		fields[telemetry.FieldContent] = c.dispatched.ContentFingerprints()
 		fields[telemetry.FieldPromptParts] = c.dispatched.PromptPartIDs()
 	}
 	fields[telemetry.FieldKind] = err.Kind
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -288,10 +288,11 @@
 		log.WithFields(logrus.Fields{
 			telemetry.FieldEvent:       "upstream_crashed",
 			telemetry.FieldFingerprint: c.Fingerprint,
+			telemetry.FieldContent:     []quarantine.Fingerprint{c.AtService, c.AtHost},
 			telemetry.FieldUpstream:    c.Upstream,
 			telemetry.FieldReason:      reason,
 			telemetry.FieldSuspects:    c.Parts,
-		}).Warn("the upstream ended while it ran a request; a second crash under the same fingerprint quarantines the request, and crashes under three requests that share a suspected part quarantine the part")
+		}).Warn("the upstream ended while it ran a request; a second crash under the same fingerprint or content quarantines the request, and crashes under three requests that share a suspected part quarantine the part")
 		ctx, cancel := context.WithTimeout(n.ctx, crashPostTimeout)
 		defer cancel()
 		n.loop.Post(ctx, control.CrashEvent{Crash: c})
--- a/internal/peer/crashes.go
+++ b/internal/peer/crashes.go
@@ -18,7 +18,8 @@
 	for _, c := range s.SharedCrashes {
 		age := now.Sub(time.Unix(0, c.SeenAt)).Milliseconds()
 		crash := &peerv1.Crash{
-			Fingerprint: uint64(c.Fingerprint), Upstream: c.Upstream, StartedAt: c.StartedAt, SeenAt: c.SeenAt, AgeMs: max(age, 1),
+			Fingerprint: uint64(c.Fingerprint), AtService: uint64(c.AtService), AtHost: uint64(c.AtHost),
+			Upstream: c.Upstream, StartedAt: c.StartedAt, SeenAt: c.SeenAt, AgeMs: max(age, 1),
 		}
 		for _, part := range c.Parts {
 			crash.Parts = append(crash.Parts, uint64(part))
@@ -68,6 +69,8 @@
 	}
 	crash := quarantine.Crash{
 		Fingerprint: quarantine.Fingerprint(c.GetFingerprint()),
+		AtService:   quarantine.Fingerprint(c.GetAtService()),
+		AtHost:      quarantine.Fingerprint(c.GetAtHost()),
 		Upstream:    c.GetUpstream(),
 		StartedAt:   c.GetStartedAt(),
 		SeenAt:      seenAt,
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -180,6 +180,7 @@
 	}
 	if r.Interrupted() || err.Kind == errkind.RequestQuarantined {
 		fields["fingerprint"] = r.Fingerprint()
+		fields["content"] = r.ContentFingerprints()
 		fields["prompt_parts"] = r.PromptPartIDs()
 	}
 	fields["kind"] = err.Kind
--- a/internal/quarantine/attempts.go
+++ b/internal/quarantine/attempts.go
@@ -222,8 +222,8 @@
 func (t *Attempts) crash(a *Attempt) Crash {
 	subject := a.subject()
 	return Crash{
-		Fingerprint: subject.Request, Parts: subject.Parts, Upstream: a.process.Upstream,
-		StartedAt: a.process.StartedAt, SeenAt: t.lastSign(a).UnixNano(),
+		Fingerprint: subject.Request, AtService: subject.AtService, AtHost: subject.AtHost, Parts: subject.Parts,
+		Upstream: a.process.Upstream, StartedAt: a.process.StartedAt, SeenAt: t.lastSign(a).UnixNano(),
 	}
 }
 
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -56,7 +56,10 @@
 
 // Subject is what a crash may be due to: a request, or a part of its prompt.
 type Subject struct {
+	// Request identifies the request of one client account.
 	Request Fingerprint
+	// AtService and AtHost identify its content, whichever account sends it; 0 if not known.
+	AtService, AtHost Fingerprint
 	// Parts are the parts of the prompt that other requests may share.
 	Parts []Fingerprint
 }
@@ -92,7 +95,7 @@
 func (e *partEntry) requests() int {
 	distinct := map[Fingerprint]struct{}{}
 	for _, c := range e.crashes {
-		distinct[c.Fingerprint] = struct{}{}
+		distinct[c.content()] = struct{}{}
 	}
 	return len(distinct)
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -5,8 +5,6 @@
 
 import (
 	"cmp"
-	"crypto/sha256"
-	"encoding/binary"
 	"fmt"
 	"slices"
 	"strconv"
@@ -34,8 +32,8 @@
 	// maxCrashes bounds the crashes kept for one request or part. It is the same for both, because
 	// their numbers are compared.
 	maxCrashes = 24
-	// maxFingerprints bounds the number of requests in the table.
-	maxFingerprints = 4096
+	// maxFingerprints bounds the fingerprints of requests in the table, of which a crash has up to three.
+	maxFingerprints = 3 * 4096
 )
 
 // ParseFingerprint parses the result of Fingerprint.String.
@@ -47,29 +45,17 @@
 	return Fingerprint(value), nil
 }
 
-// Fingerprint identifies a request by the content that an upstream executes.
+// Fingerprint identifies a request, or a part of prompts, in reports of crashes.
 type Fingerprint uint64
 
 // String returns the fingerprint as 16 hexadecimal digits.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
-// FingerprintOf returns the fingerprint of a request that a client account sent to a model,
-// a service of the API or a host.
-func FingerprintOf(account, target, method, path string, body []byte) Fingerprint {
-	h := sha256.New()
-	for _, part := range []string{account, target, method, path} {
-		var length [8]byte
-		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
-		_, _ = h.Write(length[:])
-		_, _ = h.Write([]byte(part))
-	}
-	_, _ = h.Write(body)
-	return Fingerprint(binary.LittleEndian.Uint64(h.Sum(nil)))
-}
-
 // Crash reports that an upstream ended while it executed a request.
 type Crash struct {
-	Fingerprint Fingerprint
+	// Fingerprint is Subject.Request, and AtService and AtHost are those of Subject.
+	Fingerprint       Fingerprint
+	AtService, AtHost Fingerprint
 	// Parts are the parts of the prompt that other requests may share, without those that
 	// completed shortly before.
 	Parts    []Fingerprint
@@ -80,9 +66,12 @@
 	SeenAt int64
 }
 
+// entry holds the crashes under one fingerprint of requests.
 type entry struct {
 	crashes []learnedCrash
 	until   time.Time
+	// anyAccount is true if the fingerprint is that of a content, whichever account sends it.
+	anyAccount bool
 }
 
 // learnedCrash is a crash and the local time at which this instance learned of it.
@@ -91,8 +80,17 @@
 	learnedAt time.Time
 }
 
+// content returns the fingerprint by which requests with other content are told apart.
+func (c Crash) content() Fingerprint {
+	if c.AtService != 0 {
+		return c.AtService
+	}
+	return c.Fingerprint
+}
+
 // Table stores the crashes reported by all instances. It is not safe for concurrent use.
 type Table struct {
+	// entries holds each crash under every fingerprint of its request.
 	entries map[Fingerprint]*entry
 	stored  map[Fingerprint]Stored
 	// parts holds the suspected parts of prompts, and completed the latest completions of requests
@@ -133,29 +131,35 @@
 // Add records a crash. Duplicate or expired crashes and those that exceed the limits of the
 // table are ignored.
 func (t *Table) Add(now time.Time, c Crash) {
-	age := now.Sub(time.Unix(0, c.SeenAt))
-	if age >= Duration {
+	if now.Sub(time.Unix(0, c.SeenAt)) >= Duration {
 		return
 	}
 	t.addEnd(c)
 	t.addParts(c)
 	t.suspects = nil
-	e, ok := t.entries[c.Fingerprint]
+	t.addEntry(now, c.Fingerprint, c)
+	for _, f := range []Fingerprint{c.AtService, c.AtHost} {
+		if f != 0 {
+			t.addEntry(now, f, c)
+		}
+	}
+}
+
+// addEntry records a crash under one fingerprint of its request.
+func (t *Table) addEntry(now time.Time, f Fingerprint, c Crash) {
+	e, ok := t.entries[f]
 	if !ok {
 		if len(t.entries) >= maxFingerprints && !t.evict() {
 			return
 		}
-		e = &entry{}
-		t.entries[c.Fingerprint] = e
-	}
-	if e.isDuplicate(c) {
-		return
+		e = &entry{anyAccount: f != c.Fingerprint}
+		t.entries[f] = e
 	}
-	if len(e.crashes) >= maxCrashes {
+	if e.isDuplicate(c) || len(e.crashes) >= maxCrashes {
 		return
 	}
 	e.crashes = append(e.crashes, learnedCrash{c, now})
-	if until := now.Add(Duration - max(age, 0)); until.After(e.until) {
+	if until := now.Add(Duration - max(now.Sub(time.Unix(0, c.SeenAt)), 0)); until.After(e.until) {
 		e.until = until
 	}
 	t.cached = nil
@@ -267,10 +271,13 @@
 	var recent []rankedCrash
 	// The random iteration order of the map makes the selection.
 	for _, e := range t.entries {
-		if len(e.crashes) >= crashLimit {
+		if len(e.crashes) >= crashLimit || e.anyAccount {
 			continue
 		}
 		for _, c := range e.crashes {
+			if t.repeatedForAnyAccount(c.Crash) {
+				continue
+			}
 			weight, parts := t.suspicion(c.Crash)
 			c.Parts = parts
 			switch {
@@ -292,6 +299,16 @@
 	return append(selected, older...)
 }
 
+// repeatedForAnyAccount reports whether other crashes suffice to quarantine the content of the request.
+func (t *Table) repeatedForAnyAccount(c Crash) bool {
+	for _, f := range []Fingerprint{c.AtService, c.AtHost} {
+		if e, known := t.entries[f]; known && len(e.crashes) >= crashLimit {
+			return true
+		}
+	}
+	return false
+}
+
 // mixRecent selects n of more crashes that are sorted by rank: the first ones for one half, and for the
 // rest the others in turn, so that the heartbeats of some seconds also tell of requests without
 // suspected parts.
@@ -319,11 +336,16 @@
 			selected = append(selected, c)
 		}
 	}
+	ofParts := len(selected)
 	for _, e := range t.entries {
 		if len(e.crashes) < crashLimit || len(selected) > maxQuarantineCrashes-crashLimit {
 			continue
 		}
 		for _, c := range e.crashes[:crashLimit] {
+			isSame := func(other Crash) bool { return other.Fingerprint == c.Fingerprint && other.sameEnd(c.Crash) }
+			if slices.ContainsFunc(selected[ofParts:], isSame) {
+				continue
+			}
 			_, c.Parts = t.suspicion(c.Crash)
 			selected = append(selected, c.Crash)
 		}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -104,12 +104,16 @@
 	maxHarmfulPause = 150 * time.Millisecond
 )
 
-// pickHarmful returns a function that picks the harmful request of the current period.
+// extraKey returns the key of one of extraAccounts client accounts.
+func extraKey(account int) string { return fmt.Sprint("key-extra-", account) }
+
+// pickHarmful returns a function that picks the harmful request of the current period, under any of the
+// extra client accounts.
 func pickHarmful() func(*caller) (requestKind, string) {
 	started := time.Now()
 	return func(c *caller) (requestKind, string) {
 		c.harmful = fmt.Sprintf("%s-%d", harmfulPath, int(time.Since(started)/harmfulPeriod))
-		return kindHarmful, mainKey
+		return kindHarmful, extraKey(c.rng.IntN(extraAccounts))
 	}
 }
 
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -31,8 +31,10 @@
 	eventInterval    = 15 * time.Millisecond
 	serverSlots      = 16
 	// mainKey is the key of the account that is neither rate-limited nor has rotated keys.
-	mainKey    = "key-main"
-	limitedKey = "key-metered"
+	mainKey = "key-main"
+	// extraAccounts is the number of client accounts that only harmful requests use.
+	extraAccounts = 12
+	limitedKey    = "key-metered"
 )
 
 var regions = []string{"a", "b"}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -58,6 +58,14 @@
 			Prefix: prefix, Kind: kind, Service: service, Attempts: 2, Timeout: routeTimeout, LatencyObjective: latencyObjective, AllowedRegions: allowedRegions,
 		}
 	}
+	accounts := []standin.Account{
+		{Name: "main", Keys: []string{mainKey}},
+		{Name: "metered", Keys: []string{limitedKey}, Rate: limitedRate, Burst: limitedBurst},
+		{Name: rotatedAccount, Keys: o.keys},
+	}
+	for i := range extraAccounts {
+		accounts = append(accounts, standin.Account{Name: fmt.Sprint("extra-", i), Keys: []string{extraKey(i)}})
+	}
 	return standin.Config{
 		Version: number,
 		Routes: []standin.Route{
@@ -68,11 +76,7 @@
 			route("/b/", standin.KindUnsafe, servicePlain, allowedRegion),
 		},
 		Services: []string{servicePlain, serviceStream, serviceStatus1, serviceStatus2},
-		Accounts: []standin.Account{
-			{Name: "main", Keys: []string{mainKey}},
-			{Name: "metered", Keys: []string{limitedKey}, Rate: limitedRate, Burst: limitedBurst},
-			{Name: rotatedAccount, Keys: o.keys},
-		},
+		Accounts: accounts,
 	}
 }
 
--- a/internal/telemetry/fields.go
+++ b/internal/telemetry/fields.go
@@ -40,5 +40,6 @@
 	FieldState             = "state"
 	FieldReason            = "reason"
 	FieldFingerprint       = "fingerprint"
+	FieldContent           = "content"
 	FieldSuspects          = "suspects"
 )
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -139,7 +139,7 @@
 	gauge("config_revision", "Revision of the configuration in force.", s.ConfigRevision)
 	gauge("config_age_seconds", "Time since the configuration was last known to be the latest one.", s.ConfigAge)
 	gauge("peers", "Live peers.", s.Peers)
-	gauge("quarantined_requests", "Requests that are rejected because they crashed upstreams.", s.Quarantined)
+	gauge("quarantined_requests", "Fingerprints of requests, their contents and prompt parts that are rejected because upstreams crashed under them.", s.Quarantined)
 }
 
 func (m *Metrics) registerInvariants() {
