Let instances that reach no server use the other instances of their region

An instance forwarded to other regions only, and judged what was left by the way there, so that it rejected requests as overload while the servers of its region had room. An instance whose listed upstreams of a service in its region are all paused or silent now also considers the other instances of its region, by the same estimate; what they report says whether they reach the servers, and a forwarded request is not forwarded again.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -107,7 +107,7 @@
 // Sink receives the response. Head is called at most once and before Data.
 type Sink = relay.Sink
 
-// Forwarder sends a request to an entry instance of another region.
+// Forwarder sends a request to another entry instance.
 type Forwarder interface {
 	Forward(ctx context.Context, peer routing.Peer, r *Request, sink Sink) relay.Result
 }
@@ -411,7 +411,7 @@
 	}
 }
 
-// ForwardedCount returns the number of requests that were forwarded to another region.
+// ForwardedCount returns the number of requests that were forwarded to another entry instance.
 func (d *Dispatcher) ForwardedCount() int64 { return d.forwarded.Load() }
 
 func (d *Dispatcher) sendToPeer(ctx context.Context, r *Request, peer routing.Peer, sink Sink) relay.Result {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -456,7 +456,7 @@
 // Snapshot returns the current routing snapshot.
 func (n *Node) Snapshot() *routing.Snapshot { return n.loop.Snapshot() }
 
-// ForwardedCount returns the number of requests that the instance forwarded to another region.
+// ForwardedCount returns the number of requests that the instance forwarded to another one.
 func (n *Node) ForwardedCount() int64 { return n.dispatcher.ForwardedCount() }
 
 // SlotsReady reports whether the instance holds a slot, has collected the idempotency
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -245,7 +245,7 @@
 }
 
 func (f *forwardedResponse) failureResult(err error, kind errkind.Kind, execution errkind.Execution, outcome retry.Outcome) relay.Result {
-	e := errkind.Wrap(err, kind, execution, "the entry instance of the other region did not deliver the response")
+	e := errkind.Wrap(err, kind, execution, "the entry instance that the request was forwarded to did not deliver the response")
 	return relay.Result{Err: e, Outcome: outcome, Started: f.started(), UpstreamFault: true}
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -137,7 +137,7 @@
 	return connect.NewResponse(&peerv1.PullEventsResponse{Events: s.Events.Since(req.Msg.GetSince())}), nil
 }
 
-// Forward serves a request that an entry instance of another region forwards.
+// Forward serves a request that another entry instance forwards.
 func (s *Server) Forward(ctx context.Context, req *connect.Request[peerv1.ForwardRequest], stream *connect.ServerStream[peerv1.ForwardResponse]) error {
 	s.Timeline.Clock().Observe(timeline.Stamp(req.Msg.GetClock()))
 	request := decodeRequest(req.Msg)
--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -21,10 +21,12 @@
 
 // allowsPeer filters the entry instances of other regions.
 func allowsPeer(s *Snapshot, p *Peer, r *Request) bool {
-	if p.Draining || p.Region == s.Region {
-		return false
-	}
-	if r.BoundRegion != "" && p.Region != r.BoundRegion {
+	return p.Region != s.Region && acceptsForward(p, r)
+}
+
+// acceptsForward reports whether the request may be forwarded to the entry instance of any region.
+func acceptsForward(p *Peer, r *Request) bool {
+	if p.Draining || (r.BoundRegion != "" && p.Region != r.BoundRegion) {
 		return false
 	}
 	return !contains(r.Visited, p.ID) && !contains(r.Tried, p.ID)
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -88,7 +88,8 @@
 
 // ServicePolicy chooses where requests on host routes run: at the upstream with the
 // shortest estimated time to the first byte, or via an entry instance of another region
-// whose estimate is clearly shorter.
+// whose estimate is clearly shorter. An instance that reaches no upstream of its region also uses the
+// others of its region.
 type ServicePolicy struct {
 	Index *PrefixIndex
 }
@@ -110,7 +111,7 @@
 			p.cheapestUpstream(s, r, x, split, &best)
 		}
 	}
-	peer, remote := cheapestRegionPeer(s, r, x)
+	peer, remote := cheapestPeer(s, r, x, reachesNone(s, r))
 	if err := rejectOverload(s, r, x, &best, peer, remote); err != nil {
 		return Choice{}, err
 	}
@@ -289,9 +290,26 @@
 	return int64(float64(over) * batchSlotTurnoverSeconds / serviceSecondsPerToken)
 }
 
-// cheapestRegionPeer returns a peer in the region with the shortest estimated time to the
-// first byte, and that time in seconds.
-func cheapestRegionPeer(s *Snapshot, r *Request, x *Scratch) (int32, float64) {
+// reachesNone reports whether this instance reaches no upstream of the service in its region, although
+// some are listed there. Others of the region may reach them.
+func reachesNone(s *Snapshot, r *Request) bool {
+	listed := 0
+	for _, i := range s.ByTarget[r.Target] {
+		u := &s.Upstreams[i]
+		if u.Draining || u.Evacuated {
+			continue
+		}
+		if !u.Down && !u.Counters.Stalled(r.Now, stallTimeout) {
+			return false
+		}
+		listed++
+	}
+	return listed > 0
+}
+
+// cheapestPeer returns the peer of another region, or also of this one, with the shortest estimated time
+// to the first byte, and that time in seconds.
+func cheapestPeer(s *Snapshot, r *Request, x *Scratch, ownRegion bool) (int32, float64) {
 	chosen := none
 	cheapest := 0.0
 	if !mayForward(r) || len(s.Peers) == 0 {
@@ -301,7 +319,7 @@
 	for k := range s.Peers {
 		i := (start + k) % len(s.Peers)
 		peer := &s.Peers[i]
-		if peer.Suspect || !allowsPeer(s, peer, r) {
+		if peer.Suspect || !acceptsForward(peer, r) || (peer.Region == s.Region && !ownRegion) {
 			continue
 		}
 		if len(r.Service.AllowedRegions) > 0 && !slices.Contains(r.Service.AllowedRegions, peer.Region) {
--- a/internal/routing/service_test.go
+++ b/internal/routing/service_test.go
@@ -50,6 +50,43 @@
 	}
 }
 
+// Guards against an instance that rejects requests when it reaches no upstream of its region although others
+// of the region do, and against forwards within the region that are of no use.
+func TestServicePickUsesItsRegionsInstancesWhenItReachesNoUpstream(t *testing.T) {
+	down := func(u *Upstream) { u.Down = true }
+	for _, c := range []struct {
+		name      string
+		upstreams []Upstream
+		peer      func(*Peer)
+		want      string
+	}{
+		{"all down", []Upstream{serviceUpstream("u1", down), serviceUpstream("u2", down)}, nil, "near"},
+		{"all silent", []Upstream{serviceUpstream("u1", func(u *Upstream) { u.Counters.Begin(testNow.Add(-time.Second), 0, 0) })}, nil, "near"},
+		{"one reached", []Upstream{serviceUpstream("u1", down), serviceUpstream("u2", nil)}, nil, "u2"},
+		{"one cold", []Upstream{serviceUpstream("u1", down), serviceUpstream("u2", func(u *Upstream) { u.Cold = true })}, nil, "far"},
+		{"evacuated", []Upstream{serviceUpstream("u1", func(u *Upstream) { u.Evacuated = true })}, nil, "far"},
+		{"the other reaches none either", []Upstream{serviceUpstream("u1", down)}, func(p *Peer) { p.Services = nil }, "far"},
+		{"the other is suspect", []Upstream{serviceUpstream("u1", down)}, func(p *Peer) { p.Suspect = true }, "far"},
+		{"the other leaves", []Upstream{serviceUpstream("u1", down)}, func(p *Peer) { p.Draining = true }, "far"},
+	} {
+		near := servicePeer("near", "a", 0)
+		near.RegionStatus.RoundTripSeconds = 0.001
+		if c.peer != nil {
+			c.peer(&near)
+		}
+		s := serviceSnapshot(c.upstreams...)
+		s.Peers = []Peer{servicePeer("far", "b", 0), near}
+		if got := pickService(s, serviceRequest()); got != c.want {
+			t.Errorf("%s: picked %q, want %q", c.name, got, c.want)
+		}
+		forwarded := serviceRequest()
+		forwarded.Visited = []string{"first"}
+		if got := pickService(s, forwarded); got == "near" || got == "far" {
+			t.Errorf("%s: a forwarded request is forwarded to %q", c.name, got)
+		}
+	}
+}
+
 // Guards against a request that runs in an evacuated failure domain, at a draining, paused,
 // stalled or cold upstream, or at a version under rollout that it is not assigned to.
 func TestServicePickFilters(t *testing.T) {
--- a/internal/standin/faultproxy/faults.go
+++ b/internal/standin/faultproxy/faults.go
@@ -22,6 +22,8 @@
 	ToClient DirectionFaults `json:"to_client"`
 	// Cut resets all open connections, and each new one as soon as it is accepted.
 	Cut bool `json:"cut"`
+	// Refuse resets each new connection as soon as it is accepted. Open ones live on.
+	Refuse bool `json:"refuse"`
 	// HalfOpen accepts new connections and never connects them to the target, even after
 	// the fault is cleared.
 	HalfOpen bool `json:"half_open"`
--- a/internal/standin/faultproxy/proxy.go
+++ b/internal/standin/faultproxy/proxy.go
@@ -146,7 +146,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts.Accepted++
-	if p.faults.Cut {
+	if p.faults.Cut || p.faults.Refuse {
 		return false
 	}
 	p.conns[c] = struct{}{}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -101,7 +101,7 @@
 		retries: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "retries_total", Help: "Attempts after the first one of a request.",
 		}),
-		forwards: counterVec("forwards_total", "Requests passed to another region by result.", "kind"),
+		forwards: counterVec("forwards_total", "Requests passed to another entry instance by result.", "kind"),
 		crashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "upstream_crashes_total", Help: "Attempts during which this instance saw the upstream crash.",
 		}),
@@ -195,7 +195,7 @@
 	}
 }
 
-// RecordForward counts one finished forward to another region.
+// RecordForward counts one finished forward to another entry instance.
 func (m *Metrics) RecordForward(err *errkind.Error) {
 	if m != nil {
 		m.forwards.WithLabelValues(m.kindLabel(outcomeKind(err))).Inc()
