Judge other instances by their shortest queue when requests are rejected for overload

A request is rejected if it would be queued too long. For the own region the queue of the best upstream counted, for a peer the mean time to the first byte over all upstreams, which includes their running requests. Instances now report their shortest queue beside that mean; senders of earlier releases report none, and the mean is used.

TestServicePickJudgesAPeerByItsShortestQueue failed to build before, as nothing told the two apart; with the mean it rejects a request whose peer has an idle upstream.

--- a/internal/peer/host.go
+++ b/internal/peer/host.go
@@ -28,9 +28,9 @@
 		status.Demands = append(status.Demands, &peerv1.AccountDemand{Account: account, PerSecond: demand})
 	}
 	for service, load := range s.ServiceLoads(time.Now().UnixNano()) {
-		wait := time.Duration(load.WaitSeconds * float64(time.Second))
+		queue := microseconds(load.QueueSeconds)
 		status.Services = append(status.Services, &peerv1.ServiceLoad{
-			Service: service, Upstreams: int32(load.Upstreams), WaitUs: wait.Microseconds(),
+			Service: service, Upstreams: int32(load.Upstreams), WaitUs: microseconds(load.WaitSeconds), QueueUs: &queue,
 		})
 	}
 	for i := range s.Upstreams {
@@ -54,11 +54,19 @@
 	e.ColdFor = decodeColdUpstreams(host)
 	e.Services = map[string]routing.ServiceLoad{}
 	for _, load := range host.GetServices() {
-		wait := time.Duration(load.GetWaitUs()) * time.Microsecond
-		e.Services[load.GetService()] = routing.ServiceLoad{Upstreams: int(load.GetUpstreams()), WaitSeconds: wait.Seconds()}
+		decoded := routing.ServiceLoad{Upstreams: int(load.GetUpstreams()), WaitSeconds: seconds(load.GetWaitUs())}
+		decoded.QueueSeconds = decoded.WaitSeconds
+		if load.QueueUs != nil {
+			decoded.QueueSeconds = seconds(load.GetQueueUs())
+		}
+		e.Services[load.GetService()] = decoded
 	}
 }
 
+func microseconds(seconds float64) int64 { return int64(seconds * 1e6) }
+
+func seconds(microseconds int64) float64 { return float64(microseconds) / 1e6 }
+
 // decodeColdUpstreams returns how long each upstream that the peer reports remains cold.
 func decodeColdUpstreams(host *peerv1.HostStatus) map[string]time.Duration {
 	cold := make(map[string]time.Duration, len(host.GetCold()))
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -112,7 +112,7 @@
 		}
 	}
 	peer, remote := cheapestPeer(s, r, x, reachesNone(s, r))
-	if err := rejectOverload(s, r, x, &best, peer, remote); err != nil {
+	if err := rejectOverload(s, r, &best, peer); err != nil {
 		return Choice{}, err
 	}
 	if peer != none && (best.index == none || shouldSpill(best.cost, remote, r.Service.FirstByteObjective) || x.shared.shouldForward(s, &s.Peers[peer], &best, remote)) {
@@ -140,10 +140,10 @@
 	maxRetryAfter = 2 * time.Second
 )
 
-// rejectOverload returns an error for a request that would be queued for too long
-// everywhere. Serving it late would delay the requests behind it as well: without this
+// rejectOverload returns an error for a request that would be queued for too long at the best upstream of
+// the region and at that of the peer, if there is one. Serving it late would delay the requests behind it as well: without this
 // check, nearly all responses were cut off at their deadlines under overload.
-func rejectOverload(s *Snapshot, r *Request, x *Scratch, best *scoredUpstream, peer int32, remote float64) error {
+func rejectOverload(s *Snapshot, r *Request, best *scoredUpstream, peer int32) error {
 	if r.Service.FirstByteObjective == 0 || len(r.Service.Parts) == 0 {
 		return nil
 	}
@@ -152,7 +152,7 @@
 		wait = float64(best.queued) * serviceSecondsPerToken
 	}
 	if peer != none {
-		remoteWait := remote - x.shared.prefillSeconds(r, s.Peers[peer].Region)
+		remoteWait := forwardSeconds(&s.Peers[peer], r) + s.Peers[peer].Services[r.Target].QueueSeconds
 		if wait < 0 || remoteWait < wait {
 			wait = remoteWait
 		}
@@ -329,7 +329,7 @@
 		if !serves || load.Upstreams == 0 {
 			continue
 		}
-		seconds := load.WaitSeconds + peer.RegionStatus.RoundTripSeconds + pendingForwardSeconds(peer, load) + x.shared.prefillSeconds(r, peer.Region)
+		seconds := load.WaitSeconds + forwardSeconds(peer, r) + x.shared.prefillSeconds(r, peer.Region)
 		if chosen == none || seconds < cheapest {
 			chosen, cheapest = int32(i), seconds
 		}
@@ -343,10 +343,11 @@
 	return time.Duration(float64(c.QueuedTokens+c.PrefillTokens) * serviceSecondsPerToken * float64(time.Second))
 }
 
-// pendingForwardSeconds is the wait that requests forwarded by this instance add to a region
-// until the region reports it.
-func pendingForwardSeconds(p *Peer, load ServiceLoad) float64 {
-	return float64(p.Counters.PendingTokens.Load()) * serviceSecondsPerToken / float64(load.Upstreams)
+// forwardSeconds is the time that a forward takes beyond what the peer reports: the round trip, and the
+// wait that requests forwarded by this instance add to its region until it reports them.
+func forwardSeconds(p *Peer, r *Request) float64 {
+	pending := float64(p.Counters.PendingTokens.Load()) * serviceSecondsPerToken
+	return p.RegionStatus.RoundTripSeconds + pending/float64(p.Services[r.Target].Upstreams)
 }
 
 // ServiceLoad is the load of a service in the region of the instance that reports it.
@@ -355,6 +356,8 @@
 	Upstreams int
 	// WaitSeconds is the mean of the estimated times to the first byte.
 	WaitSeconds float64
+	// QueueSeconds is the shortest estimated time in the queue of an upstream.
+	QueueSeconds float64
 }
 
 // majority reports whether most requests run on a version.
@@ -382,7 +385,11 @@
 			if untilAllowed > maxReportedRateWait {
 				continue
 			}
-			cost, _ := upstreamCost(u, now, 0)
+			cost, queued := upstreamCost(u, now, 0)
+			queue := untilAllowed.Seconds() + float64(queued)*serviceSecondsPerToken
+			if load.Upstreams == 0 || queue < load.QueueSeconds {
+				load.QueueSeconds = queue
+			}
 			total += untilAllowed.Seconds() + cost - failurePenaltySeconds*u.Counters.FailureRate()
 			load.Upstreams++
 		}
--- a/internal/routing/service_test.go
+++ b/internal/routing/service_test.go
@@ -28,7 +28,7 @@
 func servicePeer(id, region string, wait time.Duration) Peer {
 	return Peer{ID: id, Region: region, Counters: &Counters{},
 		RegionStatus: RegionStatus{RoundTripSeconds: 0.11},
-		Services:     map[string]ServiceLoad{testService: {Upstreams: 4, WaitSeconds: wait.Seconds()}}}
+		Services:     map[string]ServiceLoad{testService: {Upstreams: 4, WaitSeconds: wait.Seconds(), QueueSeconds: wait.Seconds()}}}
 }
 
 func serviceRequest(allowedRegions ...string) *Request {
@@ -50,6 +50,28 @@
 	}
 }
 
+// Guards against a request that is rejected for the mean wait at a peer whose best upstream has room.
+func TestServicePickJudgesAPeerByItsShortestQueue(t *testing.T) {
+	for _, c := range []struct {
+		queue time.Duration
+		want  string
+	}{{10 * time.Millisecond, "peer"}, {400 * time.Millisecond, ""}} {
+		s := serviceSnapshot()
+		peer := servicePeer("peer", "b", 400*time.Millisecond)
+		peer.Services[testService] = ServiceLoad{Upstreams: 4, WaitSeconds: 0.4, QueueSeconds: c.queue.Seconds()}
+		s.Peers = []Peer{peer}
+		r := serviceRequest()
+		r.Service.Parts = []PromptPart{{ID: 1, Tokens: 2000}}
+		if got := pickService(s, r); got != c.want {
+			t.Errorf("queue of %s: picked %q, want %q", c.queue, got, c.want)
+		}
+	}
+	busy := serviceUpstream("busy", func(u *Upstream) { u.Counters.PendingTokens.Store(45000) })
+	if load := serviceSnapshot(busy, serviceUpstream("idle", nil)).ServiceLoads(testNow.UnixNano())[testService]; load.QueueSeconds != 0 || load.WaitSeconds < 0.4 {
+		t.Errorf("a busy and an idle upstream are reported as %+v", load)
+	}
+}
+
 // Guards against an instance that rejects requests when it reaches no upstream of its region although others
 // of the region do, and against forwards within the region that are of no use.
 func TestServicePickUsesItsRegionsInstancesWhenItReachesNoUpstream(t *testing.T) {
