Check upstreams that owe responses and send nothing, and pause those that stay silent

An attempt that ends at the deadline or with its caller is no failure of the upstream, so that one that cannot be reached was paused only by attempts that time out before, which streams and writes never do. It was left out while requests waited, and got the next one when they had ended. Each instance now measures how long requests have waited since an upstream last sent anything, over all its attempts. After 0.7 s the upstream is checked, and paused if the check gets nothing; any response shows that it lives, also that of a full one. Slow services and those silent for a moment stay in service.

--- a/internal/control/observe_test.go
+++ b/internal/control/observe_test.go
@@ -46,7 +46,7 @@
 		}
 		step(ConfigEvent{Config: config}, engines("e1", "e3"), HeartbeatEvent{Peer: routing.Peer{ID: "p", Region: "r"}})
 		step(engines("e2", "e3"), HeartbeatEvent{Peer: routing.Peer{ID: "p", Region: "r", Draining: true}})
-		loop.tables.upstreams["e3"].counters.ConsecutiveFailures.Store(failuresToPause)
+		loop.tables.upstreams["e3"].counters.ConsecutiveFailures.Store(routing.FailuresToPause)
 		step()
 		now = now.Add(membership.DropAfter + time.Second)
 		step()
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -107,6 +107,7 @@
 	row.awaitsHealthCheck = false
 	row.downUntil = now
 	row.counters.ConsecutiveFailures.Store(0)
+	row.counters.RecordSign(time.Now())
 	if e.ColdFor > 0 {
 		row.coldUntil = latest(row.coldUntil, now.Add(e.ColdFor))
 	}
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -137,7 +137,7 @@
 	now := time.Unix(1000, 0)
 	x := newServiceTables("e0", 1)
 	listedUpstream(nil).apply(x, now)
-	testUpstream(x).counters.ConsecutiveFailures.Store(failuresToPause)
+	testUpstream(x).counters.ConsecutiveFailures.Store(routing.FailuresToPause)
 	updateHealth(x, now)
 	later := now.Add(10 * pauseDuration)
 	updateHealth(x, later)
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"heatherloom/internal/routing"
 )
 
 // tickStep updates the tables once per tick.
@@ -18,8 +20,6 @@
 }
 
 const (
-	// failuresToPause is the number of consecutive failed attempts that pause an upstream.
-	failuresToPause = 3
 	// pauseDuration is how long an upstream gets no requests after repeated failures. The
 	// first attempt afterwards shows whether it has recovered.
 	pauseDuration = 2 * time.Second
@@ -66,7 +66,7 @@
 			row.failuresAtPause, row.pauses = 0, 0
 			continue
 		}
-		if failures >= failuresToPause && failures > row.failuresAtPause {
+		if failures >= routing.FailuresToPause && failures > row.failuresAtPause {
 			row.failuresAtPause = failures
 			row.downUntil = now.Add(pauseDuration)
 			row.paused = true
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -401,6 +401,7 @@
 }
 
 func (s *firstByteSink) Data(p []byte) error {
+	s.tracked.Progress(time.Now())
 	s.recordProgress()
 	return s.Sink.Data(p)
 }
--- a/internal/dispatch/route_params.go
+++ b/internal/dispatch/route_params.go
@@ -165,15 +165,11 @@
 	case retry.NotSent:
 		// The connection was refused or not established in time: the upstream is paused
 		// immediately until a health check (package probe) succeeds.
-		u.Counters.ConsecutiveFailures.Add(unreachableFailures)
+		u.Counters.RecordUnreachable()
 	}
 	u.Counters.ObserveAttempt(result.UpstreamFault)
 }
 
-// unreachableFailures equals failuresToPause of package control, the number of consecutive
-// failures that pause an upstream.
-const unreachableFailures = 3
-
 // attemptHeader returns the header of an attempt. Host routes forward the header unchanged.
 func attemptHeader(r *Request) http.Header {
 	if r.RouteParams != nil {
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -1,6 +1,7 @@
 // Package probe checks the health of upstreams that were paused after failures, and
-// returns those that pass to service. Upstreams in service are not probed; their health is
-// derived from their responses to requests.
+// returns those that pass to service. Of the upstreams in service it checks those that owe responses and
+// send nothing, and has those paused that stay silent; the health of others is derived from their
+// responses to requests.
 package probe
 
 import (
@@ -26,6 +27,9 @@
 	// The interval doubles after each check up to maxInterval, because every check has a cost.
 	initialDelay = 400 * time.Millisecond
 	maxInterval  = 2 * time.Second
+	// silenceToCheck is how long an upstream in service owes a first byte and sends nothing before it
+	// is checked.
+	silenceToCheck = 700 * time.Millisecond
 	// checkTimeout is the timeout of a check. A healthy upstream responds within a few
 	// milliseconds, unless the check waits for a slot.
 	checkTimeout = 500 * time.Millisecond
@@ -80,17 +84,21 @@
 // exist.
 func (p *Prober) scan(ctx context.Context, now time.Time) {
 	snapshot := p.Loop.Snapshot()
-	down := map[string]bool{}
+	checked := map[string]bool{}
 	for i := range snapshot.Upstreams {
 		u := &snapshot.Upstreams[i]
 		path := healthPath(snapshot, u)
-		if !u.Down || u.Draining || path == "" {
+		silent := !u.Down && u.Counters.SilentFor(time.Now()) >= silenceToCheck
+		if (!u.Down && !silent) || u.Draining || path == "" {
 			continue
 		}
-		down[u.ID] = true
+		checked[u.ID] = true
 		c, ok := p.checks[u.ID]
 		if !ok {
-			c = &check{due: now.Add(initialDelay), interval: initialDelay}
+			c = &check{due: now, interval: initialDelay}
+			if u.Down {
+				c.due = now.Add(initialDelay)
+			}
 			p.checks[u.ID] = c
 		}
 		if now.Before(c.due) || !u.TakeRequest(time.Now().UnixNano()) {
@@ -98,10 +106,14 @@
 		}
 		c.interval = min(2*c.interval, maxInterval)
 		c.due = now.Add(c.interval)
+		if silent {
+			go p.checkSilent(ctx, u, "http://"+u.Address+path)
+			continue
+		}
 		go p.checkUpstream(ctx, u.ID, "http://"+u.Address+path)
 	}
 	for id := range p.checks {
-		if !down[id] {
+		if !checked[id] {
 			delete(p.checks, id)
 		}
 	}
@@ -115,14 +127,32 @@
 	return s.Config.Services[u.Targets[0]].HealthPath
 }
 
-// checkUpstream makes one health check and posts a HealthCheckPassedEvent if the upstream
-// passes.
-func (p *Prober) checkUpstream(ctx context.Context, id, url string) {
+// checkSilent makes one health check of an upstream in service, which is paused if it sends nothing.
+func (p *Prober) checkSilent(ctx context.Context, u *routing.Upstream, url string) {
+	resp, err := p.get(ctx, url)
+	if err == nil {
+		_ = resp.Body.Close()
+		u.Counters.RecordSign(time.Now())
+		return
+	}
+	if ctx.Err() == nil && u.Counters.SilentFor(time.Now()) >= silenceToCheck {
+		p.logFailed(u.ID, err.Error())
+		u.Counters.RecordUnreachable()
+	}
+}
+
+func (p *Prober) get(ctx context.Context, url string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return
+		return nil, err
 	}
-	resp, err := p.client.Do(req)
+	return p.client.Do(req)
+}
+
+// checkUpstream makes one health check and posts a HealthCheckPassedEvent if the upstream
+// passes.
+func (p *Prober) checkUpstream(ctx context.Context, id, url string) {
+	resp, err := p.get(ctx, url)
 	if err != nil {
 		p.logFailed(id, err.Error())
 		return
@@ -147,5 +177,5 @@
 		telemetry.FieldEvent:    "health_check_failed",
 		telemetry.FieldUpstream: id,
 		telemetry.FieldCause:    cause,
-	}).Info("paused upstream failed a health check")
+	}).Info("an upstream that is paused, or owes responses and is silent, failed a health check and gets no requests until it passes one")
 }
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"heatherloom/internal/control"
+	"heatherloom/internal/routing"
 )
 
 // Without a log line for each check, a paused upstream that never recovers looks the same as
@@ -50,3 +52,28 @@
 		}
 	}
 }
+
+// Guards against an upstream that owes responses, is silent and stays in service, and against pausing one
+// that is slow and answers its health check, with whatever status.
+func TestSilentUpstreamsArePaused(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		respond func(w http.ResponseWriter)
+		want    bool
+	}{
+		{"silent", func(http.ResponseWriter) { time.Sleep(2 * checkTimeout) }, true},
+		{"slow", func(w http.ResponseWriter) {}, false},
+		{"full", func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }, false},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { c.respond(w) }))
+		u := &routing.Upstream{ID: "u", Counters: &routing.Counters{}}
+		u.Counters.Begin(time.Now().Add(-2*silenceToCheck), 0, 0)
+		p := &Prober{Log: logrus.NewEntry(logrus.New()), client: newClient()}
+		p.Log.Logger.SetOutput(io.Discard)
+		p.checkSilent(t.Context(), u, server.URL)
+		if got := u.Counters.ConsecutiveFailures.Load() >= routing.FailuresToPause; got != c.want {
+			t.Errorf("%s: paused %v, want %v", c.name, got, c.want)
+		}
+		server.Close()
+	}
+}
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -43,6 +43,7 @@
 	// the bits of a float64.
 	meanTokens atomic.Uint64
 	coldSends  coldWindow
+	silence    silence
 	// named is the request rate that the upstream names; nil for none.
 	named atomic.Pointer[namedRate]
 	rate  rateBucket
@@ -111,31 +112,37 @@
 		c.waitingSince.Store(now.UnixNano())
 	}
 	c.PendingTokens.Add(tokens)
+	c.silence.begin(now.UnixNano())
 	c.observeTokens(tokens)
 	return &TrackedAttempt{counters: c, tokens: tokens, queued: queued, started: now}
 }
 
+// Progress records that a part of the response arrived.
+func (a *TrackedAttempt) Progress(now time.Time) { a.counters.RecordSign(now) }
+
 // FirstByte records the arrival of the first byte of the response. Later calls only restart
 // the period that Stalled measures.
 func (a *TrackedAttempt) FirstByte(now time.Time) {
 	a.counters.waitingSince.Store(now.UnixNano())
-	if a.release() {
+	a.counters.RecordSign(now)
+	if a.release(now) {
 		a.counters.ObservePrefill(a.tokens+a.queued, now.Sub(a.started))
 	}
 }
 
 // release removes the attempt from the pending ones and reports whether this call did so.
-func (a *TrackedAttempt) release() bool {
+func (a *TrackedAttempt) release(now time.Time) bool {
 	if !a.released.CompareAndSwap(false, true) {
 		return false
 	}
 	a.counters.Pending.Add(-1)
 	a.counters.PendingTokens.Add(-a.tokens)
+	a.counters.silence.end(now.UnixNano())
 	return true
 }
 
 // End records the end of the attempt, with or without a response.
 func (a *TrackedAttempt) End() {
-	a.release()
+	a.release(time.Now())
 	a.counters.InFlight.Add(-1)
 }
