Send brittle servers no more than they run at once

No instance read the header; a full server was found to be full by being asked. What such a server lets wait is not known and may be nothing, so that its queue is not used while it says so: the instances of the region divide the places that it has for running requests equally, the rest by rendezvous hashing, and exceed their parts only by an equal part of what its latest report leaves free. One that turns a request away gets nothing from that instance for 1.1 s, and a starting instance sends nothing for as long as its earlier requests may run. Callers for whom there is no place are rejected at once with Retry-After.

--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -160,6 +160,8 @@
 		l.log("upstream", logrus.Fields{"upstream": new.ID, "change": "evacuated", "reason": new.Evacuated})
 	case new.RateLimited != old.RateLimited:
 		l.log("upstream", logrus.Fields{"upstream": new.ID, "change": "rate", "reason": new.RateLimited, "limit": new.RequestRate})
+	case new.Brittle != old.Brittle:
+		l.log("upstream", logrus.Fields{"upstream": new.ID, "change": "brittle", "reason": new.Brittle, "limit": new.Places})
 	case new.Cold != old.Cold:
 		l.log("upstream", logrus.Fields{"upstream": new.ID, "change": "cold", "reason": new.Cold, "limit": new.ColdRateLimit})
 	}
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -110,6 +110,11 @@
 		id := row.instance.ID
 		_, drained := t.config.Drains[id]
 		requestRate, limited := budget.requestRate(row)
+		isBrittle := row.counters.Brittle()
+		var places, sharers int
+		if isBrittle {
+			places, sharers = budget.places(row)
+		}
 		upstreams = append(upstreams, routing.Upstream{
 			ID:             id,
 			Address:        row.instance.Address,
@@ -128,6 +133,9 @@
 			Cold:           cold,
 			ColdUntil:      row.coldUntil,
 			ColdRateLimit:  budget.coldRequests(row, cold),
+			Brittle:        isBrittle,
+			Places:         places,
+			PlaceSharers:   sharers,
 			RateLimited:    limited,
 			RequestRate:    requestRate,
 			Load:           row.load,
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -190,6 +190,24 @@
 	return rate / float64(senders), true
 }
 
+// places returns this instance's part of the requests that a brittle upstream runs at once, and how many
+// instances have one; 0 shortly after the start of this instance, whose earlier requests may still run.
+// The places are divided equally, and the rest goes to the instances with the highest rendezvous weights.
+func (c *regionBudget) places(row *upstreamRow) (part, sharers int) {
+	c.findInstances()
+	slots := max(row.instance.MaxConcurrency, 1)
+	sharers = min(len(c.instances), slots)
+	if c.now.Before(c.tables.coldSendsFrom) {
+		return 0, sharers
+	}
+	part = slots / len(c.instances)
+	ranked := membership.Ranked(row.instance.ID, c.instances)
+	if slices.Index(ranked, c.tables.identity.ID) < slots%len(c.instances) {
+		part++
+	}
+	return part, sharers
+}
+
 func (c *regionBudget) findInstances() {
 	if c.instances == nil {
 		c.instances = regionInstances(c.tables)
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -80,6 +80,31 @@
 	}
 }
 
+// Guards against instances that together have more or fewer places at a brittle upstream than it has, and
+// against one that uses its places while requests from before its restart may still run.
+func TestPlacesOfAllInstancesAddUp(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, slots := range []int{1, 4, 64} {
+		for _, instances := range []int{1, 2, 3, 8, 30, 200} {
+			sum := 0
+			for i := range instances {
+				tables := newServiceTables(fmt.Sprint("e", i), instances)
+				listedUpstream(func(u *external.Instance) { u.MaxConcurrency = slots }).apply(tables, now)
+				budget := &regionBudget{tables: tables, now: now}
+				part, _ := budget.places(testUpstream(tables))
+				sum += part
+				tables.coldSendsFrom = now.Add(time.Second)
+				if part, _ := budget.places(testUpstream(tables)); part != 0 {
+					t.Fatalf("%d places shortly after the start", part)
+				}
+			}
+			if sum != slots {
+				t.Errorf("%d instances have %d places, the upstream %d", instances, sum, slots)
+			}
+		}
+	}
+}
+
 // Guards against an upstream whose rate is forgotten because its row was missing for a moment.
 func TestRequestRatesOutlastAMissingRow(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/dispatch/route_params.go
+++ b/internal/dispatch/route_params.go
@@ -98,6 +98,7 @@
 	a.HostFirstByteTimeout = r.RouteParams.firstByteTimeout(r, choice.ExpectedFirstByte())
 	sent := clock.Now()
 	a.OnMetadata = func(m relay.ResponseMetadata) {
+		recordRoom(u, m, sent)
 		switch {
 		case m.RateInvalid:
 		case m.Rate != nil:
@@ -108,6 +109,17 @@
 	}
 }
 
+// recordRoom records what a response to a request that was sent at a time says of the room at its upstream.
+func recordRoom(u *routing.Upstream, m relay.ResponseMetadata, sent time.Time) {
+	u.Counters.RecordBrittle(clock.Now(), sent, m.Brittle)
+	if m.NotExecuted {
+		u.Counters.RecordFull(time.Now())
+	}
+	if m.Load != nil {
+		u.Counters.RecordFreePlaces(time.Now(), *m.Load)
+	}
+}
+
 // shouldRetryOnRoute reports whether a failed attempt may be retried within the limits of
 // the route.
 func (d *Dispatcher) shouldRetryOnRoute(r *Request, result relay.Result) bool {
--- a/internal/external/external.go
+++ b/internal/external/external.go
@@ -152,6 +152,8 @@
 	Running int
 	// Waiting is the number of requests in the upstream's queue.
 	Waiting int
+	// Slots is the number of requests that the upstream runs at once; 0 if it does not say so.
+	Slots int
 	// KVCacheUsage is the fraction of the KV cache in use, from 0 to 1.
 	KVCacheUsage float64
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -41,6 +41,8 @@
 	// together; nil if it names none. RateInvalid is true if it cannot be read.
 	Rate        *float64
 	RateInvalid bool
+	// Brittle is true if the upstream ends when it has to turn away many requests in a second.
+	Brittle bool
 }
 
 // BufferedResponse is a response whose body was read completely.
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -44,6 +44,7 @@
 	meanTokens atomic.Uint64
 	coldSends  coldWindow
 	silence    silence
+	brittle    brittleness
 	// named is the request rate that the upstream names; nil for none.
 	named atomic.Pointer[namedRate]
 	rate  rateBucket
@@ -113,6 +114,7 @@
 	}
 	c.PendingTokens.Add(tokens)
 	c.silence.begin(now.UnixNano())
+	c.brittle.countSend()
 	c.observeTokens(tokens)
 	return &TrackedAttempt{counters: c, tokens: tokens, queued: queued, started: now}
 }
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -141,8 +142,8 @@
 )
 
 // rejectOverload returns an error for a request that would be queued for too long at the best upstream of
-// the region and at that of the peer, if there is one. Serving it late would delay the requests behind it as well: without this
-// check, nearly all responses were cut off at their deadlines under overload.
+// the region and at that of the peer, if there is one. Serving it late would delay the requests behind it
+// as well: without this check, nearly all responses were cut off at their deadlines under overload.
 func rejectOverload(s *Snapshot, r *Request, best *scoredUpstream, peer int32) error {
 	if r.Service.FirstByteObjective == 0 || len(r.Service.Parts) == 0 {
 		return nil
@@ -262,7 +263,7 @@
 	if u.Cold && !u.Counters.coldSendAllowed(r.Now, u.ColdRateLimit) {
 		return false
 	}
-	return u.untilRateAllows(r.Now) == 0 && split.allows(r.ID, u.Version)
+	return u.hasRoom(r.Now) && u.untilRateAllows(r.Now) == 0 && split.allows(r.ID, u.Version)
 }
 
 // upstreamCost returns the estimated time to the first byte in seconds, with the cost of
@@ -378,7 +379,7 @@
 		total := 0.0
 		for _, i := range candidates {
 			u := &s.Upstreams[i]
-			if u.Draining || u.Down || u.Evacuated || u.Cold || u.Counters.Stalled(now, stallTimeout) || !s.ServiceSplits[target].majority(u.Version) {
+			if u.Draining || u.Down || u.Evacuated || u.Cold || !u.hasRoom(now) || u.Counters.Stalled(now, stallTimeout) || !s.ServiceSplits[target].majority(u.Version) {
 				continue
 			}
 			untilAllowed := u.untilRateAllows(now)
@@ -411,9 +412,21 @@
 		err.RetryAfter = min(u.Counters.rate.announce(r.Now, u.RequestRate)+retryAfterMargin, maxRetryAfter)
 		return err
 	}
+	if hasFullUpstream(s, r) {
+		err := errkind.New(errkind.Overloaded, "the upstreams of %q take no more requests now: %s", r.Target, exclusionSummary(s, r))
+		err.RetryAfter = brittleRetryAfter + rand.N(brittleRetryAfter)
+		return err
+	}
 	return errkind.New(errkind.NoUpstream, "no upstream can serve %q now: %s", r.Target, exclusionSummary(s, r))
 }
 
+// hasFullUpstream reports whether an upstream is left out only because it is brittle and its places are taken.
+func hasFullUpstream(s *Snapshot, r *Request) bool {
+	return slices.ContainsFunc(s.ByTarget[r.Target], func(i int32) bool {
+		return exclusionReason(s, &s.Upstreams[i], r) == brittleAndFull
+	})
+}
+
 // firstAllowedByRate returns the upstream that may get a request from this instance first, of those that
 // are left out only for the request rate that they name; nil if there is none.
 func firstAllowedByRate(s *Snapshot, r *Request) (first *Upstream) {
@@ -430,6 +443,9 @@
 	return first
 }
 
+// brittleAndFull is the reason of exclusionReason for a brittle upstream whose places are taken.
+const brittleAndFull = "brittle with all places taken"
+
 // atNamedRate is the reason of exclusionReason for an upstream that gets as many requests as it takes.
 const atNamedRate = "at the request rate that they name"
 
@@ -466,6 +482,8 @@
 		return "cold"
 	case !s.ServiceSplits[r.Target].allows(r.ID, u.Version):
 		return "of another version"
+	case !u.hasRoom(r.Now):
+		return brittleAndFull
 	case u.untilRateAllows(r.Now) > 0:
 		return atNamedRate
 	default:
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -54,6 +54,11 @@
 	// Cold upstreams get at most ColdRateLimit requests a second from this instance.
 	Cold          bool
 	ColdRateLimit int
+	// Brittle upstreams end if they have to turn away many requests. Places is this instance's part
+	// of the requests that the upstream runs at once, of which PlaceSharers instances have one.
+	Brittle      bool
+	Places       int
+	PlaceSharers int
 	// RateLimited upstreams name a request rate, of which this instance may use RequestRate, in
 	// requests a second.
 	RateLimited bool
