Cut instances off from all servers in the soak

Callers at instances that lose their links to the servers were not part of any random test. The soak now silences, resets or refuses these links for one instance at a time, among its other faults, and checks that its callers are served at least two thirds as often as those at the other instance of the region from 5 s on, where nothing else is disturbed. A response that such a cut breaks off does not count as lost.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -148,6 +148,7 @@
 		e.kill()
 		e.mu.Unlock()
 		e.storeLink.Close()
+		e.serverLinks.Close()
 		e.peerLink.Close()
 	}
 	s.mu.Lock()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -52,6 +52,9 @@
 		{"peer_link_one_way", peerLinkFault(faultproxy.Faults{ToTarget: faultproxy.DirectionFaults{Silent: true}})},
 		{"peer_link_cut", peerLinkFault(faultproxy.Faults{Cut: true})},
 		{"peer_link_slow", peerLinkFault(faultproxy.Latency(oneWayDelay))},
+		{"links_to_servers_silent", linksToServersFault(faultproxy.BlackHole())},
+		{"links_to_servers_cut", linksToServersFault(faultproxy.Faults{Cut: true})},
+		{"links_to_servers_refused", linksToServersFault(faultproxy.Faults{Refuse: true})},
 	},
 	{
 		{"server_full", serverFault(standin.ServerFaults{Overloaded: true})},
@@ -227,6 +230,15 @@
 	}
 }
 
+// linksToServersFault injects a fault into the links of an instance to all servers. The rules with a time
+// bound apply during it.
+func linksToServersFault(f faultproxy.Faults) func(*injector) (string, func()) {
+	return func(d *injector) (string, func()) {
+		e := d.randomNode()
+		return e.id, injectLinkFault(&e.serverLinkFaults, e.serverLinks, f)
+	}
+}
+
 func serverLinkFault(f faultproxy.Faults) func(*injector) (string, func()) {
 	return func(d *injector) (string, func()) {
 		srv := d.cluster.randomServer(d.rng)
@@ -235,7 +247,7 @@
 }
 
 // injectLinkFault sets the faults of a link and returns a function that clears them.
-func injectLinkFault(s *intervals, link *faultproxy.Proxy, f faultproxy.Faults) func() {
+func injectLinkFault(s *intervals, link interface{ SetFaults(faultproxy.Faults) }, f faultproxy.Faults) func() {
 	end := s.begin()
 	link.SetFaults(f)
 	return func() {
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"heatherloom/internal/standin/faultproxy"
+	"heatherloom/platform/standin"
 )
 
 const (
@@ -22,7 +23,7 @@
 )
 
 // node is an entry instance in its own process. Its links to the store and from its
-// peers go through fault proxies.
+// peers, and those to the servers, go through fault proxies.
 type node struct {
 	cluster          *cluster
 	id               string
@@ -34,11 +35,14 @@
 	operatorAddress  string
 	storeLink        *faultproxy.Proxy
 	peerLink         *faultproxy.Proxy
+	serverLinks      *standin.Links
 
 	// faults are the faults of the process and its link to the store, peerLinkFaults those of
-	// the link from its peers, and plannedShutdowns its graceful shutdowns.
+	// the link from its peers, serverLinkFaults those of its links to all servers, and
+	// plannedShutdowns its graceful shutdowns.
 	faults           intervals
 	peerLinkFaults   intervals
+	serverLinkFaults intervals
 	plannedShutdowns intervals
 	// starts are the start times of its processes.
 	starts []time.Time
@@ -62,7 +66,10 @@
 		*address = s.nextAddress()
 	}
 	var err error
-	if e.storeLink, err = faultproxy.Start(freePort, s.store.Address()); err != nil {
+	if e.serverLinks, err = standin.StartLinks(s.store); err != nil {
+		return nil, err
+	}
+	if e.storeLink, err = faultproxy.Start(freePort, e.serverLinks.Address()); err != nil {
 		return nil, err
 	}
 	e.peerLink, err = faultproxy.Start(freePort, e.peerAddress)
--- a/internal/soak/rules.go
+++ b/internal/soak/rules.go
@@ -45,6 +45,12 @@
 	namedRateWindow = 4 * time.Second
 	namedRateExcess = 1.5
 	namedRateSlack  = 5
+	// At an instance that is cut off from all servers, from settleTime on, callers are served at least
+	// cutServedShare times as often as at another one of the region, or at most cutFailures and a
+	// share of cutFailureShare of their requests fail.
+	cutServedShare  = 2.0 / 3
+	cutFailures     = 10
+	cutFailureShare = 0.02
 )
 
 // Violation is one violation of a rule.
@@ -75,6 +81,7 @@
 	{"time_limits", checkTimeLimits},
 	{"harmful_requests", checkHarmfulRequests},
 	{"named_rates", checkNamedRates},
+	{"instances_without_servers", checkInstancesWithoutServers},
 }
 
 // checkRules returns the violations of all rules in a history.
@@ -332,11 +339,17 @@
 }
 
 // lostWithoutFault reports whether a request that was written got no response though
-// neither its instance nor a server that executed it had a fault.
+// neither its instance, nor a server that executed it, nor the links of an instance to the servers
+// had a fault.
 func (e *history) lostWithoutFault(c call) bool {
 	if c.result != incomplete || !c.written || c.node.faults.overlaps(c.sent.Add(-settleTime), c.ended) {
 		return false
 	}
+	for _, n := range e.nodes {
+		if n.serverLinkFaults.overlaps(c.sent.Add(-settleTime), c.ended) {
+			return false
+		}
+	}
 	for _, execution := range e.executions[c.id] {
 		if s := e.servers[execution.Server]; s == nil || s.faults.overlaps(c.sent.Add(-settleTime), c.ended) {
 			return false
@@ -418,6 +431,59 @@
 	}
 }
 
+// checkInstancesWithoutServers reports instances that are cut off from all servers and whose callers are served
+// worse than those at other instances of the region. It compares the periods in which nothing else is disturbed.
+func checkInstancesWithoutServers(e *history, report func(string, ...any)) {
+	for _, cut := range e.nodes {
+		for _, fault := range cut.serverLinkFaults.list {
+			from, to := fault.from.Add(settleTime), fault.to
+			if to.IsZero() || !e.onlyServersCut(cut, from, to) {
+				continue
+			}
+			own, others := e.servedBetween(cut, from, to, false), e.servedBetween(cut, from, to, true)
+			failed := own.sent - own.served
+			if float64(failed) > cutFailures+cutFailureShare*float64(own.sent) && own.share() < cutServedShare*others.share() {
+				report("%s served %d of %d requests while it was cut off from all servers, others %d of %d", cut.id, own.served, own.sent, others.served, others.sent)
+			}
+		}
+	}
+}
+
+// onlyServersCut reports whether an instance and the others of its region have no other fault in a period, and
+// the others reach the servers.
+func (e *history) onlyServersCut(cut *node, from, to time.Time) bool {
+	for _, n := range e.nodes {
+		if n.region != cut.region {
+			continue
+		}
+		isDisturbed := !e.undisturbed(n, from, to) || n.peerLinkFaults.overlaps(from.Add(-settleTime), to)
+		if isDisturbed || (n != cut && n.serverLinkFaults.overlaps(from.Add(-settleTime), to)) {
+			return false
+		}
+	}
+	return from.Before(to)
+}
+
+// served counts the requests that were sent, and those that got a valid response.
+type served struct{ sent, served int }
+
+func (s served) share() float64 { return float64(s.served) / float64(max(s.sent, 1)) }
+
+// servedBetween counts ordinary requests at an instance, or at the others of its region, in a period.
+func (e *history) servedBetween(cut *node, from, to time.Time, others bool) (n served) {
+	for _, c := range e.calls {
+		isOrdinary := c.kind == kindWrite || c.kind == kindRead || c.kind == kindStream
+		if !isOrdinary || (c.node == cut) == others || c.node.region != cut.region || c.sent.Before(from) || c.ended.After(to) {
+			continue
+		}
+		n.sent++
+		if c.result == valid {
+			n.served++
+		}
+	}
+	return n
+}
+
 func checkHarmful(e *history, kind requestKind, tolerable int, report func(string, ...any)) {
 	type arrival struct {
 		call      call
--- a/internal/soak/rules_test.go
+++ b/internal/soak/rules_test.go
@@ -149,6 +149,17 @@
 			r.a.faults.list = []interval{{at(3 * time.Second), at(4 * time.Second)}}
 			r.addHarmful(kindHarmful, maxLateRetries+1)
 		}},
+		{"served badly without servers", "instances_without_servers", func(r env) { r.addCut(60, 35) }},
+		{"served well without servers", "", func(r env) { r.addCut(60, 45) }},
+		{"a few failures without servers", "", func(r env) { r.addCut(20, 10) }},
+		{"served badly without servers and paused", "", func(r env) {
+			r.a.faults.list = []interval{{at(8 * time.Second), at(9 * time.Second)}}
+			r.addCut(60, 35)
+		}},
+		{"served badly without servers, the other instance too", "", func(r env) {
+			r.addCut(60, 35)
+			r.nodes[2].serverLinkFaults.list = []interval{{at(2 * time.Second), at(10 * time.Second)}}
+		}},
 		{"over a named rate", "named_rates", func(r env) { r.addRated(24, 4*time.Second) }},
 		{"within a named rate", "", func(r env) { r.addRated(23, 4*time.Second) }},
 		{"over a named rate, the server's link held back", "", func(r env) {
@@ -184,6 +195,23 @@
 	}
 }
 
+// addCut records requests to an instance that is cut off from all servers and how many are served, and as many
+// at another one of the region that are all served.
+func (r env) addCut(n, served int) {
+	other := &node{id: "a-1", region: "a", starts: []time.Time{startTime}}
+	r.nodes = append(r.nodes, other)
+	r.a.serverLinkFaults.list = []interval{{at(2 * time.Second), at(10 * time.Second)}}
+	for i := range n {
+		sent := at(2*time.Second + settleTime + time.Second)
+		own := call{kind: kindRead, sent: sent, result: valid}
+		if i >= served {
+			own.result = rejected
+		}
+		r.add(own)
+		r.add(call{kind: kindRead, node: other, sent: sent, result: valid})
+	}
+}
+
 // addHarmful records harmful content that crashes as many servers as tolerable, and n times more
 // settleTime later.
 func (r env) addHarmful(kind requestKind, n int) {
