Give each listener of the tests an address of its own

A run of all tests failed by chance: the settings of an instance were rejected because one port had been picked for two of its listeners, or it did not start because another process had taken the port between the pick and the start.

The e2e tests picked a port by opening and closing a listener. Other tests and tools listen on port 0 and read the address; none picks one.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,6 +16,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"heatherloom/internal/standin"
 )
 
 func TestE2E(t *testing.T) {
@@ -89,10 +90,10 @@
 }
 
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	GinkgoHelper()
+	address, err := standin.FixedAddress()
 	Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func postJSON(url string, value any) {
--- a/e2e/tls_test.go
+++ b/e2e/tls_test.go
@@ -19,6 +19,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"heatherloom/internal/standin"
 	"heatherloom/internal/timeline"
 )
 
@@ -54,7 +55,7 @@
 // section of the settings file.
 func (a authority) issue(dir string, trusted ...authority) string {
 	GinkgoHelper()
-	cert, key := sign(&x509.Certificate{IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}, a.cert, a.key)
+	cert, key := sign(&x509.Certificate{IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1), net.ParseIP(standin.LoopbackHost())}}, a.cert, a.key)
 	der, err := x509.MarshalECPrivateKey(key)
 	Expect(err).NotTo(HaveOccurred())
 	var pool []byte
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -72,8 +72,6 @@
 	store       *standin.Store
 	storeFaults intervals
 	nodes       []*node
-	// portCount is the number of listener ports assigned so far.
-	portCount int
 
 	mu sync.Mutex
 	// servers holds all servers ever started, and active those that are not draining.
@@ -249,22 +247,7 @@
 	s.unexpectedExits = append(s.unexpectedExits, text)
 }
 
-const (
-	freePort = "127.0.0.1:0"
-	// Processes keep their listener ports across restarts. The ports lie below the kernel's
-	// ephemeral range, so that no outgoing connection takes them in the meantime.
-	firstPort = 20000
-	// hostNumbers is the number of values used for each variable byte of a loopback address.
-	hostNumbers = 250
-)
-
-// nextAddress returns an address for a listener. Each run has its own loopback address, so
-// that the ports of concurrent runs do not collide.
-func (s *cluster) nextAddress() string {
-	s.portCount++
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.1:%d", 1+pid/hostNumbers%hostNumbers, pid%hostNumbers, firstPort+s.portCount)
-}
+const freePort = "127.0.0.1:0"
 
 // settingsText renders the settings of an entry instance.
 func (s *cluster) settingsText(e *node) string {
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	local "heatherloom/internal/standin"
 	"heatherloom/internal/standin/faultproxy"
 	"heatherloom/platform/standin"
 )
@@ -62,10 +63,12 @@
 
 func newNode(s *cluster, id, region string) (*node, error) {
 	e := &node{cluster: s, id: id, region: region}
+	var err error
 	for _, address := range []*string{&e.callerAddress, &e.directoryAddress, &e.readyAddress, &e.peerAddress, &e.operatorAddress} {
-		*address = s.nextAddress()
+		if *address, err = local.FixedAddress(); err != nil {
+			return nil, err
+		}
 	}
-	var err error
 	if e.serverLinks, err = standin.StartLinks(s.store); err != nil {
 		return nil, err
 	}
