End the grace for rows of upstreams before an instance is bound again

A row that a restored store lacks was kept for 5 s, in case it was to be written again, and dropped at the next read after that. The instance is bound by what it missed from 5 s after its return. Upstreams write their rows every 1.2 s, so that 4 s cover three of them.

--- a/internal/storefeed/restore.go
+++ b/internal/storefeed/restore.go
@@ -17,8 +17,10 @@
 	// restoreGrace is how long rows of the operators that a restored store lacks, or has an older
 	// value of, are kept unless they are written again.
 	restoreGrace = 10 * time.Second
-	// upstreamRestoreGrace is restoreGrace for the rows of upstreams, which write every second.
-	upstreamRestoreGrace = 5 * time.Second
+	// upstreamRestoreGrace is restoreGrace for the rows of upstreams, which write every 1.2 s. It ends,
+	// with the next read, before the 5 s after which an instance that was away is bound again by
+	// what it missed, such as an upstream that left.
+	upstreamRestoreGrace = 4 * time.Second
 	// confirmGrace is how long the configuration of a restored store does not count as the latest
 	// one unless it is written again: the store may have lost a later one that took API keys away.
 	confirmGrace = 3 * time.Second
