Use brittle servers again after the clock was set back

Times from before the step are not used any more. The unit test of the places has the case, and fails without the change at the first expectation after the step.

--- a/internal/routing/brittle.go
+++ b/internal/routing/brittle.go
@@ -35,8 +35,8 @@
 	free       int64
 	reportedAt int64
 	sent       int64
-	// fullUntil is the end of fullPause.
-	fullUntil int64
+	// fullAt is when the upstream last turned a request away.
+	fullAt int64
 }
 
 // RecordBrittle records whether a response says that the upstream is brittle. Responses may overtake each
@@ -58,7 +58,7 @@
 func (c *Counters) RecordFull(now time.Time) {
 	c.brittle.mu.Lock()
 	defer c.brittle.mu.Unlock()
-	c.brittle.fullUntil = now.UnixNano() + int64(fullPause)
+	c.brittle.fullAt = now.UnixNano()
 }
 
 // Brittle reports whether the upstream says that it is brittle.
@@ -82,16 +82,19 @@
 func (b *brittleness) allows(now, inFlight int64, places, instances int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now < b.fullUntil {
+	if within(now-b.fullAt, fullPause) {
 		return false
 	}
 	if inFlight < int64(places) {
 		return true
 	}
-	isFresh := now-b.reportedAt <= int64(maxFreeReportAge)
-	return places > 0 && isFresh && b.sent < b.free/int64(max(instances, 1))
+	return places > 0 && within(now-b.reportedAt, maxFreeReportAge) && b.sent < b.free/int64(max(instances, 1))
 }
 
+// within reports whether an age, in nanoseconds, is below a limit. An age below 0 is that of a time from
+// before the clock was set back.
+func within(age int64, limit time.Duration) bool { return age >= 0 && age < int64(limit) }
+
 func (b *brittleness) countSend() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/routing/brittle_test.go
+++ b/internal/routing/brittle_test.go
@@ -37,7 +37,9 @@
 	expect("requests ended", true)
 	u.Counters.RecordFull(now)
 	expect("a request was turned away", false)
-	now = now.Add(fullPause)
+	now = now.Add(-time.Hour)
+	expect("the clock was set back", true)
+	now = now.Add(time.Hour + fullPause)
 	expect("the pause is over", true)
 
 	var c Counters
