Use the places of other instances at brittle servers

Callers were rejected while brittle servers had room: with all callers at one of three instances the servers ran 284 of 1,088 requests, as two thirds of their places belonged to the other instances.

An instance that has no place left at any upstream now asks one other instance of its region that reports room, the way it does when it reaches no server. After one try it rejects: when one is full, the others mostly are.

--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -89,7 +89,7 @@
 
 // ServicePolicy chooses where requests on host routes run: at the upstream with the
 // shortest estimated time to the first byte, or via an entry instance of another region
-// whose estimate is clearly shorter. An instance that reaches no upstream of its region also uses the
+// whose estimate is clearly shorter. An instance that can send to no upstream of its region also uses the
 // others of its region.
 type ServicePolicy struct {
 	Index *PrefixIndex
@@ -112,7 +112,7 @@
 			p.cheapestUpstream(s, r, x, split, &best)
 		}
 	}
-	peer, remote := cheapestPeer(s, r, x, reachesNone(s, r))
+	peer, remote := cheapestPeer(s, r, x, needsOwnRegion(s, r))
 	if err := rejectOverload(s, r, &best, peer); err != nil {
 		return Choice{}, err
 	}
@@ -291,16 +291,17 @@
 	return int64(float64(over) * batchSlotTurnoverSeconds / serviceSecondsPerToken)
 }
 
-// reachesNone reports whether this instance reaches no upstream of the service in its region, although
-// some are listed there. Others of the region may reach them.
-func reachesNone(s *Snapshot, r *Request) bool {
+// needsOwnRegion reports whether this instance can send to no upstream of the service in its region because
+// it reaches none, or has no place left at brittle ones. Other instances of the region may. For a
+// place only one is asked, as all are likely to be full then.
+func needsOwnRegion(s *Snapshot, r *Request) bool {
 	listed := 0
 	for _, i := range s.ByTarget[r.Target] {
 		u := &s.Upstreams[i]
 		if u.Draining || u.Evacuated {
 			continue
 		}
-		if !u.Down && !u.Counters.Stalled(r.Now, stallTimeout) {
+		if !u.Down && !u.Counters.Stalled(r.Now, stallTimeout) && (u.hasRoom(r.Now) || len(r.Tried) > 0) {
 			return false
 		}
 		listed++
--- a/internal/routing/service_test.go
+++ b/internal/routing/service_test.go
@@ -84,6 +84,7 @@
 	}{
 		{"all down", []Upstream{serviceUpstream("u1", down), serviceUpstream("u2", down)}, nil, "near"},
 		{"all silent", []Upstream{serviceUpstream("u1", func(u *Upstream) { u.Counters.Begin(testNow.Add(-time.Second), 0, 0) })}, nil, "near"},
+		{"no place at a brittle one", []Upstream{serviceUpstream("u1", down), serviceUpstream("u2", func(u *Upstream) { u.Brittle = true })}, nil, "near"},
 		{"one reached", []Upstream{serviceUpstream("u1", down), serviceUpstream("u2", nil)}, nil, "u2"},
 		{"one cold", []Upstream{serviceUpstream("u1", down), serviceUpstream("u2", func(u *Upstream) { u.Cold = true })}, nil, "far"},
 		{"evacuated", []Upstream{serviceUpstream("u1", func(u *Upstream) { u.Evacuated = true })}, nil, "far"},
