--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -291,9 +291,12 @@
 	return int64(float64(over) * batchSlotTurnoverSeconds / serviceSecondsPerToken)
 }
 
+// maxPlaceTries is the number of tries for which another instance is asked for a place at a brittle upstream.
+const maxPlaceTries = 2
+
 // needsOwnRegion reports whether this instance can send to no upstream of the service in its region because
 // it reaches none, or has no place left at brittle ones. Other instances of the region may. For a
-// place only one is asked, as all are likely to be full then.
+// place at most maxPlaceTries are asked, as the others are likely to be full then.
 func needsOwnRegion(s *Snapshot, r *Request) bool {
 	listed := 0
 	for _, i := range s.ByTarget[r.Target] {
@@ -301,7 +304,7 @@
 		if u.Draining || u.Evacuated {
 			continue
 		}
-		if !u.Down && !u.Counters.Stalled(r.Now, stallTimeout) && (u.hasRoom(r.Now) || len(r.Tried) > 0) {
+		if !u.Down && !u.Counters.Stalled(r.Now, stallTimeout) && (u.hasRoom(r.Now) || len(r.Tried) >= maxPlaceTries) {
 			return false
 		}
 		listed++
