Count rejected writes of unknown outcome in the test of a frozen instance

The trace of the run shows one keyed write in flight at the freeze: after 998 ms, when its owner stayed silent, it was rejected as write_owner_unavailable with ran=unknown, which is true and what the design says. The last line of the spec counted rejections with ran=no only.

--- a/e2e/load_test.go
+++ b/e2e/load_test.go
@@ -41,6 +41,9 @@
 	// executed because the holder of the owner slot or every other holder is gone. The
 	// design specifies this for a region that lost an instance whose id has not returned.
 	ownerUnavailable int
+	// ownerUnknown counts those whose rejection says that the holder may have executed them: it
+	// stopped after it had got the write.
+	ownerUnknown int
 	// unknownKeyed counts the unknown writes with an idempotency key. While the holder of
 	// the owner slot is frozen and still a member, no other instance can know whether it
 	// executes them.
@@ -66,6 +69,9 @@
 	if notExecuted && r.IdempotencyKey != "" && last.Kind == errkind.WriteOwnerUnavailable {
 		t.ownerUnavailable++
 	}
+	if last.Execution == errkind.ExecutionUnknown && r.IdempotencyKey != "" && last.Kind == errkind.WriteOwnerUnavailable {
+		t.ownerUnknown++
+	}
 	switch {
 	case last.Result == devcluster.ResultComplete:
 		t.completed++
