Let the peer decide on requests of instances that reach no upstream

An instance without a usable upstream admitted a request by what its peers had reported up to a second ago, plus what it had forwarded since, and the peer admitted it once more by what it saw itself. At overload the queues stay near the limit, so that few requests passed both.

An instance that can send to no upstream itself now rejects nothing by estimates. It forwards, and the peer decides by the same queues and the same limit as for its own callers.

--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -144,19 +144,16 @@
 // rejectOverload returns an error for a request that would be queued for too long at the best upstream of
 // the region and at that of the peer, if there is one. Serving it late would delay the requests behind it
 // as well: without this check, nearly all responses were cut off at their deadlines under overload.
+//
+// An instance that can send to no upstream itself rejects nothing: what its peers reported is older than what
+// they see, and a request would have to pass both. The peer decides, as it does for its own callers.
 func rejectOverload(s *Snapshot, r *Request, best *scoredUpstream, peer int32) error {
-	if r.Service.FirstByteObjective == 0 || len(r.Service.Parts) == 0 {
+	if r.Service.FirstByteObjective == 0 || len(r.Service.Parts) == 0 || best.index == none {
 		return nil
 	}
-	wait := -1.0
-	if best.index != none {
-		wait = float64(best.queued) * serviceSecondsPerToken
-	}
+	wait := float64(best.queued) * serviceSecondsPerToken
 	if peer != none {
-		remoteWait := forwardSeconds(&s.Peers[peer], r) + s.Peers[peer].Services[r.Target].QueueSeconds
-		if wait < 0 || remoteWait < wait {
-			wait = remoteWait
-		}
+		wait = min(wait, forwardSeconds(&s.Peers[peer], r)+s.Peers[peer].Services[r.Target].QueueSeconds)
 	}
 	limit := maxWaitShare * r.Service.FirstByteObjective.Seconds()
 	if wait <= limit {
