Log steps of the wall clock, and the limit of an upstream that is listed as cold

When cold upstreams got too many requests, the log did not tell whether an instance had seen its wall clock change, nor which limit it used for an upstream that was cold from its first row on. Both are needed to tell the hypotheses on flooded cold upstreams apart: event=clock_step has the size of a step, and the upstream_up line of a cold upstream has the limit. No decision changes.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -18,6 +18,9 @@
 // suspensions and are not affected by steps of the wall clock.
 func Now() time.Time { return started.Add(uptime() - startUptime) }
 
+// WallOffset returns how far the wall clock is ahead of Now. It changes only when the wall clock is set.
+func WallOffset() time.Duration { return time.Now().Round(0).Sub(Now().Round(0)) }
+
 // uptime returns the time since the machine booted, including suspensions.
 func uptime() time.Duration {
 	var t unix.Timespec
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -22,6 +22,8 @@
 	inbox    chan Event
 	snapshot atomic.Pointer[routing.Snapshot]
 	observer Observer
+	// wallOffset is how far the wall clock was ahead of package clock when it was last set.
+	wallOffset time.Duration
 }
 
 // NewLoop returns a loop whose first snapshot is not ready.
@@ -66,6 +68,7 @@
 	}
 	l.publish(now)
 	l.observe(previous, l.Snapshot(), time.Since(started))
+	l.observeWallClock(clock.WallOffset())
 }
 
 func (l *Loop) drainInbox(now time.Time) {
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -46,6 +46,21 @@
 	diffSorted(old.Upstreams, new.Upstreams, func(u *routing.Upstream) string { return u.ID }, l.observeUpstream)
 }
 
+// minClockStep is the change of the wall clock that is reported; the slewing of a synchronized clock is less.
+const minClockStep = 200 * time.Millisecond
+
+// observeWallClock reports a step of the wall clock, given how far it is ahead of package clock.
+func (l *Loop) observeWallClock(offset time.Duration) {
+	step := offset - l.wallOffset
+	if step.Abs() < minClockStep {
+		return
+	}
+	l.wallOffset = offset
+	if l.observer.Log != nil {
+		l.observer.Log.WithFields(logrus.Fields{"event": "clock_step", "step_ms": step.Milliseconds()}).Warn("the wall clock was set")
+	}
+}
+
 // observeServiceSplits reports the changes of the traffic share that this instance sends to the
 // candidate of a service rollout.
 func (l *Loop) observeServiceSplits(old, new *routing.Snapshot) {
@@ -146,6 +161,8 @@
 		l.log("upstream", logrus.Fields{"upstream": id, "change": string(kind), "reason": detail})
 	}
 	switch {
+	case old == nil && new.Cold:
+		record(timeline.KindUpstreamUp, new.ID, fmt.Sprintf("listed as cold, limit %d", new.ColdRateLimit))
 	case old == nil:
 		record(timeline.KindUpstreamUp, new.ID, "listed")
 	case new == nil:
