Measure what was sent in a period with a clock that cannot be set

The times of routing were Unix nanoseconds of time.Now, which drops the monotonic reading. After a step ahead, all sends to a cold upstream, and all entries of a retry budget, were older than their window; after a step back, ages were negative. Only the request rates that upstreams name, health checks of paused upstreams and rates of client accounts already used package clock.

All of control, dispatch, probe and routing now read package clock, which counts suspensions and is not set.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -61,13 +61,13 @@
 
 // tick applies the queued events, runs the tick steps and publishes a snapshot.
 func (l *Loop) tick(now time.Time) {
-	started, previous := time.Now(), l.Snapshot()
+	started, previous := clock.Now(), l.Snapshot()
 	l.drainInbox(now)
 	for _, step := range tickSteps {
 		step(l.tables, now)
 	}
 	l.publish(now)
-	l.observe(previous, l.Snapshot(), time.Since(started))
+	l.observe(previous, l.Snapshot(), clock.Now().Sub(started))
 	l.observeWallClock(clock.WallOffset())
 }
 
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -107,7 +107,7 @@
 	row.awaitsHealthCheck = false
 	row.downUntil = now
 	row.counters.ConsecutiveFailures.Store(0)
-	row.counters.RecordSign(time.Now())
+	row.counters.RecordSign(now)
 	if e.ColdFor > 0 {
 		row.coldUntil = latest(row.coldUntil, now.Add(e.ColdFor))
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -168,9 +168,9 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	if r.RouteParams != nil && len(r.Visited) == 0 {
-		d.ServiceRetryBudgets.RecordRequest(time.Now(), r.Target)
+		d.ServiceRetryBudgets.RecordRequest(clock.Now(), r.Target)
 	}
-	d.budget.RecordRequest(time.Now())
+	d.budget.RecordRequest(clock.Now())
 	r.parts = sharedParts(r.RouteParams)
 	if err := d.rejectEarly(r); err != nil {
 		return err
@@ -183,7 +183,7 @@
 
 // rejectEarly rejects requests that are quarantined or cannot meet their deadline.
 func (d *Dispatcher) rejectEarly(r *Request) *errkind.Error {
-	now := time.Now()
+	now := clock.Now()
 	if until, ok := d.quarantinedUntil(r); ok && now.Before(until) {
 		err := errkind.New(errkind.RequestQuarantined,
 			"upstreams cannot execute the content of this request, or a part of its prompt; it is rejected until %s, and other requests are not affected", until.UTC().Format(time.RFC3339))
@@ -279,7 +279,7 @@
 
 // shouldRetry reports whether a failed attempt may be retried.
 func (d *Dispatcher) shouldRetry(r *Request, result relay.Result) bool {
-	if until, quarantined := d.quarantinedUntil(r); quarantined && time.Now().Before(until) {
+	if until, quarantined := d.quarantinedUntil(r); quarantined && clock.Now().Before(until) {
 		return false
 	}
 	if result.Crashes > 0 && d.suspected(r) {
@@ -288,7 +288,7 @@
 	if r.RouteParams != nil {
 		return d.shouldRetryOnRoute(r, result)
 	}
-	now := time.Now()
+	now := clock.Now()
 	decision := retry.Decide(retry.Attempt{
 		Number:          r.Attempts,
 		Outcome:         result.Outcome,
@@ -302,7 +302,7 @@
 	if decision == retry.Stop {
 		return false
 	}
-	return result.Outcome == retry.NotSent || d.budget.Take(now)
+	return result.Outcome == retry.NotSent || d.budget.Take(clock.Now())
 }
 
 func (d *Dispatcher) attempt(ctx context.Context, r *Request, tried []string, last retry.Outcome, sink Sink) (relay.Result, string, *errkind.Error) {
@@ -312,7 +312,7 @@
 	if err != nil {
 		return relay.Result{}, "", errkind.From(err)
 	}
-	started := time.Now()
+	started := clock.Now()
 	var result relay.Result
 	var destination string
 	if choice.Peer >= 0 {
@@ -333,7 +333,7 @@
 	r.countExecuted(result)
 	r.logAttempt(destination, result)
 	if result.Err == nil && r.RouteParams == nil {
-		d.estimates.Observe(time.Now(), r.estimateKey(), time.Since(started))
+		d.estimates.Observe(clock.Now(), r.estimateKey(), clock.Now().Sub(started))
 	}
 	return result, destination, nil
 }
@@ -351,7 +351,7 @@
 		Prefix:       r.Prompt.Hashes,
 		PromptTokens: int64(r.Prompt.Tokens),
 		BodyBytes:    int64(len(r.Body)),
-		Now:          time.Now().UnixNano(),
+		Now:          clock.Now().UnixNano(),
 	}
 	policy := d.Policy
 	if policy == nil {
@@ -394,14 +394,14 @@
 }
 
 func (s *firstByteSink) Head(status int, header http.Header) error {
-	s.head, s.status = time.Now(), status
+	s.head, s.status = clock.Now(), status
 	s.tracked.FirstByte(s.head)
 	s.recordProgress()
 	return s.Sink.Head(status, header)
 }
 
 func (s *firstByteSink) Data(p []byte) error {
-	s.tracked.Progress(time.Now())
+	s.tracked.Progress(clock.Now())
 	s.recordProgress()
 	return s.Sink.Data(p)
 }
@@ -420,20 +420,20 @@
 	if peer.Counters == nil {
 		return d.Forwarder.Forward(ctx, peer, r, sink)
 	}
-	tracked := peer.Counters.Begin(time.Now(), promptTokens(r), 0)
-	defer tracked.End()
+	tracked := peer.Counters.Begin(clock.Now(), promptTokens(r), 0)
+	defer func() { tracked.End(clock.Now()) }()
 	if d.Prefixes != nil {
-		d.Prefixes.Add(time.Now().UnixNano(), peer.Counters.HolderID(), r.Prompt.Hashes)
+		d.Prefixes.Add(clock.Now().UnixNano(), peer.Counters.HolderID(), r.Prompt.Hashes)
 	}
 	return d.Forwarder.Forward(ctx, peer, r, &firstByteSink{Sink: sink, tracked: tracked})
 }
 
 func (d *Dispatcher) sendToUpstream(ctx context.Context, r *Request, u *routing.Upstream, choice routing.Choice, sink Sink) relay.Result {
-	now := time.Now()
+	now := clock.Now()
 	tracked := u.Counters.Begin(now, choice.PrefillTokens, choice.QueuedTokens)
-	defer tracked.End()
+	defer func() { tracked.End(clock.Now()) }()
 	cold := u.Counters.ColdReservation(choice)
-	defer func() { cold.End(time.Now()) }()
+	defer func() { cold.End(clock.Now()) }()
 	if d.Prefixes != nil {
 		d.Prefixes.Add(now.UnixNano(), u.Counters.HolderID(), promptHashes(r))
 	}
@@ -451,7 +451,7 @@
 		Completion:     r.RouteParams == nil && r.IsCompletion(),
 	}
 	if cold != nil {
-		attempt.OnSent = func() { cold.Sent(time.Now()) }
+		attempt.OnSent = func() { cold.Sent(clock.Now()) }
 	}
 	d.applyRouteParams(&attempt, r, u, choice)
 	result := d.Relay.Do(ctx, attempt, timed)
@@ -477,8 +477,8 @@
 		return
 	}
 	if r.RouteParams != nil {
-		d.ServiceRetryBudgets.RecordRetries(time.Now(), r.Target, result.Resends)
+		d.ServiceRetryBudgets.RecordRetries(clock.Now(), r.Target, result.Resends)
 		return
 	}
-	d.budget.Record(time.Now(), result.Resends)
+	d.budget.Record(clock.Now(), result.Resends)
 }
--- a/internal/dispatch/route_params.go
+++ b/internal/dispatch/route_params.go
@@ -113,10 +113,10 @@
 func recordRoom(u *routing.Upstream, m relay.ResponseMetadata, sent time.Time) {
 	u.Counters.RecordBrittle(clock.Now(), sent, m.Brittle)
 	if m.NotExecuted {
-		u.Counters.RecordFull(time.Now())
+		u.Counters.RecordFull(clock.Now())
 	}
 	if m.Load != nil {
-		u.Counters.RecordFreePlaces(time.Now(), *m.Load)
+		u.Counters.RecordFreePlaces(clock.Now(), *m.Load)
 	}
 }
 
@@ -136,7 +136,7 @@
 	if decision == retry.Stop || r.Attempts >= maxAttemptsPerExecution*r.RouteParams.MaxExecutions {
 		return false
 	}
-	return result.Outcome == retry.NotSent || d.ServiceRetryBudgets.Take(time.Now(), r.Target, d.Snapshot().InstanceCount)
+	return result.Outcome == retry.NotSent || d.ServiceRetryBudgets.Take(clock.Now(), r.Target, d.Snapshot().InstanceCount)
 }
 
 // countExecuted counts the attempts that an upstream may have executed. A forwarded request
@@ -165,9 +165,8 @@
 // updateUpstreamState updates the load and the failure counters of an upstream after an
 // attempt.
 func (d *Dispatcher) updateUpstreamState(u *routing.Upstream, result relay.Result) {
-	now := time.Now()
 	if result.Load != nil {
-		u.Counters.RecordLoad(now, *result.Load)
+		u.Counters.RecordLoad(clock.Now(), *result.Load)
 	}
 	switch result.Outcome {
 	case retry.Rejected, retry.RequestEnded:
--- a/internal/node/engines.go
+++ b/internal/node/engines.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"heatherloom/internal/clock"
 	"heatherloom/internal/control"
 	"heatherloom/internal/external"
 	"heatherloom/internal/external/engineapi"
@@ -87,7 +88,7 @@
 			}
 			last = e.Sequence
 			w.prefixes.Remove(u.Counters.HolderID(), e.Removed)
-			w.prefixes.Add(time.Now().UnixNano(), u.Counters.HolderID(), e.Stored)
+			w.prefixes.Add(clock.Now().UnixNano(), u.Counters.HolderID(), e.Stored)
 		})
 		select {
 		case <-ctx.Done():
--- a/internal/peer/host.go
+++ b/internal/peer/host.go
@@ -27,7 +27,7 @@
 	for account, demand := range demands {
 		status.Demands = append(status.Demands, &peerv1.AccountDemand{Account: account, PerSecond: demand})
 	}
-	for service, load := range s.ServiceLoads(time.Now().UnixNano()) {
+	for service, load := range s.ServiceLoads(now.UnixNano()) {
 		queue := microseconds(load.QueueSeconds)
 		status.Services = append(status.Services, &peerv1.ServiceLoad{
 			Service: service, Upstreams: int32(load.Upstreams), WaitUs: microseconds(load.WaitSeconds), QueueUs: &queue,
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -88,7 +88,7 @@
 	for i := range snapshot.Upstreams {
 		u := &snapshot.Upstreams[i]
 		path := healthPath(snapshot, u)
-		silent := !u.Down && u.Counters.SilentFor(time.Now()) >= silenceToCheck
+		silent := !u.Down && u.Counters.SilentFor(now) >= silenceToCheck
 		if (!u.Down && !silent) || u.Draining || path == "" {
 			continue
 		}
@@ -101,7 +101,7 @@
 			}
 			p.checks[u.ID] = c
 		}
-		if now.Before(c.due) || !u.TakeRequest(time.Now().UnixNano()) {
+		if now.Before(c.due) || !u.TakeRequest(now.UnixNano()) {
 			continue
 		}
 		c.interval = min(2*c.interval, maxInterval)
@@ -132,10 +132,10 @@
 	resp, err := p.get(ctx, url)
 	if err == nil {
 		_ = resp.Body.Close()
-		u.Counters.RecordSign(time.Now())
+		u.Counters.RecordSign(clock.Now())
 		return
 	}
-	if ctx.Err() == nil && u.Counters.SilentFor(time.Now()) >= silenceToCheck {
+	if ctx.Err() == nil && u.Counters.SilentFor(clock.Now()) >= silenceToCheck {
 		p.logFailed(u.ID, err.Error())
 		u.Counters.RecordUnreachable()
 	}
--- a/internal/routing/brittle_test.go
+++ b/internal/routing/brittle_test.go
@@ -32,7 +32,7 @@
 	now = now.Add(2 * maxFreeReportAge)
 	expect("the report is old", false)
 	for range 3 {
-		second.End()
+		second.End(now)
 	}
 	expect("requests ended", true)
 	u.Counters.RecordFull(now)
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -18,7 +18,8 @@
 	maxSecondsPerToken = 0.01
 )
 
-// Counters hold the live statistics of an upstream or peer, updated by traffic.
+// Counters hold the live statistics of an upstream or peer, updated by traffic. All times are those of package
+// clock, which steps of the wall clock do not affect.
 type Counters struct {
 	// InFlight is the number of attempts of this instance in flight.
 	InFlight atomic.Int64
@@ -144,7 +145,7 @@
 }
 
 // End records the end of the attempt, with or without a response.
-func (a *TrackedAttempt) End() {
-	a.release(time.Now())
+func (a *TrackedAttempt) End(now time.Time) {
+	a.release(now)
 	a.counters.InFlight.Add(-1)
 }
--- a/internal/routing/fleet_test.go
+++ b/internal/routing/fleet_test.go
@@ -180,7 +180,7 @@
 				f.arrive(o, j, []string{i.snapshot.SelfID}, returnLatency+oneWayLatency)
 			}
 		}
-		prefill.End()
+		prefill.End(f.now)
 	})
 }
 
@@ -194,7 +194,7 @@
 		j.timeToFirstByte = now.Add(returnLatency).Sub(j.sent)
 	}
 	j.onEnd = func(now time.Time) {
-		prefill.End()
+		prefill.End(now)
 		u.Counters.RecordLoad(now, external.Load{Running: len(e.running), Waiting: len(e.waiting)})
 	}
 	e.waiting = append(e.waiting, j)
--- a/internal/routing/requestrate.go
+++ b/internal/routing/requestrate.go
@@ -71,7 +71,6 @@
 	}
 	b.tokens += perSecond * time.Duration(max(now-b.filledAt, 0)).Seconds()
 	b.tokens = min(b.tokens, 1+rateBurst*perSecond)
-	// Also after a step of the wall clock backwards, which must not stop the bucket.
 	b.filledAt = now
 }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -103,7 +103,7 @@
 	prefill := holder.Counters.Begin(time.Now(), 20000, 0)
 	choice, _ := p.Pick(s, r, x)
 	g.Expect(choice.Upstream).NotTo(Equal(int32(5)))
-	prefill.End()
+	prefill.End(time.Now())
 	index.Remove(holder.Counters.HolderID(), prompt.Hashes[10:])
 	choice, _ = p.Pick(s, r, x)
 	g.Expect(choice.PrefillTokens).To(BeNumerically(">=", 10*promptprefix.BlockTokens))
