Ignore a response that arrived before the request was written

A request could get a response that its upstream had sent for an earlier one: if a faulty upstream sends two responses at once, and the connection is assigned to the next request before it is seen to be closed, net/http reads the second one as the response to that request, although its write was refused.

A response on a connection to which no byte of the request was written belongs to no request now.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -222,6 +222,18 @@
 	return len(s.uses) > 0 && s.uses[len(s.uses)-1].conn.endedInsideLine()
 }
 
+// unwritten reports whether no byte was written to the connection of the response since the attempt was
+// assigned it.
+func (s *sendTracker) unwritten() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unknownConn || len(s.uses) == 0 {
+		return false
+	}
+	last := s.uses[len(s.uses)-1]
+	return last.conn.writeCount() == last.writesBefore
+}
+
 // sealAndCheckUnsent seals the connections and reports whether provably no byte was sent.
 func (s *sendTracker) sealAndCheckUnsent() bool {
 	s.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -231,6 +231,9 @@
 	}
 	defer sent.release()
 	defer resp.Body.Close()
+	if a.Protocol != nil && sent.unwritten() {
+		return unsolicitedResponse(sent)
+	}
 	result := r.handleResponse(w, sent, resp, a, sink)
 	result.Resends = sent.resends()
 	result.EndedByClose = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && a.Method != http.MethodHead
@@ -240,6 +243,15 @@
 	return result
 }
 
+// unsolicitedResponse returns the result of an attempt whose connection had a response before any byte of the
+// request was written. It belongs to an earlier request.
+func unsolicitedResponse(sent *sendTracker) Result {
+	if sent.sealAndCheckUnsent() {
+		return upstreamFault(errkind.UpstreamFailed, errkind.NotExecuted, retry.NotSent, errSealed, "the connection had a response to no request")
+	}
+	return upstreamFault(errkind.ResponseMismatched, errkind.ExecutionUnknown, retry.Failed, nil, "the upstream responded before the request was sent")
+}
+
 func (r *Relay) transport(a Attempt) *http.Transport {
 	if a.Repeatable {
 		return r.repeatable
