Trust a rejection without an id only if it can repeat no earlier one

A repeated rejection with an id is recognized by the id. Rejections may come without one, and the repeat of such a rejection counted as that of the request in flight. Connections now count which of their exchanges ended with a response that names its request; a rejection without an id is trusted only if all earlier ones did. Otherwise the outcome is unknown, and the connection is closed.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -33,6 +33,9 @@
 	// users counts the attempts that use the connection. net/http may assign it to the next
 	// attempt before the previous one has ended.
 	users int
+	// exchanges counts the attempts that were assigned the connection, and named those whose response had
+	// the id of its request.
+	exchanges, named int
 }
 
 // Read implements net.Conn.
@@ -79,12 +82,27 @@
 	return c.Conn.Close()
 }
 
-// use registers a user and returns the number of writes so far.
-func (c *conn) use() uint64 {
+// use registers a user and returns the numbers of writes and of exchanges so far.
+func (c *conn) use() (writes uint64, exchanges int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.users++
-	return c.writes
+	c.exchanges++
+	return c.writes, c.exchanges - 1
+}
+
+// recordNamed records that an exchange ended with a response that had the id of its request.
+func (c *conn) recordNamed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.named++
+}
+
+// namedExchanges returns how many exchanges ended with a response that had the id of its request.
+func (c *conn) namedExchanges() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.named
 }
 
 func (c *conn) writeCount() uint64 {
@@ -182,6 +200,8 @@
 	// the attempt used the connection.
 	writesBefore   uint64
 	receivedBefore int64
+	// exchangesBefore is the number of exchanges on the connection before this one.
+	exchangesBefore int
 }
 
 func (s *sendTracker) withTrace(ctx context.Context) context.Context {
@@ -200,7 +220,29 @@
 		s.unknownConn = true
 		return
 	}
-	s.uses = append(s.uses, connUse{conn: c, writesBefore: c.use(), receivedBefore: c.received.Load()})
+	writes, exchanges := c.use()
+	s.uses = append(s.uses, connUse{conn: c, writesBefore: writes, receivedBefore: c.received.Load(), exchangesBefore: exchanges})
+}
+
+// recordNamed records that the response had the id of the request.
+func (s *sendTracker) recordNamed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.uses) > 0 {
+		s.uses[len(s.uses)-1].conn.recordNamed()
+	}
+}
+
+// followsNamedOnly reports whether all earlier responses on the connection had the ids of their requests, so
+// that a response without an id repeats none of them.
+func (s *sendTracker) followsNamedOnly() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unknownConn || len(s.uses) == 0 {
+		return false
+	}
+	last := s.uses[len(s.uses)-1]
+	return last.conn.namedExchanges() == last.exchangesBefore
 }
 
 // received returns the number of bytes that the connection of the response has received since
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -115,7 +115,10 @@
 	if a.OnMetadata != nil && idMatches && !metadata.Misdirected {
 		a.OnMetadata(metadata)
 	}
-	if metadata.NotExecuted && (idMatches || metadata.RequestID == "") {
+	if idMatches {
+		sent.recordNamed()
+	}
+	if metadata.NotExecuted && (idMatches || (metadata.RequestID == "" && sent.followsNamedOnly())) {
 		return r.handleRejection(w, resp, metadata, a)
 	}
 	if !idMatches {
--- a/internal/relay/exchange_test.go
+++ b/internal/relay/exchange_test.go
@@ -351,3 +351,60 @@
 		t.Fatal(second.Err)
 	}
 }
+
+// Guards against an earlier rejection, sent once more on a kept connection, that is taken as the response to a
+// request which the upstream executes.
+func TestExchangeIgnoresAnEarlierRejectionOnAKeptConnection(t *testing.T) {
+	for form, earlier := range map[string]string{
+		"named":                   response("503 Service Unavailable\r\nNot-Run: 1\r\nId: r1\r\n", "full"),
+		"named, without a body":   response("429 Too Many Requests\r\nNot-Run: 1\r\nId: r1\r\n", ""),
+		"unnamed":                 response("503 Service Unavailable\r\nNot-Run: 1\r\n", "full"),
+		"unnamed, without a body": response("421 Misdirected Request\r\nNot-Run: 1\r\n", ""),
+	} {
+		half := len(earlier) / 2
+		for moment, texts := range map[string][2]string{
+			"right behind the first":         {earlier + earlier, ""},
+			"before the next response":       {earlier, earlier},
+			"twice before the next response": {earlier, earlier + earlier},
+			"one part before the request":    {earlier + earlier[:half], earlier[half:]},
+			"behind an interim response":     {earlier, "HTTP/1.1 103 Early Hints\r\n\r\n" + earlier},
+		} {
+			for _, stream := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %s, stream %t", form, moment, stream), func(t *testing.T) {
+					expectOwnResponse(t, texts, stream)
+				})
+			}
+		}
+	}
+}
+
+// expectOwnResponse sends two requests to an upstream which rejects the first one and executes the second, and
+// sends the texts in front of their responses.
+func expectOwnResponse(t *testing.T, texts [2]string, stream bool) {
+	t.Helper()
+	u := startByteUpstream(t, func(n int) (string, func(net.Conn)) {
+		if n == 1 {
+			return texts[0], nil
+		}
+		return texts[1] + response("200 OK\r\nId: r2\r\nSig: s\r\n", "right"), nil
+	})
+	r := New(DefaultLimits())
+	if result := r.Do(context.Background(), newAttempt(u), &memorySink{}); result.Outcome != retry.Rejected {
+		t.Fatalf("the first request ended with %v", result.Err)
+	}
+	a := newAttempt(u)
+	a.RequestID = "r2"
+	if stream {
+		a.StreamPosition = &StreamPosition{}
+	}
+	sink := &memorySink{}
+	result := r.Do(context.Background(), a, sink)
+	if result.Err == nil && sink.body.String() != "right" {
+		t.Errorf("the caller received %q", sink.body.String())
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if result.Err != nil && result.Err.Execution == errkind.NotExecuted && len(u.heads) > 1 {
+		t.Errorf("an executed request was reported as not executed: %v", result.Err)
+	}
+}
