Treat a resumed stream that ends with its connection before any event as cut

A stream that had begun and broke off could end as if it were complete, as other operators report: when the upstream that is to continue it ends right after the head of its response, and the response has neither a length nor chunks.

The end of the connection then is the only end of the body, and no event was cut, so that it counted as the whole rest of the stream. A resumed response that ends so before any event is now an interrupted one, and the stream is resumed once more or cut short for the caller.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -59,9 +59,11 @@
 
 	pending []byte
 	// eventless is the number of bytes without data since the last event with data.
-	eventless   int
-	scanned     int
-	resumed     bool
+	eventless int
+	scanned   int
+	resumed   bool
+	// hasEvents is true once an event of this response was accepted.
+	hasEvents   bool
 	initialized bool
 	done        bool
 }
@@ -70,6 +72,9 @@
 // Finish succeeded.
 func (c *EventCopier) Done() bool { return c.done }
 
+// ResumedWithoutEvents reports whether the response continues a stream after an event and had none so far.
+func (c *EventCopier) ResumedWithoutEvents() bool { return c.resumed && !c.hasEvents }
+
 // Write accepts the next bytes of the stream and delivers the events that are complete.
 // Bytes after [DONE] are ignored.
 func (c *EventCopier) Write(p []byte) error {
@@ -143,6 +148,7 @@
 		return nil
 	}
 	c.eventless = 0
+	c.hasEvents = true
 	if c.Numbered {
 		return c.advanceNumbered(e, next)
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -190,7 +190,7 @@
 			return StreamFailure(failure, a.StreamPosition.Started)
 		}
 		if errors.Is(err, io.EOF) {
-			return finishNumberedStream(copier)
+			return finishNumberedStream(copier, endsWithConnection(resp, a.Method))
 		}
 		if err != nil {
 			return classifyBodyError(w, err, a.StreamPosition.Started)
@@ -198,7 +198,14 @@
 	}
 }
 
-func finishNumberedStream(copier *EventCopier) Result {
+// finishNumberedStream handles the end of a numbered stream. One that was resumed, has no event and ends with
+// its connection is not complete: the upstream may have ended.
+func finishNumberedStream(copier *EventCopier, endsWithConnection bool) Result {
+	if endsWithConnection && copier.ResumedWithoutEvents() {
+		result := StreamFailure(errNotResumed, copier.Position.Started)
+		result.Outcome, result.ConnectionBroken = retry.Truncated, true
+		return result
+	}
 	err := copier.Finish()
 	if err == nil {
 		return Result{Started: true}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -236,13 +236,18 @@
 	}
 	result := r.handleResponse(w, sent, resp, a, sink)
 	result.Resends = sent.resends()
-	result.EndedByClose = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && a.Method != http.MethodHead
+	result.EndedByClose = endsWithConnection(resp, a.Method)
 	if result.Outcome == retry.TimedOut {
 		r.pool.dropIdle(a.Address)
 	}
 	return result
 }
 
+// endsWithConnection reports whether only the end of the connection marks the end of the response.
+func endsWithConnection(resp *http.Response, method string) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && method != http.MethodHead
+}
+
 // unsolicitedResponse returns the result of an attempt whose connection had a response before any byte of the
 // request was written. It belongs to an earlier request.
 func unsolicitedResponse(sent *sendTracker) Result {
