Leave the decision to one peer, and only where no upstream is reached

An instance whose upstreams were only slow for 0.4 s also counted as one that reaches none and forwarded everything, and a request that one peer had rejected went on to the next, while a request of an instance with upstreams has one chance.

Only an instance whose upstreams are all paused, or have never responded, leaves the decision to a peer now. What that peer rejected goes to a second one only if this has reported room.

The cases of TestServicePickLeavesTheDecisionToOnePeerWhenItReachesNoUpstream with a slow upstream and with a peer that rejected fail on the code before.

--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -145,15 +145,22 @@
 // the region and at that of the peer, if there is one. Serving it late would delay the requests behind it
 // as well: without this check, nearly all responses were cut off at their deadlines under overload.
 //
-// An instance that can send to no upstream itself rejects nothing: what its peers reported is older than what
-// they see, and a request would have to pass both. The peer decides, as it does for its own callers.
+// An instance that reaches no upstream leaves the decision to the peer, which decides as for its own callers:
+// what peers reported is older than what they see, and a request would have to pass both. What a first peer
+// rejected has had that chance, and goes to a second one only if this has reported room.
 func rejectOverload(s *Snapshot, r *Request, best *scoredUpstream, peer int32) error {
-	if r.Service.FirstByteObjective == 0 || len(r.Service.Parts) == 0 || best.index == none {
+	if r.Service.FirstByteObjective == 0 || len(r.Service.Parts) == 0 || (!reachesUpstream(s, r) && !triedPeer(s, r)) {
 		return nil
 	}
-	wait := float64(best.queued) * serviceSecondsPerToken
+	wait := -1.0
+	if best.index != none {
+		wait = float64(best.queued) * serviceSecondsPerToken
+	}
 	if peer != none {
-		wait = min(wait, forwardSeconds(&s.Peers[peer], r)+s.Peers[peer].Services[r.Target].QueueSeconds)
+		remoteWait := forwardSeconds(&s.Peers[peer], r) + s.Peers[peer].Services[r.Target].QueueSeconds
+		if wait < 0 || remoteWait < wait {
+			wait = remoteWait
+		}
 	}
 	limit := maxWaitShare * r.Service.FirstByteObjective.Seconds()
 	if wait <= limit {
@@ -288,6 +295,20 @@
 	return int64(float64(over) * batchSlotTurnoverSeconds / serviceSecondsPerToken)
 }
 
+// reachesUpstream reports whether an upstream of the service in the region has responded and is not paused. One
+// that is only slow is reached.
+func reachesUpstream(s *Snapshot, r *Request) bool {
+	return slices.ContainsFunc(s.ByTarget[r.Target], func(i int32) bool {
+		u := &s.Upstreams[i]
+		return !u.Draining && !u.Evacuated && !u.Down && u.Counters.Responded()
+	})
+}
+
+// triedPeer reports whether a peer has already rejected the request or failed.
+func triedPeer(s *Snapshot, r *Request) bool {
+	return slices.ContainsFunc(s.Peers, func(p Peer) bool { return contains(r.Tried, p.ID) })
+}
+
 // maxPlaceTries is the number of tries for which another instance is asked for a place at a brittle upstream.
 const maxPlaceTries = 2
 
--- a/internal/routing/service_test.go
+++ b/internal/routing/service_test.go
@@ -56,7 +56,10 @@
 		queue time.Duration
 		want  string
 	}{{10 * time.Millisecond, "peer"}, {400 * time.Millisecond, ""}} {
-		s := serviceSnapshot(serviceUpstream("own", func(u *Upstream) { u.Counters.PendingTokens.Store(45000) }))
+		s := serviceSnapshot(serviceUpstream("own", func(u *Upstream) {
+			u.Counters.RecordSign(testNow)
+			u.Counters.PendingTokens.Store(45000)
+		}))
 		peer := servicePeer("peer", "b", 400*time.Millisecond)
 		peer.Services[testService] = ServiceLoad{Upstreams: 4, WaitSeconds: 0.4, QueueSeconds: c.queue.Seconds()}
 		s.Peers = []Peer{peer}
@@ -73,16 +76,31 @@
 }
 
 // Guards against a request that has to pass the estimates of two instances because the first one reaches no
-// upstream.
-func TestServicePickLeavesTheDecisionToThePeerWhenItReachesNoUpstream(t *testing.T) {
-	s := serviceSnapshot(serviceUpstream("u1", func(u *Upstream) { u.Down = true }))
-	peer := servicePeer("peer", "a", 0)
-	peer.Services[testService] = ServiceLoad{Upstreams: 4, WaitSeconds: 2, QueueSeconds: 2}
-	s.Peers = []Peer{peer}
-	r := serviceRequest()
-	r.Service.Parts = []PromptPart{{ID: 1, Tokens: 2000}}
-	if got := pickService(s, r); got != "peer" {
-		t.Errorf("picked %q, want the peer", got)
+// upstream, and against one that is tried at all peers while there is too little for all.
+func TestServicePickLeavesTheDecisionToOnePeerWhenItReachesNoUpstream(t *testing.T) {
+	responded := func(u *Upstream) { u.Counters.RecordSign(testNow) }
+	for _, c := range []struct {
+		name  string
+		own   func(*Upstream)
+		tried []string
+		want  string
+	}{
+		{"paused", func(u *Upstream) { responded(u); u.Down = true }, nil, "peer"},
+		{"cold, without a response so far", func(u *Upstream) { u.Cold = true }, nil, "peer"},
+		{"rejected by a peer", func(u *Upstream) { u.Down = true }, []string{"other"}, ""},
+		{"slow", func(u *Upstream) { responded(u); u.Counters.Begin(testNow.Add(-time.Second), 0, 0) }, nil, ""},
+	} {
+		s := serviceSnapshot(serviceUpstream("u1", c.own))
+		peer := servicePeer("peer", "b", 0)
+		peer.Services[testService] = ServiceLoad{Upstreams: 4, WaitSeconds: 2, QueueSeconds: 2}
+		s.Peers = []Peer{peer, servicePeer("other", "b", 0)}
+		s.Peers[1].Suspect = true
+		r := serviceRequest()
+		r.Tried = c.tried
+		r.Service.Parts = []PromptPart{{ID: 1, Tokens: 2000}}
+		if got := pickService(s, r); got != c.want {
+			t.Errorf("%s: picked %q, want %q", c.name, got, c.want)
+		}
 	}
 }
 
--- a/internal/routing/silence.go
+++ b/internal/routing/silence.go
@@ -15,6 +15,8 @@
 	waiting int
 	since   int64
 	before  int64
+	// responded is true once the upstream sent anything.
+	responded bool
 }
 
 func (s *silence) begin(now int64) {
@@ -39,7 +41,7 @@
 func (s *silence) reset(now int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.since, s.before = now, 0
+	s.since, s.before, s.responded = now, 0, true
 }
 
 func (s *silence) length(now int64) time.Duration {
@@ -55,6 +57,13 @@
 // last sent anything.
 func (c *Counters) SilentFor(now time.Time) time.Duration { return c.silence.length(now.UnixNano()) }
 
+// Responded reports whether the upstream has sent this instance anything since it was listed.
+func (c *Counters) Responded() bool {
+	c.silence.mu.Lock()
+	defer c.silence.mu.Unlock()
+	return c.silence.responded
+}
+
 // RecordSign records that the upstream sent something.
 func (c *Counters) RecordSign(now time.Time) { c.silence.reset(now.UnixNano()) }
 
