Bound what a server gets that starts again under its id and address

That a server is cold was known from its row, read every 1.1 s, or from the health check of a paused one. Until then it was taken for the process before. What had been sent to it in that time was not counted against the limit afterwards, and was forgotten once the row named another start.

A connection that breaks under a request, that makes the transport send it again, or that an upstream closes within a second of its use, now means that the upstream may have started again. It gets one request from each instance that saw this until a health check, made at once, says whether it is cold. All sends and health checks of the last 1.1 s count against the limit, also those from before the upstream was known to be cold, and across a change of the start that its row names. Only services whose upstreams are cold after a start are concerned.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -139,7 +139,11 @@
 		row, ok = t.relist(instance.ID)
 	}
 	if !ok || row.instance.Address != instance.Address || row.instance.StartedAtUnixMilli != instance.StartedAtUnixMilli {
-		row = &upstreamRow{counters: &routing.Counters{}}
+		counters := &routing.Counters{}
+		if ok {
+			counters = row.counters.Successor()
+		}
+		row = &upstreamRow{counters: counters}
 		row.counters.UpSince.Store(now.UnixNano())
 		t.upstreams[instance.ID] = row
 	}
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -133,6 +133,7 @@
 			Cold:           cold,
 			ColdUntil:      row.coldUntil,
 			ColdRateLimit:  budget.coldRequests(row, cold),
+			MayBecomeCold:  t.mayBecomeCold(row),
 			Brittle:        isBrittle,
 			Places:         places,
 			PlaceSharers:   sharers,
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -108,9 +108,34 @@
 	row.downUntil = now
 	row.counters.ConsecutiveFailures.Store(0)
 	row.counters.RecordSign(now)
-	if e.ColdFor > 0 {
-		row.coldUntil = latest(row.coldUntil, now.Add(e.ColdFor))
+	row.recordColdTime(e.ColdFor, now)
+}
+
+// RestartCheckedEvent reports that an upstream whose connection broke responded to a health check.
+type RestartCheckedEvent struct {
+	Upstream string
+	// ColdFor is the remaining cold time that the upstream reported.
+	ColdFor time.Duration
+}
+
+func (e RestartCheckedEvent) apply(t *tables, now time.Time) {
+	if row, ok := t.upstreams[e.Upstream]; ok {
+		row.recordColdTime(e.ColdFor, now)
+	}
+}
+
+// recordColdTime records how long the upstream remains cold, as it said in response to a health check.
+func (row *upstreamRow) recordColdTime(remaining time.Duration, now time.Time) {
+	if remaining > 0 {
+		row.coldUntil = latest(row.coldUntil, now.Add(remaining))
 	}
+	row.counters.ClearRestartSuspicion()
+}
+
+// mayBecomeCold reports whether upstreams of the service are cold after a start.
+func (t *tables) mayBecomeCold(row *upstreamRow) bool {
+	service := t.config.Services[row.instance.Service]
+	return service.ColdFor > 0 && service.ColdRateLimit > 0
 }
 
 func evacuated(t *tables, row *upstreamRow) bool {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -464,6 +464,9 @@
 	} else if result.UpstreamFault && !d.versionFault(r, result) {
 		u.Counters.ConsecutiveFailures.Add(1)
 	}
+	if result.ConnectionBroken || result.Outcome == retry.Crashed {
+		u.Counters.SuspectRestart()
+	}
 	d.endAttempt(r, open, result, timed.status)
 	d.recordResends(r, result)
 	u.ChargeResends(result.Resends)
@@ -471,6 +474,16 @@
 	return result
 }
 
+// RecordConnectionLoss records that the upstream at an address closed an idle connection early.
+func (d *Dispatcher) RecordConnectionLoss(address string) {
+	snapshot := d.Snapshot()
+	for i := range snapshot.Upstreams {
+		if u := &snapshot.Upstreams[i]; u.Address == address {
+			u.Counters.SuspectRestart()
+		}
+	}
+}
+
 // recordResends charges the retry budget for the sends that the transport repeated by itself.
 func (d *Dispatcher) recordResends(r *Request, result relay.Result) {
 	if result.Resends == 0 {
--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -121,7 +121,7 @@
 	prefixes := routing.NewPrefixIndex()
 	limits := relay.DefaultLimits().ForMemory(int64(s.Process.MemoryMB * 1e6))
 	limits.DialTimeout = hostDialTimeout
-	return &dispatch.Dispatcher{
+	d := &dispatch.Dispatcher{
 		Snapshot:            n.loop.Snapshot,
 		Relay:               relay.New(limits),
 		Forwarder:           peers,
@@ -135,6 +135,8 @@
 		Timeline:             n.timeline,
 		Metrics:              metrics,
 	}
+	d.Relay.OnConnectionLoss(d.RecordConnectionLoss)
+	return d
 }
 
 // startHostControl starts the control loop of an instance that serves host routes, and the
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -1,7 +1,7 @@
 // Package probe checks the health of upstreams that were paused after failures, and
 // returns those that pass to service. Of the upstreams in service it checks those that owe responses and
-// send nothing, and has those paused that stay silent; the health of others is derived from their
-// responses to requests.
+// send nothing, and has those paused that stay silent, and those that may have started again, which may be
+// cold; the health of others is derived from their responses to requests.
 package probe
 
 import (
@@ -22,7 +22,7 @@
 
 const (
 	// scanInterval is the time between two scans for paused upstreams that are due.
-	scanInterval = 200 * time.Millisecond
+	scanInterval = 50 * time.Millisecond
 	// initialDelay is the time from the detection of a paused upstream to its first check.
 	// The interval doubles after each check up to maxInterval, because every check has a cost.
 	initialDelay = 400 * time.Millisecond
@@ -89,7 +89,8 @@
 		u := &snapshot.Upstreams[i]
 		path := healthPath(snapshot, u)
 		silent := !u.Down && u.Counters.SilentFor(now) >= silenceToCheck
-		if (!u.Down && !silent) || u.Draining || path == "" {
+		restarted := !u.Down && u.MayBecomeCold && u.Counters.RestartSuspected()
+		if (!u.Down && !silent && !restarted) || u.Draining || path == "" {
 			continue
 		}
 		checked[u.ID] = true
@@ -106,11 +107,15 @@
 		}
 		c.interval = min(2*c.interval, maxInterval)
 		c.due = now.Add(c.interval)
-		if silent {
-			go p.checkSilent(ctx, u, "http://"+u.Address+path)
-			continue
+		u.Counters.RecordHealthCheck(now)
+		switch url := "http://" + u.Address + path; {
+		case silent:
+			go p.checkSilent(ctx, u, url)
+		case restarted:
+			go p.checkRestarted(ctx, u, url)
+		default:
+			go p.checkUpstream(ctx, u.ID, url)
 		}
-		go p.checkUpstream(ctx, u.ID, "http://"+u.Address+path)
 	}
 	for id := range p.checks {
 		if !checked[id] {
@@ -141,6 +146,24 @@
 	}
 }
 
+// checkRestarted makes one health check of an upstream in service whose connection broke, to learn whether it
+// has started again and is cold. It is paused if it cannot be reached. One that has no room for the check has
+// not just started.
+func (p *Prober) checkRestarted(ctx context.Context, u *routing.Upstream, url string) {
+	resp, err := p.get(ctx, url)
+	if err != nil {
+		if ctx.Err() == nil {
+			p.logFailed(u.ID, err.Error())
+			u.Counters.RecordUnreachable()
+		}
+		return
+	}
+	_ = resp.Body.Close()
+	if id, coldFor := p.ParseHeader(resp.Header); id == u.ID || id == "" {
+		p.Loop.Post(ctx, control.RestartCheckedEvent{Upstream: u.ID, ColdFor: coldFor})
+	}
+}
+
 func (p *Prober) get(ctx context.Context, url string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 var errSealed = errors.New("the connection was sealed because its attempt has ended")
@@ -36,6 +37,8 @@
 	// exchanges counts the attempts that were assigned the connection, and named those whose response had
 	// the id of its request.
 	exchanges, named int
+	// lastRead is when bytes last arrived.
+	lastRead time.Time
 }
 
 // Read implements net.Conn.
@@ -44,14 +47,27 @@
 	c.received.Add(int64(n))
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if err != nil && !c.ended && c.lostWhileIdle(err) {
+		c.pool.recordLoss(c.address)
+	}
 	c.ended = c.ended || err != nil
 	if n > 0 {
+		c.lastRead = time.Now()
 		c.last = p[n-1]
 		c.start = append(c.start, p[:min(n, len(statusLineStart)-len(c.start))]...)
 	}
 	return n, err
 }
 
+// minIdleTimeout is the shortest time after which upstreams close idle connections.
+const minIdleTimeout = time.Second
+
+// lostWhileIdle reports whether a failed read means that the upstream closed the connection while it was idle,
+// sooner than upstreams close idle connections. The mutex must be held.
+func (c *conn) lostWhileIdle(err error) bool {
+	return c.users == 0 && !c.sealed && !errors.Is(err, net.ErrClosed) && time.Since(c.lastRead) < minIdleTimeout
+}
+
 // statusLineStart begins the head of each response.
 const statusLineStart = "HTTP/1."
 
@@ -138,6 +154,14 @@
 	dialer net.Dialer
 	mu     sync.Mutex
 	conns  map[string]map[*conn]struct{}
+	// onLoss is that of Relay.OnConnectionLoss; nil if it was not called.
+	onLoss atomic.Pointer[func(address string)]
+}
+
+func (p *connPool) recordLoss(address string) {
+	if f := p.onLoss.Load(); f != nil {
+		(*f)(address)
+	}
 }
 
 func newConnPool(dialer net.Dialer) *connPool {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -182,6 +182,10 @@
 	}
 }
 
+// OnConnectionLoss sets a function that is called with the host:port of an upstream that closed an idle
+// connection early, as one does that ends. It must return at once.
+func (r *Relay) OnConnectionLoss(f func(address string)) { r.pool.onLoss.Store(&f) }
+
 func newTransport(pool *connPool, idle time.Duration) *http.Transport {
 	return &http.Transport{
 		DialContext:         pool.dial,
--- /dev/null
+++ b/internal/routing/cold.go
@@ -0,0 +1,184 @@
+package routing
+
+import (
+	"sync"
+	"time"
+)
+
+// A cold upstream tolerates a number of requests in a second, over all instances. Each instance has a part of
+// it, and counts all that it sends in the period, also before it knows that the upstream is cold: an upstream
+// may become cold, or start again under its id and address, some time before its row says so.
+
+const (
+	// coldWindowLength is the window in which requests to a cold upstream are counted: one
+	// second, the unit of its limit, and the transit time of a request.
+	coldWindowLength = 1100 * time.Millisecond
+	// uncheckedLimit is how many requests an instance sends in coldWindowLength to an upstream that may
+	// have started again, until a health check tells.
+	uncheckedLimit = 1
+	// prunedSends is the number of recorded sends from which old ones are removed on each send.
+	prunedSends = 256
+)
+
+// coldWindow holds the times of recent requests to an upstream that may become cold.
+type coldWindow struct {
+	mu    sync.Mutex
+	sends []int64
+	// reserved is the number of requests that were picked and not sent yet.
+	reserved int
+	// unchecked is true if the upstream may have started again since the last health check.
+	unchecked bool
+}
+
+// used returns the number of requests that count at the given time. The mutex must be held.
+func (w *coldWindow) used(now int64) int {
+	w.prune(now)
+	return w.reserved + len(w.sends)
+}
+
+// prune removes the sends that do not count any more. The mutex must be held.
+func (w *coldWindow) prune(now int64) {
+	recent := w.sends[:0]
+	for _, at := range w.sends {
+		if now-at < int64(coldWindowLength) {
+			recent = append(recent, at)
+		}
+	}
+	w.sends = recent
+}
+
+func (w *coldWindow) add(now time.Time) {
+	if len(w.sends) >= prunedSends {
+		w.prune(now.UnixNano())
+	}
+	w.sends = append(w.sends, now.UnixNano())
+}
+
+// limited returns how many requests may be sent within coldWindowLength; ok is false if any number may. The
+// mutex must be held.
+func (w *coldWindow) limited(u *Upstream) (limit int, ok bool) {
+	switch {
+	case u.Cold && w.unchecked:
+		return min(u.ColdRateLimit, uncheckedLimit), true
+	case u.Cold:
+		return u.ColdRateLimit, true
+	default:
+		return uncheckedLimit, u.MayBecomeCold && w.unchecked
+	}
+}
+
+// allowsSend reports whether reserveSend would succeed.
+func (u *Upstream) allowsSend(now int64) bool {
+	w := u.Counters.coldSends()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	limit, limited := w.limited(u)
+	return !limited || w.used(now) < limit
+}
+
+// reserveSend reports whether one more request may go to the upstream, and reserves a place for it if so.
+func (u *Upstream) reserveSend(now int64) bool {
+	w := u.Counters.coldSends()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if limit, limited := w.limited(u); limited && w.used(now) >= limit {
+		return false
+	}
+	w.reserved++
+	return true
+}
+
+// coldSends returns the window of the upstream, which is made at the first call.
+func (c *Counters) coldSends() *coldWindow {
+	if w := c.window.Load(); w != nil {
+		return w
+	}
+	c.window.CompareAndSwap(nil, &coldWindow{})
+	return c.window.Load()
+}
+
+// Successor returns the counters for another process of the upstream under the same id. What was sent recently
+// still counts, because some of it may have reached the new process.
+func (c *Counters) Successor() *Counters {
+	next := &Counters{}
+	next.window.Store(c.coldSends())
+	return next
+}
+
+// SuspectRestart records that a connection to the upstream broke, so that it may have started again and be
+// cold. Until ClearRestartSuspicion, it gets at most uncheckedLimit requests in coldWindowLength if it is one
+// that may become cold.
+func (c *Counters) SuspectRestart() { c.setUnchecked(true) }
+
+// ClearRestartSuspicion records that a health check has told whether the upstream is cold.
+func (c *Counters) ClearRestartSuspicion() { c.setUnchecked(false) }
+
+func (c *Counters) setUnchecked(unchecked bool) {
+	w := c.coldSends()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unchecked = unchecked
+}
+
+// RestartSuspected reports whether the upstream may have started again since its last health check.
+func (c *Counters) RestartSuspected() bool {
+	w := c.coldSends()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.unchecked
+}
+
+// RecordHealthCheck counts a health check among the requests to the upstream.
+func (c *Counters) RecordHealthCheck(now time.Time) {
+	w := c.coldSends()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.add(now)
+}
+
+// ColdReservation is the place of one attempt among the requests to an upstream that is or may become
+// cold. It counts from the pick until coldWindowLength after the request was sent, however long a connection,
+// or this process, took in between. It is safe for concurrent use, and nil does nothing.
+type ColdReservation struct {
+	window *coldWindow
+	once   sync.Once
+}
+
+// ColdReservation returns the reservation that a pick made; nil if the pick reserved none.
+func (c *Counters) ColdReservation(choice Choice) *ColdReservation {
+	if !choice.ColdReserved {
+		return nil
+	}
+	return &ColdReservation{window: c.coldSends()}
+}
+
+// Sent records that the request was sent. The transport may send it more than once: the connection broke then,
+// as in SuspectRestart.
+func (r *ColdReservation) Sent(now time.Time) {
+	if r == nil {
+		return
+	}
+	r.window.mu.Lock()
+	defer r.window.mu.Unlock()
+	r.window.add(now)
+	again := true
+	r.once.Do(func() {
+		r.window.reserved--
+		again = false
+	})
+	r.window.unchecked = r.window.unchecked || again
+}
+
+// End records the end of the attempt. If it is not known that the request was sent, it counts as
+// sent now, because a part of it may have left.
+func (r *ColdReservation) End(now time.Time) {
+	if r == nil {
+		return
+	}
+	r.window.mu.Lock()
+	defer r.window.mu.Unlock()
+	r.once.Do(func() {
+		r.window.reserved--
+		r.window.add(now)
+	})
+}
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -43,9 +43,10 @@
 	// meanTokens is the moving average of the prompt tokens to compute for an attempt, as
 	// the bits of a float64.
 	meanTokens atomic.Uint64
-	coldSends  coldWindow
-	silence    silence
-	brittle    brittleness
+	// window is that of Counters.coldSends; nil before the first use.
+	window  atomic.Pointer[coldWindow]
+	silence silence
+	brittle brittleness
 	// named is the request rate that the upstream names; nil for none.
 	named atomic.Pointer[namedRate]
 	rate  rateBucket
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -39,7 +39,7 @@
 	// for the request, and QueuedTokens the number queued ahead of them.
 	PrefillTokens int64
 	QueuedTokens  int64
-	// ColdReserved is true if the pick reserved a place at a cold upstream, which the attempt must
+	// ColdReserved is true if the pick reserved a place at an upstream that is or may become cold, which the attempt must
 	// take by Counters.ColdReservation.
 	ColdReserved bool
 }
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -126,10 +126,11 @@
 	if !u.TakeRequest(r.Now) {
 		return Choice{}, noServiceUpstreamError(s, r)
 	}
-	if u.Cold && !u.Counters.reserveCold(r.Now, u.ColdRateLimit) {
+	counted := u.Cold || u.MayBecomeCold
+	if counted && !u.reserveSend(r.Now) {
 		return Choice{}, noServiceUpstreamError(s, r)
 	}
-	return Choice{Upstream: best.index, Peer: none, PrefillTokens: best.tokens, QueuedTokens: best.queued, ColdReserved: u.Cold}, nil
+	return Choice{Upstream: best.index, Peer: none, PrefillTokens: best.tokens, QueuedTokens: best.queued, ColdReserved: counted}, nil
 }
 
 const (
@@ -264,7 +265,7 @@
 	if !allowsUpstream(u, r) || u.Evacuated || u.Counters.Stalled(r.Now, stallTimeout) {
 		return false
 	}
-	if u.Cold && !u.Counters.coldSendAllowed(r.Now, u.ColdRateLimit) {
+	if (u.Cold || u.MayBecomeCold) && !u.allowsSend(r.Now) {
 		return false
 	}
 	return u.hasRoom(r.Now) && u.untilRateAllows(r.Now) == 0 && split.allows(r.ID, u.Version)
--- a/internal/routing/service_test.go
+++ b/internal/routing/service_test.go
@@ -236,12 +236,12 @@
 // Guards against a cold upstream that gets more requests in any second than this instance's
 // share of its limit.
 func TestTakeColdBoundsEachSecond(t *testing.T) {
-	var c Counters
+	u := &Upstream{Cold: true, ColdRateLimit: 2, Counters: &Counters{}}
 	var taken []time.Time
 	for ms := 0; ms < 5000; ms += 10 {
 		now := testNow.Add(time.Duration(ms) * time.Millisecond)
-		if c.reserveCold(now.UnixNano(), 2) {
-			c.ColdReservation(Choice{ColdReserved: true}).Sent(now)
+		if u.reserveSend(now.UnixNano()) {
+			u.Counters.ColdReservation(Choice{ColdReserved: true}).Sent(now)
 			taken = append(taken, now)
 		}
 	}
@@ -258,13 +258,13 @@
 // Guards against a cold upstream that gets two seconds' worth of requests at once because the first
 // of them were held up on their way.
 func TestColdSendsCountFromTheTimeTheyAreSent(t *testing.T) {
-	var c Counters
+	u := &Upstream{Cold: true, ColdRateLimit: 2, Counters: &Counters{}}
 	at := func(ms int) time.Time { return testNow.Add(time.Duration(ms) * time.Millisecond) }
 	reserve := func(ms int) *ColdReservation {
-		if !c.reserveCold(at(ms).UnixNano(), 2) {
+		if !u.reserveSend(at(ms).UnixNano()) {
 			return nil
 		}
-		return c.ColdReservation(Choice{ColdReserved: true})
+		return u.Counters.ColdReservation(Choice{ColdReserved: true})
 	}
 	first, second := reserve(0), reserve(0)
 	if reserve(1500) != nil {
--- a/internal/routing/servicecounters.go
+++ b/internal/routing/servicecounters.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sync"
 	"time"
 
 	"heatherloom/internal/external"
@@ -15,9 +14,6 @@
 	// maxReportAge is the age up to which a load report is used. Upstreams report with each
 	// response, so an older report precedes a period without traffic.
 	maxReportAge = time.Second
-	// coldWindowLength is the window in which requests to a cold upstream are counted: one
-	// second, the unit of its limit, and the transit time of a request.
-	coldWindowLength = 1100 * time.Millisecond
 )
 
 // loadReport is the load that an upstream reported with a response.
@@ -90,85 +86,3 @@
 // MeanPrefillTokens returns the moving average of the prompt tokens to compute for an
 // attempt of this instance, which serves as the estimate for requests of other instances.
 func (c *Counters) MeanPrefillTokens() float64 { return math.Float64frombits(c.meanTokens.Load()) }
-
-// coldWindow holds the times of recent requests to a cold upstream.
-type coldWindow struct {
-	mu    sync.Mutex
-	sends []int64
-	// reserved is the number of requests that were picked and not sent yet.
-	reserved int
-}
-
-// used returns the number of requests that count at the given time. The mutex must be held.
-func (w *coldWindow) used(now int64) int {
-	recent := w.sends[:0]
-	for _, at := range w.sends {
-		if now-at < int64(coldWindowLength) {
-			recent = append(recent, at)
-		}
-	}
-	w.sends = recent
-	return w.reserved + len(recent)
-}
-
-// coldSendAllowed reports whether reserveCold would succeed.
-func (c *Counters) coldSendAllowed(now int64, limit int) bool {
-	w := &c.coldSends
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.used(now) < limit
-}
-
-// reserveCold reports whether one more request may go to the cold upstream, and reserves a place
-// for it if so. At most limit requests are reserved or were sent within coldWindowLength.
-func (c *Counters) reserveCold(now int64, limit int) bool {
-	w := &c.coldSends
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.used(now) >= limit {
-		return false
-	}
-	w.reserved++
-	return true
-}
-
-// ColdReservation is the place of one attempt among the requests to a cold upstream. It counts from
-// the pick until coldWindowLength after the request was sent, however long a connection, or this
-// process, took in between. It is safe for concurrent use, and nil does nothing.
-type ColdReservation struct {
-	window *coldWindow
-	once   sync.Once
-}
-
-// ColdReservation returns the reservation that a pick made; nil if the pick reserved none.
-func (c *Counters) ColdReservation(choice Choice) *ColdReservation {
-	if !choice.ColdReserved {
-		return nil
-	}
-	return &ColdReservation{window: &c.coldSends}
-}
-
-// Sent records that the request was sent. The transport may send it more than once.
-func (r *ColdReservation) Sent(now time.Time) {
-	if r == nil {
-		return
-	}
-	r.window.mu.Lock()
-	defer r.window.mu.Unlock()
-	r.window.sends = append(r.window.sends, now.UnixNano())
-	r.once.Do(func() { r.window.reserved-- })
-}
-
-// End records the end of the attempt. If it is not known that the request was sent, it counts as
-// sent now, because a part of it may have left.
-func (r *ColdReservation) End(now time.Time) {
-	if r == nil {
-		return
-	}
-	r.window.mu.Lock()
-	defer r.window.mu.Unlock()
-	r.once.Do(func() {
-		r.window.reserved--
-		r.window.sends = append(r.window.sends, now.UnixNano())
-	})
-}
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -54,6 +54,8 @@
 	// Cold upstreams get at most ColdRateLimit requests a second from this instance.
 	Cold          bool
 	ColdRateLimit int
+	// MayBecomeCold is true for the upstreams of services that are cold after a start.
+	MayBecomeCold bool
 	// Brittle upstreams end if they have to turn away many requests. Places is this instance's part
 	// of the requests that the upstream runs at once, of which PlaceSharers instances have one.
 	Brittle      bool
