--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -132,10 +132,10 @@
 	row.counters.ClearRestartSuspicion()
 }
 
-// mayBecomeCold reports whether upstreams of the service are cold after a start.
+// mayBecomeCold reports whether the upstream is cold after a start, which health checks can tell.
 func (t *tables) mayBecomeCold(row *upstreamRow) bool {
 	service := t.config.Services[row.instance.Service]
-	return service.ColdFor > 0 && service.ColdRateLimit > 0
+	return service.ColdFor > 0 && service.ColdRateLimit > 0 && service.HealthPath != ""
 }
 
 func evacuated(t *tables, row *upstreamRow) bool {
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -69,6 +69,8 @@
 	paused bool
 	// coldUntil is the time until which the upstream can handle only few requests.
 	coldUntil time.Time
+	// wasCold is true if the upstream was cold at the last tick.
+	wasCold bool
 	// keptUntil is until when the row is kept while it is not listed.
 	keptUntil time.Time
 	// pauses counts the pauses since the last successful request.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -474,11 +474,16 @@
 	return result
 }
 
-// RecordConnectionLoss records that the upstream at an address closed an idle connection early.
-func (d *Dispatcher) RecordConnectionLoss(address string) {
+// minIdleTimeout is the shortest time after which upstreams close idle connections.
+const minIdleTimeout = time.Second
+
+// RecordIdleClose records that the upstream at an address closed a connection that was idle for a time. It may
+// have ended if that is sooner than upstreams close them. A cold one may have started again in any case: it gets
+// so few requests that most connections are idle for long.
+func (d *Dispatcher) RecordIdleClose(address string, idle time.Duration) {
 	snapshot := d.Snapshot()
 	for i := range snapshot.Upstreams {
-		if u := &snapshot.Upstreams[i]; u.Address == address {
+		if u := &snapshot.Upstreams[i]; u.Address == address && (u.Cold || idle < minIdleTimeout) {
 			u.Counters.SuspectRestart()
 		}
 	}
--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -135,7 +135,7 @@
 		Timeline:             n.timeline,
 		Metrics:              metrics,
 	}
-	d.Relay.OnConnectionLoss(d.RecordConnectionLoss)
+	d.Relay.OnIdleClose(d.RecordIdleClose)
 	return d
 }
 
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -47,8 +47,8 @@
 	c.received.Add(int64(n))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err != nil && !c.ended && c.lostWhileIdle(err) {
-		c.pool.recordLoss(c.address)
+	if err != nil && !c.ended && c.closedWhileIdle(err) {
+		c.pool.recordIdleClose(c.address, time.Since(c.lastRead))
 	}
 	c.ended = c.ended || err != nil
 	if n > 0 {
@@ -59,13 +59,10 @@
 	return n, err
 }
 
-// minIdleTimeout is the shortest time after which upstreams close idle connections.
-const minIdleTimeout = time.Second
-
-// lostWhileIdle reports whether a failed read means that the upstream closed the connection while it was idle,
-// sooner than upstreams close idle connections. The mutex must be held.
-func (c *conn) lostWhileIdle(err error) bool {
-	return c.users == 0 && !c.sealed && !errors.Is(err, net.ErrClosed) && time.Since(c.lastRead) < minIdleTimeout
+// closedWhileIdle reports whether a failed read means that the upstream closed the connection while it was
+// idle. The mutex must be held.
+func (c *conn) closedWhileIdle(err error) bool {
+	return c.users == 0 && !c.sealed && !errors.Is(err, net.ErrClosed)
 }
 
 // statusLineStart begins the head of each response.
@@ -154,13 +151,13 @@
 	dialer net.Dialer
 	mu     sync.Mutex
 	conns  map[string]map[*conn]struct{}
-	// onLoss is that of Relay.OnConnectionLoss; nil if it was not called.
-	onLoss atomic.Pointer[func(address string)]
+	// onIdleClose is that of Relay.OnIdleClose; nil if it was not called.
+	onIdleClose atomic.Pointer[func(address string, idle time.Duration)]
 }
 
-func (p *connPool) recordLoss(address string) {
-	if f := p.onLoss.Load(); f != nil {
-		(*f)(address)
+func (p *connPool) recordIdleClose(address string, idle time.Duration) {
+	if f := p.onIdleClose.Load(); f != nil {
+		(*f)(address, idle)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -182,9 +182,11 @@
 	}
 }
 
-// OnConnectionLoss sets a function that is called with the host:port of an upstream that closed an idle
-// connection early, as one does that ends. It must return at once.
-func (r *Relay) OnConnectionLoss(f func(address string)) { r.pool.onLoss.Store(&f) }
+// OnIdleClose sets a function that is called when an upstream closes an idle connection, with the host:port of
+// the upstream and the time since it last sent something there. It must return at once.
+func (r *Relay) OnIdleClose(f func(address string, idle time.Duration)) {
+	r.pool.onIdleClose.Store(&f)
+}
 
 func newTransport(pool *connPool, idle time.Duration) *http.Transport {
 	return &http.Transport{
