Do not pause a busy upstream because its connection broke

An upstream whose connection broke was paused when the health check that tells whether it has started again got no response in 0.5 s. A busy one answers late, because the check waits for a place like any request, so that callers could be rejected although it served others.

Only an upstream to which no connection is established is paused now. One that accepts the connection and is too busy to answer has not just started, and is used as before.

--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -147,15 +148,20 @@
 }
 
 // checkRestarted makes one health check of an upstream in service whose connection broke, to learn whether it
-// has started again and is cold. It is paused if it cannot be reached. One that has no room for the check has
-// not just started.
+// has started again and is cold. It is paused if no connection is established. One that is too busy for the
+// check has not just started.
 func (p *Prober) checkRestarted(ctx context.Context, u *routing.Upstream, url string) {
 	resp, err := p.get(ctx, url)
-	if err != nil {
-		if ctx.Err() == nil {
-			p.logFailed(u.ID, err.Error())
-			u.Counters.RecordUnreachable()
-		}
+	var operation *net.OpError
+	switch {
+	case ctx.Err() != nil:
+		return
+	case errors.As(err, &operation) && operation.Op == "dial":
+		p.logFailed(u.ID, err.Error())
+		u.Counters.RecordUnreachable()
+		return
+	case err != nil:
+		p.Loop.Post(ctx, control.RestartCheckedEvent{Upstream: u.ID})
 		return
 	}
 	_ = resp.Body.Close()
