--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -503,6 +503,8 @@
 		return "silent"
 	case u.Cold:
 		return "cold"
+	case u.MayBecomeCold && u.Counters.RestartSuspected():
+		return "waiting for a health check after a lost connection"
 	case !s.ServiceSplits[r.Target].allows(r.ID, u.Version):
 		return "of another version"
 	case !u.hasRoom(r.Now):
