Give upstreams that may have started again their part of the cold limit

A read whose response was lost got 502 although another upstream had room: each of two upstreams had lost a connection, and each may get one request until its health check, however much of its limit was left.

Such an upstream now gets what a cold one gets: this instance's part of the limit, at least one request. What was sent in the last 1.1 s counts, as before.

--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -132,7 +132,7 @@
 			Evacuated:      evacuated(t, row),
 			Cold:           cold,
 			ColdUntil:      row.coldUntil,
-			ColdRateLimit:  budget.coldRequests(row, cold),
+			ColdRateLimit:  budget.coldLimit(row, cold),
 			MayBecomeCold:  t.mayBecomeCold(row),
 			Brittle:        isBrittle,
 			Places:         places,
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -181,7 +181,7 @@
 	}
 	c.findInstances()
 	t := c.tables
-	limit := math.Floor(t.config.Services[row.instance.Service].ColdRateLimit*t.identity.ColdExcess + t.identity.ColdSlack)
+	limit := c.totalColdLimit(row)
 	if part := math.Floor(limit / float64(len(c.instances))); part >= 1 {
 		return int(part)
 	}
@@ -233,6 +233,25 @@
 	return part, sharers
 }
 
+// coldLimit returns how many requests per second this instance may send to an upstream that is cold, or that may
+// have started again; 0 if the upstream is neither cold nor may become so.
+func (c *regionBudget) coldLimit(row *upstreamRow, cold bool) int {
+	if cold {
+		return c.coldRequests(row, true)
+	}
+	if !c.tables.mayBecomeCold(row) {
+		return 0
+	}
+	c.findInstances()
+	return max(int(c.totalColdLimit(row))/len(c.instances), 1)
+}
+
+// totalColdLimit returns how many requests per second all instances may send to a cold upstream.
+func (c *regionBudget) totalColdLimit(row *upstreamRow) float64 {
+	t := c.tables
+	return math.Floor(t.config.Services[row.instance.Service].ColdRateLimit*t.identity.ColdExcess + t.identity.ColdSlack)
+}
+
 func (c *regionBudget) findInstances() {
 	if c.instances == nil {
 		c.instances = regionInstances(c.tables)
--- a/internal/routing/cold.go
+++ b/internal/routing/cold.go
@@ -13,9 +13,6 @@
 	// coldWindowLength is the window in which requests to a cold upstream are counted: one
 	// second, the unit of its limit, and the transit time of a request.
 	coldWindowLength = 1100 * time.Millisecond
-	// uncheckedLimit is how many requests an instance sends in coldWindowLength to an upstream that may
-	// have started again, until a health check tells.
-	uncheckedLimit = 1
 	// prunedSends is the number of recorded sends from which old ones are removed on each send.
 	prunedSends = 256
 )
@@ -57,14 +54,7 @@
 // limited returns how many requests may be sent within coldWindowLength; ok is false if any number may. The
 // mutex must be held.
 func (w *coldWindow) limited(u *Upstream) (limit int, ok bool) {
-	switch {
-	case u.Cold && w.unchecked:
-		return min(u.ColdRateLimit, uncheckedLimit), true
-	case u.Cold:
-		return u.ColdRateLimit, true
-	default:
-		return uncheckedLimit, u.MayBecomeCold && w.unchecked
-	}
+	return u.ColdRateLimit, u.Cold || (u.MayBecomeCold && w.unchecked)
 }
 
 // allowsSend reports whether reserveSend would succeed.
@@ -106,7 +96,7 @@
 }
 
 // SuspectRestart records that a connection to the upstream broke, so that it may have started again and be
-// cold. Until ClearRestartSuspicion, it gets at most uncheckedLimit requests in coldWindowLength if it is one
+// cold. Until ClearRestartSuspicion, it gets at most ColdRateLimit requests in coldWindowLength if it is one
 // that may become cold.
 func (c *Counters) SuspectRestart() { c.setUnchecked(true) }
 
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -51,7 +51,8 @@
 	CachesPrompts bool
 	// Evacuated upstreams are in a failure domain that must get no requests.
 	Evacuated bool
-	// Cold upstreams get at most ColdRateLimit requests a second from this instance.
+	// Cold upstreams, and those that may have started again, get at most ColdRateLimit requests a second
+	// from this instance.
 	Cold          bool
 	ColdRateLimit int
 	// MayBecomeCold is true for the upstreams of services that are cold after a start.
