Log and count what a drain meant for requests

Operators saw one line for a complete and an interrupted drain, and nothing said how many requests were rejected or left unanswered, so that hypotheses on lost requests in planned stops could not be told apart. The line event=stopped now states whether the drain was complete, how long each phase took, and the numbers of rejected and unanswered requests, which are metrics as well. No logic changes.

--- a/cmd/heatherloom/serve.go
+++ b/cmd/heatherloom/serve.go
@@ -48,7 +48,7 @@
 		telemetry.FieldOperator: n.OperatorAddress,
 	}).Info("entry instance started")
 	err = serveUntilDrained(n, s.Shutdown.Timeout)
-	log.WithFields(logrus.Fields{telemetry.FieldEvent: "stopped", telemetry.FieldInstance: s.Instance.ID}).Info("entry instance stopped, after a complete or an interrupted drain")
+	n.LogStop(log, err)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "heatherloom:", err)
 		return exitFailure
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -37,8 +37,20 @@
 	RequestedAt time.Time
 	// RejectsAt is the end of the announced phase; zero before Run is called.
 	RejectsAt time.Time
+	// RejectedAt and DrainedAt are the starts of the phases Rejecting and Drained; zero before.
+	RejectedAt, DrainedAt time.Time
 	// InFlight is the number of running requests.
 	InFlight int
+	// Counts are the requests that the drain affected so far.
+	Counts Counts
+}
+
+// Counts are numbers of requests that a drain affected, by what their callers saw.
+type Counts struct {
+	// Rejected requests were not admitted.
+	Rejected int
+	// Unanswered requests still ran when the drain no longer waited for them.
+	Unanswered int
 }
 
 // Controller counts the running requests and rejects new ones during a drain. It is safe for
@@ -74,6 +86,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.progress.Phase == Rejecting || c.progress.Phase == Drained {
+		c.progress.Counts.Rejected++
 		return errkind.New(errkind.Draining, "this instance is draining; use another instance listed by GET /v1/entries")
 	}
 	c.progress.InFlight++
@@ -137,6 +150,9 @@
 	}
 	c.setPhase(Rejecting)
 	if err := waitFor(ctx, c.idle); err != nil {
+		c.mu.Lock()
+		c.progress.Counts.Unanswered = c.progress.InFlight
+		c.mu.Unlock()
 		return err
 	}
 	c.setPhase(Drained)
@@ -155,6 +171,12 @@
 func (c *Controller) setPhase(p Phase) {
 	c.mu.Lock()
 	c.progress.Phase = p
+	switch p {
+	case Rejecting:
+		c.progress.RejectedAt = time.Now()
+	case Drained:
+		c.progress.DrainedAt = time.Now()
+	}
 	c.closeIfIdle()
 	c.mu.Unlock()
 	c.notifyPhase()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,7 @@
 	PeerAddress     string
 	OperatorAddress string
 
+	id          string
 	loop        *control.Loop
 	dispatcher  *dispatch.Dispatcher
 	lease       *lease.Holder
@@ -168,6 +169,7 @@
 // startOn starts an entry instance on open listeners, which it closes on failure.
 func startOn(l listeners, s settings.Settings, log *logrus.Logger, o Options) (*Node, error) {
 	n := &Node{
+		id:              s.Instance.ID,
 		CallerAddress:   l.caller.Addr().String(),
 		PeerAddress:     l.peer.Addr().String(),
 		OperatorAddress: l.operator.Addr().String(),
@@ -316,6 +318,7 @@
 		ConfigAge:      func() float64 { return n.loop.Snapshot().ConfigAge.Seconds() },
 		Peers:          func() float64 { return float64(len(n.loop.Snapshot().Peers)) },
 		Quarantined:    func() float64 { return float64(len(n.loop.Snapshot().Quarantined)) },
+		Drain:          n.drainOutcomes(),
 	})
 }
 
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -34,6 +34,46 @@
 	slotReleaseTimeout = 2 * time.Second
 )
 
+// LogStop logs the end of the instance: how long it took, and what the drain meant for requests.
+// err is what Drain or Shutdown returned.
+func (n *Node) LogStop(log *logrus.Logger, err error) {
+	p := n.drain.Progress()
+	entry := log.WithFields(logrus.Fields{
+		telemetry.FieldEvent:       "stopped",
+		telemetry.FieldInstance:    n.id,
+		telemetry.FieldComplete:    err == nil && p.Counts.Unanswered == 0,
+		telemetry.FieldMillis:      time.Since(p.RequestedAt).Milliseconds(),
+		telemetry.FieldRejected:    p.Counts.Rejected,
+		telemetry.FieldUnanswered:  p.Counts.Unanswered,
+		telemetry.FieldAnnouncedMS: millisUntil(p.RejectedAt, p),
+		telemetry.FieldDrainedMS:   millisUntil(p.DrainedAt, p),
+	})
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("entry instance stopped")
+}
+
+// millisUntil returns the time from the request of a drain to the start of a phase; 0 if the drain
+// did not reach it.
+func millisUntil(start time.Time, p drain.Progress) int64 {
+	if start.IsZero() {
+		return 0
+	}
+	return start.Sub(p.RequestedAt).Milliseconds()
+}
+
+// drainOutcomes returns the sources of the metric of requests that the drain affected.
+func (n *Node) drainOutcomes() map[string]func() float64 {
+	count := func(read func(drain.Counts) int) func() float64 {
+		return func() float64 { return float64(read(n.drain.Progress().Counts)) }
+	}
+	return map[string]func() float64{
+		telemetry.FieldRejected:   count(func(c drain.Counts) int { return c.Rejected }),
+		telemetry.FieldUnanswered: count(func(c drain.Counts) int { return c.Unanswered }),
+	}
+}
+
 // onDrainPhase handles a change of the drain phase: it announces the drain to the peers,
 // logs the phase and records it in the timeline.
 func (n *Node) onDrainPhase(p drain.Progress, log *logrus.Entry) {
--- a/internal/telemetry/fields.go
+++ b/internal/telemetry/fields.go
@@ -42,4 +42,9 @@
 	FieldFingerprint       = "fingerprint"
 	FieldContent           = "content"
 	FieldSuspects          = "suspects"
+	FieldComplete          = "complete"
+	FieldRejected          = "rejected"
+	FieldUnanswered        = "unanswered"
+	FieldAnnouncedMS       = "announced_ms"
+	FieldDrainedMS         = "drained_ms"
 )
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -60,6 +60,8 @@
 	Peers func() float64
 	// Quarantined returns the number of quarantined requests.
 	Quarantined func() float64
+	// Drain holds functions that return how many requests a drain affected, by outcome.
+	Drain map[string]func() float64
 }
 
 // Metrics holds the metrics of one instance. A nil *Metrics records nothing.
@@ -113,6 +115,7 @@
 	m.registry.MustRegister(m.requests, m.firstToken, m.duration, m.attempts, m.retries, m.forwards, m.crashes, m.tick,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerGauges(s)
+	m.registerDrain(s)
 	m.registerInvariants()
 	return m
 }
@@ -142,6 +145,15 @@
 	gauge("quarantined_requests", "Fingerprints of requests, their contents and prompt parts that are rejected because upstreams crashed under them.", s.Quarantined)
 }
 
+func (m *Metrics) registerDrain(s Sources) {
+	for outcome, read := range s.Drain {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "drain_requests_total", Help: "Requests that the drain of this instance rejected, interrupted or left unanswered.",
+			ConstLabels: prometheus.Labels{"outcome": outcome},
+		}, read))
+	}
+}
+
 func (m *Metrics) registerInvariants() {
 	for _, name := range invariant.Names() {
 		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
