Answer the requests that still run when the time of a drain ends

Callers of an instance that was stopped saw requests end with EOF when the grace time was over: reads, writes, uploads and streams alike, whether or not an upstream had run them, and the stop took the whole time.

The drain waited for running requests as long as the platform lets the process live, so that its own limit and the platform's kill came at the same moment, and the end of that limit closed the process without telling anyone. Now an eighth of the time (4 s at most) is kept: then all running requests, forwards from peers included, are interrupted through the context of their server. Uploads and waits for a rate end too. A write keeps ignoring its caller's disconnect.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -14,6 +15,7 @@
 	"time"
 
 	"heatherloom/internal/clock"
+	"heatherloom/internal/drain"
 	"heatherloom/internal/errkind"
 	"heatherloom/internal/promptprefix"
 	"heatherloom/internal/quarantine"
@@ -157,13 +159,15 @@
 // truncated and the calling code must mark it as incomplete.
 //
 // Canceling ctx does not abort a write in progress, since its outcome would become
-// unknown; only its deadline does.
+// unknown; only its deadline and the cause drain.ErrInterrupted do.
 func (d *Dispatcher) Dispatch(ctx context.Context, r *Request, sink Sink) *errkind.Error {
 	if ctx.Err() != nil {
-		return relay.CallerDisconnected(context.Cause(ctx), errkind.NotExecuted, false).Err
+		return relay.RequestCanceled(ctx, context.Cause(ctx), errkind.NotExecuted, false).Err
 	}
 	if !r.Repeatable && (r.RouteParams == nil || !r.Stream) {
-		ctx = context.WithoutCancel(ctx)
+		detached, cancel := withoutCallerCancel(ctx)
+		defer cancel()
+		ctx = detached
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
@@ -181,6 +185,21 @@
 	return d.attemptWithRetries(ctx, r, sink)
 }
 
+// withoutCallerCancel returns a context that ends with ctx only if the cause is
+// drain.ErrInterrupted.
+func withoutCallerCancel(ctx context.Context) (context.Context, context.CancelFunc) {
+	detached, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if cause := context.Cause(ctx); errors.Is(cause, drain.ErrInterrupted) {
+			cancel(cause)
+		}
+	})
+	return detached, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // rejectEarly rejects requests that are quarantined or cannot meet their deadline.
 func (d *Dispatcher) rejectEarly(r *Request) *errkind.Error {
 	now := clock.Now()
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -1,13 +1,15 @@
-// Package drain takes an instance out of service without interrupting a request.
+// Package drain takes an instance out of service without leaving a request unanswered.
 //
 // A drain has three phases. While it is announced, the instance still serves requests
-// from callers with an older response of GET /v1/entries. Then it rejects new requests
-// and waits for the running ones. When none is left, the drain is done and the listeners
-// can be closed.
+// from callers with an older response of GET /v1/entries. Then it rejects new requests and
+// waits for the running ones. Those that are left when the time of the drain is over are
+// interrupted, so that each of them still gets a response. When none is left, the drain is
+// done and the listeners can be closed.
 package drain
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -24,10 +26,15 @@
 	Announced Phase = "announced"
 	// Rejecting means that new requests are rejected while admitted ones are finished.
 	Rejecting Phase = "refusing"
-	// Drained means that no request is running and new ones are rejected.
+	// Drained means that no request is running, or that the drain no longer waits for those
+	// that are, and new ones are rejected.
 	Drained Phase = "done"
 )
 
+// ErrInterrupted is the cause with which Controller.Context ends, and the result of a drain
+// whose time was over before all requests had ended.
+var ErrInterrupted = errors.New("the instance stops and interrupts its running requests")
+
 // Progress describes a drain.
 type Progress struct {
 	Phase Phase
@@ -37,6 +44,8 @@
 	RequestedAt time.Time
 	// RejectsAt is the end of the announced phase; zero before Run is called.
 	RejectsAt time.Time
+	// InterruptsAt is the time at which running requests are interrupted; zero for never.
+	InterruptsAt time.Time
 	// RejectedAt and DrainedAt are the starts of the phases Rejecting and Drained; zero before.
 	RejectedAt, DrainedAt time.Time
 	// InFlight is the number of running requests.
@@ -49,17 +58,38 @@
 type Counts struct {
 	// Rejected requests were not admitted.
 	Rejected int
+	// NotExecuted and ExecutionUnknown were interrupted and answered: no upstream executed the
+	// former, and one may have executed the latter.
+	NotExecuted, ExecutionUnknown int
+	// Cut requests were interrupted after their response had begun.
+	Cut int
 	// Unanswered requests still ran when the drain no longer waited for them.
 	Unanswered int
 }
 
+// Interrupted returns the number of requests that were interrupted and have ended.
+func (c Counts) Interrupted() int { return c.NotExecuted + c.ExecutionUnknown + c.Cut }
+
+// Schedule is the timing of a drain, counted from the call of Run.
+type Schedule struct {
+	// Announced is the duration of the phase Announced.
+	Announced time.Duration
+	// Interrupt is the time at which running requests are interrupted; 0 for never.
+	Interrupt time.Duration
+	// Respond is how long interrupted requests get to write their responses.
+	Respond time.Duration
+}
+
 // Controller counts the running requests and rejects new ones during a drain. It is safe for
-// concurrent use. Acquire and Release of a nil *Controller admit every request.
+// concurrent use. A nil *Controller admits every request.
 type Controller struct {
 	// OnPhaseChange is called after each change of the phase; may be nil. It must be set
 	// before the Controller is used.
 	OnPhaseChange func(Progress)
 
+	context context.Context
+	cancel  context.CancelCauseFunc
+
 	mu        sync.Mutex
 	progress  Progress
 	requested chan struct{}
@@ -70,15 +100,21 @@
 
 // NewController returns a Controller in the phase Serving.
 func NewController() *Controller {
-	return &Controller{
+	c := &Controller{
 		progress:  Progress{Phase: Serving},
 		requested: make(chan struct{}),
 		idle:      make(chan struct{}),
 	}
+	c.context, c.cancel = context.WithCancelCause(context.Background())
+	return c
 }
 
+// Context returns the context of all requests. It ends with the cause ErrInterrupted when the
+// requests that still run are interrupted.
+func (c *Controller) Context() context.Context { return c.context }
+
 // Acquire admits a request; Release must be called when the request ends. It returns an error
-// of kind Draining if the instance rejects new requests.
+// of kind Draining if the instance rejects the request.
 func (c *Controller) Acquire() *errkind.Error {
 	if c == nil {
 		return nil
@@ -93,6 +129,23 @@
 	return nil
 }
 
+// CountInterrupted counts an interrupted request. cut is true if its response had begun.
+func (c *Controller) CountInterrupted(execution errkind.Execution, cut bool) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch counts := &c.progress.Counts; {
+	case cut:
+		counts.Cut++
+	case execution == errkind.NotExecuted:
+		counts.NotExecuted++
+	default:
+		counts.ExecutionUnknown++
+	}
+}
+
 // Release marks the end of a request that Acquire admitted.
 func (c *Controller) Release() {
 	if c == nil {
@@ -128,6 +181,9 @@
 // DrainRequested returns a channel that is closed once a drain is requested.
 func (c *Controller) DrainRequested() <-chan struct{} { return c.requested }
 
+// Draining reports whether a drain was requested.
+func (c *Controller) Draining() bool { return c.Progress().Phase != Serving }
+
 // Progress returns the state of the drain.
 func (c *Controller) Progress() Progress {
 	if c == nil {
@@ -138,34 +194,76 @@
 	return c.progress
 }
 
+// Interrupt interrupts the running requests; a drain under way then ends early.
+func (c *Controller) Interrupt() { c.cancel(ErrInterrupted) }
+
 // Run performs the drain after RequestDrain: it waits for the announced period, in which
 // requests are still admitted, then rejects new requests and waits until none is running. It
-// returns the error of ctx if ctx is done first.
-func (c *Controller) Run(ctx context.Context, announced time.Duration) error {
-	c.mu.Lock()
-	c.progress.RejectsAt = time.Now().Add(announced)
-	c.mu.Unlock()
-	if err := waitFor(ctx, time.After(announced)); err != nil {
+// returns ErrInterrupted if it had to interrupt requests, and the error of ctx if ctx is done
+// first.
+func (c *Controller) Run(ctx context.Context, s Schedule) error {
+	if s.Interrupt > 0 {
+		timer := time.AfterFunc(s.Interrupt, c.Interrupt)
+		defer timer.Stop()
+	}
+	c.schedule(s)
+	if err := c.waitAnnounced(ctx, s.Announced); err != nil {
 		return err
 	}
 	c.setPhase(Rejecting)
-	if err := waitFor(ctx, c.idle); err != nil {
-		c.mu.Lock()
-		c.progress.Counts.Unanswered = c.progress.InFlight
-		c.mu.Unlock()
-		return err
+	result := c.waitIdle(ctx, s.Respond)
+	if result == nil || errors.Is(result, ErrInterrupted) {
+		c.setPhase(Drained)
+	}
+	return result
+}
+
+func (c *Controller) schedule(s Schedule) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.progress.RejectsAt = now.Add(s.Announced)
+	if s.Interrupt > 0 {
+		c.progress.InterruptsAt = now.Add(s.Interrupt)
+	}
+}
+
+// waitAnnounced waits for the end of the phase Announced.
+func (c *Controller) waitAnnounced(ctx context.Context, announced time.Duration) error {
+	select {
+	case <-time.After(announced):
+	case <-c.context.Done():
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	c.setPhase(Drained)
 	return nil
 }
 
-func waitFor[T any](ctx context.Context, done <-chan T) error {
+// waitIdle waits until no request runs, after an interrupt for the given time at most.
+func (c *Controller) waitIdle(ctx context.Context, respond time.Duration) error {
 	select {
-	case <-done:
+	case <-c.idle:
 		return nil
+	case <-c.context.Done():
+	case <-ctx.Done():
+		c.countUnanswered()
+		return ctx.Err()
+	}
+	select {
+	case <-c.idle:
+	case <-time.After(respond):
+		c.countUnanswered()
 	case <-ctx.Done():
+		c.countUnanswered()
 		return ctx.Err()
 	}
+	return ErrInterrupted
+}
+
+func (c *Controller) countUnanswered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.progress.Counts.Unanswered = c.progress.InFlight
 }
 
 func (c *Controller) setPhase(p Phase) {
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -33,7 +33,7 @@
 		c.Release()
 
 		done := make(chan error, 1)
-		go func() { done <- c.Run(context.Background(), 20*time.Millisecond) }()
+		go func() { done <- c.Run(context.Background(), Schedule{Announced: 20 * time.Millisecond}) }()
 		Eventually(func() Phase { return c.Progress().Phase }).Should(Equal(Rejecting))
 		err := c.Acquire()
 		Expect(err.Kind).To(Equal(errkind.Draining))
@@ -60,7 +60,7 @@
 			})
 		}
 		c.RequestDrain("test")
-		Expect(c.Run(context.Background(), 10*time.Millisecond)).To(Succeed())
+		Expect(c.Run(context.Background(), Schedule{Announced: 10 * time.Millisecond})).To(Succeed())
 		Expect(running.Load()).To(BeZero())
 		wg.Wait()
 		Expect(c.Progress().InFlight).To(BeZero())
@@ -73,6 +73,6 @@
 		c.RequestDrain("test")
 		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
 		defer cancel()
-		Expect(c.Run(ctx, 0)).To(MatchError(context.DeadlineExceeded))
+		Expect(c.Run(ctx, Schedule{})).To(MatchError(context.DeadlineExceeded))
 	})
 })
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -110,7 +110,15 @@
 	if c.snapshot.Draining {
 		w.Header().Set("Connection", "close")
 	}
-	err := s.serve(c)
+	err := s.resolveRoute(c)
+	if err == nil {
+		err = s.Drain.Acquire()
+	}
+	if err == nil {
+		// The drain waits until the response is written.
+		defer s.Drain.Release()
+		err = s.serveAdmitted(c)
+	}
 	s.Metrics.RecordRequest(err, telemetry.ClassNone, s.Now().Sub(c.started))
 	s.logCall(c, err)
 	if err != nil {
@@ -118,14 +126,21 @@
 	}
 }
 
-func (s *hostServer) serve(c *hostCall) *errkind.Error {
-	if err := s.resolveRoute(c); err != nil {
-		return err
-	}
-	if err := s.Drain.Acquire(); err != nil {
-		return err
+// serveAdmitted serves a request that the drain controller has admitted.
+func (s *hostServer) serveAdmitted(c *hostCall) *errkind.Error {
+	err := s.serve(c)
+	if err != nil && interrupted(c.r.Context()) {
+		s.Drain.CountInterrupted(err.Execution, c.sink.started)
 	}
-	defer s.Drain.Release()
+	return err
+}
+
+// interrupted reports whether a drain interrupted the request with this context.
+func interrupted(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), drain.ErrInterrupted)
+}
+
+func (s *hostServer) serve(c *hostCall) *errkind.Error {
 	if err := s.readBody(c); err != nil {
 		return err
 	}
@@ -201,13 +216,18 @@
 		limit = defaultHostBodyBytes
 	}
 	_ = c.sink.control.SetReadDeadline(time.Now().Add(hostBodyTimeout))
+	stop := context.AfterFunc(c.r.Context(), func() { _ = c.sink.control.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
 	// A read deadline left set would cancel the request context when it expires.
-	_ = c.sink.control.SetReadDeadline(time.Time{})
+	if stop() {
+		_ = c.sink.control.SetReadDeadline(time.Time{})
+	}
 	var maxBytesErr *http.MaxBytesError
 	switch {
 	case errors.As(err, &maxBytesErr):
 		return errkind.New(errkind.BodyTooLarge, "the body exceeds the limit of %d bytes", limit)
+	case err != nil && interrupted(c.r.Context()):
+		return relay.RequestCanceled(c.r.Context(), err, errkind.NotExecuted, false).Err
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errkind.Wrap(err, errkind.RequestTimeout, errkind.NotExecuted, "the body did not arrive within %s", hostBodyTimeout)
 	case err != nil:
@@ -252,7 +272,7 @@
 	c.rateWait += d
 	select {
 	case <-c.r.Context().Done():
-		return relay.CallerDisconnected(c.r.Context().Err(), errkind.NotExecuted, false).Err
+		return relay.RequestCanceled(c.r.Context(), c.r.Context().Err(), errkind.NotExecuted, false).Err
 	case <-time.After(d):
 		return nil
 	}
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -32,7 +32,11 @@
 		return err
 	}
 	defer s.Drain.Release()
-	return fn(c)
+	err := fn(c)
+	if err != nil && interrupted(c.r.Context()) {
+		s.Drain.CountInterrupted(err.Execution, c.sink.started)
+	}
+	return err
 }
 
 func (s *server) recordOutcome(c *call, err *errkind.Error, started time.Time) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -373,6 +373,7 @@
 	server.IdleTimeout = cmp.Or(server.IdleTimeout, callerIdleTimeout)
 	server.MaxHeaderBytes = maxHeaderBytes
 	server.ErrorLog = telemetry.StandardLogger(log)
+	server.BaseContext = func(net.Listener) context.Context { return n.drain.Context() }
 	n.wg.Go(func() {
 		if err := serveOn(server, listener); !errors.Is(err, http.ErrServerClosed) {
 			log.WithField(telemetry.FieldEvent, "listener_closed").WithError(err).Error("listener failed; the instance keeps running without it")
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -29,6 +29,11 @@
 	// defaultOperatorLinger is how long the operator listener stays open after a drain, so
 	// that `heatherloom drain`, which polls every 200 ms, observes its end.
 	defaultOperatorLinger = time.Second
+	// endFraction is the fraction of the time for a drain and the shutdown that is kept for their
+	// end. Half of it is for the responses of interrupted requests.
+	endFraction = 1.0 / 8
+	// maxEnd bounds that time.
+	maxEnd = 4 * time.Second
 	// slotReleaseTimeout bounds the release of the slot if the store is unreachable. The
 	// slot then becomes claimable when its lease expires.
 	slotReleaseTimeout = 2 * time.Second
@@ -41,9 +46,12 @@
 	entry := log.WithFields(logrus.Fields{
 		telemetry.FieldEvent:       "stopped",
 		telemetry.FieldInstance:    n.id,
-		telemetry.FieldComplete:    err == nil && p.Counts.Unanswered == 0,
+		telemetry.FieldComplete:    err == nil && p.Counts.Interrupted()+p.Counts.Unanswered == 0,
 		telemetry.FieldMillis:      time.Since(p.RequestedAt).Milliseconds(),
 		telemetry.FieldRejected:    p.Counts.Rejected,
+		telemetry.FieldNotRun:      p.Counts.NotExecuted,
+		telemetry.FieldUnknown:     p.Counts.ExecutionUnknown,
+		telemetry.FieldCut:         p.Counts.Cut,
 		telemetry.FieldUnanswered:  p.Counts.Unanswered,
 		telemetry.FieldAnnouncedMS: millisUntil(p.RejectedAt, p),
 		telemetry.FieldDrainedMS:   millisUntil(p.DrainedAt, p),
@@ -70,6 +78,9 @@
 	}
 	return map[string]func() float64{
 		telemetry.FieldRejected:   count(func(c drain.Counts) int { return c.Rejected }),
+		telemetry.FieldNotRun:     count(func(c drain.Counts) int { return c.NotExecuted }),
+		telemetry.FieldUnknown:    count(func(c drain.Counts) int { return c.ExecutionUnknown }),
+		telemetry.FieldCut:        count(func(c drain.Counts) int { return c.Cut }),
 		telemetry.FieldUnanswered: count(func(c drain.Counts) int { return c.Unanswered }),
 	}
 }
@@ -103,11 +114,26 @@
 // is done first. Call Shutdown afterwards.
 func (n *Node) Drain(ctx context.Context, reason string) error {
 	n.drain.RequestDrain(reason)
-	if err := n.drain.Run(ctx, cmp.Or(n.announcedPeriod, defaultAnnouncedPeriod)); err != nil {
-		return err
-	}
+	err := n.drain.Run(ctx, n.drainSchedule(ctx))
 	n.handOverWrites(ctx)
-	return nil
+	return err
+}
+
+// drainSchedule divides the time until the deadline of ctx. Without one, requests are never
+// interrupted.
+func (n *Node) drainSchedule(ctx context.Context) drain.Schedule {
+	s := drain.Schedule{Announced: cmp.Or(n.announcedPeriod, defaultAnnouncedPeriod)}
+	if deadline, ok := ctx.Deadline(); ok {
+		left := time.Until(deadline)
+		end := endTime(left)
+		s.Interrupt, s.Respond = left-end, end/2
+	}
+	return s
+}
+
+// endTime returns the part of the time for a drain and the shutdown that is kept for their end.
+func endTime(total time.Duration) time.Duration {
+	return min(time.Duration(endFraction*float64(total)), maxEnd)
 }
 
 func (n *Node) handOverWrites(ctx context.Context) {
@@ -133,8 +159,8 @@
 	}
 	// The slot is no longer in use once the listeners are closed.
 	n.releaseSlot(ctx)
-	if n.drain.Progress().Phase == drain.Drained {
-		invariant.Check(n.drain.Progress().InFlight == 0, invariant.GracefulShutdown, "a request is still running after the drain")
+	if p := n.drain.Progress(); p.Phase == drain.Drained && n.drain.Context().Err() == nil {
+		invariant.Check(p.InFlight == 0, invariant.GracefulShutdown, "a request is still running after the drain")
 		clock.Sleep(ctx, n.operatorLinger)
 	}
 	failures = append(failures, n.stopServer(ctx, n.operator))
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -230,7 +230,7 @@
 		return f.failureResult(err, errkind.UpstreamTimeout, execution, retry.RequestEnded)
 	}
 	if ctx.Err() != nil {
-		return relay.CallerDisconnected(err, execution, f.started())
+		return relay.RequestCanceled(ctx, err, execution, f.started())
 	}
 	if f.started() {
 		return f.failureResult(err, errkind.ResponseIncomplete, execution, retry.Truncated)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"runtime/debug"
@@ -150,7 +151,9 @@
 	if failure == nil {
 		defer s.Drain.Release()
 		s.recordForward(timeline.KindForwardReceived, request, "from "+strings.Join(request.Visited, ", "))
-		failure = s.serveForward(ctx, request, streamSink{stream})
+		sink := &streamSink{stream: stream}
+		failure = s.serveForward(ctx, request, sink)
+		s.recordOutcome(ctx, failure, sink.started)
 	}
 	s.logForward(request, failure, time.Since(started))
 	end := encodeEnd(failure)
@@ -161,6 +164,13 @@
 	return stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_End{End: end}})
 }
 
+// recordOutcome tells the drain controller of the end of a request.
+func (s *Server) recordOutcome(ctx context.Context, err *errkind.Error, started bool) {
+	if err != nil && errors.Is(context.Cause(ctx), drain.ErrInterrupted) {
+		s.Drain.CountInterrupted(err.Execution, started)
+	}
+}
+
 // logForward logs the end of a request that a peer sent with Forward or RunWrite.
 func (s *Server) logForward(r *dispatch.Request, err *errkind.Error, elapsed time.Duration) {
 	if s.Log == nil {
@@ -257,14 +267,17 @@
 // streamSink sends a response as parts of a Forward stream.
 type streamSink struct {
 	stream *connect.ServerStream[peerv1.ForwardResponse]
+	// started is true once the head was sent.
+	started bool
 }
 
-func (s streamSink) Head(status int, header http.Header) error {
+func (s *streamSink) Head(status int, header http.Header) error {
+	s.started = true
 	head := &peerv1.ForwardHead{Status: int32(status), Headers: flatten(header)}
 	return s.stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Head{Head: head}})
 }
 
-func (s streamSink) Data(p []byte) error {
+func (s *streamSink) Data(p []byte) error {
 	return s.stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Data{Data: p}})
 }
 
--- a/internal/peer/writes.go
+++ b/internal/peer/writes.go
@@ -57,7 +57,7 @@
 		return errkind.Wrap(err, errkind.UpstreamTimeout, errkind.ExecutionUnknown, "the deadline of the request passed before the owner of the key responded")
 	}
 	if ctx.Err() != nil {
-		return relay.CallerDisconnected(err, errkind.ExecutionUnknown, false).Err
+		return relay.RequestCanceled(ctx, err, errkind.ExecutionUnknown, false).Err
 	}
 	return errkind.Wrap(err, errkind.WriteOwnerUnavailable, errkind.ExecutionUnknown, "the response of the instance that owns the key was lost; the write may have been executed, repeat it with the same idempotency key")
 }
@@ -208,6 +208,7 @@
 	}()
 	s.recordForward(timeline.KindForwardReceived, w.Request, "as owner of the idempotency key")
 	result, err = s.Writes.RunAsOwner(ctx, w)
+	s.recordOutcome(ctx, err, false)
 	s.recordForward(timeline.KindForwardEnded, w.Request, outcomeText(err))
 	return result, err
 }
--- a/internal/peer/writes_test.go
+++ b/internal/peer/writes_test.go
@@ -32,7 +32,7 @@
 	controller := drain.NewController()
 	address := serve(t, (&Server{Secret: "secret", Writes: &writes.Service{}, Drain: controller}).Handler())
 	controller.RequestDrain("test")
-	g.Expect(controller.Run(context.Background(), 0)).To(Succeed())
+	g.Expect(controller.Run(context.Background(), drain.Schedule{})).To(Succeed())
 	failure := runWrite(address)
 	g.Expect(failure.Kind).To(Equal(errkind.Draining))
 	g.Expect(failure.Execution).To(Equal(errkind.NotExecuted))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"heatherloom/internal/drain"
 	"heatherloom/internal/errkind"
 	"heatherloom/internal/external"
 	"heatherloom/internal/retry"
@@ -405,6 +406,16 @@
 	}
 }
 
+// RequestCanceled returns the result of an attempt whose context was canceled, because its caller
+// disconnected or because this instance stops and interrupts it.
+func RequestCanceled(ctx context.Context, err error, execution errkind.Execution, started bool) Result {
+	result := CallerDisconnected(err, execution, started)
+	if errors.Is(context.Cause(ctx), drain.ErrInterrupted) {
+		result.Err = errkind.Wrap(err, errkind.Draining, execution, "this instance stops and had to interrupt the request; use another instance")
+	}
+	return result
+}
+
 var errNoProgress = errors.New("no progress within the time limit")
 
 // watchdog is a watchdog timer that cancels an attempt that makes no progress.
@@ -444,7 +455,7 @@
 		e := errkind.Wrap(err, errkind.UpstreamTimeout, execution, "the deadline of the request passed before the response was complete")
 		return Result{Err: e, Outcome: retry.RequestEnded, Started: started}, true
 	case w.parent.Err() != nil:
-		return CallerDisconnected(err, execution, started), true
+		return RequestCanceled(w.parent, err, execution, started), true
 	default:
 		return Result{}, false
 	}
