Admit during a drain only what can end in its time

Callers of a draining instance saw streams cut at the end of its time that had arrived seconds after the stop began; writes that arrived then had an unknown outcome. Another instance would have served them.

A draining instance admitted by when a request arrived. It now admits by the time that is left until running requests are interrupted: with other instances to turn to, a request whose deadline, or nine tenths of the recent requests of its route, end sooner, and a write only if its deadline does. A rejection says that nothing ran and costs its caller milliseconds. Where no other instance of the region serves, the announced phase lasts longer, and admits later only what cannot be cut; a rejection then names half a second instead of coming back at once. Forwards and writes from peers are admitted in the same way.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -1,10 +1,10 @@
 // Package drain takes an instance out of service without leaving a request unanswered.
 //
 // A drain has three phases. While it is announced, the instance still serves requests
-// from callers with an older response of GET /v1/entries. Then it rejects new requests and
-// waits for the running ones. Those that are left when the time of the drain is over are
-// interrupted, so that each of them still gets a response. When none is left, the drain is
-// done and the listeners can be closed.
+// from callers with an older response of GET /v1/entries, if they can end in time. Then it
+// rejects new requests and waits for the running ones. Those that are left when the time of
+// the drain is over are interrupted, so that each of them still gets a response. When none is
+// left, the drain is done and the listeners can be closed.
 package drain
 
 import (
@@ -22,7 +22,8 @@
 // The phases, in order.
 const (
 	Serving Phase = "serving"
-	// Announced means that a drain was requested. The instance still admits requests.
+	// Announced means that a drain was requested. The instance still admits requests that can
+	// end in time.
 	Announced Phase = "announced"
 	// Rejecting means that new requests are rejected while admitted ones are finished.
 	Rejecting Phase = "refusing"
@@ -35,6 +36,13 @@
 // whose time was over before all requests had ended.
 var ErrInterrupted = errors.New("the instance stops and interrupts its running requests")
 
+// othersPollInterval is the time between two looks for another instance.
+const othersPollInterval = 50 * time.Millisecond
+
+// noInstanceRetryDelay is the delay before a retry if no other instance serves: about the time that
+// an instance takes to start.
+const noInstanceRetryDelay = 500 * time.Millisecond
+
 // Progress describes a drain.
 type Progress struct {
 	Phase Phase
@@ -42,7 +50,7 @@
 	Reason string
 	// RequestedAt is the time at which the drain was requested.
 	RequestedAt time.Time
-	// RejectsAt is the end of the announced phase; zero before Run is called.
+	// RejectsAt is the earliest end of the announced phase; zero before Run is called.
 	RejectsAt time.Time
 	// InterruptsAt is the time at which running requests are interrupted; zero for never.
 	InterruptsAt time.Time
@@ -72,7 +80,8 @@
 
 // Schedule is the timing of a drain, counted from the call of Run.
 type Schedule struct {
-	// Announced is the duration of the phase Announced.
+	// Announced is the duration of the phase Announced. It is longer while no other instance can
+	// serve the callers.
 	Announced time.Duration
 	// Interrupt is the time at which running requests are interrupted; 0 for never.
 	Interrupt time.Duration
@@ -80,15 +89,31 @@
 	Respond time.Duration
 }
 
+// Demand describes a request that asks for admission.
+type Demand struct {
+	// Kind names requests that are expected to take equally long; see Observe.
+	Kind string
+	// Longest is the time after which the request ends in any case.
+	Longest time.Duration
+	// Repeatable is false for a request that may be executed only once.
+	Repeatable bool
+	// Stream is true if the response is sent while it is produced, so that an interrupt cuts it.
+	Stream bool
+}
+
 // Controller counts the running requests and rejects new ones during a drain. It is safe for
 // concurrent use. A nil *Controller admits every request.
 type Controller struct {
 	// OnPhaseChange is called after each change of the phase; may be nil. It must be set
 	// before the Controller is used.
 	OnPhaseChange func(Progress)
+	// OthersServe reports whether another instance can serve the callers of this one; nil if
+	// one always can. It must be set before the Controller is used.
+	OthersServe func() bool
 
-	context context.Context
-	cancel  context.CancelCauseFunc
+	durations durations
+	context   context.Context
+	cancel    context.CancelCauseFunc
 
 	mu        sync.Mutex
 	progress  Progress
@@ -115,20 +140,66 @@
 
 // Acquire admits a request; Release must be called when the request ends. It returns an error
 // of kind Draining if the instance rejects the request.
-func (c *Controller) Acquire() *errkind.Error {
+func (c *Controller) Acquire(d Demand) *errkind.Error {
 	if c == nil {
 		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.progress.Phase == Rejecting || c.progress.Phase == Drained {
+	if !c.admits(d) {
 		c.progress.Counts.Rejected++
-		return errkind.New(errkind.Draining, "this instance is draining; use another instance listed by GET /v1/entries")
+		err := errkind.New(errkind.Draining, "this instance is draining; use another instance listed by GET /v1/entries")
+		if !c.othersServe() {
+			err.RetryAfter = noInstanceRetryDelay
+		}
+		return err
 	}
 	c.progress.InFlight++
 	return nil
 }
 
+// admits reports whether a request is admitted in the current phase: with other instances to turn
+// to only one that ends in time, and a write only if that is certain. The mutex must be held.
+func (c *Controller) admits(d Demand) bool {
+	switch {
+	case c.progress.Phase == Serving:
+		return true
+	case c.progress.Phase != Announced:
+		return false
+	case c.progress.InterruptsAt.IsZero():
+		return true
+	}
+	left := time.Until(c.progress.InterruptsAt)
+	certain := d.Longest < left
+	likely := d.expected(c.durations.high(time.Now(), d.Kind)) < left
+	switch {
+	case time.Now().After(c.progress.RejectsAt):
+		return certain || (likely && !d.Stream)
+	case c.othersServe():
+		return certain || (likely && d.Repeatable)
+	default:
+		return likely || d.Repeatable
+	}
+}
+
+// expected returns how long the request is expected to take, given how long requests of its
+// kind usually take; 0 if that is not known.
+func (d Demand) expected(usual time.Duration) time.Duration {
+	if usual == 0 || d.Longest < usual {
+		return d.Longest
+	}
+	return usual
+}
+
+func (c *Controller) othersServe() bool { return c.OthersServe == nil || c.OthersServe() }
+
+// Observe records how long a complete request of a kind took.
+func (c *Controller) Observe(kind string, took time.Duration) {
+	if c != nil {
+		c.durations.observe(time.Now(), kind, took)
+	}
+}
+
 // CountInterrupted counts an interrupted request. cut is true if its response had begun.
 func (c *Controller) CountInterrupted(execution errkind.Execution, cut bool) {
 	if c == nil {
@@ -230,13 +301,20 @@
 
 // waitAnnounced waits for the end of the phase Announced.
 func (c *Controller) waitAnnounced(ctx context.Context, announced time.Duration) error {
-	select {
-	case <-time.After(announced):
-	case <-c.context.Done():
-	case <-ctx.Done():
-		return ctx.Err()
+	next := time.After(announced)
+	for {
+		select {
+		case <-next:
+			if c.othersServe() {
+				return nil
+			}
+			next = time.After(othersPollInterval)
+		case <-c.context.Done():
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
-	return nil
 }
 
 // waitIdle waits until no request runs, after an interrupt for the given time at most.
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -25,17 +25,17 @@
 		var phases []Phase
 		c := NewController()
 		c.OnPhaseChange = func(p Progress) { phases = append(phases, p.Phase) }
-		Expect(c.Acquire()).To(BeNil())
+		Expect(c.Acquire(Demand{})).To(BeNil())
 		c.RequestDrain("test")
 		c.RequestDrain("again")
 		Expect(c.DrainRequested()).To(BeClosed())
-		Expect(c.Acquire()).To(BeNil())
+		Expect(c.Acquire(Demand{})).To(BeNil())
 		c.Release()
 
 		done := make(chan error, 1)
 		go func() { done <- c.Run(context.Background(), Schedule{Announced: 20 * time.Millisecond}) }()
 		Eventually(func() Phase { return c.Progress().Phase }).Should(Equal(Rejecting))
-		err := c.Acquire()
+		err := c.Acquire(Demand{})
 		Expect(err.Kind).To(Equal(errkind.Draining))
 		Expect(err.Execution).To(Equal(errkind.NotExecuted))
 		Consistently(done, "50ms").ShouldNot(Receive())
@@ -52,7 +52,7 @@
 		var wg sync.WaitGroup
 		for range 8 {
 			wg.Go(func() {
-				for c.Acquire() == nil {
+				for c.Acquire(Demand{}) == nil {
 					running.Add(1)
 					running.Add(-1)
 					c.Release()
@@ -69,7 +69,7 @@
 	// Guards against a shutdown that hangs on a request that never ends.
 	It("gives up when its context ends", func() {
 		c := NewController()
-		Expect(c.Acquire()).To(BeNil())
+		Expect(c.Acquire(Demand{})).To(BeNil())
 		c.RequestDrain("test")
 		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
 		defer cancel()
--- a/internal/drain/interrupt_test.go
+++ b/internal/drain/interrupt_test.go
@@ -12,7 +12,7 @@
 func TestDrainEndsInTimeWithRequestsThatDoNot(t *testing.T) {
 	for name, respond := range map[string]bool{"requests respond": true, "requests hang": false} {
 		c := NewController()
-		if err := c.Acquire(); err != nil {
+		if err := c.Acquire(Demand{}); err != nil {
 			t.Fatal(err)
 		}
 		if respond {
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -112,7 +112,7 @@
 	}
 	err := s.resolveRoute(c)
 	if err == nil {
-		err = s.Drain.Acquire()
+		err = s.Drain.Acquire(c.drainDemand(s.Now()))
 	}
 	if err == nil {
 		// The drain waits until the response is written.
@@ -126,10 +126,20 @@
 	}
 }
 
+// drainDemand describes the request to the drain controller.
+func (c *hostCall) drainDemand(now time.Time) drain.Demand {
+	return drain.Demand{
+		Kind: c.route.Name, Longest: time.Until(c.deadline(now)),
+		Repeatable: c.route.Repeatable(), Stream: c.route.Kind == opconfig.KindStream,
+	}
+}
+
 // serveAdmitted serves a request that the drain controller has admitted.
 func (s *hostServer) serveAdmitted(c *hostCall) *errkind.Error {
 	err := s.serve(c)
-	if err != nil && interrupted(c.r.Context()) {
+	if err == nil {
+		s.Drain.Observe(c.route.Name, s.Now().Sub(c.started))
+	} else if interrupted(c.r.Context()) {
 		s.Drain.CountInterrupted(err.Execution, c.sink.started)
 	}
 	return err
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"net/http"
 	"strings"
 	"time"
 
+	"heatherloom/internal/drain"
 	"heatherloom/internal/errkind"
 	"heatherloom/internal/telemetry"
 	"heatherloom/internal/timeline"
@@ -28,17 +30,42 @@
 }
 
 func (s *server) runUnlessDraining(c *call, fn func(*call) *errkind.Error) *errkind.Error {
-	if err := s.Drain.Acquire(); err != nil {
+	if err := s.Drain.Acquire(s.drainDemand(c)); err != nil {
 		return err
 	}
 	defer s.Drain.Release()
+	started := s.Now()
 	err := fn(c)
-	if err != nil && interrupted(c.r.Context()) {
+	if err == nil {
+		s.Drain.Observe(durationKind(c.r), s.Now().Sub(started))
+	} else if interrupted(c.r.Context()) {
 		s.Drain.CountInterrupted(err.Execution, c.sink.started)
 	}
 	return err
 }
 
+// durationKind groups requests that are expected to take equally long: those with the same method
+// and the same first segment of the path, or the same endpoint of the API.
+func durationKind(r *http.Request) string {
+	if _, ok := endpoints[r.URL.Path]; ok {
+		return r.Method + " " + r.URL.Path
+	}
+	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	return r.Method + " /" + strings.Clone(first)
+}
+
+// drainDemand describes the request to the drain controller. A deadline that cannot be read is
+// reported later.
+func (s *server) drainDemand(c *call) drain.Demand {
+	now := s.Now()
+	_, isEndpoint := endpoints[c.r.URL.Path]
+	demand := drain.Demand{Kind: durationKind(c.r), Repeatable: isEndpoint || c.r.Method == http.MethodGet, Stream: isEndpoint}
+	if deadline, err := requestDeadline(c.r.Header, now); err == nil {
+		demand.Longest = deadline.Sub(now)
+	}
+	return demand
+}
+
 func (s *server) recordOutcome(c *call, err *errkind.Error, started time.Time) {
 	s.Metrics.RecordRequest(err, s.accountClass(c), s.Now().Sub(started))
 	if c.sink.stream && c.sink.started {
--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -62,6 +62,7 @@
 	n.operatorLinger = 0
 	n.loop = control.NewLoop(identity)
 	n.drain.OnPhaseChange = func(p drain.Progress) { n.onDrainPhase(p, entry) }
+	n.drain.OthersServe = n.otherInstancesServe
 	metrics := n.metrics()
 	n.loop.SetObserver(control.Observer{Timeline: n.timeline, Tick: metrics.RecordTick, Log: entry})
 	peers := peer.NewClient(identity.ID, s.Peer.Secret)
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,6 +16,7 @@
 	"heatherloom/internal/drain"
 	"heatherloom/internal/gateway"
 	"heatherloom/internal/invariant"
+	"heatherloom/internal/routing"
 	"heatherloom/internal/telemetry"
 	"heatherloom/internal/timeline"
 )
@@ -136,6 +138,14 @@
 	return min(time.Duration(endFraction*float64(total)), maxEnd)
 }
 
+// otherInstancesServe reports whether another instance can serve the callers of this one.
+func (n *Node) otherInstancesServe() bool {
+	s := n.loop.Snapshot()
+	return slices.ContainsFunc(s.Peers, func(p routing.Peer) bool {
+		return p.Region == s.Region && !p.Draining && !p.Suspect && p.AcceptsKeys
+	})
+}
+
 func (n *Node) handOverWrites(ctx context.Context) {
 	if n.writes == nil {
 		return
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -89,7 +89,7 @@
 
 	// Guards against load balancers that still send callers to an instance about to stop.
 	It("is not ready once a drain was asked for, and shows what is left", func() {
-		Expect(deps.Drain.Acquire()).To(BeNil())
+		Expect(deps.Drain.Acquire(drain.Demand{})).To(BeNil())
 		Expect(call("POST", "/v1/drain", "Bearer "+token).Code).To(Equal(http.StatusAccepted))
 		ready := call("GET", "/readyz", "")
 		Expect(ready.Code).To(Equal(http.StatusServiceUnavailable))
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -147,13 +147,13 @@
 		request.Deadline = deadline
 	}
 	started := time.Now()
-	failure := s.Drain.Acquire()
+	failure := s.Drain.Acquire(drainDemand(request))
 	if failure == nil {
 		defer s.Drain.Release()
 		s.recordForward(timeline.KindForwardReceived, request, "from "+strings.Join(request.Visited, ", "))
 		sink := &streamSink{stream: stream}
 		failure = s.serveForward(ctx, request, sink)
-		s.recordOutcome(ctx, failure, sink.started)
+		s.recordOutcome(ctx, request, failure, time.Since(started), sink.started)
 	}
 	s.logForward(request, failure, time.Since(started))
 	end := encodeEnd(failure)
@@ -164,9 +164,24 @@
 	return stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_End{End: end}})
 }
 
+// drainDemand describes a request to the drain controller.
+func drainDemand(r *dispatch.Request) drain.Demand {
+	return drain.Demand{Kind: durationKind(r), Longest: time.Until(r.Deadline), Repeatable: r.Repeatable, Stream: r.Stream}
+}
+
+// durationKind groups requests that are expected to take equally long.
+func durationKind(r *dispatch.Request) string {
+	if r.RouteParams != nil {
+		return r.RouteParams.Route
+	}
+	return r.Target
+}
+
 // recordOutcome tells the drain controller of the end of a request.
-func (s *Server) recordOutcome(ctx context.Context, err *errkind.Error, started bool) {
-	if err != nil && errors.Is(context.Cause(ctx), drain.ErrInterrupted) {
+func (s *Server) recordOutcome(ctx context.Context, r *dispatch.Request, err *errkind.Error, took time.Duration, started bool) {
+	if err == nil {
+		s.Drain.Observe(durationKind(r), took)
+	} else if errors.Is(context.Cause(ctx), drain.ErrInterrupted) {
 		s.Drain.CountInterrupted(err.Execution, started)
 	}
 }
--- a/internal/peer/writes.go
+++ b/internal/peer/writes.go
@@ -11,6 +11,7 @@
 
 	"connectrpc.com/connect"
 
+	"heatherloom/internal/drain"
 	"heatherloom/internal/errkind"
 	"heatherloom/internal/idempotency"
 	"heatherloom/internal/peer/peerv1"
@@ -197,7 +198,7 @@
 	if s.Writes == nil {
 		return writes.Result{}, errkind.Wrap(errNoWriteRecords, errkind.WriteOwnerUnavailable, errkind.NotExecuted, "the instance asked as owner of the key keeps no write records; this request was not sent")
 	}
-	if failure := s.Drain.Acquire(); failure != nil {
+	if failure := s.Drain.Acquire(drainDemand(w.Request)); failure != nil {
 		return writes.Result{}, failure
 	}
 	defer s.Drain.Release()
@@ -207,8 +208,9 @@
 		}
 	}()
 	s.recordForward(timeline.KindForwardReceived, w.Request, "as owner of the idempotency key")
+	started := time.Now()
 	result, err = s.Writes.RunAsOwner(ctx, w)
-	s.recordOutcome(ctx, err, false)
+	s.recordOutcome(ctx, w.Request, err, time.Since(started), false)
 	s.recordForward(timeline.KindForwardEnded, w.Request, outcomeText(err))
 	return result, err
 }
@@ -223,7 +225,7 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	if failure := s.Drain.Acquire(); failure != nil {
+	if failure := s.Drain.Acquire(drain.Demand{}); failure != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, failure)
 	}
 	defer s.Drain.Release()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -113,10 +113,10 @@
 
 // Shutdown is the section [shutdown].
 type Shutdown struct {
-	// Timeout bounds the whole drain and shutdown, including ServeFor. Requests that have not
-	// ended by then are aborted. Default 10m, from 1s to 1h.
+	// Timeout bounds the whole drain and shutdown, including ServeFor. Requests that still run
+	// shortly before are interrupted and answered. Default 10m, from 1s to 1h.
 	Timeout time.Duration
-	// ServeFor is how long a draining instance still accepts new requests. Default 7s, which is
+	// ServeFor is how long a draining instance still admits requests that can end in time. Default 7s, which is
 	// the validity of a list of entry instances plus two heartbeat intervals; from 0s to 1m.
 	ServeFor time.Duration
 }
