--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -33,15 +35,34 @@
 
 var binary string
 
-var _ = BeforeSuite(func() {
+// buildBinary builds the binary and returns its path.
+var buildBinary = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "heatherloom-e2e")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(os.RemoveAll, dir)
-	binary = filepath.Join(dir, "heatherloom")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "heatherloom")
 	ctx, cancel := context.WithTimeout(context.Background(), buildTimeout)
 	defer cancel()
-	out, err := exec.CommandContext(ctx, "go", "build", "-race", "-o", binary, "heatherloom/cmd/heatherloom").CombinedOutput()
-	Expect(err).NotTo(HaveOccurred(), string(out))
+	out, err := exec.CommandContext(ctx, "go", "build", "-race", "-o", path, "heatherloom/cmd/heatherloom").CombinedOutput()
+	if err != nil {
+		err = fmt.Errorf("%w: %s", err, out)
+	}
+	return path, err
+})
+
+func TestMain(m *testing.M) {
+	status := m.Run()
+	if path, _ := buildBinary(); path != "" {
+		_ = os.RemoveAll(filepath.Dir(path))
+	}
+	os.Exit(status)
+}
+
+var _ = BeforeSuite(func() {
+	var err error
+	binary, err = buildBinary()
+	Expect(err).NotTo(HaveOccurred())
 })
 
 // process is one running heatherloom process.
