Admit a late stream during a drain only if it surely ends

While the drain is announced, every repeatable request was admitted then, and with others a stream that usually ends in time. A stream that is cut has taken its caller's time for a part of a response. After a third of the time one is admitted only if its deadline ends before requests are interrupted.

--- a/internal/drain/admission_test.go
+++ b/internal/drain/admission_test.go
@@ -18,6 +18,7 @@
 		c.Observe("long", 9*time.Second)
 	}
 	c.RequestDrain("test")
+	c.progress.RequestedAt = time.Now().Add(-ago)
 	c.schedule(Schedule{Announced: 1500*time.Millisecond - ago, Interrupt: 7*time.Second - ago})
 	return c
 }
@@ -36,6 +37,8 @@
 		"read with a short deadline":           {Demand{Kind: "new", Longest: 3 * time.Second, Repeatable: true}, 0, true, true},
 		"write that may take long":             {Demand{Kind: "quick", Longest: timeout}, 0, true, false},
 		"write with a short deadline":          {Demand{Kind: "long", Longest: 3 * time.Second}, 0, true, true},
+		"late stream":                          {Demand{Kind: "quick", Longest: timeout, Repeatable: true, Stream: true}, 4 * time.Second, true, false},
+		"early stream":                         {Demand{Kind: "quick", Longest: timeout, Repeatable: true, Stream: true}, 0, true, true},
 		"long read, no other instance":         {Demand{Kind: "long", Longest: timeout, Repeatable: true}, 0, false, true},
 		"long write, no other instance":        {Demand{Kind: "long", Longest: timeout}, 0, false, false},
 		"quick write, no other instance":       {Demand{Kind: "quick", Longest: timeout}, 0, false, true},
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -158,23 +158,29 @@
 	return nil
 }
 
-// admits reports whether a request is admitted in the current phase: with other instances to turn
-// to only one that ends in time, and a write only if that is certain. The mutex must be held.
+// admits reports whether a request is admitted in the current phase. With other instances to turn
+// to, it is only if it ends in time, which must be certain for a write and for a stream that comes
+// late. The mutex must be held.
 func (c *Controller) admits(d Demand) bool {
+	p := &c.progress
 	switch {
-	case c.progress.Phase == Serving:
+	case p.Phase == Serving:
 		return true
-	case c.progress.Phase != Announced:
+	case p.Phase != Announced:
 		return false
-	case c.progress.InterruptsAt.IsZero():
+	case p.InterruptsAt.IsZero():
 		return true
 	}
-	left := time.Until(c.progress.InterruptsAt)
+	now := time.Now()
+	left := p.InterruptsAt.Sub(now)
 	certain := d.Longest < left
-	likely := d.expected(c.durations.high(time.Now(), d.Kind)) < left
+	likely := d.expected(c.durations.high(now, d.Kind)) < left
+	late := now.Sub(p.RequestedAt) > p.InterruptsAt.Sub(p.RequestedAt)/3
 	switch {
-	case time.Now().After(c.progress.RejectsAt):
-		return certain || (likely && !d.Stream)
+	case d.Stream && late:
+		return certain
+	case now.After(p.RejectsAt):
+		return certain || likely
 	case c.othersServe():
 		return certain || (likely && d.Repeatable)
 	default:
