Divide the time that is left among the steps at the end of a stop

Operators saw a process with a shutdown timeout of 4 s use 4.2 s by its own plan: half of the kept eighth for responses, then 250 ms for the callers' connections and 100 ms each for the other listeners and the operator's. Each step now takes at most a third of what is left.

--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -44,7 +44,7 @@
 // close waits until callers have closed the connections, and then closes those on which nothing
 // arrives. It returns when none is open or when ctx ends.
 func (o *openConns) close(ctx context.Context) {
-	last, cancel := context.WithTimeout(ctx, lastRequestsTimeout)
+	last, cancel := withPartOfTime(ctx, lastRequestsTimeout)
 	defer cancel()
 	for last.Err() == nil && o.count() > 0 {
 		clock.Sleep(last, connsPollInterval)
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -43,6 +43,8 @@
 	// closeTimeout is the same for the other listeners. Connections of HTTP/2 peers stay open until
 	// then.
 	closeTimeout = 100 * time.Millisecond
+	// closeParts is the number of parts into which the time that is left is divided for these steps.
+	closeParts = 3
 	// slotReleaseTimeout bounds the release of the slot if the store is unreachable. The
 	// slot then becomes claimable when its lease expires.
 	slotReleaseTimeout = 2 * time.Second
@@ -208,7 +210,7 @@
 	if n.tls != nil || n.drain.Progress().Phase != drain.Drained {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callerCloseTimeout)
+	ctx, cancel := withPartOfTime(ctx, callerCloseTimeout)
 	defer cancel()
 	_ = n.callerListener.Close()
 	n.callerConns.close(ctx)
@@ -220,7 +222,7 @@
 	if n.drain.Progress().Phase != drain.Drained {
 		return server.Shutdown(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	ctx, cancel := withPartOfTime(ctx, closeTimeout)
 	defer cancel()
 	if server.Shutdown(ctx) == nil {
 		return nil
@@ -228,6 +230,15 @@
 	return server.Close()
 }
 
+// withPartOfTime returns a context that ends after the timeout, or after a part of the time that ctx
+// has left, so that the steps that follow have some too.
+func withPartOfTime(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline)/closeParts)
+	}
+	return context.WithTimeout(ctx, timeout)
+}
+
 // Kill stops the instance immediately without releasing its slot or lease, like a crash of
 // the process. It is used by failure tests.
 func (n *Node) Kill() {
