Answer the running requests at a second signal

Callers of an instance that got a second signal during its drain saw 3 to 4 of 8 requests end with EOF, though an upstream had run them: the process ended within 9 to 22 ms. A second signal now interrupts the running requests as the end of the drain's time does, so that each gets its response, and the process ends with status 1 right after. A third signal ends it at once.

--- a/cmd/heatherloom/shutdown.go
+++ b/cmd/heatherloom/shutdown.go
@@ -11,20 +11,24 @@
 	"heatherloom/internal/node"
 )
 
-var errDrainAborted = errors.New("a second signal stopped the instance before its drain was complete")
+var (
+	errDrainInterrupted = errors.New("a second signal interrupted the drain before its requests had ended")
+	errDrainAborted     = errors.New("a third signal stopped the instance before its drain was complete")
+)
 
 // serveUntilDrained waits for a signal or POST /v1/drain, drains the instance and shuts
-// it down. The second signal stops it immediately, also if an operator requested the drain.
-// timeout bounds the drain and the shutdown together.
+// it down. The second signal interrupts the running requests, which still get a response, and the
+// third stops the instance at once; it is the same if an operator requested the drain. timeout
+// bounds the drain and the shutdown together.
 func serveUntilDrained(n *node.Node, timeout time.Duration) error {
-	signals := make(chan os.Signal, 2)
+	signals := make(chan os.Signal, 3)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
-	signalled := false
+	received := 0
 	reason := "operator"
 	select {
 	case s := <-signals:
-		signalled = true
+		received++
 		reason = "signal " + s.String()
 	case <-n.DrainRequested():
 	}
@@ -33,12 +37,18 @@
 	for {
 		select {
 		case err := <-finished:
+			if received > 1 {
+				err = errors.Join(errDrainInterrupted, err)
+			}
 			return err
 		case <-signals:
-			if signalled {
+			received++
+			if received > 2 {
 				return errDrainAborted
 			}
-			signalled = true
+			if received == 2 {
+				n.InterruptDrain()
+			}
 		}
 	}
 }
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -130,6 +130,9 @@
 	return err
 }
 
+// InterruptDrain ends the drain under way: each running request gets its response now.
+func (n *Node) InterruptDrain() { n.drain.Interrupt() }
+
 // drainSchedule divides the time until the deadline of ctx. Without one, requests are never
 // interrupted.
 func (n *Node) drainSchedule(ctx context.Context) drain.Schedule {
