Answer a request on a host route whose handling panics

A panic while a request on a host route is handled ended the connection of its caller without an answer, and without a log line of the request. Requests of the API and forwards were answered. It becomes an internal error now: 503 before the request was dispatched, else 502.

--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -133,7 +135,7 @@
 
 // serveAdmitted serves a request that the drain controller has admitted.
 func (s *hostServer) serveAdmitted(c *hostCall) *errkind.Error {
-	err := s.serve(c)
+	err := s.recoverPanic(c)
 	if err == nil {
 		s.Drain.Observe(c.route.Name, s.Now().Sub(c.started))
 	} else if interrupted(c.r.Context()) {
@@ -142,6 +144,22 @@
 	return err
 }
 
+// recoverPanic calls serve and converts a panic into an error.
+func (s *hostServer) recoverPanic(c *hostCall) (err *errkind.Error) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		execution := errkind.NotExecuted
+		if c.dispatched != nil {
+			execution = errkind.ExecutionUnknown
+		}
+		err = errkind.Wrap(fmt.Errorf("panic: %v\n%s", v, debug.Stack()), errkind.Internal, execution, "internal error")
+	}()
+	return s.serve(c)
+}
+
 // interrupted reports whether a drain interrupted the request with this context.
 func interrupted(ctx context.Context) bool {
 	return errors.Is(context.Cause(ctx), drain.ErrInterrupted)
