Count an upstream that ends inside a trailer as one that crashed

For callers the attempt failed, and was retried or resumed where that is allowed.

net/http looks for the end of a trailer in its buffer. If the connection ends before, it reports the same error as for a trailer that does not fit, which counts as invalid bytes. The body now tells them apart by whether the connection has ended, and reports an unexpected end. A trailer without end still counts as invalid bytes (TestBytesWithoutEndFailTheAttempt/trailer).

TestExchangeDeliversNoResponseThatBreaksOff failed before, at each of the 8 places behind the first byte of the trailer (chunks_and_trailer, stream_chunks_trailer), with the outcome failed or without a broken connection.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -76,6 +76,13 @@
 	return c.ended && len(c.start) > 0 && c.last != '\n' && strings.HasPrefix(statusLineStart, string(c.start))
 }
 
+// hasEnded reports whether a read has failed.
+func (c *conn) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -285,6 +292,13 @@
 	return len(s.uses) > 0 && s.uses[len(s.uses)-1].conn.endedInsideLine()
 }
 
+// connectionEnded reports whether the connection of the response has ended.
+func (s *sendTracker) connectionEnded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.uses) > 0 && s.uses[len(s.uses)-1].conn.hasEnded()
+}
+
 // unwritten reports whether no byte was written to the connection of the response since the attempt was
 // assigned it.
 func (s *sendTracker) unwritten() bool {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -237,6 +237,7 @@
 	}
 	defer sent.release()
 	defer resp.Body.Close()
+	resp.Body = trackedBody{ReadCloser: resp.Body, sent: sent}
 	if a.Protocol != nil && sent.unwritten() {
 		return unsolicitedResponse(sent)
 	}
@@ -379,6 +380,25 @@
 // connection ended after the last chunk of a body and before the end of the response.
 const trailerEndText = "unexpected EOF reading trailer"
 
+// longTrailerText is in the error that net/http returns, and does not export, if a trailer does not fit its
+// buffer, and also if the connection ended inside one.
+const longTrailerText = "suspiciously long trailer"
+
+// trackedBody is the body of a response. A connection that ended inside its trailer is io.ErrUnexpectedEOF.
+type trackedBody struct {
+	io.ReadCloser
+	sent *sendTracker
+}
+
+// Read implements io.Reader.
+func (b trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && strings.Contains(err.Error(), longTrailerText) && b.sent.connectionEnded() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // connectionBroke reports whether an attempt failed because its connection was closed or reset.
 // Otherwise the upstream sent something that is not valid HTTP.
 func connectionBroke(err error) bool {
