Reset the connection of an HTTP/1.0 caller whose stream broke off

A caller with HTTP/1.0 got a 200 with a part of a stream that ended like a whole one, at one instance and through a forward. There are no chunks in HTTP/1.0, so that the end of the connection is that of the body, and a response that was given up closed it in order, as for HTTP/1.1. The connection is now reset, which no caller can take for the end of a body. Plain responses have a length and were not concerned, nor were callers with HTTP/1.1, who miss the last chunk.

TestPathAStreamThatBreaksOffIsNotWholeInHTTP10 failed before, always: the first event of two and no error.

--- a/internal/gateway/hostresponse.go
+++ b/internal/gateway/hostresponse.go
@@ -37,7 +37,7 @@
 // aborts the response, so that the caller cannot take it for a complete one.
 func (s *hostServer) writeRejection(c *hostCall, err *errkind.Error) {
 	if c.sink.started {
-		panic(http.ErrAbortHandler)
+		c.sink.abort(c.r)
 	}
 	status := hostStatus(err)
 	raw, _ := json.Marshal(rejectionBody{Error: rejectionDetail{
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -120,6 +122,30 @@
 	return s.control.Flush()
 }
 
+// abort ends a response that was started, so that the caller cannot take it for a complete one, and panics with
+// http.ErrAbortHandler. Without chunks, in HTTP/1.0, a body may end with its connection, which is reset.
+func (s *callerSink) abort(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		s.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset resets the connection to the caller.
+func (s *callerSink) reset() {
+	c, _, err := s.control.Hijack()
+	if err != nil {
+		return
+	}
+	if secured, ok := c.(*tls.Conn); ok {
+		c = secured.NetConn()
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 func writeJSON(c *call, value any) *errkind.Error {
 	raw, err := json.Marshal(value)
 	if err != nil {
