Log why no further attempt followed a failed one

A request that ended without a response said which upstreams were tried, but not whether the attempts of the route, the retry budget, a quarantine or the kind of the request kept it from being sent again. The lines request and forward have the field no_retry for that. No decision changes.

--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -21,8 +21,8 @@
 			s.Quarantined[r.Fingerprint()] = time.Now().Add(time.Minute)
 		}
 		d := &Dispatcher{Snapshot: func() *routing.Snapshot { return s }}
-		if got := d.shouldRetry(r, result); got == quarantined {
-			t.Errorf("quarantined %t: retry %t", quarantined, got)
+		if got := d.noRetryReason(r, result); (got == retry.StopQuarantine) != quarantined || (got == retry.StopNone) == quarantined {
+			t.Errorf("quarantined %t: reason %q", quarantined, got)
 		}
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -65,6 +65,8 @@
 	// expectedFirstByte is the estimated time to the first byte of the response.
 	expectedFirstByte time.Duration
 	interrupted       bool
+	// noRetry is why no further attempt was made after the last one failed.
+	noRetry retry.StopReason
 	// executedAttempts counts the attempts that an upstream may have executed.
 	executedAttempts int
 	// Probe marks a rollout probe: a request that tests the candidate version of a rollout.
@@ -230,6 +232,7 @@
 	for {
 		result, destination, err := d.attempt(ctx, r, tried, last.Outcome, sink)
 		if err != nil {
+			r.noRetry = retry.StopNoUpstream
 			return noUpstreamError(err, last, execution)
 		}
 		if result.Err == nil {
@@ -241,7 +244,7 @@
 		execution = combineExecution(execution, result.Err.Execution)
 		result.Err.Execution = execution
 		d.recordFailure(r, destination, result.Err)
-		if !d.shouldRetry(r, result) {
+		if r.noRetry = d.noRetryReason(r, result); r.noRetry != retry.StopNone {
 			if deliverErrorResponse(result, sink) {
 				return nil
 			}
@@ -277,19 +280,20 @@
 	return errkind.NotExecuted
 }
 
-// shouldRetry reports whether a failed attempt may be retried.
-func (d *Dispatcher) shouldRetry(r *Request, result relay.Result) bool {
+// noRetryReason returns why a failed attempt may not be retried, or StopNone after it has charged
+// the retry budget for the retry.
+func (d *Dispatcher) noRetryReason(r *Request, result relay.Result) retry.StopReason {
 	if until, quarantined := d.quarantinedUntil(r); quarantined && clock.Now().Before(until) {
-		return false
+		return retry.StopQuarantine
 	}
 	if result.Crashes > 0 && d.suspected(r) {
-		return false
+		return retry.StopCrash
 	}
 	if r.RouteParams != nil {
-		return d.shouldRetryOnRoute(r, result)
+		return d.noRetryReasonOnRoute(r, result)
 	}
 	now := clock.Now()
-	decision := retry.Decide(retry.Attempt{
+	_, reason := retry.Decide(retry.Attempt{
 		Number:          r.Attempts,
 		Outcome:         result.Outcome,
 		Repeatable:      r.Repeatable,
@@ -299,10 +303,10 @@
 		Remaining:       r.Deadline.Sub(now),
 		Estimate:        d.estimates.Shortest(now, r.estimateKey()),
 	})
-	if decision == retry.Stop {
-		return false
+	if reason == retry.StopNone && result.Outcome != retry.NotSent && !d.budget.Take(clock.Now()) {
+		return retry.StopBudget
 	}
-	return result.Outcome == retry.NotSent || d.budget.Take(clock.Now())
+	return reason
 }
 
 func (d *Dispatcher) attempt(ctx context.Context, r *Request, tried []string, last retry.Outcome, sink Sink) (relay.Result, string, *errkind.Error) {
--- a/internal/dispatch/route_params.go
+++ b/internal/dispatch/route_params.go
@@ -120,10 +120,9 @@
 	}
 }
 
-// shouldRetryOnRoute reports whether a failed attempt may be retried within the limits of
-// the route.
-func (d *Dispatcher) shouldRetryOnRoute(r *Request, result relay.Result) bool {
-	decision := retry.Decide(retry.Attempt{
+// noRetryReasonOnRoute is noRetryReason within the limits of the route.
+func (d *Dispatcher) noRetryReasonOnRoute(r *Request, result relay.Result) retry.StopReason {
+	_, reason := retry.Decide(retry.Attempt{
 		Number:          r.executedAttempts,
 		Outcome:         result.Outcome,
 		Repeatable:      r.Repeatable,
@@ -133,10 +132,16 @@
 		Remaining:       time.Until(r.Deadline),
 		MaxAttempts:     r.RouteParams.MaxExecutions,
 	})
-	if decision == retry.Stop || r.Attempts >= maxAttemptsPerExecution*r.RouteParams.MaxExecutions {
-		return false
+	switch {
+	case reason != retry.StopNone:
+		return reason
+	case r.Attempts >= maxAttemptsPerExecution*r.RouteParams.MaxExecutions:
+		return retry.StopAttempts
+	case result.Outcome != retry.NotSent && !d.ServiceRetryBudgets.Take(clock.Now(), r.Target, d.Snapshot().InstanceCount):
+		return retry.StopBudget
+	default:
+		return retry.StopNone
 	}
-	return result.Outcome == retry.NotSent || d.ServiceRetryBudgets.Take(clock.Now(), r.Target, d.Snapshot().InstanceCount)
 }
 
 // countExecuted counts the attempts that an upstream may have executed. A forwarded request
@@ -227,5 +232,9 @@
 // was last assigned to an upstream of this region; 0 before.
 func (r *Request) ExpectedFirstByte() time.Duration { return r.expectedFirstByte }
 
+// NoRetryReason returns why no further attempt was made after the last one failed; StopNone if none
+// failed or the request was not attempted.
+func (r *Request) NoRetryReason() retry.StopReason { return r.noRetry }
+
 // AttemptSummary returns the upstreams and peers that were tried, in the form id:outcome.
 func (r *Request) AttemptSummary() string { return strings.Join(r.attemptLog, " ") }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -22,6 +22,7 @@
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/quota"
 	"heatherloom/internal/relay"
+	"heatherloom/internal/retry"
 	"heatherloom/internal/routing"
 	"heatherloom/internal/telemetry"
 )
@@ -354,6 +355,9 @@
 	if c.dispatched != nil {
 		fields[telemetry.FieldTried] = c.dispatched.AttemptSummary()
 		fields[telemetry.FieldPromptTokens] = c.headers.PromptTokens
+		if reason := c.dispatched.NoRetryReason(); reason != retry.StopNone {
+			fields[telemetry.FieldNoRetry] = reason
+		}
 		fields[telemetry.FieldExpectedFirstByte] = c.dispatched.ExpectedFirstByte().Milliseconds()
 	}
 	if c.sink.started {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -24,7 +24,9 @@
 	"heatherloom/internal/promptprefix"
 	"heatherloom/internal/quota"
 	"heatherloom/internal/relay"
+	"heatherloom/internal/retry"
 	"heatherloom/internal/routing"
+	"heatherloom/internal/telemetry"
 	"heatherloom/internal/timeline"
 	"heatherloom/internal/writes"
 )
@@ -174,6 +176,9 @@
 		"ms":      elapsed.Milliseconds(),
 		"tried":   r.AttemptSummary(),
 	}
+	if reason := r.NoRetryReason(); reason != retry.StopNone {
+		fields[telemetry.FieldNoRetry] = reason
+	}
 	if err == nil {
 		s.Log.WithFields(fields).Info("request from a peer complete")
 		return
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -77,26 +77,52 @@
 	Resume
 )
 
-// Decide returns whether and how a failed attempt is retried. Unless the outcome is
-// NotSent, the calling code must also take the retry from its Budget.
-func Decide(a Attempt) Decision {
-	if a.Outcome == Delivered || a.Outcome == NotRetryable || a.Outcome == RequestEnded {
-		return Stop
-	}
-	if a.Number >= cmp.Or(a.MaxAttempts, MaxAttempts) || a.Crashes >= MaxCrashes {
-		return Stop
-	}
-	if a.Remaining <= 0 || (!a.ResponseStarted && a.Remaining < a.Estimate) {
-		return Stop
-	}
-	if !a.Repeatable && a.Outcome != NotSent && a.Outcome != Rejected {
-		return Stop
-	}
-	if !a.ResponseStarted {
-		return Again
-	}
-	if a.Repeatable && a.Resumable {
-		return Resume
+// StopReason is why no further attempt is made.
+type StopReason string
+
+// The reasons for which no further attempt is made.
+const (
+	// StopNone means that a further attempt may be made.
+	StopNone StopReason = ""
+	// StopFinal means that the outcome is Delivered, NotRetryable or RequestEnded.
+	StopFinal StopReason = "final"
+	// StopAttempts means that the request has used up its attempts.
+	StopAttempts StopReason = "attempts"
+	// StopCrash means that upstreams ended under the request or under a part of its prompt.
+	StopCrash StopReason = "crash"
+	// StopQuarantine means that the request or a part of its prompt is quarantined.
+	StopQuarantine StopReason = "quarantine"
+	// StopDeadline means that too little time is left.
+	StopDeadline StopReason = "deadline"
+	// StopNotRepeatable means that the request may not be executed twice, or that its response has
+	// begun and cannot be resumed.
+	StopNotRepeatable StopReason = "not_repeatable"
+	// StopBudget means that the retry budget is used up.
+	StopBudget StopReason = "budget"
+	// StopNoUpstream means that no upstream or peer is left to send the request to.
+	StopNoUpstream StopReason = "no_upstream"
+)
+
+// Decide returns whether and how a failed attempt is retried, and why not; the reason is StopNone
+// unless the decision is Stop. Unless the outcome is NotSent, the calling code must also take the
+// retry from its Budget.
+func Decide(a Attempt) (Decision, StopReason) {
+	switch {
+	case a.Outcome == Delivered || a.Outcome == NotRetryable || a.Outcome == RequestEnded:
+		return Stop, StopFinal
+	case a.Number >= cmp.Or(a.MaxAttempts, MaxAttempts):
+		return Stop, StopAttempts
+	case a.Crashes >= MaxCrashes:
+		return Stop, StopCrash
+	case a.Remaining <= 0 || (!a.ResponseStarted && a.Remaining < a.Estimate):
+		return Stop, StopDeadline
+	case !a.Repeatable && a.Outcome != NotSent && a.Outcome != Rejected:
+		return Stop, StopNotRepeatable
+	case !a.ResponseStarted:
+		return Again, StopNone
+	case a.Repeatable && a.Resumable:
+		return Resume, StopNone
+	default:
+		return Stop, StopNotRepeatable
 	}
-	return Stop
 }
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -37,9 +37,13 @@
 	} {
 		a := base
 		c.change(&a)
-		if got := Decide(a); got != c.want {
+		got, reason := Decide(a)
+		if got != c.want {
 			t.Errorf("%s: got %d, want %d", name, got, c.want)
 		}
+		if (reason == StopNone) != (got != Stop) {
+			t.Errorf("%s: decision %d for the reason %q", name, got, reason)
+		}
 	}
 }
 
--- a/internal/telemetry/fields.go
+++ b/internal/telemetry/fields.go
@@ -25,6 +25,7 @@
 	FieldRevision          = "revision"
 	FieldWaited            = "waited_ms"
 	FieldTried             = "tried"
+	FieldNoRetry           = "no_retry"
 	FieldStatus            = "status"
 	FieldMessage           = "message"
 	FieldUpstream          = "upstream"
