Deliver nothing of an attempt that has timed out

Callers saw a stream that began about 0.7 s after its attempt and was cut right after its first events, although its kind may be resumed.

The timer for the first byte was stopped after the first read, whether it had fired or not. If it had, the upstream's connection was closed already; the events of that read still reached the caller, and the attempt ended with the next read. What would have been sent again as a whole had become a stream that needs a resume.

Firing, stopping and starting the timer exclude each other, and stopping reports that the attempt has timed out, so that its events are dropped and the whole request can be sent again.

--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -132,7 +132,9 @@
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			// The time that a slow caller takes does not count against the upstream.
-			w.pause()
+			if !w.pause() {
+				return classifyBodyError(w, errNoProgress, a.StreamPosition.Started)
+			}
 			if failure := copier.Write(buf[:n]); failure != nil {
 				return StreamFailure(failure, a.StreamPosition.Started)
 			}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -185,7 +185,9 @@
 		n, err := resp.Body.Read(buf)
 		// The stream has no idle timeout: a slow caller or upstream is limited only by the
 		// deadline.
-		w.pause()
+		if !w.pause() {
+			return classifyBodyError(w, errNoProgress, a.StreamPosition.Started)
+		}
 		if failure := copier.Write(buf[:n]); failure != nil {
 			return StreamFailure(failure, a.StreamPosition.Started)
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -405,51 +405,6 @@
 	}
 }
 
-var errNoProgress = errors.New("no progress within the time limit")
-
-// watchdog is a watchdog timer that cancels an attempt that makes no progress.
-type watchdog struct {
-	parent context.Context
-	ctx    context.Context
-	cancel context.CancelCauseFunc
-	timer  *time.Timer
-}
-
-func newWatchdog(parent context.Context, first time.Duration) *watchdog {
-	ctx, cancel := context.WithCancelCause(parent)
-	w := &watchdog{parent: parent, ctx: ctx, cancel: cancel}
-	w.timer = time.AfterFunc(first, func() { cancel(errNoProgress) })
-	return w
-}
-
-// extend restarts the timer with d.
-func (w *watchdog) extend(d time.Duration) { w.timer.Reset(d) }
-
-// pause stops the timer until the next call of extend.
-func (w *watchdog) pause() { w.timer.Stop() }
-
-func (w *watchdog) stop() {
-	w.timer.Stop()
-	w.cancel(nil)
-}
-
-// timedOut reports whether the timer canceled the attempt.
-func (w *watchdog) timedOut() bool { return errors.Is(context.Cause(w.ctx), errNoProgress) }
-
-// requestEnded returns the result of the attempt if the caller has disconnected or the
-// deadline of the request has passed. Neither is a fault of the upstream.
-func (w *watchdog) requestEnded(err error, execution errkind.Execution, started bool) (Result, bool) {
-	switch {
-	case errors.Is(w.parent.Err(), context.DeadlineExceeded):
-		e := errkind.Wrap(err, errkind.UpstreamTimeout, execution, "the deadline of the request passed before the response was complete")
-		return Result{Err: e, Outcome: retry.RequestEnded, Started: started}, true
-	case w.parent.Err() != nil:
-		return CallerDisconnected(err, execution, started), true
-	default:
-		return Result{}, false
-	}
-}
-
 // allowedHeaders lists the upstream response headers that are passed to API callers.
 var allowedHeaders = []string{"Content-Type", "Cache-Control", "Etag", "Last-Modified", "Location", "Allow", "Retry-After"}
 
--- /dev/null
+++ b/internal/relay/watchdog.go
@@ -0,0 +1,99 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"heatherloom/internal/errkind"
+	"heatherloom/internal/retry"
+)
+
+var errNoProgress = errors.New("no progress within the time limit")
+
+// watchdog cancels an attempt that makes no progress within a period. Once it has, pause and extend
+// report it, so that nothing that is read later is delivered.
+type watchdog struct {
+	parent context.Context
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+
+	mu sync.Mutex
+	// running is false while the timer is paused and after the end of the attempt.
+	running bool
+	expired bool
+	// due is the end of the period.
+	due time.Time
+}
+
+func newWatchdog(parent context.Context, first time.Duration) *watchdog {
+	ctx, cancel := context.WithCancelCause(parent)
+	w := &watchdog{parent: parent, ctx: ctx, cancel: cancel, running: true, due: time.Now().Add(first)}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(first, w.expire)
+	return w
+}
+
+// expire cancels the attempt unless the timer was paused or restarted after it had fired.
+func (w *watchdog) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.running || time.Now().Before(w.due) {
+		return
+	}
+	w.running, w.expired = false, true
+	w.cancel(errNoProgress)
+}
+
+// extend starts a period of d. It returns false if the attempt has timed out.
+func (w *watchdog) extend(d time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.expired {
+		return false
+	}
+	w.running = true
+	w.start(d)
+	return true
+}
+
+// start sets the timer. The mutex must be held.
+func (w *watchdog) start(d time.Duration) {
+	w.due = time.Now().Add(d)
+	w.timer.Reset(d)
+}
+
+// pause stops the timer until the next call of extend. It returns false if the attempt has timed out.
+func (w *watchdog) pause() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running = false
+	w.timer.Stop()
+	return !w.expired
+}
+
+// stop ends the attempt.
+func (w *watchdog) stop() {
+	w.pause()
+	w.cancel(nil)
+}
+
+// timedOut reports whether the timer canceled the attempt.
+func (w *watchdog) timedOut() bool { return errors.Is(context.Cause(w.ctx), errNoProgress) }
+
+// requestEnded returns the result of the attempt if the caller has disconnected or the
+// deadline of the request has passed. Neither is a fault of the upstream.
+func (w *watchdog) requestEnded(err error, execution errkind.Execution, started bool) (Result, bool) {
+	switch {
+	case errors.Is(w.parent.Err(), context.DeadlineExceeded):
+		e := errkind.Wrap(err, errkind.UpstreamTimeout, execution, "the deadline of the request passed before the response was complete")
+		return Result{Err: e, Outcome: retry.RequestEnded, Started: started}, true
+	case w.parent.Err() != nil:
+		return CallerDisconnected(err, execution, started), true
+	default:
+		return Result{}, false
+	}
+}
