Read what has arrived before an attempt is given up

Responses that had arrived in time were given up by instances that got no processor time until the timeout was due as well: the runtime runs timers before it polls the network, so the timer won.

A timer that fires only starts a grace time of 20 ms, in which the reads go first. If the end of that comes more than 5 ms late, the process still gets no processor time, and the grace time starts again, for up to 250 ms in all.

--- a/internal/relay/watchdog.go
+++ b/internal/relay/watchdog.go
@@ -12,8 +12,18 @@
 
 var errNoProgress = errors.New("no progress within the time limit")
 
+const (
+	// readGrace is the time after the end of a period in which bytes that have arrived are read, and
+	// maxReadGrace the time in which it is started again because the process got no processor time.
+	readGrace    = 20 * time.Millisecond
+	maxReadGrace = 250 * time.Millisecond
+	// maxTimerDelay is the delay of a timer above which the process counts as without processor time.
+	maxTimerDelay = 5 * time.Millisecond
+)
+
 // watchdog cancels an attempt that makes no progress within a period. Once it has, pause and extend
-// report it, so that nothing that is read later is delivered.
+// report it, so that nothing that is read later is delivered. In a process that got no processor time,
+// timers and reads are due together; so the timer only starts a grace time in which the reads go first.
 type watchdog struct {
 	parent context.Context
 	ctx    context.Context
@@ -24,30 +34,46 @@
 	// running is false while the timer is paused and after the end of the attempt.
 	running bool
 	expired bool
-	// due is the end of the period.
+	// due is when the timer should fire, and end the end of the period; between them is the grace time.
 	due time.Time
+	end time.Time
 }
 
 func newWatchdog(parent context.Context, first time.Duration) *watchdog {
 	ctx, cancel := context.WithCancelCause(parent)
 	w := &watchdog{parent: parent, ctx: ctx, cancel: cancel, running: true, due: time.Now().Add(first)}
+	w.end = w.due
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(first, w.expire)
 	return w
 }
 
-// expire cancels the attempt unless the timer was paused or restarted after it had fired.
+// expire cancels the attempt after the grace time, unless the timer was paused or restarted after it had fired.
 func (w *watchdog) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.running || time.Now().Before(w.due) {
+	now := time.Now()
+	if !w.running || now.Before(w.due) {
+		return
+	}
+	if w.needsGrace(now) {
+		w.due = now.Add(readGrace)
+		w.timer.Reset(readGrace)
 		return
 	}
 	w.running, w.expired = false, true
 	w.cancel(errNoProgress)
 }
 
+// needsGrace reports whether bytes that have arrived may not have been read yet. The mutex must be held.
+func (w *watchdog) needsGrace(now time.Time) bool {
+	if w.due.Equal(w.end) {
+		return true
+	}
+	return now.Sub(w.due) > maxTimerDelay && w.due.Sub(w.end) < maxReadGrace
+}
+
 // extend starts a period of d. It returns false if the attempt has timed out.
 func (w *watchdog) extend(d time.Duration) bool {
 	w.mu.Lock()
@@ -63,6 +89,7 @@
 // start sets the timer. The mutex must be held.
 func (w *watchdog) start(d time.Duration) {
 	w.due = time.Now().Add(d)
+	w.end = w.due
 	w.timer.Reset(d)
 }
 
