Ask for a retry before an attempt is given up

The attempt ended first, and whether another one is allowed was asked only then.

The attempt asks before it ends, and the dispatcher charges the retry at that moment, so that it is sure to be allowed. If it is not, the attempt goes on and asks again after the same time, until its deadline. An attempt of which nothing was sent is given up as before, because its retry is not charged. Requests of the API that may be repeated ask as well; writes of the API end as before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -65,6 +65,8 @@
 	// expectedFirstByte is the estimated time to the first byte of the response.
 	expectedFirstByte time.Duration
 	interrupted       bool
+	// retryReserved is true if the retry budget was charged for the next retry already.
+	retryReserved bool
 	// noRetry is why no further attempt was made after the last one failed.
 	noRetry retry.StopReason
 	// executedAttempts counts the attempts that an upstream may have executed.
@@ -283,6 +285,47 @@
 // noRetryReason returns why a failed attempt may not be retried, or StopNone after it has charged
 // the retry budget for the retry.
 func (d *Dispatcher) noRetryReason(r *Request, result relay.Result) retry.StopReason {
+	if reason := d.noAttemptReason(r, result); reason != retry.StopNone {
+		return reason
+	}
+	if result.Outcome == retry.NotSent {
+		return retry.StopNone
+	}
+	if r.retryReserved {
+		r.retryReserved = false
+		return retry.StopNone
+	}
+	if !d.takeRetry(r) {
+		return retry.StopBudget
+	}
+	return retry.StopNone
+}
+
+// reserveRetry reports whether the running attempt may be given up for a retry, which it charges to the
+// retry budget.
+func (d *Dispatcher) reserveRetry(r *Request) bool {
+	given := *r
+	given.Attempts++
+	given.executedAttempts++
+	started := r.StreamPosition != nil && r.StreamPosition.Started
+	if d.noAttemptReason(&given, relay.Result{Outcome: retry.TimedOut, Started: started}) != retry.StopNone {
+		return false
+	}
+	r.retryReserved = r.retryReserved || d.takeRetry(r)
+	return r.retryReserved
+}
+
+// takeRetry charges the retry budget for a retry and reports whether it allows it.
+func (d *Dispatcher) takeRetry(r *Request) bool {
+	if r.RouteParams != nil {
+		return d.ServiceRetryBudgets.Take(clock.Now(), r.Target, d.Snapshot().InstanceCount)
+	}
+	return d.budget.Take(clock.Now())
+}
+
+// noAttemptReason returns why a failed attempt may not be followed by another, whatever the retry
+// budget allows.
+func (d *Dispatcher) noAttemptReason(r *Request, result relay.Result) retry.StopReason {
 	if until, quarantined := d.quarantinedUntil(r); quarantined && clock.Now().Before(until) {
 		return retry.StopQuarantine
 	}
@@ -290,7 +333,7 @@
 		return retry.StopCrash
 	}
 	if r.RouteParams != nil {
-		return d.noRetryReasonOnRoute(r, result)
+		return noAttemptReasonOnRoute(r, result)
 	}
 	now := clock.Now()
 	_, reason := retry.Decide(retry.Attempt{
@@ -303,9 +346,6 @@
 		Remaining:       r.Deadline.Sub(now),
 		Estimate:        d.estimates.Shortest(now, r.estimateKey()),
 	})
-	if reason == retry.StopNone && result.Outcome != retry.NotSent && !d.budget.Take(clock.Now()) {
-		return retry.StopBudget
-	}
 	return reason
 }
 
@@ -458,6 +498,9 @@
 		attempt.OnSent = func() { cold.Sent(clock.Now()) }
 	}
 	d.applyRouteParams(&attempt, r, u, choice)
+	if r.Repeatable || r.RouteParams != nil {
+		attempt.ReserveRetry = func() bool { return d.reserveRetry(r) }
+	}
 	result := d.Relay.Do(ctx, attempt, timed)
 	if r.RouteParams != nil {
 		d.updateUpstreamState(u, result)
--- a/internal/dispatch/route_params.go
+++ b/internal/dispatch/route_params.go
@@ -120,8 +120,8 @@
 	}
 }
 
-// noRetryReasonOnRoute is noRetryReason within the limits of the route.
-func (d *Dispatcher) noRetryReasonOnRoute(r *Request, result relay.Result) retry.StopReason {
+// noAttemptReasonOnRoute is noAttemptReason within the limits of the route.
+func noAttemptReasonOnRoute(r *Request, result relay.Result) retry.StopReason {
 	_, reason := retry.Decide(retry.Attempt{
 		Number:          r.executedAttempts,
 		Outcome:         result.Outcome,
@@ -132,16 +132,10 @@
 		Remaining:       time.Until(r.Deadline),
 		MaxAttempts:     r.RouteParams.MaxExecutions,
 	})
-	switch {
-	case reason != retry.StopNone:
-		return reason
-	case r.Attempts >= maxAttemptsPerExecution*r.RouteParams.MaxExecutions:
+	if reason == retry.StopNone && r.Attempts >= maxAttemptsPerExecution*r.RouteParams.MaxExecutions {
 		return retry.StopAttempts
-	case result.Outcome != retry.NotSent && !d.ServiceRetryBudgets.Take(clock.Now(), r.Target, d.Snapshot().InstanceCount):
-		return retry.StopBudget
-	default:
-		return retry.StopNone
 	}
+	return reason
 }
 
 // countExecuted counts the attempts that an upstream may have executed. A forwarded request
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -310,6 +310,18 @@
 	return unsent
 }
 
+// unsent reports whether provably no byte was sent so far.
+func (s *sendTracker) unsent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range s.uses {
+		if u.conn.writeCount() != u.writesBefore {
+			return false
+		}
+	}
+	return !s.unknownConn
+}
+
 // resends returns how often net/http sent the request again by itself. It does so for a request
 // that may be repeated if a pooled connection breaks before the response.
 func (s *sendTracker) resends() (n int) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -123,8 +123,14 @@
 	Priority int
 	// Deadline is the deadline set by the caller or the route.
 	Deadline time.Time
-	// HostFirstByteTimeout is the timeout for the first byte of the response; 0 for Deadline.
+	// HostFirstByteTimeout is the timeout for the first byte of the response, after which ReserveRetry is
+	// asked; 0 for Deadline.
 	HostFirstByteTimeout time.Duration
+	// ReserveRetry is called before the attempt is given up because the upstream is silent. If it returns
+	// false, no retry is allowed, and the attempt goes on, until its deadline at most. It is not called if
+	// nothing was sent, must not block, and runs on another goroutine, but not after Do has returned. Nil to
+	// give up always.
+	ReserveRetry func() bool
 	// OnSent is called each time the request was written to a connection, completely or not; nil to
 	// ignore it. The transport may write a request more than once.
 	OnSent func()
@@ -222,9 +228,10 @@
 
 // doOnce makes the attempt without repeating it after a sealed connection.
 func (r *Relay) doOnce(ctx context.Context, a Attempt, sink Sink) Result {
-	w := newWatchdog(ctx, firstByteTimeout(a, r.limits))
-	defer w.stop()
 	sent := &sendTracker{onSent: a.OnSent}
+	mayGiveUp := func() bool { return a.ReserveRetry == nil || sent.unsent() || a.ReserveRetry() }
+	w := newWatchdog(ctx, firstByteTimeout(a, r.limits), mayGiveUp)
+	defer w.stop()
 	req, err := newUpstreamRequest(sent.withTrace(w.ctx), a)
 	if err != nil {
 		return Result{Err: errkind.Wrap(err, errkind.Internal, errkind.NotExecuted, "the upstream request could not be created"), Outcome: retry.NotRetryable}
--- a/internal/relay/watchdog.go
+++ b/internal/relay/watchdog.go
@@ -29,19 +29,24 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
+	// mayGiveUp is asked before the attempt is canceled; nil to cancel it without asking. If it returns false,
+	// it is asked again after another period.
+	mayGiveUp func() bool
 
 	mu sync.Mutex
 	// running is false while the timer is paused and after the end of the attempt.
 	running bool
 	expired bool
 	// due is when the timer should fire, and end the end of the period; between them is the grace time.
-	due time.Time
-	end time.Time
+	due    time.Time
+	end    time.Time
+	period time.Duration
 }
 
-func newWatchdog(parent context.Context, first time.Duration) *watchdog {
+func newWatchdog(parent context.Context, first time.Duration, mayGiveUp func() bool) *watchdog {
 	ctx, cancel := context.WithCancelCause(parent)
-	w := &watchdog{parent: parent, ctx: ctx, cancel: cancel, running: true, due: time.Now().Add(first)}
+	w := &watchdog{parent: parent, ctx: ctx, cancel: cancel, mayGiveUp: mayGiveUp, running: true}
+	w.period, w.due = first, time.Now().Add(first)
 	w.end = w.due
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -54,7 +59,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
-	if !w.running || now.Before(w.due) {
+	if !w.running || now.Before(w.due) || w.ctx.Err() != nil {
 		return
 	}
 	if w.needsGrace(now) {
@@ -62,6 +67,10 @@
 		w.timer.Reset(readGrace)
 		return
 	}
+	if w.mayGiveUp != nil && !w.mayGiveUp() {
+		w.start(w.period)
+		return
+	}
 	w.running, w.expired = false, true
 	w.cancel(errNoProgress)
 }
@@ -88,7 +97,7 @@
 
 // start sets the timer. The mutex must be held.
 func (w *watchdog) start(d time.Duration) {
-	w.due = time.Now().Add(d)
+	w.period, w.due = d, time.Now().Add(d)
 	w.end = w.due
 	w.timer.Reset(d)
 }
