Leave a part of the retry budget to streams that have begun

Callers of streams that may be resumed saw them cut in the middle for want of the retry budget, while requests that nobody had received anything of were sent again.

The budget went to whoever asked first, and under overload rejections and timeouts before the first byte ask most often.

Retries of streams of which the caller has received nothing use three quarters of a service's limit, but at least one retry where the limit allows one. Streams that have begun, and requests that are not streams, use all of it. The sum stays within the limit, which is unchanged.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -295,7 +295,7 @@
 		r.retryReserved = false
 		return retry.StopNone
 	}
-	if !d.takeRetry(r) {
+	if !d.takeRetry(r, result.Started) {
 		return retry.StopBudget
 	}
 	return retry.StopNone
@@ -311,16 +311,21 @@
 	if d.noAttemptReason(&given, relay.Result{Outcome: retry.TimedOut, Started: started}) != retry.StopNone {
 		return false
 	}
-	r.retryReserved = r.retryReserved || d.takeRetry(r)
+	r.retryReserved = r.retryReserved || d.takeRetry(r, started)
 	return r.retryReserved
 }
 
-// takeRetry charges the retry budget for a retry and reports whether it allows it.
-func (d *Dispatcher) takeRetry(r *Request) bool {
-	if r.RouteParams != nil {
+// takeRetry charges the retry budget for a retry and reports whether it allows it. started is true if a part
+// of the response was delivered.
+func (d *Dispatcher) takeRetry(r *Request, started bool) bool {
+	switch {
+	case r.RouteParams == nil:
+		return d.budget.Take(clock.Now())
+	case r.Stream && !started && !r.StreamPosition.HasLastEventID:
+		return d.ServiceRetryBudgets.TakeBeforeStream(clock.Now(), r.Target, d.Snapshot().InstanceCount)
+	default:
 		return d.ServiceRetryBudgets.Take(clock.Now(), r.Target, d.Snapshot().InstanceCount)
 	}
-	return d.budget.Take(clock.Now())
 }
 
 // noAttemptReason returns why a failed attempt may not be followed by another, whatever the retry
--- a/internal/retry/budgets.go
+++ b/internal/retry/budgets.go
@@ -16,6 +16,9 @@
 // different times and a window may begin in the middle of a bucket.
 const budgetSafetyFactor = 0.7
 
+// resumeShare is the fraction of the retries to a service that only streams which have begun may use.
+const resumeShare = 0.25
+
 // Budgets holds one Budget for each service. The slack is divided evenly among the
 // instances; the share needs no division, because each instance applies it to its own
 // requests. It is safe for concurrent use.
@@ -55,7 +58,22 @@
 
 // Take reports whether one more retry to the service is allowed, and counts it if so.
 func (b *Budgets) Take(now time.Time, service string, instances int) bool {
+	return b.forService(service).take(now, b.limit(instances))
+}
+
+// TakeBeforeStream is Take for the retry of a stream of which the caller has received nothing. It leaves
+// resumeShare of the limit to streams that have begun, which would be cut without a retry.
+func (b *Budgets) TakeBeforeStream(now time.Time, service string, instances int) bool {
+	limit := b.limit(instances)
+	return b.forService(service).take(now, func(requests int64) float64 {
+		whole := limit(requests)
+		return min(whole, max(1, (1-resumeShare)*whole))
+	})
+}
+
+// limit returns the limit of one of several instances by the number of its requests.
+func (b *Budgets) limit(instances int) func(requests int64) float64 {
 	share := b.limits.Share * budgetSafetyFactor
 	floor := b.limits.Slack * budgetSafetyFactor / float64(max(instances, 1))
-	return b.forService(service).take(now, func(requests int64) float64 { return floor + share*float64(requests) })
+	return func(requests int64) float64 { return floor + share*float64(requests) }
 }
