--- a/internal/peer/lost_conn_test.go
+++ b/internal/peer/lost_conn_test.go
@@ -118,15 +118,18 @@
 	link *faultproxy.Proxy
 	far  *streamUpstream
 	near *streamUpstream
-	// release lets the upstream of the other instance finish.
-	release chan struct{}
+	// finish lets the upstream of the other instance complete its responses.
+	finish func()
 }
 
 func startLostConnRig(t *testing.T, limits retry.Limits) *lostConnRig {
 	released := make(chan struct{})
 	close(released)
-	rig := &lostConnRig{near: startStreamUpstream(t, released), release: make(chan struct{})}
-	rig.far = startStreamUpstream(t, rig.release)
+	rig := &lostConnRig{near: startStreamUpstream(t, released)}
+	release := make(chan struct{})
+	rig.far = startStreamUpstream(t, release)
+	rig.finish = sync.OnceFunc(func() { close(release) })
+	t.Cleanup(rig.finish)
 	other := &Server{Secret: "secret", Identity: control.Identity{ID: "b"}}
 	other.Dispatcher = newHostDispatcher(&routing.Snapshot{Upstreams: []routing.Upstream{
 		{ID: "far", Address: rig.far.Listener.Addr().String(), Counters: &routing.Counters{}}}}, nil, limits)
@@ -187,7 +190,6 @@
 	}
 	lose()
 	calls.Wait()
-	close(rig.release)
 	return counts
 }
 
@@ -258,3 +260,23 @@
 		}
 	}
 }
+
+// shortSilence is below the time after which a silent connection to a peer is given up.
+const shortSilence = 3 * time.Second
+
+// Guards against forwards that are cut because the other instance gets no processor time for a while.
+func TestForwardsOutlastAShortSilence(t *testing.T) {
+	const n = 12
+	rig := startLostConnRig(t, retry.Limits{})
+	counts := rig.run(t, n, func() {
+		rig.link.SetFaults(faultproxy.BlackHole())
+		rig.finish()
+		time.Sleep(shortSilence)
+		rig.link.SetFaults(faultproxy.Faults{})
+	})
+	for name := range forwardedKinds {
+		if counts[name]["complete"] != n {
+			t.Errorf("%s: %v", name, counts[name])
+		}
+	}
+}
