--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -67,6 +67,10 @@
 	// expectedFirstByte is the estimated time to the first byte of the response.
 	expectedFirstByte time.Duration
 	interrupted       bool
+	// retryReserved is true if the retry budget was charged for the next retry already.
+	retryReserved bool
+	// noRetry is why no further attempt was made after the last one failed.
+	noRetry retry.StopReason
 	// executedAttempts counts the attempts that an upstream may have executed.
 	executedAttempts int
 	// Probe marks a rollout probe: a request that tests the candidate version of a rollout.
@@ -249,6 +253,7 @@
 	for {
 		result, destination, err := d.attempt(ctx, r, tried, last.Outcome, sink)
 		if err != nil {
+			r.noRetry = retry.StopNoUpstream
 			return noUpstreamError(err, last, execution)
 		}
 		if result.Err == nil {
@@ -260,7 +265,7 @@
 		execution = combineExecution(execution, result.Err.Execution)
 		result.Err.Execution = execution
 		d.recordFailure(r, destination, result.Err)
-		if !d.shouldRetry(r, result) {
+		if r.noRetry = d.noRetryReason(r, result); r.noRetry != retry.StopNone {
 			if deliverErrorResponse(result, sink) {
 				return nil
 			}
@@ -296,19 +301,66 @@
 	return errkind.NotExecuted
 }
 
-// shouldRetry reports whether a failed attempt may be retried.
-func (d *Dispatcher) shouldRetry(r *Request, result relay.Result) bool {
-	if until, quarantined := d.quarantinedUntil(r); quarantined && clock.Now().Before(until) {
+// noRetryReason returns why a failed attempt may not be retried, or StopNone after it has charged
+// the retry budget for the retry.
+func (d *Dispatcher) noRetryReason(r *Request, result relay.Result) retry.StopReason {
+	if reason := d.noAttemptReason(r, result); reason != retry.StopNone {
+		return reason
+	}
+	if result.Outcome == retry.NotSent {
+		return retry.StopNone
+	}
+	if r.retryReserved {
+		r.retryReserved = false
+		return retry.StopNone
+	}
+	if !d.takeRetry(r, result.Started) {
+		return retry.StopBudget
+	}
+	return retry.StopNone
+}
+
+// reserveRetry reports whether the running attempt may be given up for a retry, which it charges to the
+// retry budget.
+func (d *Dispatcher) reserveRetry(r *Request) bool {
+	given := *r
+	given.Attempts++
+	given.executedAttempts++
+	started := r.StreamPosition != nil && r.StreamPosition.Started
+	if d.noAttemptReason(&given, relay.Result{Outcome: retry.TimedOut, Started: started}) != retry.StopNone {
 		return false
 	}
+	r.retryReserved = r.retryReserved || d.takeRetry(r, started)
+	return r.retryReserved
+}
+
+// takeRetry charges the retry budget for a retry and reports whether it allows it. started is true if a part
+// of the response was delivered.
+func (d *Dispatcher) takeRetry(r *Request, started bool) bool {
+	switch {
+	case r.RouteParams == nil:
+		return d.budget.Take(clock.Now())
+	case r.Stream && !started && !r.StreamPosition.HasLastEventID:
+		return d.ServiceRetryBudgets.TakeBeforeStream(clock.Now(), r.Target, d.Snapshot().InstanceCount)
+	default:
+		return d.ServiceRetryBudgets.Take(clock.Now(), r.Target, d.Snapshot().InstanceCount)
+	}
+}
+
+// noAttemptReason returns why a failed attempt may not be followed by another, whatever the retry
+// budget allows.
+func (d *Dispatcher) noAttemptReason(r *Request, result relay.Result) retry.StopReason {
+	if until, quarantined := d.quarantinedUntil(r); quarantined && clock.Now().Before(until) {
+		return retry.StopQuarantine
+	}
 	if result.Crashes > 0 && d.suspected(r) {
-		return false
+		return retry.StopCrash
 	}
 	if r.RouteParams != nil {
-		return d.shouldRetryOnRoute(r, result)
+		return noAttemptReasonOnRoute(r, result)
 	}
 	now := clock.Now()
-	decision := retry.Decide(retry.Attempt{
+	_, reason := retry.Decide(retry.Attempt{
 		Number:          r.Attempts,
 		Outcome:         result.Outcome,
 		Repeatable:      r.Repeatable,
@@ -318,10 +370,7 @@
 		Remaining:       r.Deadline.Sub(now),
 		Estimate:        d.estimates.Shortest(now, r.estimateKey()),
 	})
-	if decision == retry.Stop {
-		return false
-	}
-	return result.Outcome == retry.NotSent || d.budget.Take(clock.Now())
+	return reason
 }
 
 func (d *Dispatcher) attempt(ctx context.Context, r *Request, tried []string, last retry.Outcome, sink Sink) (relay.Result, string, *errkind.Error) {
@@ -473,6 +522,9 @@
 		attempt.OnSent = func() { cold.Sent(clock.Now()) }
 	}
 	d.applyRouteParams(&attempt, r, u, choice)
+	if r.Repeatable || r.RouteParams != nil {
+		attempt.ReserveRetry = func() bool { return d.reserveRetry(r) }
+	}
 	result := d.Relay.Do(ctx, attempt, timed)
 	if r.RouteParams != nil {
 		d.updateUpstreamState(u, result)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -25,7 +25,9 @@
 	"heatherloom/internal/promptprefix"
 	"heatherloom/internal/quota"
 	"heatherloom/internal/relay"
+	"heatherloom/internal/retry"
 	"heatherloom/internal/routing"
+	"heatherloom/internal/telemetry"
 	"heatherloom/internal/timeline"
 	"heatherloom/internal/writes"
 )
@@ -199,6 +201,9 @@
 		"ms":      elapsed.Milliseconds(),
 		"tried":   r.AttemptSummary(),
 	}
+	if reason := r.NoRetryReason(); reason != retry.StopNone {
+		fields[telemetry.FieldNoRetry] = reason
+	}
 	if err == nil {
 		s.Log.WithFields(fields).Info("request from a peer complete")
 		return
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -124,8 +124,14 @@
 	Priority int
 	// Deadline is the deadline set by the caller or the route.
 	Deadline time.Time
-	// HostFirstByteTimeout is the timeout for the first byte of the response; 0 for Deadline.
+	// HostFirstByteTimeout is the timeout for the first byte of the response, after which ReserveRetry is
+	// asked; 0 for Deadline.
 	HostFirstByteTimeout time.Duration
+	// ReserveRetry is called before the attempt is given up because the upstream is silent. If it returns
+	// false, no retry is allowed, and the attempt goes on, until its deadline at most. It is not called if
+	// nothing was sent, must not block, and runs on another goroutine, but not after Do has returned. Nil to
+	// give up always.
+	ReserveRetry func() bool
 	// OnSent is called each time the request was written to a connection, completely or not; nil to
 	// ignore it. The transport may write a request more than once.
 	OnSent func()
@@ -223,9 +229,10 @@
 
 // doOnce makes the attempt without repeating it after a sealed connection.
 func (r *Relay) doOnce(ctx context.Context, a Attempt, sink Sink) Result {
-	w := newWatchdog(ctx, firstByteTimeout(a, r.limits))
-	defer w.stop()
 	sent := &sendTracker{onSent: a.OnSent}
+	mayGiveUp := func() bool { return a.ReserveRetry == nil || sent.unsent() || a.ReserveRetry() }
+	w := newWatchdog(ctx, firstByteTimeout(a, r.limits), mayGiveUp)
+	defer w.stop()
 	req, err := newUpstreamRequest(sent.withTrace(w.ctx), a)
 	if err != nil {
 		return Result{Err: errkind.Wrap(err, errkind.Internal, errkind.NotExecuted, "the upstream request could not be created"), Outcome: retry.NotRetryable}
@@ -436,51 +443,6 @@
 	return result
 }
 
-var errNoProgress = errors.New("no progress within the time limit")
-
-// watchdog is a watchdog timer that cancels an attempt that makes no progress.
-type watchdog struct {
-	parent context.Context
-	ctx    context.Context
-	cancel context.CancelCauseFunc
-	timer  *time.Timer
-}
-
-func newWatchdog(parent context.Context, first time.Duration) *watchdog {
-	ctx, cancel := context.WithCancelCause(parent)
-	w := &watchdog{parent: parent, ctx: ctx, cancel: cancel}
-	w.timer = time.AfterFunc(first, func() { cancel(errNoProgress) })
-	return w
-}
-
-// extend restarts the timer with d.
-func (w *watchdog) extend(d time.Duration) { w.timer.Reset(d) }
-
-// pause stops the timer until the next call of extend.
-func (w *watchdog) pause() { w.timer.Stop() }
-
-func (w *watchdog) stop() {
-	w.timer.Stop()
-	w.cancel(nil)
-}
-
-// timedOut reports whether the timer canceled the attempt.
-func (w *watchdog) timedOut() bool { return errors.Is(context.Cause(w.ctx), errNoProgress) }
-
-// requestEnded returns the result of the attempt if the caller has disconnected or the
-// deadline of the request has passed. Neither is a fault of the upstream.
-func (w *watchdog) requestEnded(err error, execution errkind.Execution, started bool) (Result, bool) {
-	switch {
-	case errors.Is(w.parent.Err(), context.DeadlineExceeded):
-		e := errkind.Wrap(err, errkind.UpstreamTimeout, execution, "the deadline of the request passed before the response was complete")
-		return Result{Err: e, Outcome: retry.RequestEnded, Started: started}, true
-	case w.parent.Err() != nil:
-		return RequestCanceled(w.parent, err, execution, started), true
-	default:
-		return Result{}, false
-	}
-}
-
 // allowedHeaders lists the upstream response headers that are passed to API callers.
 var allowedHeaders = []string{"Content-Type", "Cache-Control", "Etag", "Last-Modified", "Location", "Allow", "Retry-After"}
 
