--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -111,17 +111,19 @@
 // start starts the process and waits until it serves.
 func (s *stopProcess) start(t *testing.T, binary, store string) {
 	t.Helper()
-	addresses := make([]any, 5)
-	for i := range addresses {
+	listeners := ""
+	for _, name := range []string{"caller", "peer", "operator", "entries", "ready"} {
 		address, err := local.FixedAddress()
 		if err != nil {
 			t.Fatal(err)
 		}
-		addresses[i] = address
+		if name == "caller" {
+			s.address = address
+		}
+		listeners += name + "=" + address + "\n"
 	}
-	s.address = addresses[0].(string)
 	path := filepath.Join(t.TempDir(), "e.ini")
-	text := fmt.Sprintf("[instance]\nid=e\nregion=a\nfailure_domain=a\n[listeners]\ncaller=%s\npeer=%s\noperator=%s\nentries=%s\nready=%s\n", addresses...) +
+	text := "[instance]\nid=e\nregion=a\nfailure_domain=a\n[listeners]\n" + listeners +
 		fmt.Sprintf("[platform]\nprotocol=metadata\nstore=%s\ndomains=a:a\n[peer]\nsecret=%s\n[shutdown]\ntimeout=%s\nserve_for=500ms\n", store, peerSecret, stopTimeout)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
