End the wait for the rest of a rejection without asking for a retry

Found by review.

These waits only save a connection, but ended through the same timer, which asks whether a retry is allowed. They are final now: the attempt's outcome is known. A panic in the question no longer ends the process, as it is asked by a timer.

Evidence: TestARejectionWithAStalledBodyEndsTheAttempt hangs without this, until the limit of go test, and passes with it.

--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -141,7 +141,7 @@
 			w.extend(r.limits.ReadIdleTimeout)
 		}
 		if copier.Done() {
-			w.extend(drainTimeout)
+			w.extendFinal(drainTimeout)
 			_, _ = io.CopyN(io.Discard, resp.Body, copyBufferBytes)
 			return Result{Started: true}
 		}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -140,7 +140,7 @@
 // handleRejection handles a response which states that the request was not executed. It
 // reads the rest of the body so that the connection can be reused.
 func (r *Relay) handleRejection(w *watchdog, resp *http.Response, metadata ResponseMetadata, a Attempt) Result {
-	w.extend(drainTimeout)
+	w.extendFinal(drainTimeout)
 	_, _ = io.CopyN(io.Discard, resp.Body, copyBufferBytes)
 	result := upstreamFault(errkind.Overloaded, errkind.NotExecuted, retry.Rejected, nil, "the upstream is not accepting more requests")
 	result.UpstreamFault = metadata.Misdirected
--- a/internal/relay/timeout_test.go
+++ b/internal/relay/timeout_test.go
@@ -123,3 +123,19 @@
 		t.Errorf("of %d streams that were sent in time: %v", frozenStreams, failed)
 	}
 }
+
+// Guards against a request that is held until its deadline because the body of a rejection stalls.
+func TestARejectionWithAStalledBodyEndsTheAttempt(t *testing.T) {
+	hold := make(chan struct{})
+	t.Cleanup(func() { close(hold) })
+	u := startByteUpstream(t, func(int) (string, func(net.Conn)) {
+		return "HTTP/1.1 503 Busy\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: 10\r\n\r\nab", func(net.Conn) { <-hold }
+	})
+	a := newStreamAttempt(u.listener.Addr().String(), time.Second)
+	a.ReserveRetry = func() bool { return false }
+	started := time.Now()
+	result := New(DefaultLimits()).Do(context.Background(), a, &memorySink{})
+	if took := time.Since(started); result.Outcome != retry.Rejected || took > time.Second {
+		t.Errorf("outcome %d after %s", result.Outcome, took)
+	}
+}
--- a/internal/relay/watchdog.go
+++ b/internal/relay/watchdog.go
@@ -41,6 +41,8 @@
 	due    time.Time
 	end    time.Time
 	period time.Duration
+	// final is set once the period ends the attempt in any case.
+	final bool
 }
 
 func newWatchdog(parent context.Context, first time.Duration, mayGiveUp func() bool) *watchdog {
@@ -62,12 +64,12 @@
 	if !w.running || now.Before(w.due) || w.ctx.Err() != nil {
 		return
 	}
-	if w.needsGrace(now) {
+	if !w.final && w.needsGrace(now) {
 		w.due = now.Add(readGrace)
 		w.timer.Reset(readGrace)
 		return
 	}
-	if w.mayGiveUp != nil && !w.mayGiveUp() {
+	if !w.final && !w.allowed() {
 		w.start(w.period)
 		return
 	}
@@ -75,6 +77,27 @@
 	w.cancel(errNoProgress)
 }
 
+// allowed reports whether the attempt may be given up. It may if that cannot be found out.
+func (w *watchdog) allowed() (ok bool) {
+	if w.mayGiveUp == nil {
+		return true
+	}
+	defer func() {
+		if recover() != nil {
+			ok = true
+		}
+	}()
+	return w.mayGiveUp()
+}
+
+// extendFinal starts a last period of d, after which the attempt ends in any case: its outcome is known.
+func (w *watchdog) extendFinal(d time.Duration) {
+	w.mu.Lock()
+	w.final = true
+	w.mu.Unlock()
+	w.extend(d)
+}
+
 // needsGrace reports whether bytes that have arrived may not have been read yet. The mutex must be held.
 func (w *watchdog) needsGrace(now time.Time) bool {
 	if w.due.Equal(w.end) {
