Do not tell callers of the API to repeat an interrupted request that may have run

A request of the API that a drain interrupted got 503 with Retry-After also where an upstream may have run it: the kind draining had meant ran=no before. It gets 502 now, as on host routes. Records of writes are handed over after a drain only if nothing runs any more.

--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -126,7 +126,9 @@
 func (n *Node) Drain(ctx context.Context, reason string) error {
 	n.drain.RequestDrain(reason)
 	err := n.drain.Run(ctx, n.drainSchedule(ctx))
-	n.handOverWrites(ctx)
+	if n.drain.Progress().InFlight == 0 {
+		n.handOverWrites(ctx)
+	}
 	return err
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -438,7 +438,12 @@
 func RequestCanceled(ctx context.Context, err error, execution errkind.Execution, started bool) Result {
 	result := CallerDisconnected(err, execution, started)
 	if errors.Is(context.Cause(ctx), drain.ErrInterrupted) {
-		result.Err = errkind.Wrap(err, errkind.Draining, execution, "this instance stops and had to interrupt the request; use another instance")
+		kind := errkind.Draining
+		if execution != errkind.NotExecuted {
+			// The status of Draining tells callers of the API to repeat the request.
+			kind = errkind.ResponseIncomplete
+		}
+		result.Err = errkind.Wrap(err, kind, execution, "this instance stops and had to interrupt the request; use another instance")
 	}
 	return result
 }
