Send nothing to upstreams that say in their responses that they leave

Callers saw requests fail at a server that was about to end: an instance that had missed the change of its row, because the store turned it away, had dropped its history or was restored, went on sending there. Nothing read the header Server-Leaving.

An upstream now has one state for leaving, whatever it was learned from: the row, the operators, or its own word in any response, rejections, failures and health checks included. A response that came through a peer carries the id of the upstream, because the instance that passes it on is bound by it too. The state outlasts a row that is missing for a moment and one that says ready; it ends with another process of the upstream, or with a health check in which it does not say so.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -104,9 +104,13 @@
 // listed.
 const rateRetention = 10 * time.Second
 
+// leavingRetention is how long the row of an upstream that said it leaves is kept while it is not listed. A store
+// that is restored from a copy may list it again.
+const leavingRetention = time.Minute
+
 // unlistUpstreams removes the upstreams that are not listed. The rows of cold ones are kept until
-// they would be warm, and those of upstreams that name a request rate for rateRetention, because a
-// row can be missing for a moment.
+// they would be warm, those of upstreams that name a request rate for rateRetention, and those of upstreams
+// that said they leave for leavingRetention, because a row can be missing for a moment.
 func (t *tables) unlistUpstreams(listed map[string]bool, now time.Time) {
 	for id, row := range t.upstreams {
 		if listed[id] {
@@ -117,6 +121,9 @@
 		if _, named := row.counters.NamedRate(); named {
 			row.keptUntil = latest(row.coldUntil, now.Add(rateRetention))
 		}
+		if row.counters.SaysLeaving() {
+			row.keptUntil = latest(row.keptUntil, now.Add(leavingRetention))
+		}
 		t.unlisted[id] = row
 	}
 	maps.DeleteFunc(t.unlisted, func(_ string, row *upstreamRow) bool { return !now.Before(row.keptUntil) })
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -172,7 +172,9 @@
 	case !new.Down && old.Down:
 		record(timeline.KindUpstreamUp, new.ID, "probe allowed")
 	case new.Draining && !old.Draining:
-		record(timeline.KindUpstreamLeaving, new.ID, "")
+		record(timeline.KindUpstreamLeaving, new.ID, leavingSource(new))
+	case !new.Draining && old.Draining:
+		record(timeline.KindUpstreamUp, new.ID, "does not leave any more")
 	case new.Evacuated != old.Evacuated:
 		l.log("upstream", logrus.Fields{"upstream": new.ID, "change": "evacuated", "reason": new.Evacuated})
 	case new.RateLimited != old.RateLimited:
@@ -184,6 +186,14 @@
 	}
 }
 
+// leavingSource tells how it was learned that an upstream leaves.
+func leavingSource(u *routing.Upstream) string {
+	if u.ListedDraining {
+		return "listed as leaving"
+	}
+	return "its responses say so"
+}
+
 func (l *Loop) observeRollout(old, new *rollout.Rollout) {
 	switch {
 	case new == nil:
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -109,6 +109,7 @@
 		cold := now.Before(row.coldUntil)
 		id := row.instance.ID
 		_, drained := t.config.Drains[id]
+		drained = drained || row.instance.State == external.InstanceDraining
 		requestRate, limited := budget.requestRate(row)
 		isBrittle := row.counters.Brittle()
 		var places, sharers int
@@ -123,7 +124,8 @@
 			Role:           row.instance.Role,
 			Targets:        targetsOf(row),
 			ListedTargets:  row.instance.Models,
-			Draining:       drained || row.instance.State == external.InstanceDraining,
+			Draining:       drained || row.counters.SaysLeaving(),
+			ListedDraining: drained,
 			Down:           now.Before(row.downUntil) || row.awaitsHealthCheck,
 			StartedAt:      row.instance.StartedAtUnixMilli,
 			Version:        row.instance.Version,
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -106,8 +106,8 @@
 	// sortedUpstreams holds the rows of upstreams sorted by id. It is rebuilt only with the
 	// instance list, because sorting on every tick took more than half of the tick.
 	sortedUpstreams []*upstreamRow
-	// unlisted holds the rows of upstreams that were cold, or named a request rate, when they were no
-	// longer listed.
+	// unlisted holds the rows of upstreams that were cold, named a request rate or said that they leave, when
+	// they were no longer listed.
 	unlisted map[string]*upstreamRow
 	// coldSendsFrom is when this instance may first send to cold upstreams; zero before the first
 	// instance list.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -71,6 +71,8 @@
 	retryReserved bool
 	// noRetry is why no further attempt was made after the last one failed.
 	noRetry retry.StopReason
+	// leavingUpstream is the upstream that said last, in a response to this request, that it leaves; empty for none.
+	leavingUpstream string
 	// executedAttempts counts the attempts that an upstream may have executed.
 	executedAttempts int
 	// Probe marks a rollout probe: a request that tests the candidate version of a rollout.
@@ -110,6 +112,14 @@
 	return r.Target + " " + r.Method
 }
 
+// LeavingUpstream returns the id of the upstream that said last, in a response to this request, that it leaves;
+// empty for none.
+func (r *Request) LeavingUpstream() string { return r.leavingUpstream }
+
+// SetLeavingUpstream sets what LeavingUpstream returns, for a request that was forwarded. It is to be called
+// before the head of the response is delivered.
+func (r *Request) SetLeavingUpstream(id string) { r.leavingUpstream = id }
+
 // Sink receives the response. Head is called at most once and before Data.
 type Sink = relay.Sink
 
@@ -493,7 +503,36 @@
 	if d.Prefixes != nil {
 		d.Prefixes.Add(clock.Now().UnixNano(), peer.Counters.HolderID(), r.Prompt.Hashes)
 	}
-	return d.Forwarder.Forward(ctx, peer, r, &firstByteSink{Sink: sink, tracked: tracked})
+	result := d.Forwarder.Forward(ctx, peer, r, &forwardedSink{
+		Sink: &firstByteSink{Sink: sink, tracked: tracked}, beforeHead: func() { d.recordLeaving(r.leavingUpstream) },
+	})
+	d.recordLeaving(r.leavingUpstream)
+	return result
+}
+
+// forwardedSink delivers the response of a forwarded request, and calls beforeHead first.
+type forwardedSink struct {
+	Sink
+	beforeHead func()
+}
+
+// Head implements Sink.
+func (s *forwardedSink) Head(status int, header http.Header) error {
+	s.beforeHead()
+	return s.Sink.Head(status, header)
+}
+
+// recordLeaving records that an upstream of this region, which a peer had asked, said that it leaves.
+func (d *Dispatcher) recordLeaving(upstreamID string) {
+	if upstreamID == "" {
+		return
+	}
+	snapshot := d.Snapshot()
+	for i := range snapshot.Upstreams {
+		if u := &snapshot.Upstreams[i]; u.ID == upstreamID {
+			u.Counters.RecordLeaving(clock.Now())
+		}
+	}
 }
 
 func (d *Dispatcher) sendToUpstream(ctx context.Context, r *Request, u *routing.Upstream, choice routing.Choice, sink Sink) relay.Result {
--- a/internal/dispatch/route_params.go
+++ b/internal/dispatch/route_params.go
@@ -99,6 +99,10 @@
 	sent := clock.Now()
 	a.OnMetadata = func(m relay.ResponseMetadata) {
 		recordRoom(u, m, sent)
+		if m.Leaving {
+			r.leavingUpstream = u.ID
+			u.Counters.RecordLeaving(clock.Now())
+		}
 		switch {
 		case m.RateInvalid:
 		case m.Rate != nil:
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -110,6 +110,7 @@
 	f.hasHead = true
 	f.status = int(h.GetStatus())
 	f.header = unflatten(h.GetHeaders())
+	f.request.SetLeavingUpstream(h.GetLeavingUpstream())
 	if f.request.StreamPosition == nil || !relay.IsEventStream(f.status, f.header) {
 		return
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -153,7 +153,7 @@
 	if failure == nil {
 		defer s.Drain.Release()
 		s.recordForward(timeline.KindForwardReceived, request, "from "+strings.Join(request.Visited, ", "))
-		sink := &streamSink{stream: stream}
+		sink := &streamSink{stream: stream, request: request}
 		failure = s.serveForward(ctx, request, sink)
 		s.recordOutcome(ctx, request, failure, time.Since(started), sink.started)
 	}
@@ -286,14 +286,15 @@
 
 // streamSink sends a response as parts of a Forward stream.
 type streamSink struct {
-	stream *connect.ServerStream[peerv1.ForwardResponse]
+	stream  *connect.ServerStream[peerv1.ForwardResponse]
+	request *dispatch.Request
 	// started is true once the head was sent.
 	started bool
 }
 
 func (s *streamSink) Head(status int, header http.Header) error {
 	s.started = true
-	head := &peerv1.ForwardHead{Status: int32(status), Headers: flatten(header)}
+	head := &peerv1.ForwardHead{Status: int32(status), Headers: flatten(header), LeavingUpstream: s.request.LeavingUpstream()}
 	return s.stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Head{Head: head}})
 }
 
--- a/internal/probe/endless_test.go
+++ b/internal/probe/endless_test.go
@@ -45,7 +45,7 @@
 		log.SetOutput(io.Discard)
 		p := &Prober{
 			Loop: control.NewLoop(control.Identity{ID: "i"}), Log: logrus.NewEntry(log), client: newClient(),
-			ParseHeader: func(http.Header) (string, time.Duration) { return "", 0 },
+			ParseHeader: func(http.Header) Health { return Health{} },
 		}
 		p.checkUpstream(t.Context(), "u", "http://"+l.Addr().String())
 		select {
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -1,7 +1,7 @@
 // Package probe checks the health of upstreams that were paused after failures, and
 // returns those that pass to service. Of the upstreams in service it checks those that owe responses and
-// send nothing, and has those paused that stay silent, and those that may have started again, which may be
-// cold; the health of others is derived from their responses to requests.
+// send nothing, and has those paused that stay silent, those that may have started again, which may be
+// cold, and those that leave by their own word only; the health of others is derived from their responses to requests.
 package probe
 
 import (
@@ -28,6 +28,9 @@
 	// The interval doubles after each check up to maxInterval, because every check has a cost.
 	initialDelay = 400 * time.Millisecond
 	maxInterval  = 2 * time.Second
+	// leavingDelay is the time to the first check of an upstream that leaves by its own word only, and between
+	// two. Most have ended by then.
+	leavingDelay = 4 * time.Second
 	// silenceToCheck is how long an upstream in service owes a first byte and sends nothing before it
 	// is checked.
 	silenceToCheck = 700 * time.Millisecond
@@ -40,11 +43,21 @@
 	maxHeaderBytes = 16 << 10
 )
 
+// Health is what an upstream says of itself in the response to a health check.
+type Health struct {
+	// ID is the id of the upstream that responded; empty if missing.
+	ID string
+	// ColdFor is how long the upstream remains cold.
+	ColdFor time.Duration
+	// Leaving is true if the upstream says that it leaves.
+	Leaving bool
+}
+
 // Prober checks paused upstreams for one instance.
 type Prober struct {
 	Loop *control.Loop
-	// ParseHeader returns the id of the upstream that responded and how long it remains cold.
-	ParseHeader func(h http.Header) (id string, coldFor time.Duration)
+	// ParseHeader decodes the header of the response to a health check.
+	ParseHeader func(h http.Header) Health
 	Log         *logrus.Entry
 
 	client *http.Client
@@ -91,14 +104,18 @@
 		path := healthPath(snapshot, u)
 		silent := !u.Down && u.Counters.SilentFor(now) >= silenceToCheck
 		restarted := !u.Down && u.MayBecomeCold && u.Counters.RestartSuspected()
-		if (!u.Down && !silent && !restarted) || u.Draining || path == "" {
+		leaving := u.Draining && !u.ListedDraining
+		if (!u.Down && !silent && !restarted && !leaving) || u.ListedDraining || path == "" {
 			continue
 		}
 		checked[u.ID] = true
 		c, ok := p.checks[u.ID]
 		if !ok {
 			c = &check{due: now, interval: initialDelay}
-			if u.Down {
+			switch {
+			case leaving:
+				c.due, c.interval = now.Add(leavingDelay), leavingDelay
+			case u.Down:
 				c.due = now.Add(initialDelay)
 			}
 			p.checks[u.ID] = c
@@ -106,10 +123,12 @@
 		if now.Before(c.due) || !u.TakeRequest(now.UnixNano()) {
 			continue
 		}
-		c.interval = min(2*c.interval, maxInterval)
+		c.interval = min(2*c.interval, max(maxInterval, c.interval))
 		c.due = now.Add(c.interval)
 		u.Counters.RecordHealthCheck(now)
 		switch url := "http://" + u.Address + path; {
+		case leaving:
+			go p.checkLeaving(ctx, u, url)
 		case silent:
 			go p.checkSilent(ctx, u, url)
 		case restarted:
@@ -165,8 +184,25 @@
 		return
 	}
 	_ = resp.Body.Close()
-	if id, coldFor := p.ParseHeader(resp.Header); id == u.ID || id == "" {
-		p.Loop.Post(ctx, control.RestartCheckedEvent{Upstream: u.ID, ColdFor: coldFor})
+	if health := p.ParseHeader(resp.Header); health.ID == u.ID || health.ID == "" {
+		if health.Leaving {
+			u.Counters.RecordLeaving(clock.Now())
+		}
+		p.Loop.Post(ctx, control.RestartCheckedEvent{Upstream: u.ID, ColdFor: health.ColdFor})
+	}
+}
+
+// checkLeaving makes one health check of an upstream that leaves by its own word only, which may stay after all or
+// may have started again.
+func (p *Prober) checkLeaving(ctx context.Context, u *routing.Upstream, url string) {
+	sent := clock.Now()
+	resp, err := p.get(ctx, url)
+	if err != nil {
+		return
+	}
+	_ = resp.Body.Close()
+	if health := p.ParseHeader(resp.Header); resp.StatusCode == http.StatusOK && health.ID == u.ID && !health.Leaving {
+		u.Counters.ClearLeaving(sent)
 	}
 }
 
@@ -188,17 +224,17 @@
 	}
 	defer resp.Body.Close()
 	_, _ = io.CopyN(io.Discard, resp.Body, maxBodyBytes)
-	responderID, coldFor := p.ParseHeader(resp.Header)
-	if resp.StatusCode != http.StatusOK || responderID != id {
-		p.logFailed(id, fmt.Sprintf("status %d from upstream %q", resp.StatusCode, responderID))
+	health := p.ParseHeader(resp.Header)
+	if resp.StatusCode != http.StatusOK || health.ID != id || health.Leaving {
+		p.logFailed(id, fmt.Sprintf("status %d from upstream %q, leaving %t", resp.StatusCode, health.ID, health.Leaving))
 		return
 	}
 	p.Log.WithFields(logrus.Fields{
 		telemetry.FieldEvent:    "upstream_back",
 		telemetry.FieldUpstream: id,
-		telemetry.FieldColdFor:  coldFor.Milliseconds(),
+		telemetry.FieldColdFor:  health.ColdFor.Milliseconds(),
 	}).Info("paused upstream passed a health check")
-	p.Loop.Post(ctx, control.HealthCheckPassedEvent{Upstream: id, ColdFor: coldFor})
+	p.Loop.Post(ctx, control.HealthCheckPassedEvent{Upstream: id, ColdFor: health.ColdFor})
 }
 
 func (p *Prober) logFailed(id, cause string) {
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -40,7 +40,7 @@
 		go loop.Run(ctx)
 		p := &Prober{
 			Loop:        loop,
-			ParseHeader: func(h http.Header) (string, time.Duration) { return h.Get("Answered-By"), 0 },
+			ParseHeader: func(h http.Header) Health { return Health{ID: h.Get("Answered-By")} },
 			Log:         logrus.NewEntry(log),
 			client:      server.Client(),
 		}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -43,6 +43,8 @@
 	RateInvalid bool
 	// Brittle is true if the upstream ends when it has to turn away many requests in a second.
 	Brittle bool
+	// Leaving is true if the upstream says that it leaves.
+	Leaving bool
 }
 
 // BufferedResponse is a response whose body was read completely.
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -50,6 +50,8 @@
 	// named is the request rate that the upstream names; nil for none.
 	named atomic.Pointer[namedRate]
 	rate  rateBucket
+	// leavingAt is when the upstream last said that it leaves, in Unix nanoseconds; 0 if it does not leave.
+	leavingAt atomic.Int64
 
 	holderID        atomic.Uint32
 	secondsPerToken atomic.Uint64
--- a/internal/routing/filter.go
+++ b/internal/routing/filter.go
@@ -5,7 +5,7 @@
 // allowsUpstream filters upstreams: it rejects those that are down or draining, or that
 // already failed to serve the request.
 func allowsUpstream(u *Upstream, r *Request) bool {
-	return !u.Draining && !u.Down && !contains(r.Tried, u.ID)
+	return !u.Draining && !u.Counters.SaysLeaving() && !u.Down && !contains(r.Tried, u.ID)
 }
 
 // allowsLocalRegion reports whether the request may run in the region of this instance.
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -31,8 +31,10 @@
 	// ListedTargets are the models according to the instance list. They may differ from
 	// Targets during a rollout.
 	ListedTargets []string
-	// Draining upstreams are being removed and get no new requests.
-	Draining bool
+	// Draining upstreams are being removed and get no new requests. ListedDraining is true if the
+	// operators, or the instance list, say so; otherwise only its own responses do.
+	Draining       bool
+	ListedDraining bool
 	// Down upstreams failed recently and get no requests until a health check succeeds or, for
 	// those without a health path, until a pause ends.
 	Down bool
