Honor the Retry-After of an upstream's rejection

A server that turned a request away with 503 and Retry-After went on getting requests from the same instance: 44 and 47 in the time that it had asked for, where two from each instance are allowed. Nothing read the header; it is of the same class as Server-Leaving, a statement of an upstream about itself that the code ignored.

The time is kept with the upstream's counters; until it is over the upstream gets neither requests nor health checks from this instance, and does not count as free in what is reported to other regions. If all upstreams that are left have asked for a pause, callers are told the shortest of them.

--- a/internal/dispatch/route_params.go
+++ b/internal/dispatch/route_params.go
@@ -119,6 +119,9 @@
 	if m.NotExecuted {
 		u.Counters.RecordFull(clock.Now())
 	}
+	if m.RetryAfter > 0 {
+		u.Counters.RecordRetryAfter(clock.Now(), m.RetryAfter)
+	}
 	if m.Load != nil {
 		u.Counters.RecordFreePlaces(clock.Now(), *m.Load)
 	}
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -120,7 +120,7 @@
 			}
 			p.checks[u.ID] = c
 		}
-		if now.Before(c.due) || !u.TakeRequest(now.UnixNano()) {
+		if now.Before(c.due) || u.Counters.PausedFor(now.UnixNano()) > 0 || !u.TakeRequest(now.UnixNano()) {
 			continue
 		}
 		c.interval = min(2*c.interval, max(maxInterval, c.interval))
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -45,8 +45,14 @@
 	Brittle bool
 	// Leaving is true if the upstream says that it leaves.
 	Leaving bool
+	// RetryAfter is how long the upstream wants no request from this instance, at most MaxUpstreamPause; 0 if it
+	// names no time.
+	RetryAfter time.Duration
 }
 
+// MaxUpstreamPause bounds the time for which an upstream may ask for no requests.
+const MaxUpstreamPause = 10 * time.Minute
+
 // BufferedResponse is a response whose body was read completely.
 type BufferedResponse struct {
 	Status int
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -52,6 +52,8 @@
 	rate  rateBucket
 	// leavingAt is when the upstream last said that it leaves, in Unix nanoseconds; 0 if it does not leave.
 	leavingAt atomic.Int64
+	// pausedUntil is the end of the time for which the upstream wants no request, in Unix nanoseconds.
+	pausedUntil atomic.Int64
 
 	holderID        atomic.Uint32
 	secondsPerToken atomic.Uint64
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -262,7 +262,7 @@
 
 // allowsService filters upstreams for requests on host routes.
 func allowsService(u *Upstream, r *Request, split ServiceSplit) bool {
-	if !allowsUpstream(u, r) || u.Evacuated || u.Counters.Stalled(r.Now, stallTimeout) {
+	if !allowsUpstream(u, r) || u.Evacuated || u.Counters.PausedFor(r.Now) > 0 || u.Counters.Stalled(r.Now, stallTimeout) {
 		return false
 	}
 	if (u.Cold || u.MayBecomeCold) && !u.allowsSend(r.Now) {
@@ -402,7 +402,7 @@
 		total := 0.0
 		for _, i := range candidates {
 			u := &s.Upstreams[i]
-			if u.Draining || u.Down || u.Evacuated || u.Cold || !u.hasRoom(now) || u.Counters.Stalled(now, stallTimeout) || !s.ServiceSplits[target].majority(u.Version) {
+			if u.Draining || u.Down || u.Evacuated || u.Cold || u.Counters.PausedFor(now) > 0 || !u.hasRoom(now) || u.Counters.Stalled(now, stallTimeout) || !s.ServiceSplits[target].majority(u.Version) {
 				continue
 			}
 			untilAllowed := u.untilRateAllows(now)
@@ -435,6 +435,11 @@
 		err.RetryAfter = min(u.Counters.rate.announce(r.Now, u.RequestRate)+retryAfterMargin, maxRetryAfter)
 		return err
 	}
+	if wait, ok := shortestPause(s, r); ok {
+		err := errkind.New(errkind.Overloaded, "the upstreams of %q take no more requests now: %s", r.Target, exclusionSummary(s, r))
+		err.RetryAfter = wait + retryAfterMargin
+		return err
+	}
 	if hasFullUpstream(s, r) {
 		err := errkind.New(errkind.Overloaded, "the upstreams of %q take no more requests now: %s", r.Target, exclusionSummary(s, r))
 		err.RetryAfter = brittleRetryAfter + rand.N(brittleRetryAfter)
@@ -498,6 +503,8 @@
 		return "tried"
 	case u.Evacuated:
 		return "evacuated"
+	case u.Counters.PausedFor(r.Now) > 0:
+		return askedPause
 	case u.Counters.Stalled(r.Now, stallTimeout):
 		// Operators read this value in the error; elsewhere "silent" is used of peers only.
 		return "silent"
