Discard what a silent link holds of an attempt that was given up

Requests reached servers more than a second after their callers had left: an attempt that was given up closed its connection in the ordinary way, so that a silent link delivered the request, with the FIN behind it, once it worked again. A connection to an upstream or a peer on which nothing has arrived since the last write is now closed with a reset, which discards what the kernel holds.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -9,6 +9,7 @@
 
 	"connectrpc.com/connect"
 
+	"heatherloom/internal/abortive"
 	"heatherloom/internal/peer/peerv1"
 	"heatherloom/internal/peer/peerv1/peerv1connect"
 	"heatherloom/internal/relay"
@@ -47,7 +48,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:     dialer.DialContext,
+		DialContext:     abortively(dialer.DialContext),
 		Protocols:       protocols,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 		IdleConnTimeout: idleConnTimeout,
@@ -80,7 +81,18 @@
 // SetDialer replaces the function that connects to peers. It must be called before the first
 // message.
 func (c *Client) SetDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
-	c.transport.DialContext = dial
+	c.transport.DialContext = abortively(dial)
+}
+
+// abortively makes a dialer return connections that do not deliver forwards which were given up.
+func abortively(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return abortive.New(raw), nil
+	}
 }
 
 // ServiceClient returns the service client of the peer listener at address.
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"heatherloom/internal/abortive"
 )
 
 var errSealed = errors.New("the connection was sealed because its attempt has ended")
@@ -177,7 +179,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, pool: p, address: address}
+	c := &conn{Conn: abortive.New(raw), pool: p, address: address}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns[address] == nil {
--- a/internal/standin/faultproxy/conn.go
+++ b/internal/standin/faultproxy/conn.go
@@ -177,6 +177,8 @@
 	from, to *net.TCPConn
 	limiter  *rate.Limiter
 	toTarget bool
+	// resetSeen is true once the connection was reset by the side that is read from.
+	resetSeen atomic.Bool
 }
 
 // run reads and writes concurrently, so that a delay does not limit the bandwidth.
@@ -199,6 +201,7 @@
 			return
 		}
 		if err != nil {
+			p.resetSeen.Store(!errors.Is(err, io.EOF))
 			p.conn.readEnded()
 			p.enqueue(queue, chunk{arrived: time.Now(), end: true, reset: !errors.Is(err, io.EOF)})
 			return
@@ -225,8 +228,11 @@
 }
 
 // forward applies the faults of the direction to one chunk and writes it. It returns
-// false if the connection must be reset.
+// false if the connection must be reset. What a silent direction held when its connection was reset is lost, as the
+// kernel of the sender would have discarded it; an ordinary close leaves it.
 func (p *pump) forward(c chunk) bool {
+	faults, _ := p.conn.proxy.watchFaults()
+	held := faults.direction(p.toTarget).Silent
 	delayed := p.conn.waitFor(func(f Faults) time.Duration {
 		delay := time.Duration(f.direction(p.toTarget).DelayMS) * time.Millisecond
 		return time.Until(c.arrived.Add(delay))
@@ -234,6 +240,9 @@
 	if !delayed || !p.waitBandwidth(len(c.data)) || !p.conn.waitWhileSilent(p.toTarget) {
 		return false
 	}
+	if held && p.resetSeen.Load() {
+		return false
+	}
 	if c.end {
 		return !c.reset && p.to.CloseWrite() == nil
 	}
