End what is not sent of a write when its caller leaves

A write whose caller had left went on being connected, rejected and sent to a further server: it was detached from its caller before its first attempt.

The work on a request now knows when its caller leaves, for all kinds. An attempt at a write ends then if provably no byte of it was sent, or if the kernel of the server does not acknowledge what was within 100 ms; no further attempt follows. A write in progress goes on, as before. A write without a recorded outcome that was forwarded is canceled at the peer, which decides by the same rule.

--- a/internal/abortive/conn.go
+++ b/internal/abortive/conn.go
@@ -6,6 +6,8 @@
 import (
 	"net"
 	"sync/atomic"
+
+	"golang.org/x/sys/unix"
 )
 
 // Conn is a connection whose Close resets it if nothing has arrived since the last write: what was written may still be
@@ -40,3 +42,21 @@
 	}
 	return c.Conn.Close()
 }
+
+// Pending reports whether the other side is known not to have acknowledged all bytes that were written.
+func (c *Conn) Pending() bool {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	pending := false
+	_ = raw.Control(func(fd uintptr) {
+		bytes, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		pending = err == nil && bytes > 0
+	})
+	return pending
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -46,6 +46,8 @@
 	// Repeatable is true if the request may be sent to another upstream after a failure.
 	// Other requests are sent at most once.
 	Repeatable bool
+	// OutcomeRecorded is true for a write whose outcome is recorded, and needed also after its caller has left.
+	OutcomeRecorded bool
 	// BoundRegion is the only region that may process the request; empty for any.
 	BoundRegion string
 	// Visited lists the entry instances that have already handled the request.
@@ -172,18 +174,14 @@
 // response was delivered. If it fails after sink.Head was called, the response is
 // truncated and the calling code must mark it as incomplete.
 //
-// Canceling ctx does not abort a write in progress, since its outcome would become
-// unknown; only its deadline and the cause drain.ErrInterrupted do.
+// Canceling ctx ends the request. Of a write it ends what has provably not
+// reached an upstream; a write in progress goes on, since its outcome would become unknown, until its
+// deadline or the cause drain.ErrInterrupted.
 func (d *Dispatcher) Dispatch(ctx context.Context, r *Request, sink Sink) *errkind.Error {
 	if ctx.Err() != nil {
-		return relay.RequestCanceled(ctx, context.Cause(ctx), errkind.NotExecuted, false).Err
+		return callerLeft(ctx, errkind.NotExecuted)
 	}
-	if !r.Repeatable && (r.RouteParams == nil || !r.Stream) {
-		detached, cancel := withoutCallerCancel(ctx)
-		defer cancel()
-		ctx = detached
-	}
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	run, cancel := newWithCaller(ctx, r)
 	defer cancel()
 	if r.RouteParams != nil && len(r.Visited) == 0 {
 		d.ServiceRetryBudgets.RecordRequest(clock.Now(), r.Target)
@@ -196,7 +194,34 @@
 	if r.Stream && r.StreamPosition == nil {
 		r.StreamPosition = &relay.StreamPosition{}
 	}
-	return d.attemptWithRetries(ctx, r, sink)
+	return d.attemptWithRetries(run, r, sink)
+}
+
+// withCaller is a context for the work on a request.
+type withCaller struct {
+	context.Context
+	// caller ends when the caller leaves.
+	caller context.Context
+	// detached is true if the context does not end with caller.
+	detached bool
+}
+
+func newWithCaller(ctx context.Context, r *Request) (withCaller, context.CancelFunc) {
+	if r.Repeatable || (r.RouteParams != nil && r.Stream) {
+		run, cancel := context.WithDeadline(ctx, r.Deadline)
+		return withCaller{Context: run, caller: ctx}, cancel
+	}
+	detached, stop := withoutCallerCancel(ctx)
+	run, cancel := context.WithDeadline(detached, r.Deadline)
+	return withCaller{Context: run, caller: ctx, detached: true}, func() {
+		cancel()
+		stop()
+	}
+}
+
+// callerLeft returns the error of a request whose caller has left, or which a drain has interrupted.
+func callerLeft(ctx context.Context, execution errkind.Execution) *errkind.Error {
+	return relay.RequestCanceled(ctx, context.Cause(ctx), execution, false).Err
 }
 
 // withoutCallerCancel returns a context that ends with ctx only if the cause is
@@ -256,11 +281,15 @@
 
 // attemptWithRetries retries the request until an attempt delivers the response or no
 // further attempt is allowed.
-func (d *Dispatcher) attemptWithRetries(ctx context.Context, r *Request, sink Sink) *errkind.Error {
+func (d *Dispatcher) attemptWithRetries(ctx withCaller, r *Request, sink Sink) *errkind.Error {
 	var tried []string
 	var last relay.Result
 	execution := errkind.NotExecuted
 	for {
+		if ctx.caller.Err() != nil {
+			r.noRetry = retry.StopFinal
+			return callerLeft(ctx.caller, execution)
+		}
 		result, destination, err := d.attempt(ctx, r, tried, last.Outcome, sink)
 		if err != nil {
 			r.noRetry = retry.StopNoUpstream
@@ -383,7 +412,7 @@
 	return reason
 }
 
-func (d *Dispatcher) attempt(ctx context.Context, r *Request, tried []string, last retry.Outcome, sink Sink) (relay.Result, string, *errkind.Error) {
+func (d *Dispatcher) attempt(ctx withCaller, r *Request, tried []string, last retry.Outcome, sink Sink) (relay.Result, string, *errkind.Error) {
 	snapshot := d.Snapshot()
 	r.Target = currentTarget(snapshot, r, false)
 	choice, err := d.pick(snapshot, r, tried, last)
@@ -493,8 +522,15 @@
 // ForwardedCount returns the number of requests that were forwarded to another entry instance.
 func (d *Dispatcher) ForwardedCount() int64 { return d.forwarded.Load() }
 
-func (d *Dispatcher) sendToPeer(ctx context.Context, r *Request, peer routing.Peer, sink Sink) relay.Result {
+func (d *Dispatcher) sendToPeer(run withCaller, r *Request, peer routing.Peer, sink Sink) relay.Result {
+	ctx := run.Context
 	d.forwarded.Add(1)
+	if run.detached && !r.OutcomeRecorded {
+		// The peer decides what of a write ends with its caller.
+		forwarded, cancel := context.WithDeadline(run.caller, r.Deadline)
+		defer cancel()
+		ctx = forwarded
+	}
 	if peer.Counters == nil {
 		return d.Forwarder.Forward(ctx, peer, r, sink)
 	}
@@ -535,7 +571,7 @@
 	}
 }
 
-func (d *Dispatcher) sendToUpstream(ctx context.Context, r *Request, u *routing.Upstream, choice routing.Choice, sink Sink) relay.Result {
+func (d *Dispatcher) sendToUpstream(ctx withCaller, r *Request, u *routing.Upstream, choice routing.Choice, sink Sink) relay.Result {
 	now := clock.Now()
 	tracked := u.Counters.Begin(now, choice.PrefillTokens, choice.QueuedTokens)
 	defer func() { tracked.End(clock.Now()) }()
@@ -560,6 +596,9 @@
 	if cold != nil {
 		attempt.OnSent = func() { cold.Sent(clock.Now()) }
 	}
+	if ctx.detached {
+		attempt.Caller = ctx.caller
+	}
 	d.applyRouteParams(&attempt, r, u, choice)
 	if r.Repeatable || r.RouteParams != nil {
 		attempt.ReserveRetry = func() bool { return d.reserveRetry(r) }
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -18,7 +18,7 @@
 // conn counts its writes and can be sealed, which rejects all further writes. If the count
 // did not change before the connection was sealed, the request was provably never sent.
 type conn struct {
-	net.Conn
+	*abortive.Conn
 	pool    *connPool
 	address string
 
@@ -149,6 +149,18 @@
 	return writes
 }
 
+// sealUnused is seal if the number of writes is still the given one. It reports whether it is.
+func (c *conn) sealUnused(writes uint64) bool {
+	c.mu.Lock()
+	unused := c.writes == writes
+	c.sealed = c.sealed || unused
+	c.mu.Unlock()
+	if unused {
+		_ = c.Close()
+	}
+	return unused
+}
+
 func (c *conn) idle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -222,6 +234,8 @@
 	unknownConn bool
 	// onSent is Attempt.OnSent.
 	onSent func()
+	// abandoned is true once abandon has succeeded; connections that come later are not used.
+	abandoned bool
 }
 
 type connUse struct {
@@ -250,6 +264,9 @@
 		s.unknownConn = true
 		return
 	}
+	if s.abandoned {
+		c.seal()
+	}
 	writes, exchanges := c.use()
 	s.uses = append(s.uses, connUse{conn: c, writesBefore: writes, receivedBefore: c.received.Load(), exchangesBefore: exchanges})
 }
@@ -326,6 +343,30 @@
 	return unsent
 }
 
+// abandon prevents the attempt from being sent and reports whether it has: provably no byte was sent so far, and
+// none will be.
+func (s *sendTracker) abandon() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unknownConn {
+		return false
+	}
+	for _, u := range s.uses {
+		if !u.conn.sealUnused(u.writesBefore) {
+			return false
+		}
+	}
+	s.abandoned = true
+	return true
+}
+
+// pending reports whether the upstream is known not to have acknowledged what was sent.
+func (s *sendTracker) pending() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.unknownConn && len(s.uses) > 0 && s.uses[len(s.uses)-1].conn.Pending()
+}
+
 // unsent reports whether provably no byte was sent so far.
 func (s *sendTracker) unsent() bool {
 	s.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -127,6 +127,10 @@
 	// HostFirstByteTimeout is the timeout for the first byte of the response, after which ReserveRetry is
 	// asked; 0 for Deadline.
 	HostFirstByteTimeout time.Duration
+	// Caller ends when the caller of a request that is not canceled with it has left. The attempt ends then if no
+	// byte of it was sent, or if the upstream does not acknowledge any within callerLeftGrace. Nil if the
+	// context of the attempt ends with the caller.
+	Caller context.Context
 	// ReserveRetry is called before the attempt is given up because the upstream is silent. If it returns
 	// false, no retry is allowed, and the attempt goes on, until its deadline at most. It is not called if
 	// nothing was sent, must not block, and runs on another goroutine, but not after Do has returned. Nil to
@@ -233,6 +237,7 @@
 	mayGiveUp := func() bool { return a.ReserveRetry == nil || sent.unsent() || a.ReserveRetry() }
 	w := newWatchdog(ctx, firstByteTimeout(a, r.limits), mayGiveUp)
 	defer w.stop()
+	defer endWithCaller(w, sent, a.Caller)()
 	req, err := newUpstreamRequest(sent.withTrace(w.ctx), a)
 	if err != nil {
 		return Result{Err: errkind.Wrap(err, errkind.Internal, errkind.NotExecuted, "the upstream request could not be created"), Outcome: retry.NotRetryable}
@@ -258,6 +263,34 @@
 	return result
 }
 
+// callerLeftGrace is the time in which an upstream of the region acknowledges what was sent if its link works.
+const callerLeftGrace = 100 * time.Millisecond
+
+// endWithCaller ends an attempt when its caller leaves, as Attempt.Caller says, until the returned function is
+// called.
+func endWithCaller(w *watchdog, sent *sendTracker, caller context.Context) (stop func()) {
+	if caller == nil {
+		return func() {}
+	}
+	ended := context.AfterFunc(caller, func() {
+		if errors.Is(context.Cause(caller), drain.ErrInterrupted) {
+			return
+		}
+		if sent.abandon() {
+			w.cancel(errCallerLeft)
+			return
+		}
+		select {
+		case <-w.ctx.Done():
+		case <-time.After(callerLeftGrace):
+			if sent.pending() {
+				w.cancel(errCallerLeft)
+			}
+		}
+	})
+	return func() { ended() }
+}
+
 // endsWithConnection reports whether only the end of the connection marks the end of the response.
 func endsWithConnection(resp *http.Response, method string) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && method != http.MethodHead
--- a/internal/relay/watchdog.go
+++ b/internal/relay/watchdog.go
@@ -10,7 +10,10 @@
 	"heatherloom/internal/retry"
 )
 
-var errNoProgress = errors.New("no progress within the time limit")
+var (
+	errNoProgress = errors.New("no progress within the time limit")
+	errCallerLeft = errors.New("the caller has left and the upstream has got nothing")
+)
 
 const (
 	// readGrace is the time after the end of a period in which bytes that have arrived are read, and
@@ -147,6 +150,8 @@
 // deadline of the request has passed. Neither is a fault of the upstream.
 func (w *watchdog) requestEnded(err error, execution errkind.Execution, started bool) (Result, bool) {
 	switch {
+	case errors.Is(context.Cause(w.ctx), errCallerLeft):
+		return CallerDisconnected(err, execution, started), true
 	case errors.Is(w.parent.Err(), context.DeadlineExceeded):
 		e := errkind.Wrap(err, errkind.UpstreamTimeout, execution, "the deadline of the request passed before the response was complete")
 		return Result{Err: e, Outcome: retry.RequestEnded, Started: started}, true
--- a/internal/writes/owner.go
+++ b/internal/writes/owner.go
@@ -101,6 +101,7 @@
 		return Result{}, err
 	}
 	recorder := &responseRecorder{}
+	w.Request.OutcomeRecorded = true
 	if err := s.Dispatcher.Dispatch(ctx, w.Request, recorder); err != nil {
 		if err.Execution == errkind.NotExecuted {
 			run.cancel(detached)
