Look at the connection of a caller before its request is sent

The dispatcher now asks the kernel, before the first and each further attempt, whether the caller has closed its side of the connection. The answer does not depend on what was read, so that bytes behind the request do not hide the end either.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"heatherloom/internal/callerconn"
 	"heatherloom/internal/clock"
 	"heatherloom/internal/drain"
 	"heatherloom/internal/errkind"
@@ -174,11 +175,11 @@
 // response was delivered. If it fails after sink.Head was called, the response is
 // truncated and the calling code must mark it as incomplete.
 //
-// Canceling ctx ends the request. Of a write it ends what has provably not
+// Canceling ctx, or a caller that closes its connection, ends the request. Of a write it ends what has provably not
 // reached an upstream; a write in progress goes on, since its outcome would become unknown, until its
 // deadline or the cause drain.ErrInterrupted.
 func (d *Dispatcher) Dispatch(ctx context.Context, r *Request, sink Sink) *errkind.Error {
-	if ctx.Err() != nil {
+	if callerconn.Left(ctx) {
 		return callerLeft(ctx, errkind.NotExecuted)
 	}
 	run, cancel := newWithCaller(ctx, r)
@@ -221,9 +222,15 @@
 
 // callerLeft returns the error of a request whose caller has left, or which a drain has interrupted.
 func callerLeft(ctx context.Context, execution errkind.Execution) *errkind.Error {
-	return relay.RequestCanceled(ctx, context.Cause(ctx), execution, false).Err
+	cause := context.Cause(ctx)
+	if cause == nil {
+		cause = errCallerClosed
+	}
+	return relay.RequestCanceled(ctx, cause, execution, false).Err
 }
 
+var errCallerClosed = errors.New("the connection is closed")
+
 // withoutCallerCancel returns a context that ends with ctx only if the cause is
 // drain.ErrInterrupted.
 func withoutCallerCancel(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -286,7 +293,7 @@
 	var last relay.Result
 	execution := errkind.NotExecuted
 	for {
-		if ctx.caller.Err() != nil {
+		if callerconn.Left(ctx.caller) {
 			r.noRetry = retry.StopFinal
 			return callerLeft(ctx.caller, execution)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"heatherloom/internal/admission"
+	"heatherloom/internal/callerconn"
 	"heatherloom/internal/configsync"
 	"heatherloom/internal/control"
 	"heatherloom/internal/dispatch"
@@ -378,6 +379,7 @@
 	server.ErrorLog = telemetry.StandardLogger(log)
 	server.BaseContext = func(net.Listener) context.Context { return n.drain.Context() }
 	if listener == n.callerListener {
+		server.ConnContext = callerconn.NewContext
 		n.callerConns.track(server)
 	}
 	n.wg.Go(func() {
