Play servers that leave by their word, servers that ask for a pause and callers that leave in the soak

Two new promises are checked: few requests reach a server later than 0.5 s after their caller has left, and none an instance's own server 3 s after it has passed on that the server leaves. Each has cases in TestRulesFindWhatIsBroken.

heatherloom_requests_abandoned_total{ran} counts requests whose callers left, by whether an upstream executed them.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -129,6 +129,8 @@
 	RetryAfter time.Duration
 	// Cause is logged and never shown to the caller.
 	Cause error
+	// CallerLeft is true if the request ended because its caller had closed the connection or did not read.
+	CallerLeft bool
 }
 
 // New returns an Error of kind k for a request that was not executed.
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -25,6 +25,9 @@
 	instanceListTimeout = time.Second
 	// maxCallPause is the longest pause of a caller between two requests.
 	maxCallPause = 30 * time.Millisecond
+	// One of leavingCalls calls of the main account is given up by its caller, within maxPatience.
+	leavingCalls = 12
+	maxPatience  = 400 * time.Millisecond
 	// maxLimitedPause makes the callers of the rate-limited account send three times its rate.
 	maxLimitedPause = 40 * time.Millisecond
 )
@@ -157,11 +160,15 @@
 	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
 		WroteRequest: func(i httptrace.WroteRequestInfo) { record.written = i.Err == nil },
 	})
+	ctx, leave := c.patience(ctx, k)
+	defer leave()
 	response := standin.Send(ctx, c.client, e.callerAddress, request)
 	record.ended = time.Now()
 	record.status = response.Status
 	record.result, record.detail = classify(k, request, response)
-	if response.Err != nil {
+	if response.Err != nil && ctx.Err() != nil {
+		record.result = abandoned
+	} else if response.Err != nil {
 		c.addresses = slices.DeleteFunc(c.addresses, func(a string) bool { return a == e.callerAddress })
 	}
 	c.group.mu.Lock()
@@ -170,6 +177,14 @@
 	return record.result
 }
 
+// patience returns a context that ends when the caller gives up, which few do.
+func (c *caller) patience(ctx context.Context, k requestKind) (context.Context, context.CancelFunc) {
+	if !slices.Contains(requestMix, k) || c.rng.IntN(leavingCalls) > 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(c.rng.Int64N(int64(maxPatience))))
+}
+
 // pickInstance returns a random instance of the current list, nil if there is none.
 func (c *caller) pickInstance() *node {
 	if len(c.addresses) == 0 || time.Since(c.listed) > instanceListTTL {
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -46,6 +46,8 @@
 	faults intervals
 	// ratedSince is when the server began to name namedRate; zero if it names no rate.
 	ratedSince time.Time
+	// saysLeaving are the times in which its responses say that it leaves.
+	saysLeaving intervals
 }
 
 // namedRate is the request rate, in requests a second, that some servers name.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -69,6 +69,8 @@
 		{"server_connections_reset", resetServerConnections},
 		{"server_connections_silent", silenceServerConnections},
 		{"server_replaced", replaceServer},
+		{"server_says_it_leaves", leaveByWord},
+		{"server_asks_for_a_pause", askForPause},
 	},
 	{
 		{"route_moved", func(d *injector) (string, func()) { d.operator.reroute(); return "", func() {} }},
@@ -299,6 +301,32 @@
 	}
 }
 
+// leaveByWord makes the responses of a server say that it leaves. Its row does not change.
+func leaveByWord(d *injector) (string, func()) {
+	srv := d.cluster.randomServer(d.rng)
+	end := srv.saysLeaving.begin()
+	srv.SetLeaving(true)
+	return srv.Config.ID, func() {
+		end()
+		srv.SetLeaving(false)
+	}
+}
+
+// pauseSeconds is the time for which a server that rejects requests wants none.
+const pauseSeconds = "1.5"
+
+func askForPause(d *injector) (string, func()) {
+	srv := d.cluster.randomServer(d.rng)
+	end := srv.faults.begin()
+	srv.SetRetryAfter(pauseSeconds)
+	srv.SetFaults(standin.ServerFaults{Overloaded: true})
+	return srv.Config.ID, func() {
+		srv.SetFaults(standin.ServerFaults{})
+		srv.SetRetryAfter("")
+		end()
+	}
+}
+
 func evacuateDomain(d *injector) (string, func()) {
 	target := domainOf(regions[d.rng.IntN(len(regions))])
 	cancel, ok := d.operator.evacuate(target)
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -43,6 +43,8 @@
 	failed result = "failed"
 	// incomplete is a missing response, or one that is recognizably truncated.
 	incomplete result = "broken"
+	// abandoned is a missing response to a caller that left before it came.
+	abandoned result = "left"
 	// wrong is a response that looks complete and has the wrong content.
 	wrong result = "wrong"
 )
--- a/internal/soak/interval.go
+++ b/internal/soak/interval.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -49,3 +50,10 @@
 	}
 	return false
 }
+
+// coversBoth reports whether one interval contains both times.
+func (s *intervals) coversBoth(a, b time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.list, func(i interval) bool { return i.overlaps(a, a) && i.overlaps(b, b) })
+}
--- a/internal/soak/rules.go
+++ b/internal/soak/rules.go
@@ -51,6 +51,9 @@
 	cutServedShare  = 2.0 / 3
 	cutFailures     = 10
 	cutFailureShare = 0.02
+	// Later than leftGrace after their callers have left, at most maxAfterLeaving requests reach servers.
+	leftGrace       = 500 * time.Millisecond
+	maxAfterLeaving = 3
 )
 
 // Violation is one violation of a rule.
@@ -82,6 +85,8 @@
 	{"harmful_requests", checkHarmfulRequests},
 	{"named_rates", checkNamedRates},
 	{"instances_without_servers", checkInstancesWithoutServers},
+	{"callers_that_left", checkCallersThatLeft},
+	{"leaving_servers", checkLeavingServers},
 }
 
 // checkRules returns the violations of all rules in a history.
@@ -484,6 +489,57 @@
 	return n
 }
 
+// checkCallersThatLeft reports requests that reached servers after their callers had left, unless an instance, a link or
+// the server held them up.
+func checkCallersThatLeft(e *history, report func(string, ...any)) {
+	late := 0
+	for _, c := range e.calls {
+		for _, execution := range e.executions[c.id] {
+			after := execution.At.Sub(c.ended)
+			s := e.servers[execution.Server]
+			if c.result != abandoned || after <= leftGrace || !e.sendersUndisturbed(c, execution) || s == nil || s.faults.overlaps(c.sent.Add(-settleTime), execution.At) {
+				continue
+			}
+			if e.regionHadFaults(regionOf(execution.FailureDomain), c) || e.linksHadFaults(c.sent.Add(-settleTime), execution.At) {
+				continue
+			}
+			if late++; late > maxAfterLeaving {
+				report("%s %s by %s reached %s %s after its caller had left", c.kind, c.id, c.node.id, execution.Server, after)
+			}
+		}
+	}
+}
+
+// linksHadFaults reports whether a link of an instance to the servers had a fault.
+func (e *history) linksHadFaults(from, to time.Time) bool {
+	return slices.ContainsFunc(e.nodes, func(n *node) bool { return n.serverLinkFaults.overlaps(from, to) })
+}
+
+// checkLeavingServers reports requests that an instance sent to a server of its region maxDrainDelay after it had passed
+// on a response which said that the server leaves. An instance that is cut off from servers asks others.
+func checkLeavingServers(e *history, report func(string, ...any)) {
+	type word struct{ node, server string }
+	heard := map[word]time.Time{}
+	calls := slices.SortedFunc(slices.Values(e.calls), func(a, b call) int { return a.ended.Compare(b.ended) })
+	for _, c := range calls {
+		for _, execution := range e.executions[c.id] {
+			s := e.servers[execution.Server]
+			if s == nil || !s.saysLeaving.overlaps(execution.At, execution.At) || regionOf(execution.FailureDomain) != c.node.region || e.linksHadFaults(c.sent.Add(-settleTime), c.ended) {
+				continue
+			}
+			key := word{c.node.id, execution.Server}
+			at, known := heard[key]
+			sameLeave := known && s.saysLeaving.coversBoth(at, execution.At)
+			if sameLeave && c.sent.Sub(at) > maxDrainDelay && !c.node.faults.overlaps(at, execution.At) {
+				report("%s %s by %s reached %s %s after it had said that it leaves", c.kind, c.id, c.node.id, execution.Server, c.sent.Sub(at))
+			}
+			if !sameLeave && c.result == valid && s.saysLeaving.coversBoth(execution.At, c.ended) {
+				heard[key] = c.ended
+			}
+		}
+	}
+}
+
 func checkHarmful(e *history, kind requestKind, tolerable int, report func(string, ...any)) {
 	type arrival struct {
 		call      call
--- a/internal/soak/rules_test.go
+++ b/internal/soak/rules_test.go
@@ -160,6 +160,19 @@
 			r.addCut(60, 35)
 			r.nodes[2].serverLinkFaults.list = []interval{{at(2 * time.Second), at(10 * time.Second)}}
 		}},
+		{"sent after callers left", "callers_that_left", func(r env) { r.addAbandoned(maxAfterLeaving+1, time.Second) }},
+		{"sent after a few callers left", "", func(r env) { r.addAbandoned(maxAfterLeaving, time.Second) }},
+		{"sent as callers left", "", func(r env) { r.addAbandoned(2*maxAfterLeaving, leftGrace) }},
+		{"sent after callers left, link silent", "", func(r env) {
+			r.a.serverLinkFaults.list = []interval{{at(9 * time.Second), at(11 * time.Second)}}
+			r.addAbandoned(maxAfterLeaving+1, time.Second)
+		}},
+		{"sent to a server that said it leaves", "leaving_servers", func(r env) { r.addToLeaving(maxDrainDelay + time.Second) }},
+		{"sent to a server that just said it leaves", "", func(r env) { r.addToLeaving(maxDrainDelay - time.Second) }},
+		{"sent to a server that said it leaves, instance restarted", "", func(r env) {
+			r.a.faults.list = []interval{{at(11 * time.Second), at(12 * time.Second)}}
+			r.addToLeaving(maxDrainDelay + time.Second)
+		}},
 		{"over a named rate", "named_rates", func(r env) { r.addRated(24, 4*time.Second) }},
 		{"within a named rate", "", func(r env) { r.addRated(23, 4*time.Second) }},
 		{"over a named rate, the server's link held back", "", func(r env) {
@@ -185,6 +198,24 @@
 	}
 }
 
+// addAbandoned records n reads that reach a server a time after their callers have left.
+func (r env) addAbandoned(n int, after time.Duration) {
+	for range n {
+		left := at(10 * time.Second)
+		run := execution("s1", "a-1", servicePlain)
+		run.At = left.Add(after)
+		r.add(call{kind: kindRead, sent: left.Add(-100 * time.Millisecond), ended: left, result: abandoned}, run)
+	}
+}
+
+// addToLeaving records a read at a server that says it leaves, and another one a time later.
+func (r env) addToLeaving(later time.Duration) {
+	r.servers["s1"].saysLeaving.list = []interval{{at(9 * time.Second), at(20 * time.Second)}}
+	for _, sent := range []time.Time{at(10 * time.Second), at(10 * time.Second).Add(later)} {
+		r.add(call{kind: kindRead, sent: sent, result: valid}, execution("s1", "a-1", servicePlain))
+	}
+}
+
 // addRated records n requests to a server that names a rate, spread over a time.
 func (r env) addRated(n int, d time.Duration) {
 	r.servers["s1"].ratedSince = at(0)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -74,6 +74,7 @@
 	retries    prometheus.Counter
 	forwards   *prometheus.CounterVec
 	crashes    prometheus.Counter
+	left       *prometheus.CounterVec
 	tick       prometheus.Histogram
 	kinds      map[errkind.Kind]string
 }
@@ -103,6 +104,7 @@
 		retries: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "retries_total", Help: "Attempts after the first one of a request.",
 		}),
+		left:     counterVec("requests_abandoned_total", "Requests whose callers left, by whether an upstream executed them.", "ran"),
 		forwards: counterVec("forwards_total", "Requests passed to another entry instance by result.", "kind"),
 		crashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "upstream_crashes_total", Help: "Attempts during which this instance saw the upstream crash.",
@@ -112,7 +114,7 @@
 		}),
 		kinds: kindLabels(),
 	}
-	m.registry.MustRegister(m.requests, m.firstToken, m.duration, m.attempts, m.retries, m.forwards, m.crashes, m.tick,
+	m.registry.MustRegister(m.requests, m.firstToken, m.duration, m.attempts, m.retries, m.forwards, m.crashes, m.left, m.tick,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerGauges(s)
 	m.registerDrain(s)
@@ -191,6 +193,9 @@
 	}
 	m.requests.WithLabelValues(m.kindLabel(outcomeKind(err)), string(class)).Inc()
 	m.duration.WithLabelValues(string(class)).Observe(elapsed.Seconds())
+	if err != nil && err.CallerLeft {
+		m.left.WithLabelValues(string(err.Execution)).Inc()
+	}
 }
 
 // RecordFirstToken records the time to the first token of a streamed response.
