--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -1,6 +1,6 @@
 // Package callerconn tells whether the caller of a request has closed its connection. net/http cancels the context of
 // a request on another goroutine, which a process that is short of processor time may run only after the
-// request was sent on, and which stops watching once the caller has sent a byte behind its request.
+// request was sent on.
 package callerconn
 
 import (
