--- a/e2e/caller_left_test.go
+++ b/e2e/caller_left_test.go
@@ -12,7 +12,7 @@
 	"heatherloom/platform/standin"
 )
 
-// Guards against requests that a process without processor time sends on although their callers left before it read them.
+// Guards against requests that a frozen process sends although their callers left before it read them.
 func TestFrozenProcessSendsNoRequestsOfCallersThatLeft(t *testing.T) {
 	t.Parallel()
 	const leave, frozen, settle, callers = 200 * time.Millisecond, time.Second, time.Second, 20
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -346,8 +346,7 @@
 	}
 }
 
-// Guards against instances that together exceed a cold upstream's limit because each of them knows only that it may
-// have started again.
+// Guards against instances that together exceed the limit of an upstream that may have started again.
 func TestInstancesDivideTheLimitOfAnUpstreamThatMayHaveStartedAgain(t *testing.T) {
 	const limit = 6
 	now := time.Unix(1000, 0)
@@ -365,8 +364,7 @@
 	}
 }
 
-// Guards against a cold upstream that is flooded between a health check and the next snapshot, or after a check that is
-// older than the sign of its restart.
+// Guards against a cold upstream that is flooded before the next snapshot, or after a check older than its restart.
 func TestColdUpstreamIsLimitedFromItsHealthCheckOn(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for _, c := range []struct {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -182,7 +182,7 @@
 	if callerconn.Left(ctx) {
 		return callerLeft(ctx, errkind.NotExecuted)
 	}
-	run, cancel := newWithCaller(ctx, r)
+	run, cancel := newRequestContext(ctx, r)
 	defer cancel()
 	if r.RouteParams != nil && len(r.Visited) == 0 {
 		d.ServiceRetryBudgets.RecordRequest(clock.Now(), r.Target)
@@ -198,8 +198,8 @@
 	return d.attemptWithRetries(run, r, sink)
 }
 
-// withCaller is a context for the work on a request.
-type withCaller struct {
+// requestContext is a context for the work on a request.
+type requestContext struct {
 	context.Context
 	// caller ends when the caller leaves.
 	caller context.Context
@@ -207,14 +207,14 @@
 	detached bool
 }
 
-func newWithCaller(ctx context.Context, r *Request) (withCaller, context.CancelFunc) {
+func newRequestContext(ctx context.Context, r *Request) (requestContext, context.CancelFunc) {
 	if r.Repeatable || (r.RouteParams != nil && r.Stream) {
 		run, cancel := context.WithDeadline(ctx, r.Deadline)
-		return withCaller{Context: run, caller: ctx}, cancel
+		return requestContext{Context: run, caller: ctx}, cancel
 	}
 	detached, stop := withoutCallerCancel(ctx)
 	run, cancel := context.WithDeadline(detached, r.Deadline)
-	return withCaller{Context: run, caller: ctx, detached: true}, func() {
+	return requestContext{Context: run, caller: ctx, detached: true}, func() {
 		cancel()
 		stop()
 	}
@@ -288,7 +288,7 @@
 
 // attemptWithRetries retries the request until an attempt delivers the response or no
 // further attempt is allowed.
-func (d *Dispatcher) attemptWithRetries(ctx withCaller, r *Request, sink Sink) *errkind.Error {
+func (d *Dispatcher) attemptWithRetries(ctx requestContext, r *Request, sink Sink) *errkind.Error {
 	var tried []string
 	var last relay.Result
 	execution := errkind.NotExecuted
@@ -419,7 +419,7 @@
 	return reason
 }
 
-func (d *Dispatcher) attempt(ctx withCaller, r *Request, tried []string, last retry.Outcome, sink Sink) (relay.Result, string, *errkind.Error) {
+func (d *Dispatcher) attempt(ctx requestContext, r *Request, tried []string, last retry.Outcome, sink Sink) (relay.Result, string, *errkind.Error) {
 	snapshot := d.Snapshot()
 	r.Target = currentTarget(snapshot, r, false)
 	choice, err := d.pick(snapshot, r, tried, last)
@@ -529,7 +529,7 @@
 // ForwardedCount returns the number of requests that were forwarded to another entry instance.
 func (d *Dispatcher) ForwardedCount() int64 { return d.forwarded.Load() }
 
-func (d *Dispatcher) sendToPeer(run withCaller, r *Request, peer routing.Peer, sink Sink) relay.Result {
+func (d *Dispatcher) sendToPeer(run requestContext, r *Request, peer routing.Peer, sink Sink) relay.Result {
 	ctx := run.Context
 	d.forwarded.Add(1)
 	if run.detached && !r.OutcomeRecorded {
@@ -578,7 +578,7 @@
 	}
 }
 
-func (d *Dispatcher) sendToUpstream(ctx withCaller, r *Request, u *routing.Upstream, choice routing.Choice, sink Sink) relay.Result {
+func (d *Dispatcher) sendToUpstream(ctx requestContext, r *Request, u *routing.Upstream, choice routing.Choice, sink Sink) relay.Result {
 	now := clock.Now()
 	tracked := u.Counters.Begin(now, choice.PrefillTokens, choice.QueuedTokens)
 	defer func() { tracked.End(clock.Now()) }()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -48,7 +48,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:     abortively(dialer.DialContext),
+		DialContext:     abortiveDialer(dialer.DialContext),
 		Protocols:       protocols,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 		IdleConnTimeout: idleConnTimeout,
@@ -81,11 +81,11 @@
 // SetDialer replaces the function that connects to peers. It must be called before the first
 // message.
 func (c *Client) SetDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
-	c.transport.DialContext = abortively(dial)
+	c.transport.DialContext = abortiveDialer(dial)
 }
 
-// abortively makes a dialer return connections that do not deliver forwards which were given up.
-func abortively(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+// abortiveDialer returns a dialer whose connections do not deliver forwards that were given up.
+func abortiveDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		raw, err := dial(ctx, network, address)
 		if err != nil {
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -1,7 +1,7 @@
 // Package probe checks the health of upstreams that were paused after failures, and
 // returns those that pass to service. Of the upstreams in service it checks those that owe responses and
 // send nothing, and has those paused that stay silent, those that may have started again, which may be
-// cold, and those that leave by their own word only; the health of others is derived from their responses to requests.
+// cold, and those that leave according to their responses only; the health of others is derived from their responses to requests.
 package probe
 
 import (
@@ -29,7 +29,7 @@
 	// The interval doubles after each check up to maxInterval, because every check has a cost.
 	initialDelay = 400 * time.Millisecond
 	maxInterval  = 2 * time.Second
-	// leavingDelay is the time to the first check of an upstream that leaves by its own word only, and between
+	// leavingDelay is the time to the first check of an upstream that leaves according to its responses only, and between
 	// two. Most have ended by then.
 	leavingDelay = 4 * time.Second
 	// silenceToCheck is how long an upstream in service owes a first byte and sends nothing before it
@@ -198,7 +198,7 @@
 	p.Loop.Post(ctx, control.RestartCheckedEvent{Upstream: u.ID, Sent: sent, ColdFor: health.ColdFor})
 }
 
-// checkLeaving makes one health check of an upstream that leaves by its own word only, which may stay after all or
+// checkLeaving makes one health check of an upstream that leaves according to its responses only, which may stay or
 // may have started again.
 func (p *Prober) checkLeaving(ctx context.Context, u *routing.Upstream, url string) {
 	sent := clock.Now()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -69,7 +69,7 @@
 		{"server_connections_reset", resetServerConnections},
 		{"server_connections_silent", silenceServerConnections},
 		{"server_replaced", replaceServer},
-		{"server_says_it_leaves", leaveByWord},
+		{"server_says_it_leaves", announceLeaving},
 		{"server_asks_for_a_pause", askForPause},
 	},
 	{
@@ -301,8 +301,8 @@
 	}
 }
 
-// leaveByWord makes the responses of a server say that it leaves. Its row does not change.
-func leaveByWord(d *injector) (string, func()) {
+// announceLeaving makes the responses of a server say that it leaves. Its row does not change.
+func announceLeaving(d *injector) (string, func()) {
 	srv := d.cluster.randomServer(d.rng)
 	end := srv.saysLeaving.begin()
 	srv.SetLeaving(true)
--- a/internal/soak/rules.go
+++ b/internal/soak/rules.go
@@ -518,8 +518,8 @@
 // checkLeavingServers reports requests that an instance sent to a server of its region maxDrainDelay after it had passed
 // on a response which said that the server leaves. An instance that is cut off from servers asks others.
 func checkLeavingServers(e *history, report func(string, ...any)) {
-	type word struct{ node, server string }
-	heard := map[word]time.Time{}
+	type announcement struct{ node, server string }
+	heard := map[announcement]time.Time{}
 	calls := slices.SortedFunc(slices.Values(e.calls), func(a, b call) int { return a.ended.Compare(b.ended) })
 	for _, c := range calls {
 		for _, execution := range e.executions[c.id] {
@@ -527,7 +527,7 @@
 			if s == nil || !s.saysLeaving.overlaps(execution.At, execution.At) || regionOf(execution.FailureDomain) != c.node.region || e.linksHadFaults(c.sent.Add(-settleTime), c.ended) {
 				continue
 			}
-			key := word{c.node.id, execution.Server}
+			key := announcement{c.node.id, execution.Server}
 			at, known := heard[key]
 			sameLeave := known && s.saysLeaving.coversBoth(at, execution.At)
 			if sameLeave && c.sent.Sub(at) > maxDrainDelay && !c.node.faults.overlaps(at, execution.At) {
