--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -93,6 +93,7 @@
 	if t.coldSendsFrom.IsZero() {
 		t.pauseColdSends(selfListed, now)
 	}
+	t.listedChanges++
 	t.listedContacts = entryContacts(t.listedInstances)
 	t.unlistUpstreams(listed, now)
 	t.sortedUpstreams = slices.SortedFunc(maps.Values(t.upstreams), func(a, b *upstreamRow) int {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -2,10 +2,8 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
-	"heatherloom/internal/membership"
 	"heatherloom/internal/rollout"
 	"heatherloom/internal/routing"
 )
@@ -169,8 +167,6 @@
 type regionBudget struct {
 	tables *tables
 	now    time.Time
-	// instances are the entry instances of the region; nil until first needed.
-	instances []string
 }
 
 // coldRequests returns how many requests per second this instance may send to a cold
@@ -186,14 +182,11 @@
 // divided equally. If it is lower than the number of instances, those with the highest rendezvous
 // weight send one request.
 func (c *regionBudget) partOfColdLimit(row *upstreamRow) int {
-	c.findInstances()
-	t := c.tables
 	limit := c.totalColdLimit(row)
-	if part := math.Floor(limit / float64(len(c.instances))); part >= 1 {
+	if part := math.Floor(limit / float64(c.instances())); part >= 1 {
 		return int(part)
 	}
-	ranked := membership.Ranked(row.instance.ID, c.instances)
-	if slices.Index(ranked, t.identity.ID) < int(limit) {
+	if c.tables.rank(row) < int(limit) {
 		return 1
 	}
 	return 0
@@ -211,13 +204,10 @@
 	if !limited {
 		return 0, false
 	}
-	c.findInstances()
-	senders := min(len(c.instances), int(min(rate, float64(len(c.instances))))+rateSenders)
-	if senders < len(c.instances) {
-		ranked := membership.Ranked(row.instance.ID, c.instances)
-		if slices.Index(ranked, c.tables.identity.ID) >= senders {
-			return 0, true
-		}
+	instances := c.instances()
+	senders := min(instances, int(min(rate, float64(instances)))+rateSenders)
+	if senders < instances && c.tables.rank(row) >= senders {
+		return 0, true
 	}
 	return rate / float64(senders), true
 }
@@ -226,15 +216,14 @@
 // instances have one; 0 shortly after the start of this instance, whose earlier requests may still run.
 // The places are divided equally, and the rest goes to the instances with the highest rendezvous weights.
 func (c *regionBudget) places(row *upstreamRow) (part, sharers int) {
-	c.findInstances()
+	instances := c.instances()
 	slots := max(row.instance.MaxConcurrency, 1)
-	sharers = min(len(c.instances), slots)
+	sharers = min(instances, slots)
 	if c.now.Before(c.tables.coldSendsFrom) {
 		return 0, sharers
 	}
-	part = slots / len(c.instances)
-	ranked := membership.Ranked(row.instance.ID, c.instances)
-	if slices.Index(ranked, c.tables.identity.ID) < slots%len(c.instances) {
+	part = slots / instances
+	if c.tables.rank(row) < slots%instances {
 		part++
 	}
 	return part, sharers
@@ -258,25 +247,5 @@
 	return math.Floor(t.config.Services[row.instance.Service].ColdRateLimit*t.identity.ColdExcess + t.identity.ColdSlack)
 }
 
-func (c *regionBudget) findInstances() {
-	if c.instances == nil {
-		c.instances = regionInstances(c.tables)
-	}
-}
-
-// regionInstances returns the ids of the region's live or listed entry instances,
-// including this one. A listed instance that sends no heartbeats may still send requests.
-func regionInstances(t *tables) []string {
-	ids := []string{t.identity.ID}
-	for _, m := range t.members.Live() {
-		if m.Region == t.identity.Region {
-			ids = append(ids, m.ID)
-		}
-	}
-	for id, entry := range t.listedInstances {
-		if entry.Region == t.identity.Region && !slices.Contains(ids, id) {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
+// instances returns the number of entry instances of the region.
+func (c *regionBudget) instances() int { return len(c.tables.regionInstances()) }
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -79,6 +79,9 @@
 	awaitsHealthCheck bool
 	// failuresAtPause is the failure count at which the last pause began.
 	failuresAtPause int64
+	// rank is that of tables.rank, found among the instances of generation rankedAt; 0 for none.
+	rank     int
+	rankedAt uint64
 }
 
 // confirmation is a peer's statement that revision was the latest one at time at.
@@ -116,6 +119,9 @@
 	crashes       *quarantine.Table
 	// listedInstances holds the other entry instances of the instance list by id.
 	listedInstances map[string]external.Instance
+	// listedChanges counts the instance lists that were applied.
+	listedChanges uint64
+	region        regionInstances
 	// listedContacts holds the contacts of listedInstances; snapshots share it.
 	listedContacts []membership.Contact
 	// peers is keyed by the id of the peer.
--- a/internal/membership/assignment.go
+++ b/internal/membership/assignment.go
@@ -43,11 +43,16 @@
 	return slices.MinFunc(members, func(a, b string) int { return compareWeight(key, a, b) })
 }
 
-// Ranked returns the members by descending rendezvous weight for key.
-func Ranked(key string, members []string) []string {
-	ranked := slices.Clone(members)
-	slices.SortFunc(ranked, func(a, b string) int { return compareWeight(key, a, b) })
-	return ranked
+// Rank returns how many members have a higher rendezvous weight for key than member. All processes with the
+// same members give each of them a rank of its own.
+func Rank(key, member string, members []string) int {
+	own, rank := weight(key, member), 0
+	for _, m := range members {
+		if w := weight(key, m); w > own || (w == own && m < member) {
+			rank++
+		}
+	}
+	return rank
 }
 
 // Watchers returns the ids of the members of a failure domain that watch the key-value
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -36,6 +36,25 @@
 	}
 }
 
+// Guards against two members with the same rank for a key, and against a first one that does not own the key.
+func TestRanksOfAllMembersDiffer(t *testing.T) {
+	ids := []string{"a", "b", "c", "d", "e"}
+	for i := range 100 {
+		key := fmt.Sprint("upstream-", i)
+		ranks := make([]int, len(ids))
+		for k, id := range ids {
+			ranks[k] = Rank(key, id, ids)
+		}
+		if ids[slices.Index(ranks, 0)] != Owner(key, ids) {
+			t.Errorf("%s is owned by %s, the ranks are %v", key, Owner(key, ids), ranks)
+		}
+		slices.Sort(ranks)
+		if !slices.Equal(ranks, []int{0, 1, 2, 3, 4}) {
+			t.Errorf("the ranks for %s are %v", key, ranks)
+		}
+	}
+}
+
 // Guards against a failure domain with no watchers or more than two, and against a choice
 // that depends on the order of the members.
 func TestWatchersAreTheSameTwoLiveMembers(t *testing.T) {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -61,8 +61,14 @@
 type Table struct {
 	live   map[string]Member
 	former map[string]Member
+	// changes counts the changes of which members are live, and in which regions.
+	changes uint64
 }
 
+// Changes returns a number that differs from an earlier one if since then a member joined, was dropped
+// or moved to another region.
+func (t *Table) Changes() uint64 { return t.changes }
+
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{live: map[string]Member{}, former: map[string]Member{}}
@@ -99,6 +105,9 @@
 	}
 	delete(t.former, m.ID)
 	m.Suspect = false
+	if previous, live := t.live[m.ID]; !live || previous.Region != m.Region {
+		t.changes++
+	}
 	t.live[m.ID] = m
 	switch {
 	case !ok:
@@ -118,6 +127,7 @@
 		if silence > DropAfter {
 			delete(t.live, id)
 			t.former[id] = m
+			t.changes++
 			continue
 		}
 		m.Suspect = silence > SuspectAfter
@@ -133,6 +143,13 @@
 // Live returns the live members sorted by id.
 func (t *Table) Live() []Member { return sortedMembers(t.live) }
 
+// EachLive calls fn for each live member, in no order. fn must not keep or change the member.
+func (t *Table) EachLive(fn func(*Member)) {
+	for _, m := range t.live {
+		fn(&m)
+	}
+}
+
 // Former returns the dropped members sorted by id.
 func (t *Table) Former() []Member { return sortedMembers(t.former) }
 
--- a/internal/rolloutctl/service.go
+++ b/internal/rolloutctl/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -113,7 +112,7 @@
 			ids = append(ids, p.ID)
 		}
 	}
-	rank := slices.Index(membership.Ranked(state.Service, ids), c.Identity.ID)
+	rank := membership.Rank(state.Service, c.Identity.ID, ids)
 	return now.Sub(c.pendingSince[state]) >= time.Duration(rank)*takeoverDelay
 }
 
--- a/internal/storefeed/quarantine.go
+++ b/internal/storefeed/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -70,7 +69,7 @@
 		if _, known := k.wantedSince[change]; !known {
 			k.wantedSince[change] = now
 		}
-		rank := slices.Index(membership.Ranked(change.fingerprint.String(), ids), k.self)
+		rank := membership.Rank(change.fingerprint.String(), k.self, ids)
 		if now.Sub(k.wantedSince[change]) >= time.Duration(rank)*quarantineTakeover && len(due) < maxQuarantineWrites {
 			due = append(due, change)
 		}
