--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -40,6 +40,7 @@
 			t.configuredAt = now
 		}
 		t.config = e.Config
+		t.publishing.peersChanged = true
 		t.history.extend(e.Config.Revision, e.Deltas)
 	}
 	t.confirm(e.Config.Revision, e.ConfirmedAt)
@@ -94,6 +95,7 @@
 		t.pauseColdSends(selfListed, now)
 	}
 	t.listedChanges++
+	t.publishing.peersChanged = true
 	t.listedContacts = entryContacts(t.listedInstances)
 	t.unlistUpstreams(listed, now)
 	t.sortedUpstreams = slices.SortedFunc(maps.Values(t.upstreams), func(a, b *upstreamRow) int {
@@ -159,6 +161,7 @@
 		row.coldUntil = latest(row.coldUntil, instance.ListedAt.Add(instance.ColdFor))
 	}
 	row.instance = instance
+	row.service = []string{instance.Service}
 }
 
 // KnownMember is a member from which the sender of a heartbeat received a message.
@@ -197,10 +200,14 @@
 	if e.Peer.ID == t.identity.ID {
 		return
 	}
+	previous, _ := t.members.Get(e.Peer.ID)
 	outcome := t.members.RecordHeartbeat(now, memberOf(e.Peer, e.Incarnation))
 	if outcome == membership.Outdated {
 		return
 	}
+	if outcome != membership.Known || previous.Suspect || previous.Draining != e.Peer.Draining || previous.ConfigRevision != e.Peer.ConfigRevision || previous.Slot != e.Peer.Slot {
+		t.publishing.peersChanged = true
+	}
 	t.recordOutsideResponse(e.Peer, e.RequestSentAt)
 	t.mergeCold(e.ColdFor, now)
 	t.recordReport(e, now)
@@ -228,6 +235,7 @@
 		roundTrip += roundTripGain * (trip - roundTrip)
 	}
 	if e.Services != nil {
+		t.publishing.peersChanged = t.publishing.peersChanged || row.services == nil || row.acceptsKeys != e.Peer.AcceptsKeys
 		row.services, row.demands, row.acceptsKeys = e.Services, e.Demands, e.Peer.AcceptsKeys
 		row.reportedAt = now
 	}
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -108,8 +108,11 @@
 }
 
 // diffSorted calls fn once for each id in either of two lists sorted by id. The argument
-// for a list that lacks the id is nil.
+// for a list that lacks the id is nil. Lists that share their memory have no differences.
 func diffSorted[T any](old, new []T, id func(*T) string, fn func(old, new *T)) {
+	if routing.SharesElements(old, new) {
+		return
+	}
 	for len(old) > 0 || len(new) > 0 {
 		order := 0
 		switch {
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"heatherloom/internal/external"
@@ -10,7 +11,25 @@
 	"heatherloom/internal/routing"
 )
 
-// buildSnapshot copies the tables into an immutable snapshot.
+// peersInterval is the time between two copies of the peers of a large fleet while only the times at which
+// they were heard, and the loads that they reported, change. Peers report once a second.
+const peersInterval = 200 * time.Millisecond
+
+// publishing holds the parts of the last snapshot that the next one shares if they have not changed.
+type publishing struct {
+	last *routing.Snapshot
+	// upstreams is memory for the upstreams of the next snapshot.
+	upstreams []routing.Upstream
+	// peersChanged is true if a peer changed in a way that has to be published with the next tick, and
+	// peersAt is when the peers were last copied.
+	peersChanged bool
+	peersAt      time.Time
+	// members is membership.Table.Changes when the peers were last copied.
+	members uint64
+}
+
+// buildSnapshot copies the tables into an immutable snapshot. It shares the upstreams and the peers with the
+// previous one if they have not changed.
 func buildSnapshot(t *tables, now time.Time) *routing.Snapshot {
 	s := &routing.Snapshot{
 		SelfID:             t.identity.ID,
@@ -26,8 +45,7 @@
 		ModelRollouts:      t.rollouts.sortedRollouts(),
 		RolloutStops:       t.rollouts.sortedStops(),
 		PeerSamples:        maps.Clone(t.rollouts.samples),
-		Upstreams:          upstreamsOf(t, now),
-		Peers:              peersOf(t),
+		Upstreams:          t.publishing.shareUpstreams(upstreamsOf(t, now)),
 		Quarantined:        t.crashes.Quarantined(),
 		StoredQuarantines:  t.crashes.Stored(),
 		RefutedQuarantines: t.crashes.Refuted(),
@@ -35,7 +53,6 @@
 		CompletedParts:     t.crashes.Completed(),
 		SharedCrashes:      t.crashes.HeartbeatCrashes(now),
 		ListedPeers:        t.listedContacts,
-		FormerPeers:        memberContacts(t.members.Former()),
 		Quota:              slotState(t, now),
 	}
 	if !t.confirmedAt.IsZero() {
@@ -53,14 +70,46 @@
 		// An unconfirmed configuration received from a peer may be arbitrarily old.
 		s.ConfigValidUntil = t.configuredAt.Add(-time.Nanosecond)
 	}
-	s.PeerDemand, s.PeerDemandAge = estimateDemand(t, s.Peers, now)
+	setPeers(t, s, now)
 	s.InstanceCount = 1 + max(len(s.Peers), len(t.listedInstances))
 	s.ServiceSplits = serviceSplits(t, s.InstanceCount)
 	s.ServiceRollouts = t.serviceRollouts
-	s.BuildIndexes()
+	if last := t.publishing.last; last == nil || !s.ShareIndexes(last) {
+		if last != nil && routing.SharesElements(s.Upstreams, last.Upstreams) {
+			s.Upstreams = slices.Clone(s.Upstreams)
+		}
+		s.BuildIndexes()
+	}
+	t.publishing.last = s
 	return s
 }
 
+// setPeers sets the peers, their demand and the former peers, or shares those of the last snapshot.
+func setPeers(t *tables, s *routing.Snapshot, now time.Time) {
+	p := &t.publishing
+	due := t.members.Count() <= membership.MaxFullMeshMembers || now.Sub(p.peersAt) >= peersInterval
+	if p.last != nil && !due && !p.peersChanged && p.members == t.members.Changes() {
+		s.Peers, s.FormerPeers = p.last.Peers, p.last.FormerPeers
+		s.PeerDemand = p.last.PeerDemand
+		if len(s.PeerDemand) > 0 {
+			s.PeerDemandAge = p.last.PeerDemandAge + now.Sub(p.last.Published)
+		}
+		return
+	}
+	p.peersChanged, p.peersAt, p.members = false, now, t.members.Changes()
+	s.Peers, s.FormerPeers = peersOf(t), memberContacts(t.members.Former())
+	s.PeerDemand, s.PeerDemandAge = estimateDemand(t, s.Peers, now)
+}
+
+// shareUpstreams returns the upstreams of the last snapshot if they are the same, and a copy otherwise.
+func (p *publishing) shareUpstreams(upstreams []routing.Upstream) []routing.Upstream {
+	p.upstreams = upstreams
+	if p.last != nil && slices.EqualFunc(p.last.Upstreams, upstreams, func(a, b routing.Upstream) bool { return a.Same(&b) }) {
+		return p.last.Upstreams
+	}
+	return slices.Clone(upstreams)
+}
+
 // slotGrace bounds how long a starting instance waits for a slot before it reports
 // ready. Without a slot it relies on borrowed tokens, as instances do in a domain with
 // more instances than slots.
@@ -102,8 +151,9 @@
 	return b
 }
 
+// upstreamsOf returns the upstreams, in memory that the next call uses again.
 func upstreamsOf(t *tables, now time.Time) []routing.Upstream {
-	upstreams := make([]routing.Upstream, 0, len(t.sortedUpstreams))
+	upstreams := t.publishing.upstreams[:0]
 	budget := regionBudget{tables: t, now: now}
 	for _, row := range t.sortedUpstreams {
 		cold := now.Before(row.coldUntil)
@@ -150,7 +200,7 @@
 
 func targetsOf(row *upstreamRow) []string {
 	if row.instance.Role == external.RoleService {
-		return []string{row.instance.Service}
+		return row.service
 	}
 	if row.loaded != nil {
 		return row.loaded
@@ -159,9 +209,9 @@
 }
 
 func peersOf(t *tables) []routing.Peer {
-	live := t.members.Live()
-	peers := make([]routing.Peer, 0, len(live))
-	for _, m := range live {
+	peers := make([]routing.Peer, 0, t.members.Count())
+	t.members.Each(func(m *membership.Member) {
+		row := t.peerRow(m.ID)
 		_, drained := t.config.Drains[m.ID]
 		peers = append(peers, routing.Peer{
 			ID:              m.ID,
@@ -178,12 +228,12 @@
 			ConfigRevision:  m.ConfigRevision,
 			Slot:            m.Slot,
 			ConfigConfirmed: t.confirmations[m.ID].at,
-			RegionStatus:    t.peerRow(m.ID).status,
-			Services:        t.peerRow(m.ID).services,
-			AcceptsKeys:     t.peerRow(m.ID).acceptsKeys,
-			Counters:        t.peerRow(m.ID).counters,
+			RegionStatus:    row.status,
+			Services:        row.services,
+			AcceptsKeys:     row.acceptsKeys,
+			Counters:        row.counters,
 		})
-	}
+	})
 	return peers
 }
 
--- a/internal/control/region.go
+++ b/internal/control/region.go
@@ -35,7 +35,7 @@
 
 func (t *tables) findRegionInstances() []string {
 	ids := map[string]struct{}{t.identity.ID: {}}
-	t.members.EachLive(func(m *membership.Member) {
+	t.members.Each(func(m *membership.Member) {
 		if m.Region == t.identity.Region {
 			ids[m.ID] = struct{}{}
 		}
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -58,6 +58,8 @@
 // upstreamRow is the state of an engine or plain service from the instance list.
 type upstreamRow struct {
 	instance external.Instance
+	// service holds the name of the service that the upstream belongs to, as its only target.
+	service  []string
 	load     external.Load
 	counters *routing.Counters
 	// loaded lists the models that the engine reported as loaded; nil before it has
@@ -124,8 +126,10 @@
 	region        regionInstances
 	// listedContacts holds the contacts of listedInstances; snapshots share it.
 	listedContacts []membership.Contact
-	// peers is keyed by the id of the peer.
-	peers map[string]*peerRow
+	// peers is keyed by the id of the peer. Those that are not live were last removed when prunedAt was
+	// membership.Table.Changes.
+	peers    map[string]*peerRow
+	prunedAt uint64
 	// confirmations is keyed by the id of the peer.
 	confirmations map[string]confirmation
 	// confirmedAt is when the store, read directly or through peers, last showed no revision
@@ -152,6 +156,7 @@
 	hadUsableSlot bool
 	rollouts      rollouts
 	draining      bool
+	publishing    publishing
 }
 
 func newTables(id Identity) *tables {
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -26,17 +26,19 @@
 )
 
 func expireMembers(t *tables, now time.Time) {
-	t.members.Expire(now)
+	if t.members.Expire(now) {
+		t.publishing.peersChanged = true
+	}
 }
 
 // prunePeerRows drops the rows of peers that are no longer live.
 func prunePeerRows(t *tables, _ time.Time) {
-	live := map[string]bool{}
-	for _, m := range t.members.Live() {
-		live[m.ID] = true
+	if t.prunedAt == t.members.Changes() {
+		return
 	}
+	t.prunedAt = t.members.Changes()
 	for id := range t.peers {
-		if !live[id] {
+		if _, live := t.members.Get(id); !live {
 			delete(t.peers, id)
 		}
 	}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -59,19 +59,21 @@
 
 // Table holds the live and former members. It is not safe for concurrent use.
 type Table struct {
-	live   map[string]Member
+	live   map[string]*Member
 	former map[string]Member
+	// sorted holds the live members by id; nil if members joined or were dropped since it was made.
+	sorted []*Member
 	// changes counts the changes of which members are live, and in which regions.
 	changes uint64
 }
 
 // Changes returns a number that differs from an earlier one if since then a member joined, was dropped
-// or moved to another region.
+// or moved to another region, or a former one was forgotten.
 func (t *Table) Changes() uint64 { return t.changes }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{live: map[string]Member{}, former: map[string]Member{}}
+	return &Table{live: map[string]*Member{}, former: map[string]Member{}}
 }
 
 // RecordHeartbeat records a message that came from the member itself.
@@ -96,23 +98,31 @@
 }
 
 func (t *Table) record(m Member) Outcome {
-	row, ok := t.live[m.ID]
-	if !ok {
-		row, ok = t.former[m.ID]
+	row, live := t.live[m.ID]
+	former, ended := t.former[m.ID]
+	incarnation, known := former.Incarnation, ended
+	if live {
+		incarnation, known = row.Incarnation, true
 	}
-	if ok && m.Incarnation < row.Incarnation {
+	if known && m.Incarnation < incarnation {
 		return Outdated
 	}
 	delete(t.former, m.ID)
 	m.Suspect = false
-	if previous, live := t.live[m.ID]; !live || previous.Region != m.Region {
+	if live {
+		if row.Region != m.Region {
+			t.changes++
+		}
+		*row = m
+	} else {
+		t.live[m.ID] = &m
+		t.sorted = nil
 		t.changes++
 	}
-	t.live[m.ID] = m
 	switch {
-	case !ok:
+	case !known:
 		return Joined
-	case m.Incarnation > row.Incarnation:
+	case m.Incarnation > incarnation:
 		return Restarted
 	default:
 		return Known
@@ -120,43 +130,65 @@
 }
 
 // Expire updates which members are suspect, drops those that exceeded DropAfter, and
-// forgets former members after formerRetention.
-func (t *Table) Expire(now time.Time) {
+// forgets former members after formerRetention. It reports whether a member became suspect.
+func (t *Table) Expire(now time.Time) (suspected bool) {
 	for id, m := range t.live {
 		silence := now.Sub(m.LastHeard)
 		if silence > DropAfter {
 			delete(t.live, id)
-			t.former[id] = m
+			t.former[id] = *m
+			t.sorted = nil
 			t.changes++
 			continue
 		}
-		m.Suspect = silence > SuspectAfter
-		t.live[id] = m
+		suspect := silence > SuspectAfter
+		suspected = suspected || (suspect && !m.Suspect)
+		m.Suspect = suspect
 	}
 	for id, m := range t.former {
 		if now.Sub(m.LastHeard) > formerRetention {
 			delete(t.former, id)
+			t.changes++
 		}
 	}
+	return suspected
 }
 
-// Live returns the live members sorted by id.
-func (t *Table) Live() []Member { return sortedMembers(t.live) }
+// Get returns the live member with the given id; live is false if there is none.
+func (t *Table) Get(id string) (m Member, live bool) {
+	if row, ok := t.live[id]; ok {
+		return *row, true
+	}
+	return Member{}, false
+}
 
-// EachLive calls fn for each live member, in no order. fn must not keep or change the member.
-func (t *Table) EachLive(fn func(*Member)) {
-	for _, m := range t.live {
-		fn(&m)
+// Each calls fn for each live member, sorted by id. fn must neither keep nor change the member.
+func (t *Table) Each(fn func(*Member)) {
+	if t.sorted == nil {
+		for _, id := range slices.Sorted(maps.Keys(t.live)) {
+			t.sorted = append(t.sorted, t.live[id])
+		}
+	}
+	for _, m := range t.sorted {
+		fn(m)
 	}
 }
 
-// Former returns the dropped members sorted by id.
-func (t *Table) Former() []Member { return sortedMembers(t.former) }
+// Count returns the number of live members.
+func (t *Table) Count() int { return len(t.live) }
 
-func sortedMembers(rows map[string]Member) []Member {
-	members := make([]Member, 0, len(rows))
-	for _, id := range slices.Sorted(maps.Keys(rows)) {
-		members = append(members, rows[id])
+// Live returns the live members sorted by id.
+func (t *Table) Live() []Member {
+	members := make([]Member, 0, len(t.live))
+	t.Each(func(m *Member) { members = append(members, *m) })
+	return members
+}
+
+// Former returns the dropped members sorted by id.
+func (t *Table) Former() []Member {
+	members := make([]Member, 0, len(t.former))
+	for _, id := range slices.Sorted(maps.Keys(t.former)) {
+		members = append(members, t.former[id])
 	}
 	return members
 }
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -6,6 +6,7 @@
 package routing
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -72,11 +73,23 @@
 	ColdUntil time.Time
 	// idHash is a hash of ID, set by BuildIndexes.
 	idHash uint64
-	// PreferencePenalty is 0 for the upstream that this instance prefers most and rises to
+	// PreferencePenalty is set by BuildIndexes. It is 0 for the upstream that this instance prefers most and rises to
 	// below 1 for the one that it prefers least; see setPreferences.
 	PreferencePenalty float64
 }
 
+// Same reports whether two upstreams are the same in all but what BuildIndexes sets.
+func (u *Upstream) Same(v *Upstream) bool {
+	return u.ID == v.ID && u.Address == v.Address && u.Region == v.Region && u.FailureDomain == v.FailureDomain && u.Role == v.Role &&
+		slices.Equal(u.Targets, v.Targets) && slices.Equal(u.ListedTargets, v.ListedTargets) &&
+		u.Draining == v.Draining && u.ListedDraining == v.ListedDraining && u.Down == v.Down &&
+		u.Load == v.Load && u.Counters == v.Counters && u.StartedAt == v.StartedAt && u.Version == v.Version &&
+		u.MaxConcurrency == v.MaxConcurrency && u.CachesPrompts == v.CachesPrompts && u.Evacuated == v.Evacuated &&
+		u.Cold == v.Cold && u.ColdRateLimit == v.ColdRateLimit && u.MayBecomeCold == v.MayBecomeCold && u.ColdUntil.Equal(v.ColdUntil) &&
+		u.Brittle == v.Brittle && u.Places == v.Places && u.PlaceSharers == v.PlaceSharers &&
+		u.RateLimited == v.RateLimited && u.RequestRate == v.RequestRate
+}
+
 // Peer is another entry instance.
 type Peer struct {
 	ID            string
@@ -232,6 +245,8 @@
 	Draining bool
 	// Published is the time of publication.
 	Published time.Time
+	// spread is the position of this instance for which BuildIndexes set the preferences.
+	spread spreadPosition
 }
 
 // ConfigStale reports whether the configuration is too old to authenticate API keys with it.
@@ -251,5 +266,22 @@
 			s.ByTarget[target] = append(s.ByTarget[target], int32(i))
 		}
 	}
+	s.spread = s.spreadPosition()
 	s.setPreferences()
 }
+
+// ShareIndexes takes what BuildIndexes would make from the previous snapshot. It reports whether that holds: both
+// share their upstreams, and the peers have not moved this instance among those that divide the upstreams.
+func (s *Snapshot) ShareIndexes(previous *Snapshot) bool {
+	shared := SharesElements(s.Upstreams, previous.Upstreams)
+	if s.spread = s.spreadPosition(); !shared || s.spread != previous.spread {
+		return false
+	}
+	s.ByTarget, s.ByHolderID = previous.ByTarget, previous.ByHolderID
+	return true
+}
+
+// SharesElements reports whether two lists have the same length and memory.
+func SharesElements[T any](a, b []T) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
