--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -194,6 +194,17 @@
 	Services map[string]routing.ServiceLoad
 	// ColdFor holds the remaining cold time of upstreams in the peer's region, by id.
 	ColdFor map[string]time.Duration
+	// News are what the peer heard of the members of its failure domain.
+	News []MemberNews
+	// DomainDemand is the demand of the peer's failure domain; its FailureDomain is empty if the message
+	// carries none.
+	DomainDemand routing.DomainDemand
+}
+
+// MemberNews are what a peer heard of a member, and whether that can serve requests with keys.
+type MemberNews struct {
+	membership.News
+	AcceptsKeys bool
 }
 
 func (e HeartbeatEvent) apply(t *tables, now time.Time) {
@@ -214,6 +225,8 @@
 	if row := t.confirmations[e.Peer.ID]; e.ConfigConfirmedAt.After(row.at) {
 		t.confirmations[e.Peer.ID] = confirmation{revision: e.Peer.ConfigRevision, at: e.ConfigConfirmedAt}
 	}
+	t.recordNews(e.News, now)
+	t.recordDomainDemand(e.DomainDemand)
 	for _, known := range e.KnownMembers {
 		if known.Peer.ID != t.identity.ID {
 			t.members.RecordGossip(now, now.Add(-known.SilentFor), memberOf(known.Peer, known.Incarnation))
@@ -236,13 +249,28 @@
 	}
 	if e.Services != nil {
 		t.publishing.peersChanged = t.publishing.peersChanged || row.services == nil || row.acceptsKeys != e.Peer.AcceptsKeys
-		row.services, row.demands, row.acceptsKeys = e.Services, e.Demands, e.Peer.AcceptsKeys
-		row.reportedAt = now
+		row.services, row.acceptsKeys = e.Services, e.Peer.AcceptsKeys
+	}
+	if e.Demands != nil {
+		row.demands, row.reportedAt = e.Demands, now
 	}
 	row.status = e.Peer.RegionStatus
 	row.status.RoundTripSeconds = roundTrip
 }
 
+// recordNews records what a peer heard of the members of its failure domain.
+func (t *tables) recordNews(news []MemberNews, now time.Time) {
+	for _, n := range news {
+		m, changed := t.members.RecordNews(now, n.News)
+		if m == nil {
+			continue
+		}
+		row := t.peerRow(m.ID)
+		t.publishing.peersChanged = t.publishing.peersChanged || changed || row.acceptsKeys != n.AcceptsKeys
+		row.acceptsKeys = n.AcceptsKeys
+	}
+}
+
 // recordOutsideResponse records a response that ends isolation: one from another region or, if
 // no other region is known, from another failure domain.
 func (t *tables) recordOutsideResponse(p routing.Peer, sentAt time.Time) {
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -91,6 +91,7 @@
 	if p.last != nil && !due && !p.peersChanged && p.members == t.members.Changes() {
 		s.Peers, s.FormerPeers = p.last.Peers, p.last.FormerPeers
 		s.PeerDemand = p.last.PeerDemand
+		s.DomainDemand, s.CollectsDemand = p.last.DomainDemand, p.last.CollectsDemand
 		if len(s.PeerDemand) > 0 {
 			s.PeerDemandAge = p.last.PeerDemandAge + now.Sub(p.last.Published)
 		}
@@ -98,7 +99,8 @@
 	}
 	p.peersChanged, p.peersAt, p.members = false, now, t.members.Changes()
 	s.Peers, s.FormerPeers = peersOf(t), memberContacts(t.members.Former())
-	s.PeerDemand, s.PeerDemandAge = estimateDemand(t, s.Peers, now)
+	s.DomainDemand, s.CollectsDemand = t.ownDomainDemand(now)
+	s.PeerDemand, s.PeerDemandAge = estimateDemand(t, s.Peers, s.DomainDemand, now)
 }
 
 // shareUpstreams returns the upstreams of the last snapshot if they are the same, and a copy otherwise.
@@ -230,6 +232,7 @@
 			ConfigConfirmed: t.confirmations[m.ID].at,
 			RegionStatus:    row.status,
 			Services:        row.services,
+			Demands:         row.demands,
 			AcceptsKeys:     row.acceptsKeys,
 			Counters:        row.counters,
 		})
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -395,3 +395,44 @@
 		}
 	}
 }
+
+// Guards against totals of failure domains that count members twice, replace better ones, or outlast their age.
+func TestTotalsOfFailureDomainsReplaceTheReportsOfTheirMembers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	x := newServiceTables("e0", 0)
+	x.identity.FailureDomain = "a1"
+	members := membership.MaxDomainMesh + 4
+	receive := func(id, region, domain string, at time.Time, demands map[string]float64, total routing.DomainDemand) {
+		HeartbeatEvent{Peer: routing.Peer{ID: id, Region: region, FailureDomain: domain}, Demands: demands, DomainDemand: total,
+			Services: map[string]routing.ServiceLoad{}}.apply(x, at)
+	}
+	total := func(domain string, demand float64, instances int, at time.Time) routing.DomainDemand {
+		return routing.DomainDemand{FailureDomain: domain, Demands: map[string]float64{"t": demand}, Instances: instances, At: at}
+	}
+	for i := range members {
+		var demands map[string]float64
+		if i < 2 {
+			demands = map[string]float64{"t": 500}
+		}
+		receive(fmt.Sprint("a", i), "a", "a1", now, demands, routing.DomainDemand{})
+		receive(fmt.Sprint("b", i), "b", "b1", now, demands, routing.DomainDemand{})
+	}
+	receive("a0", "a", "a1", now, nil, total("a1", 40, members, now.Add(-time.Second)))
+	receive("a1", "a", "a1", now, nil, total("a1", 1, 1, now.Add(-500*time.Millisecond)))
+	receive("b0", "b", "b1", now, nil, total("b1", 30, members/2, now.Add(-2*time.Second)))
+	if got, want := buildSnapshot(x, now).PeerDemand["t"], 40.0+60; math.Abs(got-want) > 1e-9 {
+		t.Errorf("the demand is %v, want %v", got, want)
+	}
+	for i := range members {
+		receive(fmt.Sprint("a", i), "a", "a1", now, map[string]float64{"t": 3}, routing.DomainDemand{})
+	}
+	x.publishing = publishing{}
+	s := buildSnapshot(x, now)
+	if got, want := s.PeerDemand["t"], 3*float64(members)+60; !s.CollectsDemand || math.Abs(got-want) > 1e-9 {
+		t.Errorf("the demand is %v with reports of all members, want %v", got, want)
+	}
+	x.publishing = publishing{}
+	if got := buildSnapshot(x, now.Add(2*maxReportAge)).PeerDemand["t"]; got != 0 {
+		t.Errorf("the demand is %v when all reports are too old, want 0", got)
+	}
+}
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -130,6 +130,8 @@
 	// membership.Table.Changes.
 	peers    map[string]*peerRow
 	prunedAt uint64
+	// domainDemands holds the totals that peers reported, by failure domain.
+	domainDemands map[string]routing.DomainDemand
 	// confirmations is keyed by the id of the peer.
 	confirmations map[string]confirmation
 	// confirmedAt is when the store, read directly or through peers, last showed no revision
@@ -172,6 +174,7 @@
 		members:       membership.NewTable(),
 		confirmations: map[string]confirmation{},
 		peers:         map[string]*peerRow{},
+		domainDemands: map[string]routing.DomainDemand{},
 		crashes:       quarantine.NewTable(),
 		rollouts:      newRollouts(),
 	}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -137,7 +137,7 @@
 		return all
 	}
 	rng := rand.New(rand.NewPCG(1, 2))
-	v := View{Self: Contact{"a", "a:0"}, Seeds: []string{"s:1", "s:2"}}
+	v := View{Self: Contact{FailureDomain: "a", PeerAddress: "a:0"}, Seeds: []string{"s:1", "s:2"}}
 	if got := HeartbeatTargets(v, rng); len(got) != 2 {
 		t.Errorf("with no member the targets are %v, want both seeds", got)
 	}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -63,6 +65,8 @@
 	former map[string]Member
 	// sorted holds the live members by id; nil if members joined or were dropped since it was made.
 	sorted []*Member
+	// byNewsID holds the ids of the live and former members by NewsID.
+	byNewsID map[uint32]string
 	// changes counts the changes of which members are live, and in which regions.
 	changes uint64
 }
@@ -73,7 +77,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{live: map[string]*Member{}, former: map[string]Member{}}
+	return &Table{live: map[string]*Member{}, former: map[string]Member{}, byNewsID: map[uint32]string{}}
 }
 
 // RecordHeartbeat records a message that came from the member itself.
@@ -97,6 +101,49 @@
 	return t.record(m)
 }
 
+// NewsID identifies a process of a member in News.
+func NewsID(id string, incarnation int64) uint32 {
+	return uint32(xxhash.Sum64String(id) ^ uint64(incarnation)*newsIDFactor>>newsIDShift)
+}
+
+const (
+	newsIDFactor = 0x9e3779b97f4a7c15
+	newsIDShift  = 29
+)
+
+// News is what another member last heard of a member, directly or from others.
+type News struct {
+	// Member is the NewsID of the member.
+	Member uint32
+	// Heard is when the member itself sent its last message, by the local clock.
+	Heard    time.Time
+	Draining bool
+}
+
+// RecordNews records news of a live or former member. It ignores those that are older than DropAfter or than what
+// is known, so that news never keep a member that sends no messages. It returns the member, for which the news
+// count, and whether more than the time at which it was heard from changed; nil if the news are ignored.
+func (t *Table) RecordNews(now time.Time, n News) (m *Member, changed bool) {
+	id, known := t.byNewsID[n.Member]
+	if !known || now.Sub(n.Heard) > DropAfter {
+		return nil, false
+	}
+	row, live := t.live[id]
+	if !live {
+		former := t.former[id]
+		row = &former
+	}
+	if !n.Heard.After(row.LastHeard) {
+		return nil, false
+	}
+	changed = !live || row.Suspect || row.Draining != n.Draining
+	row.LastHeard, row.Suspect, row.Draining = n.Heard, false, n.Draining
+	if !live {
+		t.record(*row)
+	}
+	return t.live[id], changed
+}
+
 func (t *Table) record(m Member) Outcome {
 	row, live := t.live[m.ID]
 	former, ended := t.former[m.ID]
@@ -119,6 +166,12 @@
 		t.sorted = nil
 		t.changes++
 	}
+	if known && m.Incarnation > incarnation {
+		delete(t.byNewsID, NewsID(m.ID, incarnation))
+	}
+	if !known || m.Incarnation > incarnation {
+		t.byNewsID[NewsID(m.ID, m.Incarnation)] = m.ID
+	}
 	switch {
 	case !known:
 		return Joined
@@ -148,6 +201,7 @@
 	for id, m := range t.former {
 		if now.Sub(m.LastHeard) > formerRetention {
 			delete(t.former, id)
+			delete(t.byNewsID, NewsID(m.ID, m.Incarnation))
 			t.changes++
 		}
 	}
--- a/internal/membership/targets.go
+++ b/internal/membership/targets.go
@@ -22,10 +22,27 @@
 	exploreEvery = 32
 )
 
+// In a failure domain of more than MaxDomainMesh members, each one sends heartbeats to the collectors, and to
+// domainPartners members that stay the same. A collector hears of all others within one round, and passes on what
+// it heard with its responses; the partners do so while both collectors fail.
+const (
+	// MaxDomainMesh is the number of members up to which all members of a failure domain send
+	// heartbeats to each other.
+	MaxDomainMesh = 16
+	// domainPartners is the number of partners. Four links from each member connect a domain of hundreds within
+	// three to four steps.
+	domainPartners = 4
+	// newMembersPerRound bounds the members that get a heartbeat in a round because this instance never heard
+	// from them itself.
+	newMembersPerRound = 8
+)
+
 // Contact is the failure domain and peer address of a member or a possible member.
 type Contact struct {
 	FailureDomain string
 	PeerAddress   string
+	// Heard is true if this instance itself received a message from the member.
+	Heard bool
 }
 
 // View is the input for the selection of heartbeat targets.
@@ -44,6 +61,10 @@
 	// every live or listed member, so that rate shares follow demand and a restarted member
 	// learns of all others within one round.
 	AllowFullMesh bool
+	// Collectors holds the peer addresses of the collectors of the failure domain, this instance included
+	// if it is one. If there are none, or with WholeDomain, all members of the domain get a heartbeat.
+	Collectors  []string
+	WholeDomain bool
 }
 
 // MaxFullMeshMembers is the maximum number of members for which View.AllowFullMesh has an
@@ -58,7 +79,9 @@
 }
 
 // HeartbeatTargets returns the addresses that get a heartbeat in this round:
-//   - all live members and listed instances of the local failure domain;
+//   - all live members and listed instances of the local failure domain, or with View.Collectors the
+//     collectors, the partners and a few of those that this instance did not hear from yet; in one of 32 rounds
+//     on average another one;
 //   - one address in each of two other failure domains, from this instance's pool;
 //   - in one of 32 rounds on average, or while no other domain is live, the two domains are
 //     picked from all known ones, not from the pool;
@@ -72,12 +95,13 @@
 // This instance itself is left out.
 func HeartbeatTargets(v View, rng *rand.Rand) []string {
 	targets := map[string]struct{}{}
+	own := map[string]bool{}
 	others := map[string][]string{}
 	add := func(contacts []Contact, onlyNewDomains bool) {
 		fresh := map[string][]string{}
 		for _, c := range contacts {
 			if c.FailureDomain == v.Self.FailureDomain {
-				targets[c.PeerAddress] = struct{}{}
+				own[c.PeerAddress] = own[c.PeerAddress] || c.Heard
 			} else if !onlyNewDomains || others[c.FailureDomain] == nil {
 				fresh[c.FailureDomain] = append(fresh[c.FailureDomain], c.PeerAddress)
 			}
@@ -88,6 +112,9 @@
 	heardOthers := len(others) > 0
 	add(v.Listed, true)
 	add(sample(v.Former, rng, 1), true)
+	for _, address := range domainTargets(v, own, rng) {
+		targets[address] = struct{}{}
+	}
 	domains := slices.Sorted(maps.Keys(others))
 	if heardOthers && rng.IntN(exploreEvery) > 0 {
 		domains = topByWeight(domains, v.Self.PeerAddress, poolDomains)
@@ -110,6 +137,27 @@
 	return slices.Sorted(maps.Keys(targets))
 }
 
+// domainTargets returns which members of the local failure domain get a heartbeat. own holds their addresses, and
+// whether this instance heard from them.
+func domainTargets(v View, own map[string]bool, rng *rand.Rand) []string {
+	delete(own, v.Self.PeerAddress)
+	all := slices.Sorted(maps.Keys(own))
+	if len(v.Collectors) == 0 || v.WholeDomain || len(all) <= MaxDomainMesh {
+		return all
+	}
+	var unheard []string
+	for _, address := range all {
+		if !own[address] {
+			unheard = append(unheard, address)
+		}
+	}
+	targets := append(sample(unheard, rng, newMembersPerRound), v.Collectors...)
+	if rng.IntN(exploreEvery) == 0 {
+		targets = append(targets, sample(all, rng, 1)...)
+	}
+	return append(targets, topByWeight(all, v.Self.PeerAddress, domainPartners)...)
+}
+
 func seedTargets(v View, heardOthers bool, rng *rand.Rand) []string {
 	if len(v.Live) == 0 {
 		return v.Seeds
--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -20,7 +20,6 @@
 	"heatherloom/internal/external"
 	"heatherloom/internal/gateway"
 	"heatherloom/internal/peer"
-	"heatherloom/internal/peer/peerv1"
 	"heatherloom/internal/probe"
 	"heatherloom/internal/quota"
 	"heatherloom/internal/relay"
@@ -74,12 +73,12 @@
 	n.dispatcher = n.hostDispatcher(s, entry, peers, metrics)
 	n.wireRolloutRecorder(identity, n.dispatcher)
 	shareLimiter := quota.NewShareLimiter(clock.Now(), s.Bounds.QuotaSlack)
-	hostStatus := func(snapshot *routing.Snapshot) *peerv1.HostStatus {
-		return peer.NewHostStatus(snapshot, clock.Now(), shareLimiter.Demands(clock.Now()))
-	}
+	hostReport := peer.HostReportFunc(func(snapshot *routing.Snapshot) *peer.HostReport {
+		return peer.NewHostReport(snapshot, identity.PeerAddress, clock.Now(), shareLimiter.Demands(clock.Now()))
+	}).OncePerSnapshot()
 	heartbeats := &peer.Heartbeater{
 		Identity: identity, Loop: n.loop, Client: peers, MemberCache: n.memberCache,
-		Seeds: func() []string { return s.Peer.Seeds }, HostStatus: hostStatus, Samples: n.recorder.List,
+		Seeds: func() []string { return s.Peer.Seeds }, HostReport: hostReport, Samples: n.recorder.List,
 	}
 	n.announceDrain = heartbeats.AnnounceToAll
 	handler := gateway.NewHostHandler(gateway.HostDeps{
@@ -96,7 +95,7 @@
 		Identity: identity, Loop: n.loop, Dispatcher: n.dispatcher, Secret: s.Peer.Secret,
 		Config: &configsync.PeerSource{Loop: n.loop},
 		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Drain: n.drain,
-		Log: entry, MemberCache: n.memberCache, HostStatus: hostStatus,
+		Log: entry, MemberCache: n.memberCache, HostReport: hostReport,
 	}
 	self := identity.CallerAddress()
 	n.servers = append(n.servers,
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -38,8 +38,8 @@
 	Seeds func() []string
 	// Samples returns the samples of this instance for rollouts in progress; nil for none.
 	Samples func() []rollout.KeyedSample
-	// HostStatus returns the status of the host routes; nil if the instance serves none.
-	HostStatus HostStatusFunc
+	// HostReport returns the report on the host routes; nil if the instance serves none.
+	HostReport HostReportFunc
 }
 
 // Run sends heartbeats until ctx ends.
@@ -71,7 +71,7 @@
 )
 
 func (h *Heartbeater) initialInterval() time.Duration {
-	if h.HostStatus == nil {
+	if h.HostReport == nil {
 		return heartbeatInterval
 	}
 	return startupInterval
@@ -84,10 +84,15 @@
 		Listed:        snapshot.ListedPeers,
 		Former:        snapshot.FormerPeers,
 		Seeds:         h.Seeds(),
-		AllowFullMesh: h.HostStatus != nil,
+		AllowFullMesh: h.HostReport != nil,
 	}
-	for _, p := range snapshot.Peers {
-		v.Live = append(v.Live, membership.Contact{FailureDomain: p.FailureDomain, PeerAddress: p.PeerAddress})
+	for i := range snapshot.Peers {
+		p := &snapshot.Peers[i]
+		v.Live = append(v.Live, membership.Contact{FailureDomain: p.FailureDomain, PeerAddress: p.PeerAddress, Heard: !p.HeardDirectly.IsZero()})
+	}
+	if report := h.HostReport.of(snapshot); report != nil {
+		v.Collectors = report.collectors
+		v.WholeDomain = report.lacksUpstreams || (h.Samples != nil && len(h.Samples()) > 0)
 	}
 	return v
 }
@@ -129,7 +134,9 @@
 		Moves:         encodeRollouts(snapshot),
 		VersionFaults: encodeLocalStops(snapshot),
 		Samples:       h.samplesFor(snapshot, address),
-		Host:          h.HostStatus.status(snapshot),
+	}
+	if report := h.HostReport.of(snapshot); report != nil {
+		report.addToRequest(req, snapshot, address)
 	}
 	resp, err := h.send(ctx, address, req)
 	if err != nil {
@@ -143,7 +150,7 @@
 		}
 		self = h.MemberCache.expand(resp.GetSelf())
 	}
-	postMember(ctx, h.Loop, self, started, nil, resp.GetHost())
+	postMember(ctx, h.Loop, self, started, nil, resp)
 	postCrashes(ctx, h.Loop, resp.GetCrashes())
 	postCompletedParts(ctx, h.Loop, resp.GetCompletedParts())
 	postRollouts(ctx, h.Loop, resp.GetMoves())
@@ -187,9 +194,10 @@
 // one of four heartbeats all members rank equally, so that members of one domain find each
 // other without an instance list.
 func knownMembers(s *routing.Snapshot, now time.Time, recipient string) []*peerv1.Member {
-	var recent []routing.Peer
+	var recent []*routing.Peer
 	domain := ""
-	for _, p := range s.Peers {
+	for i := range s.Peers {
+		p := &s.Peers[i]
 		if p.PeerAddress == recipient {
 			domain = p.FailureDomain
 		} else if now.Sub(p.HeardDirectly) <= membership.SuspectAfter {
@@ -198,7 +206,7 @@
 	}
 	rand.Shuffle(len(recent), func(i, j int) { recent[i], recent[j] = recent[j], recent[i] })
 	if rand.IntN(4) > 0 {
-		slices.SortStableFunc(recent, func(a, b routing.Peer) int { return domainOrder(a, domain) - domainOrder(b, domain) })
+		slices.SortStableFunc(recent, func(a, b *routing.Peer) int { return domainOrder(a, domain) - domainOrder(b, domain) })
 	}
 	var members []*peerv1.Member
 	for _, p := range recent[:min(len(recent), maxKnownMembers)] {
@@ -208,14 +216,14 @@
 }
 
 // domainOrder ranks members of the given failure domain after all others.
-func domainOrder(p routing.Peer, domain string) int {
+func domainOrder(p *routing.Peer, domain string) int {
 	if p.FailureDomain == domain {
 		return 1
 	}
 	return 0
 }
 
-func encodeKnownMember(p routing.Peer, now time.Time) *peerv1.Member {
+func encodeKnownMember(p *routing.Peer, now time.Time) *peerv1.Member {
 	return &peerv1.Member{
 		Id:             p.ID,
 		Region:         p.Region,
@@ -234,7 +242,7 @@
 // postMember posts what a member reports about itself and others to the control loop.
 // requestSentAt is the start of the call that the member responded to; zero if the member
 // made the call.
-func postMember(ctx context.Context, loop *control.Loop, m *peerv1.Member, requestSentAt time.Time, known []*peerv1.Member, host *peerv1.HostStatus) {
+func postMember(ctx context.Context, loop *control.Loop, m *peerv1.Member, requestSentAt time.Time, known []*peerv1.Member, host hostMessage) {
 	if m.GetId() == "" {
 		return
 	}
@@ -244,7 +252,7 @@
 		RequestSentAt:     requestSentAt,
 		ConfigConfirmedAt: configConfirmedAt(requestSentAt, m),
 	}
-	decodeHostStatus(&event, host)
+	decodeHostMessage(&event, host, requestSentAt, clock.Now())
 	if !requestSentAt.IsZero() {
 		event.RoundTrip = clock.Now().Sub(requestSentAt)
 	}
--- a/internal/peer/host.go
+++ b/internal/peer/host.go
@@ -1,33 +1,65 @@
 package peer
 
 import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"heatherloom/internal/control"
 	"heatherloom/internal/dispatch"
+	"heatherloom/internal/membership"
 	"heatherloom/internal/peer/peerv1"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/routing"
 )
 
-// HostStatusFunc returns the status of the host routes that this instance reports to peers.
-type HostStatusFunc func(s *routing.Snapshot) *peerv1.HostStatus
+// HostReport is what an instance that serves host routes reports to peers. It must not be changed.
+type HostReport struct {
+	// status is the status with the demands of this instance, and brief the same without them.
+	status, brief *peerv1.HostStatus
+	// news are those of the members of the failure domain, and demand the total of its instances. They are
+	// nil in a failure domain whose members all send heartbeats to each other.
+	news   *peerv1.MemberNews
+	demand *peerv1.DomainDemand
+	// collectors are the peer addresses of the collectors of a large failure domain.
+	collectors []string
+	// lacksUpstreams is true if no upstream of a listed service can take work.
+	lacksUpstreams bool
+}
+
+// HostReportFunc returns the report of this instance.
+type HostReportFunc func(s *routing.Snapshot) *HostReport
 
-// status returns the status of the host routes; nil if the instance serves none.
-func (f HostStatusFunc) status(s *routing.Snapshot) *peerv1.HostStatus {
+// of returns the report; nil if the instance serves no host routes.
+func (f HostReportFunc) of(s *routing.Snapshot) *HostReport {
 	if f == nil {
 		return nil
 	}
 	return f(s)
 }
 
-// NewHostStatus encodes the status of the host routes of an instance.
-func NewHostStatus(s *routing.Snapshot, now time.Time, demands map[string]float64) *peerv1.HostStatus {
-	status := &peerv1.HostStatus{Serving: s.Ready && !s.Draining && !s.ConfigStale(now)}
-	for account, demand := range demands {
-		status.Demands = append(status.Demands, &peerv1.AccountDemand{Account: account, PerSecond: demand})
+// OncePerSnapshot makes f return the same report for the same snapshot, instead of a new one for each message.
+func (f HostReportFunc) OncePerSnapshot() HostReportFunc {
+	var mu sync.Mutex
+	var last *routing.Snapshot
+	var report *HostReport
+	return func(s *routing.Snapshot) *HostReport {
+		mu.Lock()
+		defer mu.Unlock()
+		if s != last {
+			last, report = s, f(s)
+		}
+		return report
 	}
-	for service, load := range s.ServiceLoads(now.UnixNano()) {
+}
+
+// NewHostReport returns the report of an instance with the given peer address. demands is what callers ask of it.
+func NewHostReport(s *routing.Snapshot, peerAddress string, now time.Time, demands map[string]float64) *HostReport {
+	status := &peerv1.HostStatus{Serving: s.Ready && !s.Draining && !s.ConfigStale(now)}
+	loads := s.ServiceLoads(now.UnixNano())
+	for service, load := range loads {
 		queue := microseconds(load.QueueSeconds)
 		status.Services = append(status.Services, &peerv1.ServiceLoad{
 			Service: service, Upstreams: int32(load.Upstreams), WaitUs: microseconds(load.WaitSeconds), QueueUs: &queue,
@@ -38,7 +70,201 @@
 			status.Cold = append(status.Cold, &peerv1.ColdUpstream{Upstream: u.ID, ColdMs: u.ColdFor(now).Milliseconds()})
 		}
 	}
-	return status
+	report := &HostReport{status: status, brief: &peerv1.HostStatus{Serving: status.Serving, Services: status.Services, Cold: status.Cold}}
+	status.Demands = encodeDemands(demands)
+	report.lacksUpstreams = len(loads) < len(s.ByTarget)
+	if report.collectors = collectors(s, peerAddress); report.collectors != nil {
+		report.news = encodeNews(s, now)
+	}
+	if s.DomainDemand.Instances > 0 {
+		report.demand = encodeDomainDemand(s.DomainDemand, demands, 1, now)
+	}
+	return report
+}
+
+// collectors returns the peer addresses of the collectors of this instance's failure domain; nil if all of its
+// members send heartbeats to each other.
+func collectors(s *routing.Snapshot, peerAddress string) []string {
+	addresses := map[string]string{s.SelfID: peerAddress}
+	members := []membership.Member{{ID: s.SelfID, FailureDomain: s.FailureDomain, Suspect: s.Draining}}
+	for i := range s.Peers {
+		if p := &s.Peers[i]; p.FailureDomain == s.FailureDomain {
+			addresses[p.ID] = p.PeerAddress
+			members = append(members, membership.Member{ID: p.ID, FailureDomain: p.FailureDomain, Suspect: p.Suspect || p.Draining})
+		}
+	}
+	listed := 0
+	for _, c := range s.ListedPeers {
+		if c.FailureDomain == s.FailureDomain {
+			listed++
+		}
+	}
+	if max(len(members)-1, listed) <= membership.MaxDomainMesh {
+		return nil
+	}
+	var collectors []string
+	for _, id := range membership.Watchers(s.FailureDomain, members) {
+		collectors = append(collectors, addresses[id])
+	}
+	return collectors
+}
+
+func encodeDemands(demands map[string]float64) []*peerv1.AccountDemand {
+	encoded := make([]*peerv1.AccountDemand, 0, len(demands))
+	for account, demand := range demands {
+		encoded = append(encoded, &peerv1.AccountDemand{Account: account, PerSecond: demand})
+	}
+	return encoded
+}
+
+// encodeDomainDemand encodes a total to which the demands of so many more instances are added, or from which they
+// are taken if the number is negative.
+func encodeDomainDemand(d routing.DomainDemand, demands map[string]float64, instances int, now time.Time) *peerv1.DomainDemand {
+	total := maps.Clone(d.Demands)
+	for account, demand := range demands {
+		total[account] = max(total[account]+float64(instances)*demand, 0)
+	}
+	return &peerv1.DomainDemand{
+		FailureDomain: d.FailureDomain, Demands: encodeDemands(total),
+		Instances: int32(d.Instances + instances), AgeMs: now.Sub(d.At).Milliseconds() + 1,
+	}
+}
+
+// demandWithout returns the total of the failure domain without the member with the given id; nil if this instance
+// does not collect it.
+func demandWithout(s *routing.Snapshot, id string, now time.Time) *peerv1.DomainDemand {
+	if !s.CollectsDemand {
+		return nil
+	}
+	i, known := slices.BinarySearchFunc(s.Peers, id, func(p routing.Peer, id string) int { return strings.Compare(p.ID, id) })
+	if !known || s.Peers[i].Demands == nil {
+		return nil
+	}
+	return encodeDomainDemand(s.DomainDemand, s.Peers[i].Demands, -1, now)
+}
+
+const (
+	newsAgeUnit = 50 * time.Millisecond
+	// The lowest bits of a state are flags; the others hold an age in newsAgeUnit.
+	newsServing  = 1
+	newsDraining = 2
+	newsFlagBits = 2
+)
+
+func encodeNews(s *routing.Snapshot, now time.Time) *peerv1.MemberNews {
+	news := &peerv1.MemberNews{}
+	for i := range s.Peers {
+		p := &s.Peers[i]
+		age := now.Sub(p.LastHeard)
+		if p.FailureDomain != s.FailureDomain || age > membership.DropAfter {
+			continue
+		}
+		state := uint32((age+newsAgeUnit-1)/newsAgeUnit) << newsFlagBits
+		if p.AcceptsKeys {
+			state |= newsServing
+		}
+		if p.Draining {
+			state |= newsDraining
+		}
+		news.Members = append(news.Members, membership.NewsID(p.ID, p.Incarnation))
+		news.States = append(news.States, state)
+	}
+	return news
+}
+
+// decodeNews decodes news that are at least as old as the given time.
+func decodeNews(news *peerv1.MemberNews, at time.Time) []control.MemberNews {
+	var decoded []control.MemberNews
+	for i, member := range news.GetMembers() {
+		if i >= len(news.GetStates()) {
+			break
+		}
+		state := news.GetStates()[i]
+		decoded = append(decoded, control.MemberNews{
+			News: membership.News{
+				Member: member, Draining: state&newsDraining != 0,
+				Heard: at.Add(-time.Duration(state>>newsFlagBits) * newsAgeUnit),
+			},
+			AcceptsKeys: state&newsServing != 0,
+		})
+	}
+	return decoded
+}
+
+// addToRequest adds the report to a heartbeat for the instance at a peer address.
+func (r *HostReport) addToRequest(req *peerv1.HeartbeatRequest, s *routing.Snapshot, address string) {
+	switch domain := domainOf(s, address); {
+	case domain == "":
+		req.Host = r.status
+	case domain != s.FailureDomain:
+		req.Host, req.DomainDemand = r.status, r.demand
+	case r.collectors == nil || slices.Contains(r.collectors, address):
+		req.Host = r.status
+	default:
+		req.Brief = r.brief
+	}
+}
+
+// addToResponse adds the report to the response to a heartbeat of a member.
+func (r *HostReport) addToResponse(resp *peerv1.HeartbeatResponse, s *routing.Snapshot, sender *peerv1.Member, now time.Time) {
+	switch {
+	case sender == nil:
+		resp.Host = r.status
+	case sender.GetFailureDomain() != s.FailureDomain:
+		resp.Host, resp.DomainDemand = r.status, r.demand
+	case r.collectors == nil:
+		resp.Host = r.status
+	default:
+		resp.Brief, resp.News = r.brief, r.news
+		resp.DomainDemand = demandWithout(s, sender.GetId(), now)
+	}
+}
+
+// domainOf returns the failure domain of the instance at a peer address; empty if it is not known.
+func domainOf(s *routing.Snapshot, address string) string {
+	for i := range s.Peers {
+		if s.Peers[i].PeerAddress == address {
+			return s.Peers[i].FailureDomain
+		}
+	}
+	for _, c := range s.ListedPeers {
+		if c.PeerAddress == address {
+			return c.FailureDomain
+		}
+	}
+	return ""
+}
+
+// hostMessage is the part of a heartbeat or of its response that concerns host routes.
+type hostMessage interface {
+	GetHost() *peerv1.HostStatus
+	GetBrief() *peerv1.HostStatus
+	GetNews() *peerv1.MemberNews
+	GetDomainDemand() *peerv1.DomainDemand
+}
+
+// decodeHostMessage adds what a message says of host routes to the event of its heartbeat. sentAt is when the request was
+// sent to which it responds; zero for a request, whose news are not used: it may have waited for long.
+func decodeHostMessage(e *control.HeartbeatEvent, m hostMessage, sentAt, now time.Time) {
+	if brief := m.GetBrief(); brief != nil {
+		decodeHostStatus(e, brief)
+		e.Demands = nil
+	}
+	decodeHostStatus(e, m.GetHost())
+	if !sentAt.IsZero() {
+		e.News = decodeNews(m.GetNews(), sentAt)
+	}
+	d := m.GetDomainDemand()
+	if d.GetInstances() <= 0 {
+		return
+	}
+	e.DomainDemand = routing.DomainDemand{
+		FailureDomain: d.GetFailureDomain(), Demands: map[string]float64{}, Instances: int(d.GetInstances()),
+		At: now.Add(-time.Duration(d.GetAgeMs()) * time.Millisecond),
+	}
+	for _, account := range d.GetDemands() {
+		e.DomainDemand.Demands[account.GetAccount()] = account.GetPerSecond()
+	}
 }
 
 // decodeHostStatus adds the status of a peer's host routes to the event of its heartbeat.
--- a/internal/peer/rollouts.go
+++ b/internal/peer/rollouts.go
@@ -88,7 +88,7 @@
 	if h.Samples == nil {
 		return nil
 	}
-	if h.HostStatus != nil {
+	if h.HostReport != nil {
 		return encodeSamples(h.Samples())
 	}
 	for _, p := range s.Peers {
@@ -114,7 +114,7 @@
 }
 
 func (s *Server) postSamples(ctx context.Context, self *peerv1.Member, samples []*peerv1.VersionSample) {
-	if s.HostStatus == nil && self.GetFailureDomain() != s.Loop.Snapshot().FailureDomain {
+	if s.HostReport == nil && self.GetFailureDomain() != s.Loop.Snapshot().FailureDomain {
 		return
 	}
 	event := control.VersionSamplesEvent{Instance: self.GetId()}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -65,8 +65,8 @@
 	// Log receives one line for each forwarded request and for each write that a peer sends
 	// to the owner of its key; nil for none.
 	Log *logrus.Entry
-	// HostStatus returns the status of the host routes; nil if the instance serves none.
-	HostStatus HostStatusFunc
+	// HostReport returns the report on the host routes; nil if the instance serves none.
+	HostReport HostReportFunc
 	// Timeline and Drain may be nil.
 	Timeline *timeline.Recorder
 	Drain    *drain.Controller
@@ -100,7 +100,7 @@
 	if sender == nil {
 		wanted = append(wanted, req.Msg.GetSelf().GetDigest())
 	}
-	postMember(ctx, s.Loop, sender, time.Time{}, known, req.Msg.GetHost())
+	postMember(ctx, s.Loop, sender, time.Time{}, known, req.Msg)
 	postCrashes(ctx, s.Loop, req.Msg.GetCrashes())
 	postCompletedParts(ctx, s.Loop, req.Msg.GetCompletedParts())
 	postRollouts(ctx, s.Loop, req.Msg.GetMoves())
@@ -111,7 +111,7 @@
 	if compacted := s.MemberCache.compact(self); !slices.Contains(req.Msg.GetWanted(), compacted.GetDigest()) {
 		self = compacted
 	}
-	return connect.NewResponse(&peerv1.HeartbeatResponse{
+	resp := &peerv1.HeartbeatResponse{
 		Self:    self,
 		Wanted:  wanted,
 		Crashes: encodeCrashes(snapshot, clock.Now()),
@@ -122,8 +122,11 @@
 
 		Moves:         encodeRollouts(snapshot),
 		VersionFaults: encodeLocalStops(snapshot),
-		Host:          s.HostStatus.status(snapshot),
-	}), nil
+	}
+	if report := s.HostReport.of(snapshot); report != nil {
+		report.addToResponse(resp, snapshot, sender, clock.Now())
+	}
+	return connect.NewResponse(resp), nil
 }
 
 // PullConfig returns the configuration changes after the caller's revision.
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -120,6 +120,8 @@
 	AcceptsKeys bool
 	// Services are the services of the peer's region, by name.
 	Services map[string]ServiceLoad
+	// Demands is the demand that the peer last reported; nil if it reported none.
+	Demands map[string]float64
 	// Counters are shared by all snapshots in which the peer appears; nil in a peer
 	// that is not part of a snapshot.
 	Counters *Counters
@@ -131,6 +133,17 @@
 	return address
 }
 
+// DomainDemand is the demand that callers have at the instances of a failure domain.
+type DomainDemand struct {
+	FailureDomain string
+	// Demands is their total by client account, in units of the account's rate per second.
+	Demands map[string]float64
+	// Instances is the number of instances of which Demands is the total, without the one that uses it.
+	Instances int
+	// At is the mean time of their reports, by the local clock.
+	At time.Time
+}
+
 // evacuatedColdFor is the cold time that is reported to peers for the upstreams of an
 // evacuated failure domain. It lasts until the next heartbeats, one of which may be lost.
 const evacuatedColdFor = 2500 * time.Millisecond
@@ -237,6 +250,10 @@
 	// reports.
 	PeerDemand    map[string]float64
 	PeerDemandAge time.Duration
+	// DomainDemand is the demand of the other instances of a large failure domain; its Instances are 0 if
+	// it is not known. CollectsDemand is true if it is the total of what they reported to this instance.
+	DomainDemand   DomainDemand
+	CollectsDemand bool
 	// InstanceCount is the number of entry instances, listed or live, including this one.
 	InstanceCount int
 	// Quota holds the division of the rate limits and the slot of this instance.
