--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -47,7 +47,10 @@
 	Draining              Kind = "draining"
 	NotReady              Kind = "not_ready"
 	ConfigStale           Kind = "config_stale"
-	Internal              Kind = "internal"
+	// CallerLeft is the kind of a request whose caller closed the connection. It is logged and counted, and
+	// nobody is left to send it to.
+	CallerLeft Kind = "caller_left"
+	Internal   Kind = "internal"
 )
 
 // Execution states whether an upstream executed the request.
@@ -98,6 +101,7 @@
 	Draining:              {Status: http.StatusServiceUnavailable, RetryAfter: time.Second},
 	NotReady:              {Status: http.StatusServiceUnavailable, RetryAfter: 2 * time.Second},
 	ConfigStale:           {Status: http.StatusServiceUnavailable, RetryAfter: 30 * time.Second},
+	CallerLeft:            {Status: http.StatusInternalServerError},
 	Internal:              {Status: http.StatusInternalServerError},
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -298,7 +298,7 @@
 			telemetry.FieldUpstream:    c.Upstream,
 			telemetry.FieldReason:      reason,
 			telemetry.FieldSuspects:    c.Parts,
-		}).Warn("the upstream ended while it ran a request; a second crash under the same fingerprint or content quarantines the request, and crashes under three requests that share a suspected part quarantine the part")
+		}).Warn("an attempt ended as it does when its upstream crashes; a second crash under the same fingerprint or content quarantines the request, and crashes under three requests that share a suspected part quarantine the part")
 		ctx, cancel := context.WithTimeout(n.ctx, crashPostTimeout)
 		defer cancel()
 		n.loop.Post(ctx, control.CrashEvent{Crash: c})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -459,7 +459,7 @@
 // stopped reading. The outcome RequestEnded is also that of an attempt whose deadline passed;
 // requestEnded tells the two apart.
 func CallerDisconnected(err error, execution errkind.Execution, started bool) Result {
-	left := errkind.Wrap(err, errkind.Internal, execution, "the caller closed the connection")
+	left := errkind.Wrap(err, errkind.CallerLeft, execution, "the caller closed the connection")
 	left.CallerLeft = true
 	return Result{Err: left, Outcome: retry.RequestEnded, Started: started}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -174,10 +174,10 @@
 		errkind.UpstreamTimeout: func(ctx context.Context) (context.Context, context.CancelFunc) {
 			return context.WithTimeout(ctx, 50*time.Millisecond)
 		},
-		errkind.Internal: context.WithCancel,
+		errkind.CallerLeft: context.WithCancel,
 	} {
 		ctx, cancel := cause(context.Background())
-		if kind == errkind.Internal {
+		if kind == errkind.CallerLeft {
 			time.AfterFunc(50*time.Millisecond, cancel)
 		}
 		result := New(testLimits()).Do(ctx, Attempt{RequestID: "r1", Address: server.Addr().String(), Method: "POST", Path: "/"}, &recorder{})
