--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -71,15 +71,18 @@
 	until time.Time
 }
 
-func (e *partEntry) add(c Crash) {
+// add records a crash and reports whether it was not known.
+func (e *partEntry) add(c Crash) bool {
 	for _, known := range e.crashes {
 		if known.Fingerprint == c.Fingerprint && known.sameEnd(c) {
-			return
+			return false
 		}
 	}
-	if len(e.crashes) < maxCrashes {
-		e.crashes = append(e.crashes, c)
+	if len(e.crashes) >= maxCrashes {
+		return false
 	}
+	e.crashes = append(e.crashes, c)
+	return true
 }
 
 // processes returns one crash for each process that ended, without those for which skip is true.
@@ -123,16 +126,17 @@
 	return n
 }
 
-// addEnd records that a process ended.
-func (t *Table) addEnd(c Crash) {
+// addEnd records that a process ended, and reports whether that was not known.
+func (t *Table) addEnd(c Crash) bool {
 	if slices.ContainsFunc(t.ends, c.sameEnd) {
-		return
+		return false
 	}
 	at, _ := slices.BinarySearchFunc(t.ends, c, func(a, b Crash) int { return cmp.Compare(a.SeenAt, b.SeenAt) })
 	t.ends = slices.Insert(t.ends, at, Crash{Upstream: c.Upstream, StartedAt: c.StartedAt, SeenAt: c.SeenAt})
 	if len(t.ends) > maxEnds {
 		t.ends = t.ends[1:]
 	}
+	return true
 }
 
 // mature reports whether the first crash is partObservation old.
@@ -146,8 +150,8 @@
 	return known && !time.Unix(0, c.SeenAt).After(at.Add(completionGrace))
 }
 
-// addParts records a crash for the parts of its request.
-func (t *Table) addParts(c Crash) {
+// addParts records a crash for the parts of its request, and reports whether it was not known for one of them.
+func (t *Table) addParts(c Crash) (changed bool) {
 	for _, part := range c.Parts {
 		if t.completedAfter(part, c) {
 			continue
@@ -159,10 +163,12 @@
 			}
 			e = &partEntry{}
 			t.parts[part] = e
-			t.suspects = nil
 		}
-		e.add(c)
+		if e.add(c) {
+			t.suspects, changed = nil, true
+		}
 	}
+	return changed
 }
 
 // evictPart removes the part with the fewest crashes, the oldest of several.
@@ -176,6 +182,7 @@
 		}
 	}
 	delete(t.parts, weakest)
+	t.suspects, t.received = nil, nil
 }
 
 // Complete records that a request with a part in its prompt got its complete response at a time by
@@ -185,12 +192,23 @@
 		return
 	}
 	t.completed[part] = at
-	t.cached, t.shared = nil, nil
+	t.shared = nil
+	if _, stored := t.stored[part]; stored {
+		t.cached = nil
+	}
 	e, known := t.parts[part]
 	if !known {
 		return
 	}
+	if !e.until.IsZero() {
+		t.cached = nil
+	}
+	t.suspects, t.partsCompleted = nil, true
+	before := len(e.crashes)
 	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return t.completedAfter(part, c) })
+	if len(e.crashes) < before {
+		t.received = nil
+	}
 	if !t.sufficient(e.processes(none), e.requests()) {
 		e.until = time.Time{}
 		t.attributed = slices.DeleteFunc(t.attributed, func(a attribution) bool { return a.part == part })
@@ -203,13 +221,19 @@
 
 func none(Crash) bool { return false }
 
-// expireParts removes old crashes and completions.
-func (t *Table) expireParts(now time.Time) {
+// expireParts removes old crashes and completions, and reports whether there were any.
+func (t *Table) expireParts(now time.Time) (expired bool) {
 	for len(t.ends) > 0 && now.Sub(time.Unix(0, t.ends[0].SeenAt)) >= Duration {
 		t.ends = t.ends[1:]
+		expired = true
 	}
 	for part, e := range t.parts {
+		before := len(e.crashes)
 		e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return now.Sub(time.Unix(0, c.SeenAt)) >= Duration })
+		if len(e.crashes) < before {
+			expired = true
+			t.suspects = nil
+		}
 		if len(e.crashes) == 0 {
 			delete(t.parts, part)
 			t.cached, t.suspects = nil, nil
@@ -219,8 +243,10 @@
 		if now.Sub(at) >= completionRetention {
 			delete(t.completed, part)
 			t.cached, t.shared = nil, nil
+			expired = true
 		}
 	}
+	return expired
 }
 
 // attribution attributes the end of a process to a part under which more processes ended.
@@ -397,14 +423,24 @@
 	return chosen.crashes
 }
 
-// suspicion returns the largest number of crashes of a part in a crash, and the parts of it that are
-// still suspected.
-func (t *Table) suspicion(c Crash) (weight int, parts []Fingerprint) {
+// suspicion returns the largest number of crashes of a part in a crash.
+func (t *Table) suspicion(c Crash) (weight int) {
 	for _, part := range c.Parts {
 		if e, suspected := t.parts[part]; suspected && !t.completedAfter(part, c) {
-			parts = append(parts, part)
 			weight = max(weight, len(e.crashes))
 		}
 	}
-	return weight, parts
+	return weight
+}
+
+// withSuspectedParts returns the crash with those of its parts that are still suspected.
+func (t *Table) withSuspectedParts(c Crash) Crash {
+	var suspected []Fingerprint
+	for _, part := range c.Parts {
+		if _, known := t.parts[part]; known && !t.completedAfter(part, c) {
+			suspected = append(suspected, part)
+		}
+	}
+	c.Parts = suspected
+	return c
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -32,6 +32,16 @@
 	// maxCrashes bounds the crashes kept for one request or part. It is the same for both, because
 	// their numbers are compared.
 	maxCrashes = 24
+	// selectInterval is how long a selection of crashes for heartbeats is used while no request or part
+	// enters quarantine. Heartbeats are sent once a second.
+	selectInterval = 200 * time.Millisecond
+	// expireInterval is the time between two removals of crashes that are too old.
+	expireInterval = time.Second
+	// reportResolution is coarser than the differences between the times of a crash in repeated reports, which
+	// messages carry as ages in milliseconds.
+	reportResolution = 100 * time.Millisecond
+	// repeatInterval is how long a report that was received before is ignored.
+	repeatInterval = 5 * time.Second
 	// maxFingerprints bounds the fingerprints of requests in the table, of which a crash has up to three.
 	maxFingerprints = 3 * 4096
 )
@@ -99,8 +109,11 @@
 	completed map[Fingerprint]time.Time
 	// ends holds one crash of each process that ended, by time.
 	ends []Crash
-	// partsUpdatedAt is when updateParts last ran.
-	partsUpdatedAt time.Time
+	// partsUpdatedAt is when updateParts last ran, partsChangedAt when what it reads last changed, and expiredAt
+	// when old crashes were last removed.
+	partsUpdatedAt, partsChangedAt, expiredAt time.Time
+	// partsCompleted is true if a request with a suspected part completed since the last Update.
+	partsCompleted bool
 	// attributed holds the ends of processes that are attributed to quarantined parts.
 	attributed []attribution
 	// cached, suspects and shared are the cached results of Quarantined, Suspects and Completed;
@@ -108,6 +121,50 @@
 	cached   Set
 	suspects map[Fingerprint]int
 	shared   map[Fingerprint]time.Time
+	// received holds the reports received since receivedSince. Members repeat theirs in each heartbeat. It is nil
+	// after something was removed from the table, which a repeated report may add again.
+	received      map[report]struct{}
+	receivedSince time.Time
+	// selected is the result of HeartbeatCrashes at selectedAt, when so many fingerprints were quarantined.
+	selected            []Crash
+	selectedAt          time.Time
+	selectedQuarantined int
+}
+
+// report identifies a crash as an instance reported it.
+type report struct {
+	fingerprint Fingerprint
+	upstream    string
+	startedAt   int64
+	seenAt      int64
+	parts       uint64
+}
+
+func reportOf(c Crash) report {
+	r := report{
+		fingerprint: c.Fingerprint, upstream: c.Upstream, startedAt: c.StartedAt, seenAt: c.SeenAt / int64(reportResolution), parts: fnvOffset,
+	}
+	for _, part := range c.Parts {
+		r.parts = (r.parts ^ uint64(part)) * fnvPrime
+	}
+	return r
+}
+
+// The parameters of the 64-bit FNV-1a hash, which is applied to whole fingerprints.
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
+
+// repeated reports whether the same report was received within repeatInterval.
+func (t *Table) repeated(now time.Time, c Crash) bool {
+	if t.received == nil || now.Sub(t.receivedSince) >= repeatInterval {
+		t.received, t.receivedSince = map[report]struct{}{}, now
+	}
+	r := reportOf(c)
+	_, known := t.received[r]
+	t.received[r] = struct{}{}
+	return known
 }
 
 // Set maps each quarantined fingerprint to the end of its quarantine.
@@ -131,38 +188,41 @@
 // Add records a crash. Duplicate or expired crashes and those that exceed the limits of the
 // table are ignored.
 func (t *Table) Add(now time.Time, c Crash) {
-	if now.Sub(time.Unix(0, c.SeenAt)) >= Duration {
+	if now.Sub(time.Unix(0, c.SeenAt)) >= Duration || t.repeated(now, c) {
 		return
 	}
-	t.addEnd(c)
-	t.addParts(c)
-	t.suspects = nil
-	t.addEntry(now, c.Fingerprint, c)
+	changed := t.addEnd(c)
+	changed = t.addParts(c) || changed
+	changed = t.addEntry(now, c.Fingerprint, c) || changed
 	for _, f := range []Fingerprint{c.AtService, c.AtHost} {
 		if f != 0 {
-			t.addEntry(now, f, c)
+			changed = t.addEntry(now, f, c) || changed
 		}
 	}
+	if changed {
+		t.partsChangedAt = now
+	}
 }
 
-// addEntry records a crash under one fingerprint of its request.
-func (t *Table) addEntry(now time.Time, f Fingerprint, c Crash) {
+// addEntry records a crash under one fingerprint of its request, and reports whether it was not known.
+func (t *Table) addEntry(now time.Time, f Fingerprint, c Crash) bool {
 	e, ok := t.entries[f]
 	if !ok {
 		if len(t.entries) >= maxFingerprints && !t.evict() {
-			return
+			return false
 		}
 		e = &entry{anyAccount: f != c.Fingerprint}
 		t.entries[f] = e
 	}
 	if e.isDuplicate(c) || len(e.crashes) >= maxCrashes {
-		return
+		return false
 	}
 	e.crashes = append(e.crashes, learnedCrash{c, now})
 	if until := now.Add(Duration - max(now.Sub(time.Unix(0, c.SeenAt)), 0)); until.After(e.until) {
 		e.until = until
 	}
 	t.cached = nil
+	return true
 }
 
 // evict removes the oldest request that is not quarantined, and reports whether there was one.
@@ -176,6 +236,7 @@
 		}
 	}
 	delete(t.entries, oldest)
+	t.received = nil
 	return found
 }
 
@@ -208,16 +269,28 @@
 // Update removes the requests whose quarantine period has ended, and decides which parts of prompts
 // are quarantined. It is to be called regularly.
 func (t *Table) Update(now time.Time) {
+	if now.Sub(t.expiredAt) >= expireInterval {
+		t.expiredAt = now
+		t.expireEntries(now)
+	}
+	if t.partsCompleted {
+		t.partsCompleted, t.partsChangedAt = false, now
+	}
+	if now.Sub(t.partsUpdatedAt) >= partsInterval && now.Sub(t.partsChangedAt) <= partObservation+2*partsInterval {
+		t.partsUpdatedAt = now
+		t.updateParts(now)
+	}
+}
+
+func (t *Table) expireEntries(now time.Time) {
 	for f, e := range t.entries {
 		if !now.Before(e.until) {
 			delete(t.entries, f)
-			t.cached = nil
+			t.cached, t.received = nil, nil
 		}
 	}
-	if now.Sub(t.partsUpdatedAt) >= partsInterval {
-		t.partsUpdatedAt = now
-		t.expireParts(now)
-		t.updateParts(now)
+	if t.expireParts(now) {
+		t.partsChangedAt, t.received = now, nil
 	}
 }
 
@@ -264,8 +337,19 @@
 
 // HeartbeatCrashes returns the crashes to include in the next heartbeat: those of quarantined
 // requests and parts, then the recent ones, of which those whose prompt parts have most crashes take half
-// of the places, and a few of the older ones.
+// of the places, and a few of the older ones. The result is never modified.
 func (t *Table) HeartbeatCrashes(now time.Time) []Crash {
+	if len(t.entries) == 0 && len(t.parts) == 0 {
+		return nil
+	}
+	quarantined := len(t.Quarantined())
+	if t.selected == nil || now.Sub(t.selectedAt) >= selectInterval || quarantined != t.selectedQuarantined {
+		t.selected, t.selectedAt, t.selectedQuarantined = t.selectCrashes(now), now, quarantined
+	}
+	return t.selected
+}
+
+func (t *Table) selectCrashes(now time.Time) []Crash {
 	selected := t.quarantineCrashes()
 	var older []Crash
 	var recent []rankedCrash
@@ -274,17 +358,16 @@
 		if len(e.crashes) >= crashLimit || e.anyAccount {
 			continue
 		}
-		for _, c := range e.crashes {
-			if t.repeatedForAnyAccount(c.Crash) {
+		for i := range e.crashes {
+			c := &e.crashes[i]
+			isRecent := now.Sub(c.learnedAt) < heartbeatShareDuration
+			if (!isRecent && len(older) >= maxOlderCrashes) || t.repeatedForAnyAccount(c.Crash) {
 				continue
 			}
-			weight, parts := t.suspicion(c.Crash)
-			c.Parts = parts
-			switch {
-			case now.Sub(c.learnedAt) < heartbeatShareDuration:
-				recent = append(recent, rankedCrash{c.Crash, weight})
-			case len(older) < maxOlderCrashes:
-				older = append(older, c.Crash)
+			if isRecent {
+				recent = append(recent, rankedCrash{&c.Crash, t.suspicion(c.Crash)})
+			} else {
+				older = append(older, t.withSuspectedParts(c.Crash))
 			}
 		}
 	}
@@ -294,7 +377,7 @@
 		recent = mixRecent(now, recent, places)
 	}
 	for _, c := range recent {
-		selected = append(selected, c.Crash)
+		selected = append(selected, t.withSuspectedParts(*c.Crash))
 	}
 	return append(selected, older...)
 }
@@ -346,8 +429,7 @@
 			if slices.ContainsFunc(selected[ofParts:], isSame) {
 				continue
 			}
-			_, c.Parts = t.suspicion(c.Crash)
-			selected = append(selected, c.Crash)
+			selected = append(selected, t.withSuspectedParts(c.Crash))
 		}
 	}
 	return selected
@@ -355,6 +437,6 @@
 
 // rankedCrash is a crash with the number of crashes of the most suspected part in its prompt.
 type rankedCrash struct {
-	Crash
+	*Crash
 	weight int
 }
