--- a/internal/routing/sharedparts.go
+++ b/internal/routing/sharedparts.go
@@ -34,23 +34,47 @@
 	}
 	key := r.Prefix[len(r.Prefix)-2]
 	lowest := math.Inf(1)
-	consider := func(region string, upstreams int) {
+	consider := func(region string, hash uint64, upstreams int) {
 		if upstreams == 0 || (len(r.Service.AllowedRegions) > 0 && !slices.Contains(r.Service.AllowedRegions, region)) {
 			return
 		}
-		uniform := (float64(fmix64(key^xxhash.Sum64String(region))>>11) + 0.5) / (1 << 53)
+		uniform := (float64(fmix64(key^hash)>>11) + 0.5) / (1 << 53)
 		if score := -math.Log(uniform) / float64(upstreams); score < lowest {
 			lowest, shared.region = score, region
 		}
 	}
-	consider(s.Region, countUsable(s, s.ByTarget[r.Target]))
+	consider(s.Region, xxhash.Sum64String(s.Region), countUsable(s, s.ByTarget[r.Target]))
+	for _, remote := range s.remoteSizes[r.Target] {
+		consider(remote.region, remote.hash, remote.upstreams)
+	}
+	return shared
+}
+
+// regionSize is the largest number of upstreams of a target that an instance of another region reports.
+type regionSize struct {
+	region    string
+	hash      uint64
+	upstreams int
+}
+
+// indexRegions sets remoteSizes from the peers, so that a request does not look at each of them.
+func (s *Snapshot) indexRegions() {
+	s.remoteSizes = map[string][]regionSize{}
 	for i := range s.Peers {
 		p := &s.Peers[i]
-		if !p.Suspect && p.Region != s.Region {
-			consider(p.Region, p.Services[r.Target].Upstreams)
+		if p.Suspect || p.Region == s.Region {
+			continue
+		}
+		for target, load := range p.Services {
+			sizes := s.remoteSizes[target]
+			k := slices.IndexFunc(sizes, func(r regionSize) bool { return r.region == p.Region })
+			if k < 0 {
+				s.remoteSizes[target] = append(sizes, regionSize{p.Region, xxhash.Sum64String(p.Region), load.Upstreams})
+			} else {
+				sizes[k].upstreams = max(sizes[k].upstreams, load.Upstreams)
+			}
 		}
 	}
-	return shared
 }
 
 // countUsable returns the number of available upstreams.
--- a/internal/routing/sharedparts_test.go
+++ b/internal/routing/sharedparts_test.go
@@ -28,6 +28,7 @@
 			s.Peers = append(s.Peers, servicePeer("peer-"+other, other, wait))
 		}
 	}
+	s.BuildIndexes()
 	return s
 }
 
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -264,6 +264,8 @@
 	Published time.Time
 	// spread is the position of this instance for which BuildIndexes set the preferences.
 	spread spreadPosition
+	// remoteSizes are the sizes of other regions by target.
+	remoteSizes map[string][]regionSize
 }
 
 // ConfigStale reports whether the configuration is too old to authenticate API keys with it.
@@ -271,8 +273,8 @@
 	return !s.ConfigValidUntil.IsZero() && now.After(s.ConfigValidUntil)
 }
 
-// BuildIndexes fills ByTarget, ByHolderID and the preferences from Upstreams. It is called
-// once, before publication.
+// BuildIndexes fills ByTarget, ByHolderID, the preferences and the sizes of other regions from Upstreams and
+// Peers. It is called once, before publication.
 func (s *Snapshot) BuildIndexes() {
 	s.ByTarget = make(map[string][]int32)
 	s.ByHolderID = make(map[uint32]int32, len(s.Upstreams))
@@ -285,6 +287,7 @@
 	}
 	s.spread = s.spreadPosition()
 	s.setPreferences()
+	s.indexRegions()
 }
 
 // ShareIndexes takes what BuildIndexes would make from the previous snapshot. It reports whether that holds: both
@@ -295,6 +298,9 @@
 		return false
 	}
 	s.ByTarget, s.ByHolderID = previous.ByTarget, previous.ByHolderID
+	if s.remoteSizes = previous.remoteSizes; !SharesElements(s.Peers, previous.Peers) {
+		s.indexRegions()
+	}
 	return true
 }
 
