--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -95,8 +95,9 @@
 		Identity: identity, Loop: n.loop, Dispatcher: n.dispatcher, Secret: s.Peer.Secret,
 		Config: &configsync.PeerSource{Loop: n.loop},
 		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Drain: n.drain,
-		Log: entry, MemberCache: n.memberCache, HostReport: hostReport,
+		Log: entry, MemberCache: n.memberCache, HostReport: hostReport, Changes: &storefeed.ChangeLog{},
 	}
+	readers := &peer.StoreReaders{Self: identity.PeerAddress, Snapshot: n.loop.Snapshot, Report: hostReport, Client: peers}
 	self := identity.CallerAddress()
 	n.servers = append(n.servers,
 		n.serve(l.caller, &http.Server{Handler: handler, TLSConfig: n.callerTLS(), IdleTimeout: hostIdleTimeout}, entry),
@@ -105,7 +106,7 @@
 		n.serve(l.ready, &http.Server{Handler: gateway.NewReadinessHandler(platform.EntryProtocol{}, n.loop.Snapshot, clock.Now)}, entry))
 	n.operator = n.serve(l.operator, &http.Server{Handler: n.operatorHandler(s, metrics), TLSConfig: n.callerTLS()}, entry)
 	n.watchTLSFiles(entry)
-	n.startHostControl(s, entry, identity, peers, heartbeats)
+	n.startHostControl(s, entry, identity, peers, heartbeats, readers, server.Changes)
 }
 
 func limitMemory(p settings.Process) {
@@ -141,7 +142,7 @@
 
 // startHostControl starts the control loop of an instance that serves host routes, and the
 // goroutines that post events to it.
-func (n *Node) startHostControl(s settings.Settings, log *logrus.Entry, identity control.Identity, peers *peer.Client, heartbeats *peer.Heartbeater) {
+func (n *Node) startHostControl(s settings.Settings, log *logrus.Entry, identity control.Identity, peers *peer.Client, heartbeats *peer.Heartbeater, readers *peer.StoreReaders, changes *storefeed.ChangeLog) {
 	ctx := n.ctx
 	syncer := &configsync.Syncer{Identity: identity, Peers: peers, Loop: n.loop, AnnounceToDomain: heartbeats.AnnounceToDomain, Log: log}
 	store := platform.NewStore(s.Platform.Store)
@@ -154,7 +155,9 @@
 			ID: identity.ID, Role: external.RoleEntry, Region: identity.Region,
 			FailureDomain: identity.FailureDomain, Address: identity.PeerAddress,
 		},
-		Log: log,
+		Log:     log,
+		Readers: readers,
+		Changes: changes,
 	}
 	rollouts := &rolloutctl.ServiceController{
 		Identity: identity, Store: store, Documents: documents, Loop: n.loop, Recorder: n.recorder, Log: log,
--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -51,6 +51,8 @@
 	PeerServicePullWritesProcedure = "/peer.v1.PeerService/PullWrites"
 	// PeerServicePullEventsProcedure is the fully-qualified name of the PeerService's PullEvents RPC.
 	PeerServicePullEventsProcedure = "/peer.v1.PeerService/PullEvents"
+	// PeerServicePullChangesProcedure is the fully-qualified name of the PeerService's PullChanges RPC.
+	PeerServicePullChangesProcedure = "/peer.v1.PeerService/PullChanges"
 )
 
 // PeerServiceClient is a client for the peer.v1.PeerService service.
@@ -63,6 +65,7 @@
 	Borrow(context.Context, *connect.Request[peerv1.BorrowRequest]) (*connect.Response[peerv1.BorrowResponse], error)
 	PullWrites(context.Context, *connect.Request[peerv1.PullWritesRequest]) (*connect.Response[peerv1.PullWritesResponse], error)
 	PullEvents(context.Context, *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error)
+	PullChanges(context.Context, *connect.Request[peerv1.PullChangesRequest]) (*connect.Response[peerv1.PullChangesResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the peer.v1.PeerService service. By default, it uses
@@ -124,19 +127,26 @@
 			connect.WithSchema(peerServiceMethods.ByName("PullEvents")),
 			connect.WithClientOptions(opts...),
 		),
+		pullChanges: connect.NewClient[peerv1.PullChangesRequest, peerv1.PullChangesResponse](
+			httpClient,
+			baseURL+PeerServicePullChangesProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("PullChanges")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	heartbeat  *connect.Client[peerv1.HeartbeatRequest, peerv1.HeartbeatResponse]
-	pullConfig *connect.Client[peerv1.PullConfigRequest, peerv1.PullConfigResponse]
-	forward    *connect.Client[peerv1.ForwardRequest, peerv1.ForwardResponse]
-	runWrite   *connect.Client[peerv1.RunWriteRequest, peerv1.RunWriteResponse]
-	copyWrite  *connect.Client[peerv1.CopyWriteRequest, peerv1.CopyWriteResponse]
-	borrow     *connect.Client[peerv1.BorrowRequest, peerv1.BorrowResponse]
-	pullWrites *connect.Client[peerv1.PullWritesRequest, peerv1.PullWritesResponse]
-	pullEvents *connect.Client[peerv1.PullEventsRequest, peerv1.PullEventsResponse]
+	heartbeat   *connect.Client[peerv1.HeartbeatRequest, peerv1.HeartbeatResponse]
+	pullConfig  *connect.Client[peerv1.PullConfigRequest, peerv1.PullConfigResponse]
+	forward     *connect.Client[peerv1.ForwardRequest, peerv1.ForwardResponse]
+	runWrite    *connect.Client[peerv1.RunWriteRequest, peerv1.RunWriteResponse]
+	copyWrite   *connect.Client[peerv1.CopyWriteRequest, peerv1.CopyWriteResponse]
+	borrow      *connect.Client[peerv1.BorrowRequest, peerv1.BorrowResponse]
+	pullWrites  *connect.Client[peerv1.PullWritesRequest, peerv1.PullWritesResponse]
+	pullEvents  *connect.Client[peerv1.PullEventsRequest, peerv1.PullEventsResponse]
+	pullChanges *connect.Client[peerv1.PullChangesRequest, peerv1.PullChangesResponse]
 }
 
 // Heartbeat calls peer.v1.PeerService.Heartbeat.
@@ -179,6 +189,11 @@
 	return c.pullEvents.CallUnary(ctx, req)
 }
 
+// PullChanges calls peer.v1.PeerService.PullChanges.
+func (c *peerServiceClient) PullChanges(ctx context.Context, req *connect.Request[peerv1.PullChangesRequest]) (*connect.Response[peerv1.PullChangesResponse], error) {
+	return c.pullChanges.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	Heartbeat(context.Context, *connect.Request[peerv1.HeartbeatRequest]) (*connect.Response[peerv1.HeartbeatResponse], error)
@@ -189,6 +204,7 @@
 	Borrow(context.Context, *connect.Request[peerv1.BorrowRequest]) (*connect.Response[peerv1.BorrowResponse], error)
 	PullWrites(context.Context, *connect.Request[peerv1.PullWritesRequest]) (*connect.Response[peerv1.PullWritesResponse], error)
 	PullEvents(context.Context, *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error)
+	PullChanges(context.Context, *connect.Request[peerv1.PullChangesRequest]) (*connect.Response[peerv1.PullChangesResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -246,6 +262,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("PullEvents")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServicePullChangesHandler := connect.NewUnaryHandler(
+		PeerServicePullChangesProcedure,
+		svc.PullChanges,
+		connect.WithSchema(peerServiceMethods.ByName("PullChanges")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceHeartbeatProcedure:
@@ -264,6 +286,8 @@
 			peerServicePullWritesHandler.ServeHTTP(w, r)
 		case PeerServicePullEventsProcedure:
 			peerServicePullEventsHandler.ServeHTTP(w, r)
+		case PeerServicePullChangesProcedure:
+			peerServicePullChangesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -304,3 +328,7 @@
 func (UnimplementedPeerServiceHandler) PullEvents(context.Context, *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.PullEvents is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) PullChanges(context.Context, *connect.Request[peerv1.PullChangesRequest]) (*connect.Response[peerv1.PullChangesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.PullChanges is not implemented"))
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -27,6 +27,7 @@
 	"heatherloom/internal/relay"
 	"heatherloom/internal/retry"
 	"heatherloom/internal/routing"
+	"heatherloom/internal/storefeed"
 	"heatherloom/internal/telemetry"
 	"heatherloom/internal/timeline"
 	"heatherloom/internal/writes"
@@ -67,6 +68,8 @@
 	Log *logrus.Entry
 	// HostReport returns the report on the host routes; nil if the instance serves none.
 	HostReport HostReportFunc
+	// Changes holds what this instance reads from the store, for the others of its failure domain; nil for none.
+	Changes *storefeed.ChangeLog
 	// Timeline and Drain may be nil.
 	Timeline *timeline.Recorder
 	Drain    *drain.Controller
--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -56,7 +56,12 @@
 	// Self is the row with which this instance registers itself.
 	Self external.Instance
 	Log  *logrus.Entry
-	view view
+	// Readers are those of the failure domain; nil to read the store always directly. Changes holds what this
+	// instance reads directly, for others; nil to keep nothing.
+	Readers   Readers
+	Changes   *ChangeLog
+	following following
+	view      view
 	// lastSuccess is when the last successful call began.
 	lastSuccess time.Time
 	// era is that of the last successful call.
@@ -68,12 +73,24 @@
 // Run registers this instance and follows the store until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	f.view = newView(f.Documents, f.Log)
+	f.following.retryAt = map[string]time.Time{}
+	if f.Changes == nil {
+		f.Changes = &ChangeLog{}
+	}
 	go f.keepQuarantines(ctx)
 	revision := int64(0)
 	for ctx.Err() == nil {
 		started := clock.Now()
+		if next, began, ok := f.follow(ctx, revision); ok {
+			revision = next
+			f.recordSuccess(ctx, began)
+			clock.Sleep(ctx, max(f.following.dueAt.Sub(clock.Now()), minFollowInterval-clock.Now().Sub(started)))
+			continue
+		}
+		started = clock.Now()
 		next, err := f.poll(ctx, revision, started)
 		if err != nil {
+			f.Changes.fail()
 			f.recordFailure(ctx, err)
 			if errors.Is(err, external.ErrCompacted) {
 				revision = 0
@@ -101,11 +118,17 @@
 	if changes.Era != f.era {
 		return f.readAll(ctx, started)
 	}
+	f.applyChanges(changes, started)
+	f.Changes.record(revision, changes, started)
+	return changes.Revision, nil
+}
+
+// applyChanges applies the changes of a call that began at the given time.
+func (f *Feed) applyChanges(changes external.Changes, began time.Time) {
 	f.view.received = clock.Now()
 	for _, e := range changes.Events {
-		f.view.apply(e, started, f.keepExpiredUntil(started))
+		f.view.apply(e, began, f.keepExpiredUntil(began))
 	}
-	return changes.Revision, nil
 }
 
 // readAll reads everything. After the first read, and if the store was restored from a copy, it
@@ -115,6 +138,7 @@
 	if err != nil {
 		return 0, err
 	}
+	f.Changes.restart(reading.Revision, reading.Era, started)
 	f.view.received = clock.Now()
 	first, restored := f.lastSuccess.IsZero(), reading.Era != f.era
 	f.era = reading.Era
@@ -137,6 +161,9 @@
 
 // interval returns the time between two reads of changes.
 func (f *Feed) interval() time.Duration {
+	if f.Readers != nil && f.Readers.IsReader() {
+		return pollInterval
+	}
 	if f.view.entryInstances() > membership.MaxFullMeshMembers {
 		return largePollInterval
 	}
