--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -63,6 +65,65 @@
 	}
 }
 
+// Guards against a process that runs out of memory because many upstreams send bytes without end at once, in heads and
+// in bodies, and against other callers that are not served meanwhile.
+func TestManyResponsesWithoutEndLeaveMemoryToOthers(t *testing.T) {
+	const (
+		responses = 20
+		memory    = 184e6
+		// heapShare is the share of its memory at which the garbage collector of a process begins to run all the time.
+		heapShare = 0.7
+	)
+	heads := []struct{ head, repeat string }{
+		{"", "z"},
+		{"HTTP/1.1 200 OK\r\n", "A: a\r\n"},
+		{"HTTP/1.1 " + validHead + "\r\n", "z"},
+		{"HTTP/1.1 " + validHead + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("z", 0x400) + "\r\n"},
+		{"HTTP/1.1 " + validHead + "Content-Type: text/event-stream\r\n\r\n", "z"},
+	}
+	u := startByteUpstream(t, func(n int) (string, func(net.Conn)) {
+		c := heads[n%len(heads)]
+		return c.head, sendWithoutEnd(c.repeat, make(chan struct{}))
+	})
+	good := startByteUpstream(t, func(int) (string, func(net.Conn)) { return response(validHead, "small"), nil })
+	r := New(DefaultLimits().ForMemory(memory))
+	var attempts sync.WaitGroup
+	for i := range responses {
+		attempts.Go(func() {
+			a := newAttempt(u)
+			if i%2 == 0 {
+				a.StreamPosition = &StreamPosition{}
+			}
+			if result := r.Do(context.Background(), a, &memorySink{}); result.Err == nil {
+				t.Error("a response without end was delivered")
+			}
+		})
+	}
+	ended := make(chan struct{})
+	go func() {
+		attempts.Wait()
+		close(ended)
+	}()
+	peak := uint64(0)
+	for running := true; running; {
+		select {
+		case <-ended:
+			running = false
+		case <-time.After(5 * time.Millisecond):
+		}
+		sink := &memorySink{}
+		if result := r.Do(context.Background(), newAttempt(good), sink); result.Err != nil || sink.body.String() != "small" {
+			t.Fatalf("a small response meanwhile: %v %q", result.Err, sink.body.String())
+		}
+		var mem runtime.MemStats
+		runtime.ReadMemStats(&mem)
+		peak = max(peak, mem.HeapInuse)
+	}
+	if float64(peak) > heapShare*memory {
+		t.Errorf("%d MB of heap in use with %d responses without end, want at most %.0f", peak>>20, responses, heapShare*memory/(1<<20))
+	}
+}
+
 // Guards against an attempt that lasts until the deadline, is not retried elsewhere, keeps its
 // connection or spares its upstream because the bytes that the upstream sends never end.
 func TestBytesWithoutEndFailTheAttempt(t *testing.T) {
