--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -42,21 +41,23 @@
 	if err != nil {
 		return classifyBodyError(w, err, false)
 	}
-	if a.Completion && resp.StatusCode == http.StatusOK && !belongsTo(body, a.RequestID) {
+	if a.Completion && resp.StatusCode == http.StatusOK && !belongsTo(body.bytes(), a.RequestID) {
 		return upstreamFault(errkind.ResponseMismatched, errkind.ExecutionUnknown, retry.Failed, nil, "the upstream returned the completion of another request")
 	}
 	header := filterHeader(resp.Header)
-	setContentLength(header, resp, a.Method, len(body))
-	return DeliverBuffered(sink, resp.StatusCode, header, body)
+	setContentLength(header, resp, a.Method, body.length)
+	return DeliverBuffered(sink, resp.StatusCode, header, body.blocks...)
 }
 
-// DeliverBuffered writes a complete response to sink.
-func DeliverBuffered(sink Sink, status int, header http.Header, body []byte) Result {
+// DeliverBuffered writes a complete response, whose body is the concatenation of blocks, to sink.
+func DeliverBuffered(sink Sink, status int, header http.Header, blocks ...[]byte) Result {
 	if err := sink.Head(status, header); err != nil {
 		return CallerDisconnected(err, errkind.Executed, true)
 	}
-	if err := sink.Data(body); err != nil {
-		return CallerDisconnected(err, errkind.Executed, true)
+	for _, block := range blocks {
+		if err := sink.Data(block); err != nil {
+			return CallerDisconnected(err, errkind.Executed, true)
+		}
 	}
 	return Result{Started: true}
 }
@@ -77,9 +78,9 @@
 // readBody reads the whole body. allowUnframed allows a body that is delimited by the close
 // of its connection; a connection reset is always an error. share counts the bytes that are
 // held, and sent those that arrive on the connection.
-func (r *Relay) readBody(w *watchdog, sent *sendTracker, share *bufferShare, resp *http.Response, method string, allowUnframed bool) ([]byte, error) {
+func (r *Relay) readBody(w *watchdog, sent *sendTracker, share *bufferShare, resp *http.Response, method string, allowUnframed bool) (*blockBuffer, error) {
 	if method == http.MethodHead {
-		return nil, nil
+		return &blockBuffer{}, nil
 	}
 	chunked := len(resp.TransferEncoding) > 0
 	if resp.ContentLength < 0 && !chunked && !allowUnframed {
@@ -88,25 +89,24 @@
 	if resp.ContentLength > int64(r.limits.MaxBufferedBytes) {
 		return nil, errResponseTooLarge
 	}
-	var buffered bytes.Buffer
-	buf := make([]byte, 32<<10)
+	body := &blockBuffer{}
 	for {
-		n, err := resp.Body.Read(buf)
+		size := body.next(resp.ContentLength)
+		if !share.grow(size) {
+			return nil, errNoMemory
+		}
+		n, err := body.readFrom(resp.Body, size)
 		if n > 0 {
 			w.extend(r.limits.ReadIdleTimeout)
 		}
-		if !share.grow(n) {
-			return nil, errNoMemory
-		}
-		buffered.Write(buf[:n])
-		if buffered.Len() > r.limits.MaxBufferedBytes {
+		if body.length > r.limits.MaxBufferedBytes {
 			return nil, errEndlessBody
 		}
-		if sent.received()-2*int64(buffered.Len()) > maxFramingBytes {
+		if sent.received()-2*int64(body.length) > maxFramingBytes {
 			return nil, errFraming
 		}
 		if errors.Is(err, io.EOF) {
-			return buffered.Bytes(), nil
+			return body, nil
 		}
 		if err != nil {
 			return nil, err
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -168,12 +168,12 @@
 		return classifyBodyError(w, err, false)
 	}
 	header := EndToEndHeaders(resp.Header)
-	setContentLength(header, resp, a.Method, len(body))
+	setContentLength(header, resp, a.Method, body.length)
 	if resp.StatusCode < http.StatusInternalServerError {
-		return DeliverBuffered(sink, resp.StatusCode, header, body)
+		return DeliverBuffered(sink, resp.StatusCode, header, body.blocks...)
 	}
 	result := upstreamFault(errkind.UpstreamFailed, errkind.Executed, retry.Failed, nil, "the upstream failed with status %d", resp.StatusCode)
-	result.ErrorResponse = &BufferedResponse{Status: resp.StatusCode, Header: header, Body: body}
+	result.ErrorResponse = &BufferedResponse{Status: resp.StatusCode, Header: header, Body: body.bytes()}
 	return result
 }
 
--- a/internal/relay/exchange_test.go
+++ b/internal/relay/exchange_test.go
@@ -41,7 +41,7 @@
 	conns    int
 }
 
-func startByteUpstream(t *testing.T, respond func(n int) (text string, end func(net.Conn))) *byteUpstream {
+func startByteUpstream(t testing.TB, respond func(n int) (text string, end func(net.Conn))) *byteUpstream {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
