--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -97,8 +97,13 @@
 		}
 		return
 	}
+	if p.last != nil && p.members == t.members.Changes() {
+		s.FormerPeers = p.last.FormerPeers
+	} else {
+		s.FormerPeers = memberContacts(t.members.Former())
+	}
 	p.peersChanged, p.peersAt, p.members = false, now, t.members.Changes()
-	s.Peers, s.FormerPeers = peersOf(t), memberContacts(t.members.Former())
+	s.Peers = peersOf(t)
 	s.DomainDemand, s.CollectsDemand = t.ownDomainDemand(now)
 	s.PeerDemand, s.PeerDemandAge = estimateDemand(t, s.Peers, s.DomainDemand, now)
 }
--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -73,9 +73,7 @@
 	n.dispatcher = n.hostDispatcher(s, entry, peers, metrics)
 	n.wireRolloutRecorder(identity, n.dispatcher)
 	shareLimiter := quota.NewShareLimiter(clock.Now(), s.Bounds.QuotaSlack)
-	hostReport := peer.HostReportFunc(func(snapshot *routing.Snapshot) *peer.HostReport {
-		return peer.NewHostReport(snapshot, identity.PeerAddress, clock.Now(), shareLimiter.Demands(clock.Now()))
-	}).OncePerSnapshot()
+	hostReport := peer.NewHostReportFunc(identity.PeerAddress, shareLimiter.Demands)
 	heartbeats := &peer.Heartbeater{
 		Identity: identity, Loop: n.loop, Client: peers, MemberCache: n.memberCache,
 		Seeds: func() []string { return s.Peer.Seeds }, HostReport: hostReport, Samples: n.recorder.List,
--- a/internal/peer/host.go
+++ b/internal/peer/host.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"heatherloom/internal/clock"
 	"heatherloom/internal/control"
 	"heatherloom/internal/dispatch"
 	"heatherloom/internal/membership"
@@ -40,23 +41,25 @@
 	return f(s)
 }
 
-// OncePerSnapshot makes f return the same report for the same snapshot, instead of a new one for each message.
-func (f HostReportFunc) OncePerSnapshot() HostReportFunc {
+// NewHostReportFunc returns a function that reports for an instance with the given peer address. It makes one report
+// for each snapshot. demands is what callers ask of the instance.
+func NewHostReportFunc(peerAddress string, demands func(now time.Time) map[string]float64) HostReportFunc {
 	var mu sync.Mutex
 	var last *routing.Snapshot
 	var report *HostReport
+	var cache collectorCache
 	return func(s *routing.Snapshot) *HostReport {
 		mu.Lock()
 		defer mu.Unlock()
 		if s != last {
-			last, report = s, f(s)
+			now := clock.Now()
+			last, report = s, newHostReport(s, cache.of(s, peerAddress), now, demands(now))
 		}
 		return report
 	}
 }
 
-// NewHostReport returns the report of an instance with the given peer address. demands is what callers ask of it.
-func NewHostReport(s *routing.Snapshot, peerAddress string, now time.Time, demands map[string]float64) *HostReport {
+func newHostReport(s *routing.Snapshot, collectors []string, now time.Time, demands map[string]float64) *HostReport {
 	status := &peerv1.HostStatus{Serving: s.Ready && !s.Draining && !s.ConfigStale(now)}
 	loads := s.ServiceLoads(now.UnixNano())
 	for service, load := range loads {
@@ -73,7 +76,7 @@
 	report := &HostReport{status: status, brief: &peerv1.HostStatus{Serving: status.Serving, Services: status.Services, Cold: status.Cold}}
 	status.Demands = encodeDemands(demands)
 	report.lacksUpstreams = len(loads) < len(s.ByTarget)
-	if report.collectors = collectors(s, peerAddress); report.collectors != nil {
+	if report.collectors = collectors; collectors != nil {
 		report.news = encodeNews(s, now)
 	}
 	if s.DomainDemand.Instances > 0 {
@@ -82,28 +85,54 @@
 	return report
 }
 
-// collectors returns the peer addresses of the collectors of this instance's failure domain; nil if all of its
-// members send heartbeats to each other.
-func collectors(s *routing.Snapshot, peerAddress string) []string {
-	addresses := map[string]string{s.SelfID: peerAddress}
-	members := []membership.Member{{ID: s.SelfID, FailureDomain: s.FailureDomain, Suspect: s.Draining}}
+// domainMember is what the choice of collectors depends on.
+type domainMember struct {
+	id, address string
+	unavailable bool
+}
+
+// collectorCache keeps the collectors of this instance's failure domain until its members change. It is not safe for
+// concurrent use.
+type collectorCache struct {
+	members, next []domainMember
+	listed        int
+	collectors    []string
+}
+
+// of returns the peer addresses of the collectors of the failure domain; nil if all of its members send heartbeats to
+// each other.
+func (c *collectorCache) of(s *routing.Snapshot, peerAddress string) []string {
+	c.next = append(c.next[:0], domainMember{id: s.SelfID, address: peerAddress, unavailable: s.Draining})
 	for i := range s.Peers {
 		if p := &s.Peers[i]; p.FailureDomain == s.FailureDomain {
-			addresses[p.ID] = p.PeerAddress
-			members = append(members, membership.Member{ID: p.ID, FailureDomain: p.FailureDomain, Suspect: p.Suspect || p.Draining})
+			c.next = append(c.next, domainMember{id: p.ID, address: p.PeerAddress, unavailable: p.Suspect || p.Draining})
 		}
 	}
 	listed := 0
-	for _, c := range s.ListedPeers {
-		if c.FailureDomain == s.FailureDomain {
+	for _, contact := range s.ListedPeers {
+		if contact.FailureDomain == s.FailureDomain {
 			listed++
 		}
 	}
-	if max(len(members)-1, listed) <= membership.MaxDomainMesh {
+	if listed != c.listed || !slices.Equal(c.members, c.next) {
+		c.members, c.next, c.listed = c.next, c.members, listed
+		c.collectors = collectors(s.FailureDomain, c.members, listed)
+	}
+	return c.collectors
+}
+
+func collectors(domain string, candidates []domainMember, listed int) []string {
+	if max(len(candidates)-1, listed) <= membership.MaxDomainMesh {
 		return nil
 	}
+	addresses := make(map[string]string, len(candidates))
+	members := make([]membership.Member, 0, len(candidates))
+	for _, m := range candidates {
+		addresses[m.id] = m.address
+		members = append(members, membership.Member{ID: m.id, FailureDomain: domain, Suspect: m.unavailable})
+	}
 	var collectors []string
-	for _, id := range membership.Watchers(s.FailureDomain, members) {
+	for _, id := range membership.Watchers(domain, members) {
 		collectors = append(collectors, addresses[id])
 	}
 	return collectors
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -158,8 +158,12 @@
 
 // repeated reports whether the same report was received within repeatInterval.
 func (t *Table) repeated(now time.Time, c Crash) bool {
-	if t.received == nil || now.Sub(t.receivedSince) >= repeatInterval {
-		t.received, t.receivedSince = map[report]struct{}{}, now
+	if t.received == nil {
+		t.received = map[report]struct{}{}
+	}
+	if now.Sub(t.receivedSince) >= repeatInterval {
+		clear(t.received)
+		t.receivedSince = now
 	}
 	r := reportOf(c)
 	_, known := t.received[r]
