--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -315,13 +315,24 @@
 	}
 }
 
-// CrashEvent reports an upstream crash, observed by this instance or by another one.
+// CrashEvent reports an upstream crash that this instance observed.
 type CrashEvent struct {
 	Crash quarantine.Crash
 }
 
 func (e CrashEvent) apply(t *tables, now time.Time) { t.crashes.Add(now, e.Crash) }
 
+// CrashesEvent reports upstream crashes that another instance knows.
+type CrashesEvent struct {
+	Crashes []quarantine.Crash
+}
+
+func (e CrashesEvent) apply(t *tables, now time.Time) {
+	for _, c := range e.Crashes {
+		t.crashes.Add(now, c)
+	}
+}
+
 // PartsCompletedEvent reports when requests with suspected parts in their prompts completed, observed
 // by this instance or by another one.
 type PartsCompletedEvent struct {
--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -74,8 +74,9 @@
 	n.wireRolloutRecorder(identity, n.dispatcher)
 	shareLimiter := quota.NewShareLimiter(clock.Now(), s.Bounds.QuotaSlack)
 	hostReport := peer.NewHostReportFunc(identity.PeerAddress, shareLimiter.Demands)
+	reports := &peer.SentReports{}
 	heartbeats := &peer.Heartbeater{
-		Identity: identity, Loop: n.loop, Client: peers, MemberCache: n.memberCache,
+		Identity: identity, Loop: n.loop, Client: peers, MemberCache: n.memberCache, SentReports: reports,
 		Seeds: func() []string { return s.Peer.Seeds }, HostReport: hostReport, Samples: n.recorder.List,
 	}
 	n.announceDrain = heartbeats.AnnounceToAll
@@ -93,7 +94,7 @@
 		Identity: identity, Loop: n.loop, Dispatcher: n.dispatcher, Secret: s.Peer.Secret,
 		Config: &configsync.PeerSource{Loop: n.loop},
 		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Drain: n.drain,
-		Log: entry, MemberCache: n.memberCache, HostReport: hostReport, Changes: &storefeed.ChangeLog{},
+		Log: entry, MemberCache: n.memberCache, SentReports: reports, HostReport: hostReport, Changes: &storefeed.ChangeLog{},
 	}
 	readers := &peer.StoreReaders{Self: identity.PeerAddress, Snapshot: n.loop.Snapshot, Report: hostReport, Client: peers}
 	self := identity.CallerAddress()
--- a/internal/peer/crashes.go
+++ b/internal/peer/crashes.go
@@ -11,11 +11,14 @@
 	"heatherloom/internal/routing"
 )
 
-// encodeCrashes encodes the crashes to share. Their ages are sent because the wall clocks of two
-// instances may differ by more than the time for which a crash counts.
-func encodeCrashes(s *routing.Snapshot, now time.Time) []*peerv1.Crash {
-	crashes := make([]*peerv1.Crash, 0, len(s.SharedCrashes))
-	for _, c := range s.SharedCrashes {
+// encodeCrashes encodes those of the crashes to share that selected selects by their hashes. Their ages are sent
+// because the wall clocks of two instances may differ by more than the time for which a crash counts.
+func encodeCrashes(s *routing.Snapshot, now time.Time, selected func(hash uint64) bool) (crashes []*peerv1.Crash) {
+	for i := range s.SharedCrashes {
+		c := &s.SharedCrashes[i]
+		if !selected(crashHash(c)) {
+			continue
+		}
 		age := now.Sub(time.Unix(0, c.SeenAt)).Milliseconds()
 		crash := &peerv1.Crash{
 			Fingerprint: uint64(c.Fingerprint), AtService: uint64(c.AtService), AtHost: uint64(c.AtHost),
@@ -32,10 +35,10 @@
 // maxCompletedParts bounds the completions in one message.
 const maxCompletedParts = 64
 
-func encodeCompletedParts(s *routing.Snapshot, now time.Time) (completed []*peerv1.PartCompletion) {
+func encodeCompletedParts(s *routing.Snapshot, now time.Time, selected func(hash uint64) bool) (completed []*peerv1.PartCompletion) {
 	// The random iteration order of the map selects them if there are more.
 	for part, at := range s.CompletedParts {
-		if len(completed) < maxCompletedParts {
+		if len(completed) < maxCompletedParts && selected(completionHash(part, at)) {
 			completed = append(completed, &peerv1.PartCompletion{Part: uint64(part), AgeMs: max(now.Sub(at).Milliseconds(), 0)})
 		}
 	}
@@ -55,11 +58,18 @@
 	loop.Post(ctx, event)
 }
 
-func postCrashes(ctx context.Context, loop *control.Loop, crashes []*peerv1.Crash) {
+// postCrashes posts crashes that the peer at an address reported.
+func postCrashes(ctx context.Context, loop *control.Loop, crashes []*peerv1.Crash, reports *SentReports, address string) {
+	if len(crashes) == 0 {
+		return
+	}
 	now := clock.Now()
+	event := control.CrashesEvent{Crashes: make([]quarantine.Crash, 0, len(crashes))}
 	for _, c := range crashes {
-		loop.Post(ctx, control.CrashEvent{Crash: decodeCrash(c, now)})
+		event.Crashes = append(event.Crashes, decodeCrash(c, now))
 	}
+	reports.Received(address, now, crashHashes(event.Crashes))
+	loop.Post(ctx, event)
 }
 
 func decodeCrash(c *peerv1.Crash, now time.Time) quarantine.Crash {
--- a/internal/peer/crashes_test.go
+++ b/internal/peer/crashes_test.go
@@ -19,7 +19,7 @@
 			s.SharedCrashes = append(s.SharedCrashes, quarantine.Crash{Fingerprint: 7, Upstream: upstream, SeenAt: sender.Add(-time.Minute).UnixNano()})
 		}
 		table := quarantine.NewTable()
-		for _, c := range encodeCrashes(s, sender) {
+		for _, c := range encodeCrashes(s, sender, (*SentReports)(nil).Select("", sender)) {
 			table.Add(now, decodeCrash(c, now))
 		}
 		if until := table.Quarantined()[7]; !until.Equal(now.Add(quarantine.Duration - time.Minute)) {
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -34,6 +34,8 @@
 	Client   *Client
 	// MemberCache is shared with the Server of the instance; nil sends full member messages.
 	MemberCache *MemberCache
+	// SentReports is shared with the Server of the instance; nil repeats all reports to each peer.
+	SentReports *SentReports
 	// Seeds returns peer addresses for heartbeats before any member is known.
 	Seeds func() []string
 	// Samples returns the samples of this instance for rollouts in progress; nil for none.
@@ -124,12 +126,13 @@
 	defer cancel()
 	snapshot := h.Loop.Snapshot()
 	started := clock.Now()
+	selected := h.SentReports.Select(address, started)
 	req := &peerv1.HeartbeatRequest{
 		Self:    h.MemberCache.compact(SelfMember(h.Identity, snapshot)),
 		Known:   h.MemberCache.compactAll(knownMembers(snapshot, started, address)),
-		Crashes: encodeCrashes(snapshot, started),
+		Crashes: encodeCrashes(snapshot, started, selected),
 
-		CompletedParts: encodeCompletedParts(snapshot, started),
+		CompletedParts: encodeCompletedParts(snapshot, started, selected),
 
 		Moves:         encodeRollouts(snapshot),
 		VersionFaults: encodeLocalStops(snapshot),
@@ -140,6 +143,7 @@
 	}
 	resp, err := h.send(ctx, address, req)
 	if err != nil {
+		h.SentReports.Forget(address)
 		return
 	}
 	self := h.MemberCache.expand(resp.GetSelf())
@@ -150,8 +154,9 @@
 		}
 		self = h.MemberCache.expand(resp.GetSelf())
 	}
+	h.SentReports.Observe(address, self.GetIncarnation(), started)
 	postMember(ctx, h.Loop, self, started, nil, resp)
-	postCrashes(ctx, h.Loop, resp.GetCrashes())
+	postCrashes(ctx, h.Loop, resp.GetCrashes(), h.SentReports, address)
 	postCompletedParts(ctx, h.Loop, resp.GetCompletedParts())
 	postRollouts(ctx, h.Loop, resp.GetMoves())
 	postLocalStops(ctx, h.Loop, resp.GetVersionFaults())
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -59,6 +59,8 @@
 	// MemberCache is shared with the Heartbeater of the instance; nil sends full member
 	// messages.
 	MemberCache *MemberCache
+	// SentReports is shared with the Heartbeater of the instance; nil repeats all reports to each peer.
+	SentReports *SentReports
 	// Writes executes writes with an idempotency key; nil to reject them.
 	Writes *writes.Service
 	// Secret authenticates peers.
@@ -104,7 +106,9 @@
 		wanted = append(wanted, req.Msg.GetSelf().GetDigest())
 	}
 	postMember(ctx, s.Loop, sender, time.Time{}, known, req.Msg)
-	postCrashes(ctx, s.Loop, req.Msg.GetCrashes())
+	now := clock.Now()
+	s.SentReports.Observe(sender.GetPeerAddress(), sender.GetIncarnation(), now)
+	postCrashes(ctx, s.Loop, req.Msg.GetCrashes(), s.SentReports, sender.GetPeerAddress())
 	postCompletedParts(ctx, s.Loop, req.Msg.GetCompletedParts())
 	postRollouts(ctx, s.Loop, req.Msg.GetMoves())
 	postLocalStops(ctx, s.Loop, req.Msg.GetVersionFaults())
@@ -114,12 +118,13 @@
 	if compacted := s.MemberCache.compact(self); !slices.Contains(req.Msg.GetWanted(), compacted.GetDigest()) {
 		self = compacted
 	}
+	selected := s.SentReports.Select(sender.GetPeerAddress(), now)
 	resp := &peerv1.HeartbeatResponse{
 		Self:    self,
 		Wanted:  wanted,
-		Crashes: encodeCrashes(snapshot, clock.Now()),
+		Crashes: encodeCrashes(snapshot, now, selected),
 
-		CompletedParts: encodeCompletedParts(snapshot, clock.Now()),
+		CompletedParts: encodeCompletedParts(snapshot, now, selected),
 
 		Clock: uint64(s.Timeline.Clock().Now()),
 
@@ -127,7 +132,7 @@
 		VersionFaults: encodeLocalStops(snapshot),
 	}
 	if report := s.HostReport.of(snapshot); report != nil {
-		report.addToResponse(resp, snapshot, sender, clock.Now())
+		report.addToResponse(resp, snapshot, sender, now)
 	}
 	return connect.NewResponse(resp), nil
 }
