--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -100,7 +100,7 @@
 	if p.last != nil && p.members == t.members.Changes() {
 		s.FormerPeers = p.last.FormerPeers
 	} else {
-		s.FormerPeers = memberContacts(t.members.Former())
+		s.FormerPeers = t.members.Former()
 	}
 	p.peersChanged, p.peersAt, p.members = false, now, t.members.Changes()
 	s.Peers = peersOf(t)
@@ -263,11 +263,3 @@
 	}
 	return contacts
 }
-
-func memberContacts(members []membership.Member) []membership.Contact {
-	contacts := make([]membership.Contact, 0, len(members))
-	for _, m := range members {
-		contacts = append(contacts, membership.Contact{FailureDomain: m.FailureDomain, PeerAddress: m.PeerAddress})
-	}
-	return contacts
-}
--- a/internal/control/region.go
+++ b/internal/control/region.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"maps"
 	"slices"
 
 	"heatherloom/internal/membership"
@@ -16,6 +15,8 @@
 	generation uint64
 	// members and listed are membership.Table.Changes and tables.listedChanges at the last look.
 	members, listed uint64
+	// found is memory for the next look.
+	found []string
 }
 
 // regionInstances returns the sorted ids of the region's live or listed entry instances,
@@ -26,26 +27,29 @@
 		return r.ids
 	}
 	r.members, r.listed = t.members.Changes(), t.listedChanges
-	if ids := t.findRegionInstances(); r.generation == 0 || !slices.Equal(ids, r.ids) {
-		r.ids = ids
+	r.found = t.findRegionInstances(r.found[:0])
+	if r.generation == 0 || !slices.Equal(r.found, r.ids) {
+		r.ids = slices.Clone(r.found)
 		r.generation++
 	}
 	return r.ids
 }
 
-func (t *tables) findRegionInstances() []string {
-	ids := map[string]struct{}{t.identity.ID: {}}
+// findRegionInstances appends the ids to an empty list.
+func (t *tables) findRegionInstances(ids []string) []string {
+	ids = append(ids, t.identity.ID)
 	t.members.Each(func(m *membership.Member) {
 		if m.Region == t.identity.Region {
-			ids[m.ID] = struct{}{}
+			ids = append(ids, m.ID)
 		}
 	})
 	for id, entry := range t.listedInstances {
 		if entry.Region == t.identity.Region {
-			ids[id] = struct{}{}
+			ids = append(ids, id)
 		}
 	}
-	return slices.Sorted(maps.Keys(ids))
+	slices.Sort(ids)
+	return slices.Compact(ids)
 }
 
 // rank returns how many of the region's instances have a higher rendezvous weight for the upstream than
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -212,3 +213,23 @@
 		}
 	}
 }
+
+// Guards against members that are left out, or listed twice, after others joined and were dropped.
+func TestEachVisitsTheLiveMembersInOrder(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	table, now := NewTable(), time.Unix(1000, 0)
+	heard := map[string]time.Time{}
+	for range 2000 {
+		now = now.Add(time.Duration(rng.IntN(600)) * time.Millisecond)
+		id := fmt.Sprint("m", rng.IntN(20))
+		table.RecordHeartbeat(now, Member{ID: id, Incarnation: 1})
+		heard[id] = now
+		table.Expire(now)
+		maps.DeleteFunc(heard, func(_ string, at time.Time) bool { return now.Sub(at) > DropAfter })
+		var ids []string
+		table.Each(func(m *Member) { ids = append(ids, m.ID) })
+		if want := slices.Sorted(maps.Keys(heard)); !slices.Equal(ids, want) {
+			t.Fatalf("the members are %v, want %v", ids, want)
+		}
+	}
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -1,8 +1,9 @@
 package membership
 
 import (
-	"maps"
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,7 +64,7 @@
 type Table struct {
 	live   map[string]*Member
 	former map[string]Member
-	// sorted holds the live members by id; nil if members joined or were dropped since it was made.
+	// sorted holds the live members by id.
 	sorted []*Member
 	// byNewsID holds the ids of the live and former members by NewsID.
 	byNewsID map[uint32]string
@@ -163,7 +164,8 @@
 		*row = m
 	} else {
 		t.live[m.ID] = &m
-		t.sorted = nil
+		at, _ := t.search(m.ID)
+		t.sorted = slices.Insert(t.sorted, at, &m)
 		t.changes++
 	}
 	if known && m.Incarnation > incarnation {
@@ -190,7 +192,8 @@
 		if silence > DropAfter {
 			delete(t.live, id)
 			t.former[id] = *m
-			t.sorted = nil
+			at, _ := t.search(id)
+			t.sorted = slices.Delete(t.sorted, at, at+1)
 			t.changes++
 			continue
 		}
@@ -218,16 +221,16 @@
 
 // Each calls fn for each live member, sorted by id. fn must neither keep nor change the member.
 func (t *Table) Each(fn func(*Member)) {
-	if t.sorted == nil {
-		for _, id := range slices.Sorted(maps.Keys(t.live)) {
-			t.sorted = append(t.sorted, t.live[id])
-		}
-	}
 	for _, m := range t.sorted {
 		fn(m)
 	}
 }
 
+// search returns the position of a live member in sorted, or that at which one with the id belongs.
+func (t *Table) search(id string) (at int, found bool) {
+	return slices.BinarySearchFunc(t.sorted, id, func(m *Member, id string) int { return strings.Compare(m.ID, id) })
+}
+
 // Count returns the number of live members.
 func (t *Table) Count() int { return len(t.live) }
 
@@ -238,11 +241,14 @@
 	return members
 }
 
-// Former returns the dropped members sorted by id.
-func (t *Table) Former() []Member {
-	members := make([]Member, 0, len(t.former))
-	for _, id := range slices.Sorted(maps.Keys(t.former)) {
-		members = append(members, t.former[id])
+// Former returns where the dropped members were, sorted by address.
+func (t *Table) Former() []Contact {
+	contacts := make([]Contact, 0, len(t.former))
+	for _, m := range t.former {
+		contacts = append(contacts, Contact{FailureDomain: m.FailureDomain, PeerAddress: m.PeerAddress})
 	}
-	return members
+	slices.SortFunc(contacts, func(a, b Contact) int {
+		return cmp.Or(strings.Compare(a.PeerAddress, b.PeerAddress), strings.Compare(a.FailureDomain, b.FailureDomain))
+	})
+	return contacts
 }
