--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"heatherloom/internal/invariant"
+	"heatherloom/internal/membership"
 	"heatherloom/internal/quarantine"
 	"heatherloom/internal/rollout"
 	"heatherloom/internal/routing"
@@ -40,7 +41,13 @@
 	}
 	l.observeQuarantine(old, new)
 	l.observeServiceSplits(old, new)
-	diffSorted(old.Peers, new.Peers, func(p *routing.Peer) string { return p.ID }, l.observePeer)
+	isLarge := max(len(old.Peers), len(new.Peers), len(new.ListedPeers)) > membership.MaxFullMeshMembers
+	diffSorted(old.Peers, new.Peers, func(p *routing.Peer) string { return p.ID }, func(old, new *routing.Peer) {
+		// Of the other failure domains of a large fleet an instance knows those members that messages named lately.
+		if old != nil && new != nil || !isLarge || cmp.Or(new, old).FailureDomain == l.tables.identity.FailureDomain {
+			l.observePeer(old, new)
+		}
+	})
 	diffSorted(old.ModelRollouts, new.ModelRollouts, func(r *rollout.Rollout) string { return r.ID() }, l.observeRollout)
 	diffSorted(old.RolloutStops, new.RolloutStops, func(s *rollout.Stop) string { return s.RolloutID + " " + s.Instance }, l.observeStop)
 	diffSorted(old.Upstreams, new.Upstreams, func(u *routing.Upstream) string { return u.ID }, l.observeUpstream)
--- a/internal/control/observe_test.go
+++ b/internal/control/observe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -64,3 +65,32 @@
 		Expect(ticks).To(Equal(8))
 	})
 })
+
+// Guards against members of a large fleet that are reported as down because no message named them for some seconds,
+// and against ones of the own failure domain whose end is not reported.
+func TestOnlyMembersThatAreHeardOfAllTheTimeAreReported(t *testing.T) {
+	loop := NewLoop(Identity{ID: "self", Region: "r", FailureDomain: "d"})
+	recorder := timeline.NewRecorder("self", timeline.NewClock(time.Now), 1, 64)
+	loop.SetObserver(Observer{Timeline: recorder})
+	now := time.Now()
+	for i := range membership.MaxFullMeshMembers + 4 {
+		loop.Post(t.Context(), HeartbeatEvent{Peer: routing.Peer{ID: fmt.Sprint("far-", i), Region: "r", FailureDomain: "other"}})
+	}
+	loop.tick(now)
+	loop.Post(t.Context(), HeartbeatEvent{Peer: routing.Peer{ID: "near", Region: "r", FailureDomain: "d"}})
+	loop.tick(now.Add(time.Second))
+	loop.tick(now.Add(time.Second + membership.DropAfter/2))
+	loop.Post(t.Context(), HeartbeatEvent{Peer: routing.Peer{ID: "far-0", Region: "r", FailureDomain: "other"}})
+	for i := range membership.MaxFullMeshMembers {
+		loop.Post(t.Context(), HeartbeatEvent{Peer: routing.Peer{ID: fmt.Sprint("far-", i), Region: "r", FailureDomain: "other"}})
+	}
+	loop.tick(now.Add(membership.DropAfter))
+	loop.tick(now.Add(membership.DropAfter + 2*time.Second))
+	var seen []string
+	for _, e := range recorder.Since(0) {
+		seen = append(seen, fmt.Sprint(e.Kind, " ", e.Detail))
+	}
+	if want := []string{"member_up near in region r", "member_down near in region r"}; !slices.Equal(seen, want) {
+		t.Errorf("the timeline has %v, want %v", seen, want)
+	}
+}
