--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -17,8 +17,10 @@
 
 // cases are the scripted cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(c *cluster, trouble bool) (broken bool, err error){
-	"cut":  playCut,
-	"part": playPart,
+	"cut":   playCut,
+	"extra": playExtra,
+	"part":  playPart,
+	"pause": playPause,
 }
 
 func main() { os.Exit(run()) }
