--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -17,11 +17,11 @@
 
 // cases are the scripted cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(c *cluster, trouble bool) (broken bool, err error){
+	"copy":  playCopy,
 	"cut":   playCut,
 	"drill": playDrill,
 	"extra": playExtra,
 	"part":  playPart,
-	"pause": playPause,
 }
 
 func main() { os.Exit(run()) }
