--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -18,7 +18,7 @@
 // cases are the scripted cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(c *cluster, trouble bool) (broken bool, err error){
 	"copy":  playCopy,
-	"cut":   playCut,
+	"pause": playPause,
 	"drill": playDrill,
 	"extra": playExtra,
 	"part":  playPart,
