Put in force what a restored store holds of later writes

What callers saw: a key that had been taken away was admitted again.

Cause: after a restore, an instance kept each row that it had read and that differs from the copy, for 10 s if an operator writes it, and counted the kept configuration as the latest one from 3 s after the return on. The belief behind it, that a copy is older than what was read, is wrong for whatever was written after the last read and before the copy was made. Only the rows of upstreams were compared with the copy.

Change: a row of the copy with a higher revision than the known row is put in force. The copy shares its history with the store that was read before, and all later writes have higher revisions. A configuration is compared by its own revision as well, as it may have been written again at a lower revision. A configuration that comes from the copy is not confirmed before it is written again or confirmGrace has passed, since a later one may be lost; its config_read line says so.

The unit tests of internal/storefeed failed before for configurations, orders and rollout states.

--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -207,9 +207,14 @@
 		// Before the configuration, with which the instance starts to serve.
 		f.Loop.Post(ctx, control.StoredQuarantinesEvent{Quarantines: f.view.quarantines()})
 	}
+	confirmed := f.view.configConfirmed(started)
 	if changed.config {
-		f.postConfig(ctx, f.view.config, started)
-	} else if f.view.config != nil && f.view.configConfirmed(started) {
+		confirmedAt := started
+		if !confirmed {
+			confirmedAt = time.Time{}
+		}
+		f.postConfig(ctx, f.view.config, confirmedAt)
+	} else if f.view.config != nil && confirmed {
 		f.Loop.Post(ctx, control.ConfigConfirmedEvent{Revision: f.view.config.Revision, At: started})
 	}
 	if changed.instances {
@@ -223,12 +228,14 @@
 	}
 }
 
-func (f *Feed) postConfig(ctx context.Context, config *opconfig.Config, started time.Time) {
+// postConfig posts a configuration, and when it was the latest one; zero if unknown.
+func (f *Feed) postConfig(ctx context.Context, config *opconfig.Config, confirmedAt time.Time) {
 	f.Log.WithFields(logrus.Fields{
 		telemetry.FieldEvent:    "config_read",
 		telemetry.FieldRevision: config.Revision,
+		"confirmed":             !confirmedAt.IsZero(),
 	}).Info("read new configuration from the store")
-	f.Loop.Post(ctx, control.ConfigEvent{Config: config, ConfirmedAt: started})
+	f.Loop.Post(ctx, control.ConfigEvent{Config: config, ConfirmedAt: confirmedAt})
 }
 
 // register writes the row of this instance, retrying until it succeeds. After a lost
--- a/internal/storefeed/restore.go
+++ b/internal/storefeed/restore.go
@@ -11,7 +11,8 @@
 
 // A store that was restored from a copy has lost its latest writes, and gives their revisions out
 // again. The operators and the upstreams write again what they had written, and the instances
-// what is theirs. Until then, what an instance has read before takes precedence over the copy.
+// what is theirs. Until then, what an instance has read before takes precedence over the copy, unless the
+// copy holds what was written after that read.
 
 const (
 	// restoreGrace is how long rows of the operators that a restored store lacks, or has an older
@@ -63,6 +64,9 @@
 // number of rows that were read before and that the copy lacks or has another value of.
 func (v *view) restore(entries []external.Entry, now time.Time) (retained int) {
 	v.restoredAt = now
+	// A configuration of the copy is not written again, though it may be new to this instance.
+	configWritten := v.configWritten
+	defer func() { v.configWritten = configWritten }()
 	before := v.rows
 	v.rows = make(map[string]row, len(before))
 	for key, old := range before {
@@ -75,7 +79,7 @@
 		case known && old.hash == hashValue(e.Value):
 			old.modRevision, old.keepUntil, old.retained, old.copied = e.ModRevision, time.Time{}, false, nil
 			v.rows[e.Key] = old
-		case known && v.isNewerUpstream(old, e):
+		case known && v.isNewer(old, e):
 			delete(v.rows, e.Key)
 			v.put(e, now)
 		case known:
@@ -103,13 +107,27 @@
 	return v.restoredAt.IsZero() || v.configWritten.After(v.restoredAt) || now.Sub(v.restoredAt) >= confirmGrace
 }
 
-// isNewerUpstream reports whether an entry of a restored store is the row of an upstream that is not
-// older than the known one as far as it matters: a later process, or the same one, which was not
-// draining.
-func (v *view) isNewerUpstream(old row, e external.Entry) bool {
+// isNewer reports whether an entry of a restored store is newer than the known row. The copy shares its
+// history with the store that the row was read from, and revisions of later writes are higher than those of
+// the copy, so that a higher revision always means a later write. A lower one may have been given out again.
+func (v *view) isNewer(old row, e external.Entry) bool {
+	if !old.retained && e.ModRevision > old.modRevision {
+		return true
+	}
 	document, err := v.documents.Decode(e)
-	known, read := old.document.Instance, document.Instance
-	if err != nil || known == nil || read == nil || known.Role == external.RoleEntry {
+	if err != nil {
+		return false
+	}
+	if old.document.Config != nil && document.Config != nil {
+		return document.Config.Revision > old.document.Config.Revision
+	}
+	return isNewerUpstream(old.document.Instance, document.Instance)
+}
+
+// isNewerUpstream reports whether a row that was read is that of an upstream that is not older than the
+// known one as far as it matters: a later process, or the same one, which was not draining.
+func isNewerUpstream(known, read *external.Instance) bool {
+	if known == nil || read == nil || known.Role == external.RoleEntry {
 		return false
 	}
 	if read.StartedAtUnixMilli != known.StartedAtUnixMilli {
--- a/internal/storefeed/restore_test.go
+++ b/internal/storefeed/restore_test.go
@@ -124,3 +124,59 @@
 		t.Error("not confirmed after it was written again")
 	}
 }
+
+// Guards against an API key that is admitted again because a restored store holds a later configuration
+// than this instance had read, which was taken for an older one.
+func TestRestoredStoreWithALaterConfigurationPutsItInForce(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		read, copied external.Entry
+		want         int64
+	}{
+		{"written before the copy was made", entry("c", "x", 5), entry("c", "xx", 7), 2},
+		{"written again at a lower revision", entry("c", "x", 9), entry("c", "xx", 7), 2},
+		{"older", entry("c", "xx", 9), entry("c", "x", 7), 2},
+	} {
+		v := testView()
+		v.replace([]external.Entry{c.read}, start, time.Time{})
+		restored := start.Add(time.Second)
+		v.restore([]external.Entry{c.copied}, restored)
+		if v.config.Revision != c.want {
+			t.Errorf("%s: configuration %d is in force, want %d", c.name, v.config.Revision, c.want)
+		}
+		if v.configConfirmed(restored.Add(confirmGrace - time.Millisecond)) {
+			t.Errorf("%s: confirmed although a later one may be lost", c.name)
+		}
+		if !v.configConfirmed(restored.Add(confirmGrace)) {
+			t.Errorf("%s: never confirmed", c.name)
+		}
+	}
+}
+
+// Guards against orders, states and upstreams that stay as they were read before although the restored
+// store holds what was written later.
+func TestRestoredStoreWithLaterRowsPutsThemInForce(t *testing.T) {
+	read := []external.Entry{entry("a", "live", 1), entry("order", "v1", 2), entry("state", "v1", 3)}
+	v := testView()
+	v.replace(read, start, time.Time{})
+	v.serviceRollouts()
+	v.restore([]external.Entry{entry("a", "leaving", 4), entry("order", "v2", 5), entry("state", "v2", 6)}, start.Add(time.Second))
+	if got := ids(v); got != "a=leaving " {
+		t.Errorf("upstreams: %q", got)
+	}
+	if got := v.serviceRollouts(); len(got) != 1 || got[0].Version != "v2" || got[0].State != rollout.Done || !got[0].Recorded {
+		t.Errorf("rollouts: %+v", got)
+	}
+}
+
+// Guards against a retained row that is replaced by an older one of a second copy that was made after the
+// first, because the revision of the first copy's row is taken for its own.
+func TestRowsRetainedThroughTwoRestoresAreNotReplacedByOlderOnes(t *testing.T) {
+	v := testView()
+	v.replace([]external.Entry{entry("order", "v2", 50)}, start, time.Time{})
+	v.restore([]external.Entry{entry("order", "v1", 3)}, start.Add(time.Second))
+	v.restore([]external.Entry{entry("order", "v1", 4)}, start.Add(2*time.Second))
+	if got := v.serviceRollouts(); len(got) != 1 || got[0].Version != "v2" {
+		t.Errorf("rollouts: %+v", got)
+	}
+}
