Probe parts of prompts that have the same crashes as a harmful one

What callers saw: all sound requests of a route were rejected for ten minutes.

Cause: every part that is in flight when an upstream ends has a crash, so that the parts of a harmful prompt have the same crashes. Only completions tell them apart, and no request completes if the upstreams crash sooner than a response takes. The shared part was then convicted on the same evidence as the harmful one, or alone if further upstreams ended for another reason, and the quarantine rejected every request whose completion could have cleared it.

Change: a part is contested while parts of the same prompts explain its crashes: without their crashes the rest does not suffice. A contested part stays in quarantine, but requests without another suspected part are let through one at a time in each region. One that completes clears the part, and the part that explains its crashes is in quarantine at the same moment; one that ends an upstream counts against the part alone, which ends the contest after a few. Probes are not retried. A contested quarantine is written to the store only after 15 s, and its Retry-After is 5 s. Each probe is logged as quarantine_probe.

The same belief, that what was in flight is guilty, elsewhere: requests under one fingerprint (holds: they are compared with parts, and a request with the same content completes or not), parts that only the store tells of (open: an instance that knows no crash does not probe them), parts of other prompts that were in flight by chance (holds: attributed by their number, now covered by TestAPartIsNotContestedByPartsOfOtherPrompts), a rare part that nothing completes (open as before).

--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -51,6 +51,7 @@
 		RefutedQuarantines: t.crashes.Refuted(),
 		SuspectedParts:     t.crashes.Suspects(),
 		CompletedParts:     t.crashes.Completed(),
+		ImplicatedParts:    t.crashes.Implicated(),
 		SharedCrashes:      t.crashes.HeartbeatCrashes(now),
 		ListedPeers:        t.listedContacts,
 		Quota:              slotState(t, now),
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -12,6 +12,7 @@
 
 	"heatherloom/internal/clock"
 	"heatherloom/internal/errkind"
+	"heatherloom/internal/membership"
 	"heatherloom/internal/quarantine"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/retry"
@@ -247,3 +248,56 @@
 	}
 	return slices.ContainsFunc(r.parts, func(part quarantine.Fingerprint) bool { return suspected[part] > maxCrashesBeforeRetry })
 }
+
+// contestedPart returns the contested part for which the request is rejected, if nothing else of the request
+// is in quarantine or implicated, so that its outcome tells about the part.
+func (d *Dispatcher) contestedPart(r *Request) (part quarantine.Fingerprint, ok bool) {
+	s := d.Snapshot()
+	if len(s.ImplicatedParts) == 0 || len(s.Quarantined) == 0 {
+		return 0, false
+	}
+	subject := r.subject()
+	for _, f := range []quarantine.Fingerprint{subject.Request, subject.AtService, subject.AtHost} {
+		if _, quarantined := s.Quarantined[f]; quarantined {
+			return 0, false
+		}
+	}
+	for _, f := range subject.Parts {
+		contested, implicated := s.ImplicatedParts[f]
+		_, quarantined := s.Quarantined[f]
+		if !implicated && !quarantined {
+			continue
+		}
+		if ok || !contested || !quarantined {
+			return 0, false
+		}
+		part, ok = f, true
+	}
+	return part, ok
+}
+
+// beginProbe reports whether the request is sent although a part of its prompt is in quarantine, to find
+// out whether the part is harmful. The instances of a region take turns.
+func (d *Dispatcher) beginProbe(r *Request) (part quarantine.Fingerprint, ok bool) {
+	part, ok = d.contestedPart(r)
+	if !ok {
+		return 0, false
+	}
+	rank := func() int {
+		s := d.Snapshot()
+		ids := []string{s.SelfID}
+		for i := range s.Peers {
+			if s.Peers[i].Region == s.Region && !s.Peers[i].Suspect {
+				ids = append(ids, s.Peers[i].ID)
+			}
+		}
+		return membership.Rank(part.String(), s.SelfID, ids)
+	}
+	if !d.probes.Begin(clock.Now(), part, rank) {
+		return 0, false
+	}
+	if d.ReportProbe != nil {
+		d.ReportProbe(part, r.ID)
+	}
+	return part, true
+}
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -72,7 +72,7 @@
 		d := &Dispatcher{Snapshot: func() *routing.Snapshot { return s }}
 		params := &RouteParams{PromptParts: []routing.PromptPart{{ID: 1}, {ID: 2}, {ID: 3}}, MaxExecutions: 2}
 		r := &Request{RouteParams: params, parts: sharedParts(params), Deadline: time.Now().Add(time.Minute), Repeatable: true, Attempts: 1}
-		if err := d.rejectEarly(r); (err != nil) != c.want {
+		if err := d.rejectQuarantined(r); (err != nil) != c.want {
 			t.Errorf("%s: got %v", c.name, err)
 		}
 		s.Quarantined = quarantine.Set{}
@@ -83,6 +83,49 @@
 	}
 }
 
+// Guards against a probe that cannot decide on a contested part, or that goes to a second upstream, and against
+// a contested part without probes.
+func TestProbesHaveNoOtherSuspectedPart(t *testing.T) {
+	part := quarantine.PartFingerprint
+	until := time.Now().Add(time.Minute)
+	for _, c := range []struct {
+		name        string
+		implicated  map[quarantine.Fingerprint]bool
+		quarantined []uint64
+		request     bool
+		want        bool
+	}{
+		{"contested", map[quarantine.Fingerprint]bool{part(1): true}, []uint64{1}, false, true},
+		{"not contested", map[quarantine.Fingerprint]bool{part(1): false}, []uint64{1}, false, false},
+		{"known from the store only", nil, []uint64{1}, false, false},
+		{"two contested parts", map[quarantine.Fingerprint]bool{part(1): true, part(2): true}, []uint64{1, 2}, false, false},
+		{"a part that explains the crashes", map[quarantine.Fingerprint]bool{part(1): true, part(2): false}, []uint64{1}, false, false},
+		{"another part is known from the store", map[quarantine.Fingerprint]bool{part(1): true}, []uint64{1, 2}, false, false},
+		{"the request itself is quarantined", map[quarantine.Fingerprint]bool{part(1): true}, []uint64{1}, true, false},
+	} {
+		params := &RouteParams{PromptParts: []routing.PromptPart{{ID: 1}, {ID: 2}, {ID: 3}}, MaxExecutions: 2}
+		r := &Request{RouteParams: params, parts: sharedParts(params), Deadline: until, Repeatable: true, Attempts: 1}
+		s := &routing.Snapshot{Quarantined: quarantine.Set{}, ImplicatedParts: c.implicated, SelfID: "e"}
+		for _, id := range c.quarantined {
+			s.Quarantined[part(id)] = until
+		}
+		if c.request {
+			s.Quarantined[r.Fingerprint()] = until
+		}
+		d := &Dispatcher{Snapshot: func() *routing.Snapshot { return s }}
+		if _, got := d.beginProbe(r); got != c.want {
+			t.Errorf("%s: probe %v, want %v", c.name, got, c.want)
+		}
+		if _, again := d.beginProbe(r); again {
+			t.Errorf("%s: a second probe", c.name)
+		}
+		result := relay.Result{Outcome: retry.TimedOut, Err: errkind.New(errkind.UpstreamTimeout, "")}
+		if reason := d.noRetryReason(r, result); reason != retry.StopQuarantine {
+			t.Errorf("%s: a retry is allowed: %q", c.name, reason)
+		}
+	}
+}
+
 // Guards against a response that ends with its connection, as that of an upstream that crashed may,
 // and an error response, which is not generated from the prompt, that count as completions.
 func TestOnlyWholeGenerationsClearAPart(t *testing.T) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -155,6 +155,9 @@
 	// ReportCompletedParts is called with the time of the latest completions of requests with
 	// suspected parts in their prompts, by part; nil to ignore them.
 	ReportCompletedParts func(map[quarantine.Fingerprint]time.Time)
+	// ReportProbe is called for each request that is sent although a part of its prompt is in quarantine, with
+	// the part and the id of the request; nil to ignore them.
+	ReportProbe func(part quarantine.Fingerprint, request string)
 	// ObserveRollout is called for each attempt on a target with an active rollout; nil to
 	// ignore them.
 	ObserveRollout func(RolloutObservation)
@@ -169,6 +172,7 @@
 	estimates retry.Estimates
 
 	crashState crashState
+	probes     quarantine.Probes
 }
 
 // Dispatch serves r and writes its response to sink. It returns nil if the complete
@@ -189,13 +193,23 @@
 	}
 	d.budget.RecordRequest(clock.Now())
 	r.parts = sharedParts(r.RouteParams)
-	if err := d.rejectEarly(r); err != nil {
-		return err
+	probed, isProbe := d.beginProbe(r)
+	if !isProbe {
+		if err := d.rejectQuarantined(r); err != nil {
+			return err
+		}
 	}
-	if r.Stream && r.StreamPosition == nil {
-		r.StreamPosition = &relay.StreamPosition{}
+	err := d.rejectLate(r)
+	if err == nil {
+		if r.Stream && r.StreamPosition == nil {
+			r.StreamPosition = &relay.StreamPosition{}
+		}
+		err = d.attemptWithRetries(run, r, sink)
 	}
-	return d.attemptWithRetries(run, r, sink)
+	if isProbe {
+		d.probes.End(clock.Now(), probed, err == nil || err.Execution != errkind.NotExecuted)
+	}
+	return err
 }
 
 // requestContext is a context for the work on a request.
@@ -246,15 +260,31 @@
 	}
 }
 
-// rejectEarly rejects requests that are quarantined or cannot meet their deadline.
-func (d *Dispatcher) rejectEarly(r *Request) *errkind.Error {
+// contestedRetryAfter is the Retry-After of requests with a contested part, about which a probe decides.
+const contestedRetryAfter = 5 * time.Second
+
+// rejectQuarantined rejects requests that are in quarantine, or that have a part in their prompts that is.
+func (d *Dispatcher) rejectQuarantined(r *Request) *errkind.Error {
 	now := clock.Now()
-	if until, ok := d.quarantinedUntil(r); ok && now.Before(until) {
+	until, ok := d.quarantinedUntil(r)
+	if !ok || !now.Before(until) {
+		return nil
+	}
+	if _, contested := d.contestedPart(r); contested {
 		err := errkind.New(errkind.RequestQuarantined,
-			"upstreams cannot execute the content of this request, or a part of its prompt; it is rejected until %s, and other requests are not affected", until.UTC().Format(time.RFC3339))
-		err.RetryAfter = until.Sub(now)
+			"upstreams ended while they executed requests with a part of this prompt; it is rejected until another request shows whether the part is the cause")
+		err.RetryAfter = min(until.Sub(now), contestedRetryAfter)
 		return err
 	}
+	err := errkind.New(errkind.RequestQuarantined,
+		"upstreams cannot execute the content of this request, or a part of its prompt; it is rejected until %s, and other requests are not affected", until.UTC().Format(time.RFC3339))
+	err.RetryAfter = until.Sub(now)
+	return err
+}
+
+// rejectLate rejects requests that cannot meet their deadline.
+func (d *Dispatcher) rejectLate(r *Request) *errkind.Error {
+	now := clock.Now()
 	remaining := r.Deadline.Sub(now)
 	if remaining <= 0 {
 		return errkind.New(errkind.DeadlinePassed, "the deadline of the request has already passed")
--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -132,6 +132,7 @@
 		ReportCrash:         n.crashReporter(log, metrics),
 
 		ReportCompletedParts: n.completedPartsReporter(),
+		ReportProbe:          probeReporter(log),
 		Timeline:             n.timeline,
 		Metrics:              metrics,
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -315,6 +315,17 @@
 	}
 }
 
+// probeReporter returns the function that logs requests which are sent to find out about a contested part.
+func probeReporter(log *logrus.Entry) func(quarantine.Fingerprint, string) {
+	return func(part quarantine.Fingerprint, request string) {
+		log.WithFields(logrus.Fields{
+			telemetry.FieldEvent:       "quarantine_probe",
+			telemetry.FieldFingerprint: part,
+			telemetry.FieldRequest:     request,
+		}).Info("sending a request with a part of prompts that is in quarantine, to find out whether the part crashes upstreams")
+	}
+}
+
 func (n *Node) metrics() *telemetry.Metrics {
 	return telemetry.NewMetrics(telemetry.Sources{
 		InFlight:       func() float64 { return float64(n.drain.Progress().InFlight) },
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -10,7 +10,9 @@
 
 // This file finds parts of prompts that crash each upstream that generates from them, in requests that
 // have nothing else in common. Such a part is in flight at every crash and never completes, whereas
-// the parts that its requests share with others do.
+// the parts that its requests share with others do. Parts of the same prompts that do not complete either
+// have the same crashes. They are contested: each is in quarantine until a probe completes or ends a further
+// upstream; see Probes.
 
 const (
 	// partCrashLimit is the number of times at which processes ended under a part, and of requests
@@ -209,7 +211,9 @@
 	if len(e.crashes) < before {
 		t.received = nil
 	}
+	released := false
 	if !t.sufficient(e.processes(none), e.requests()) {
+		released = !e.until.IsZero()
 		e.until = time.Time{}
 		t.attributed = slices.DeleteFunc(t.attributed, func(a attribution) bool { return a.part == part })
 	}
@@ -217,6 +221,11 @@
 		delete(t.parts, part)
 		t.suspects = nil
 	}
+	if released {
+		// Otherwise the requests that are no longer rejected for this part would be sent before the
+		// part that explains its crashes is in quarantine.
+		t.updateParts(t.partsUpdatedAt)
+	}
 }
 
 func none(Crash) bool { return false }
@@ -275,6 +284,7 @@
 			suspected = append(suspected, part)
 		}
 	}
+	t.findContested(suspected)
 	counts := make(map[Fingerprint]int, len(suspected))
 	for _, part := range suspected {
 		counts[part] = len(t.parts[part].processes(none))
@@ -295,6 +305,54 @@
 	}
 }
 
+// findContested sets implicated for parts with sufficient crashes.
+func (t *Table) findContested(parts []Fingerprint) {
+	t.implicated = make(map[Fingerprint]bool, len(parts))
+	if len(parts) == 0 {
+		return
+	}
+	for _, part := range parts {
+		t.implicated[part] = false
+	}
+	explained := map[Fingerprint][]Crash{}
+	for other, e := range t.parts {
+		for part, ends := range t.sharedEnds(other, e, parts) {
+			if len(ends) >= crashLimit {
+				explained[part] = append(explained[part], ends...)
+				if _, known := t.implicated[other]; !known {
+					t.implicated[other] = false
+				}
+			}
+		}
+	}
+	for part, ends := range explained {
+		e := t.parts[part]
+		isExplained := func(c Crash) bool { return slices.ContainsFunc(ends, c.sameEnd) }
+		t.implicated[part] = !t.sufficient(e.processes(isExplained), e.requests())
+	}
+}
+
+// sharedEnds returns, for those parts that are in prompts with another part, the processes that ended under
+// such prompts.
+func (t *Table) sharedEnds(other Fingerprint, e *partEntry, parts []Fingerprint) map[Fingerprint][]Crash {
+	if len(e.crashes) < crashLimit {
+		return nil
+	}
+	ends := map[Fingerprint][]Crash{}
+	for _, c := range e.crashes {
+		for _, part := range c.Parts {
+			if part != other && slices.Contains(parts, part) && !slices.ContainsFunc(ends[part], c.sameEnd) {
+				ends[part] = append(ends[part], c)
+			}
+		}
+	}
+	return ends
+}
+
+// Implicated returns the parts of prompts with sufficient crashes, and whether each is contested: parts of
+// the same prompts explain these crashes as well. Those other parts are included. The result is never modified.
+func (t *Table) Implicated() map[Fingerprint]bool { return t.implicated }
+
 // quarantineEqualParts decides on parts with the same number of ends. It returns the ends that are
 // attributed to them.
 func (t *Table) quarantineEqualParts(parts []Fingerprint, ends int) (attributed []attribution) {
@@ -411,6 +469,18 @@
 	return n
 }
 
+// withImplicatedParts returns the crash with one of its parts and those other ones that are implicated.
+func (t *Table) withImplicatedParts(c Crash, part Fingerprint) Crash {
+	kept := []Fingerprint{part}
+	for _, other := range c.Parts {
+		if _, implicated := t.implicated[other]; implicated && other != part {
+			kept = append(kept, other)
+		}
+	}
+	c.Parts = kept
+	return c
+}
+
 // sufficientCrashes returns crashes that suffice to quarantine the part.
 func (t *Table) sufficientCrashes(e *partEntry) []Crash {
 	var chosen partEntry
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -290,3 +290,110 @@
 		t.Error("the heartbeats of 15 s did not tell of a crash")
 	}
 }
+
+// sharedEnds adds ends of processes under harmful requests, each beside a sound request, that share a part.
+func sharedEnds(table *Table, n int) {
+	for i := range n {
+		table.Add(after(0), partCrash(i, Fingerprint(i), apart(i), popular, harmful))
+		table.Add(after(0), partCrash(i, Fingerprint(100+i), apart(i), popular))
+	}
+}
+
+// Guards against a part that stays in quarantine because the prompts of harmful requests have it too, and
+// against a harmful part that is admitted between the release of the other and its own quarantine.
+func TestPartsOfTheSamePromptsAreContestedUntilOneCompletes(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// others is the number of ends under the shared part alone.
+		others    int
+		contested bool
+	}{
+		{"as many ends", 0, true},
+		{"more ends under the shared part", 2, true},
+		{"sufficient ends under the shared part alone", 3, false},
+	} {
+		table := NewTable()
+		sharedEnds(table, 4)
+		for i := range c.others {
+			table.Add(after(0), partCrash(10+i, Fingerprint(200+i), apart(4+i), popular))
+		}
+		table.Update(after(3 * time.Second))
+		if _, ok := table.Quarantined()[popular]; !ok {
+			t.Errorf("%s: requests with both parts are admitted", c.name)
+		}
+		if got := table.Implicated()[popular]; got != c.contested {
+			t.Errorf("%s: contested %v, want %v", c.name, got, c.contested)
+		}
+		table.Complete(popular, after(4*time.Second))
+		if _, ok := table.Quarantined()[popular]; ok {
+			t.Errorf("%s: a part that completed is still in quarantine", c.name)
+		}
+		if _, ok := table.Quarantined()[harmful]; !ok {
+			t.Errorf("%s: the harmful part is admitted", c.name)
+		}
+		if contested, implicated := table.Implicated()[harmful]; contested || !implicated {
+			t.Errorf("%s: the harmful part is contested %v, implicated %v", c.name, contested, implicated)
+		}
+	}
+}
+
+// Guards against a shared part that is quarantined for good before the harmful one has as many crashes, because
+// other processes ended as well, and against a harmful part that is let through because parts of its prompts
+// each have one of its crashes.
+func TestAPartIsContestedByPartsWithSeveralOfItsCrashes(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// others are the second parts of the prompts at the crashes of the part.
+		others []Fingerprint
+		want   bool
+	}{
+		{"another part at two of three crashes", []Fingerprint{harmful, 0, harmful}, true},
+		{"another part at two of five crashes", []Fingerprint{harmful, 0, harmful, 0, 0}, false},
+		{"two other parts at two crashes each", []Fingerprint{harmful, harmful, rare, rare}, true},
+		{"another part at each crash", []Fingerprint{11, 12, 13, 14}, false},
+	} {
+		table := NewTable()
+		for i, other := range c.others {
+			table.Add(after(0), partCrash(i, Fingerprint(i), apart(i), []Fingerprint{popular, other}[:1+min(other, 1)]...))
+		}
+		table.Update(after(3 * time.Second))
+		if _, ok := table.Quarantined()[popular]; !ok {
+			t.Errorf("%s: not quarantined", c.name)
+		}
+		contested := table.Implicated()[popular]
+		if _, implicated := table.Implicated()[harmful]; contested != c.want || implicated != (c.others[0] == harmful) {
+			t.Errorf("%s: contested %v, want %v; the harmful part is implicated: %v", c.name, contested, c.want, implicated)
+		}
+	}
+}
+
+// Guards against a harmful part that is let through to upstreams because an innocent one of other prompts
+// was in flight at its crashes.
+func TestAPartIsNotContestedByPartsOfOtherPrompts(t *testing.T) {
+	table := NewTable()
+	for i := range 4 {
+		table.Add(after(0), partCrash(i, Fingerprint(i), apart(i), harmful))
+		table.Add(after(0), partCrash(i, Fingerprint(100+i), apart(i), rare))
+	}
+	table.Update(after(3 * time.Second))
+	if contested, implicated := table.Implicated()[harmful]; contested || !implicated {
+		t.Errorf("contested %v, implicated %v", contested, implicated)
+	}
+}
+
+// Guards against an instance that learns from heartbeats which parts are in quarantine but not that they are
+// contested.
+func TestHeartbeatsTellThatPartsAreContested(t *testing.T) {
+	table, peer := NewTable(), NewTable()
+	sharedEnds(table, 4)
+	table.Update(after(3 * time.Second))
+	for _, c := range table.HeartbeatCrashes(after(time.Minute)) {
+		peer.Add(after(time.Minute), c)
+	}
+	peer.Update(after(time.Minute))
+	for _, part := range []Fingerprint{popular, harmful} {
+		if _, ok := peer.Quarantined()[part]; !ok || !peer.Implicated()[part] {
+			t.Errorf("part %s: quarantined %v, contested %v", part, ok, peer.Implicated()[part])
+		}
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -116,6 +116,8 @@
 	partsCompleted bool
 	// attributed holds the ends of processes that are attributed to quarantined parts.
 	attributed []attribution
+	// implicated is the result of Implicated. It is replaced, not modified.
+	implicated map[Fingerprint]bool
 	// cached, suspects and shared are the cached results of Quarantined, Suspects and Completed;
 	// nil after a change.
 	cached   Set
@@ -419,8 +421,7 @@
 			continue
 		}
 		for _, c := range t.sufficientCrashes(e) {
-			c.Parts = []Fingerprint{part}
-			selected = append(selected, c)
+			selected = append(selected, t.withImplicatedParts(c, part))
 		}
 	}
 	ofParts := len(selected)
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -237,6 +237,9 @@
 	// and CompletedParts when requests with such parts last completed.
 	SuspectedParts map[quarantine.Fingerprint]int
 	CompletedParts map[quarantine.Fingerprint]time.Time
+	// ImplicatedParts are the parts of prompts under which enough processes ended for a quarantine, and
+	// whether each is contested: parts of the same prompts, which are included, explain these ends as well.
+	ImplicatedParts map[quarantine.Fingerprint]bool
 	// SharedCrashes are the crashes to report to other instances.
 	SharedCrashes []quarantine.Crash
 	// Ready is false until a configuration is in force.
--- a/internal/storefeed/quarantine.go
+++ b/internal/storefeed/quarantine.go
@@ -21,6 +21,9 @@
 	// quarantineTakeover is how long an instance waits for each instance ranked before it, by
 	// rendezvous hashing, to write a change. It covers a store call and its network latency.
 	quarantineTakeover = 700 * time.Millisecond
+	// contestedWriteDelay is the time from the last crash after which a quarantine is written although it is
+	// contested. Instances that know only its row do not probe it, and a probe usually decides sooner.
+	contestedWriteDelay = 15 * time.Second
 	// maxStoredQuarantines bounds the number of quarantines in the store.
 	maxStoredQuarantines = 256
 	// maxQuarantineWrites bounds the writes of one comparison.
@@ -94,6 +97,7 @@
 		switch {
 		case known && stored.Revision != 0 && !now.Before(stored.Until):
 			wanted[quarantineChange{f, stored.Revision}] = true
+		case s.ImplicatedParts[f] && until.Sub(now) > quarantine.Duration-contestedWriteDelay:
 		case (!known || stored.Revision == 0) && now.Before(until) && len(s.StoredQuarantines) < maxStoredQuarantines:
 			wanted[quarantineChange{fingerprint: f}] = true
 		}
--- a/internal/storefeed/quarantine_test.go
+++ b/internal/storefeed/quarantine_test.go
@@ -67,3 +67,27 @@
 		}
 	}
 }
+
+// Guards against a contested quarantine that outlives the evidence about it in the store, and against one that
+// is forgotten when all instances restart because nothing decides on it.
+func TestContestedQuarantinesAreWrittenLate(t *testing.T) {
+	const f = quarantine.Fingerprint(7)
+	until := start.Add(quarantine.Duration)
+	for _, c := range []struct {
+		name       string
+		implicated map[quarantine.Fingerprint]bool
+		at         time.Duration
+		want       int
+	}{
+		{"contested", map[quarantine.Fingerprint]bool{f: true}, contestedWriteDelay - time.Millisecond, 0},
+		{"contested for long", map[quarantine.Fingerprint]bool{f: true}, contestedWriteDelay, 1},
+		{"not contested", map[quarantine.Fingerprint]bool{f: false}, time.Second, 1},
+		{"a request", nil, time.Second, 1},
+	} {
+		s := &routing.Snapshot{Quarantined: quarantine.Set{f: until}, ImplicatedParts: c.implicated}
+		keeper := quarantineKeeper{self: "e", wantedSince: map[quarantineChange]time.Time{}}
+		if due := keeper.due(s, start.Add(c.at)); len(due) != c.want {
+			t.Errorf("%s: writes %v, want %d", c.name, due, c.want)
+		}
+	}
+}
