Do not take a row of a copy of an earlier history for a later one

With two drills within seconds, the second copy may be older than the first return of the store. Its revisions are of the earlier history, so that an older order with a higher revision replaced the known one.

Change: revisions decide only if no restore was seen in the minute before, which bounds the age of a copy. Otherwise known rows are kept until they are written again, as before. Configurations are compared by their own revisions in any case.

--- a/internal/storefeed/restore.go
+++ b/internal/storefeed/restore.go
@@ -25,9 +25,10 @@
 	// confirmGrace is how long the configuration of a restored store does not count as the latest
 	// one unless it is written again: the store may have lost a later one that took API keys away.
 	confirmGrace = 3 * time.Second
-	// goneRetention is how long the rows of upstreams that were removed are remembered. The copy
-	// is some seconds old.
-	goneRetention = time.Minute
+	// maxCopyAge bounds the age of the copy from which a store is restored, which is some seconds.
+	maxCopyAge = time.Minute
+	// goneRetention is how long the rows of upstreams that were removed are remembered.
+	goneRetention = maxCopyAge
 )
 
 // hashValue identifies the value of a row.
@@ -63,6 +64,7 @@
 // restore applies the first full read after the store was restored from a copy, and returns the
 // number of rows that were read before and that the copy lacks or has another value of.
 func (v *view) restore(entries []external.Entry, now time.Time) (retained int) {
+	sharesHistory := v.restoredAt.IsZero() || now.Sub(v.restoredAt) >= maxCopyAge
 	v.restoredAt = now
 	// A configuration of the copy is not written again, though it may be new to this instance.
 	configWritten := v.configWritten
@@ -79,7 +81,7 @@
 		case known && old.hash == hashValue(e.Value):
 			old.modRevision, old.keepUntil, old.retained, old.copied = e.ModRevision, time.Time{}, false, nil
 			v.rows[e.Key] = old
-		case known && v.isNewer(old, e):
+		case known && v.isNewer(old, e, sharesHistory):
 			delete(v.rows, e.Key)
 			v.put(e, now)
 		case known:
@@ -107,11 +109,12 @@
 	return v.restoredAt.IsZero() || v.configWritten.After(v.restoredAt) || now.Sub(v.restoredAt) >= confirmGrace
 }
 
-// isNewer reports whether an entry of a restored store is newer than the known row. The copy shares its
-// history with the store that the row was read from, and revisions of later writes are higher than those of
-// the copy, so that a higher revision always means a later write. A lower one may have been given out again.
-func (v *view) isNewer(old row, e external.Entry) bool {
-	if !old.retained && e.ModRevision > old.modRevision {
+// isNewer reports whether an entry of a restored store is newer than the known row. If the copy shares its
+// history with the store that the row was read from, a higher revision means a later write, since those of
+// writes after the restore are higher than the copy's. A lower one may have been given out again. A copy that
+// is older than the previous restore is of another history.
+func (v *view) isNewer(old row, e external.Entry, sharesHistory bool) bool {
+	if sharesHistory && !old.retained && e.ModRevision > old.modRevision {
 		return true
 	}
 	document, err := v.documents.Decode(e)
