Probe popular parts that were in flight at the crashes of a rarer one

The prompts of harmful requests lack the popular part, which is in flight at all their crashes all the same; and a part stays in quarantine although further processes ended at the same time, so that its crashes no longer suffice.

Cause: only parts of the same prompts, and parts whose crashes suffice at the moment, could be contested.

Change: a part is also contested by parts of other prompts that have as many crashes in fewer requests: a harmful part ends a process with its first request, a popular one is in flight in many. The rarer part is not contested by the popular one, so that it is not probed. Parts that are in quarantine are considered whether or not their crashes still suffice.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -11,7 +11,7 @@
 // This file finds parts of prompts that crash each upstream that generates from them, in requests that
 // have nothing else in common. Such a part is in flight at every crash and never completes, whereas
 // the parts that its requests share with others do. Parts of the same prompts that do not complete either
-// have the same crashes. They are contested: each is in quarantine until a probe completes or ends a further
+// have the same crashes, as may popular parts of other prompts. They are contested: each is in quarantine until a probe completes or ends a further
 // upstream; see Probes.
 
 const (
@@ -284,7 +284,7 @@
 			suspected = append(suspected, part)
 		}
 	}
-	t.findContested(suspected)
+	t.findContested(t.withQuarantined(suspected))
 	counts := make(map[Fingerprint]int, len(suspected))
 	for _, part := range suspected {
 		counts[part] = len(t.parts[part].processes(none))
@@ -305,7 +305,19 @@
 	}
 }
 
-// findContested sets implicated for parts with sufficient crashes.
+// withQuarantined returns the parts and those that are in quarantine though their crashes no longer suffice, as
+// further processes ended at the same time.
+func (t *Table) withQuarantined(parts []Fingerprint) []Fingerprint {
+	all := slices.Clone(parts)
+	for part, e := range t.parts {
+		if !e.until.IsZero() && !slices.Contains(parts, part) {
+			all = append(all, part)
+		}
+	}
+	return all
+}
+
+// findContested sets implicated for parts in quarantine and those with sufficient crashes.
 func (t *Table) findContested(parts []Fingerprint) {
 	t.implicated = make(map[Fingerprint]bool, len(parts))
 	if len(parts) == 0 {
@@ -325,6 +337,7 @@
 			}
 		}
 	}
+	t.explainByRarerParts(parts, explained)
 	for part, ends := range explained {
 		e := t.parts[part]
 		isExplained := func(c Crash) bool { return slices.ContainsFunc(ends, c.sameEnd) }
@@ -332,6 +345,27 @@
 	}
 }
 
+// explainByRarerParts adds the ends that parts of other prompts explain as well: those with as many ends in fewer
+// requests. A harmful part ends a process with its first request, whereas a popular one is in flight in many.
+func (t *Table) explainByRarerParts(parts []Fingerprint, explained map[Fingerprint][]Crash) {
+	ends, requests := make([][]Crash, len(parts)), make([]int, len(parts))
+	for i, part := range parts {
+		ends[i], requests[i] = t.parts[part].processes(none), t.parts[part].requests()
+	}
+	for i, part := range parts {
+		for j := range parts {
+			if requests[j] >= requests[i] || len(ends[j]) < len(ends[i]) {
+				continue
+			}
+			for _, c := range ends[j] {
+				if slices.ContainsFunc(ends[i], c.sameEnd) {
+					explained[part] = append(explained[part], c)
+				}
+			}
+		}
+	}
+}
+
 // sharedEnds returns, for those parts that are in prompts with another part, the processes that ended under
 // such prompts.
 func (t *Table) sharedEnds(other Fingerprint, e *partEntry, parts []Fingerprint) map[Fingerprint][]Crash {
@@ -349,8 +383,8 @@
 	return ends
 }
 
-// Implicated returns the parts of prompts with sufficient crashes, and whether each is contested: parts of
-// the same prompts explain these crashes as well. Those other parts are included. The result is never modified.
+// Implicated returns the parts of prompts with sufficient crashes, and whether each is contested: other parts
+// explain these crashes as well. Those of the same prompts are included. The result is never modified.
 func (t *Table) Implicated() map[Fingerprint]bool { return t.implicated }
 
 // quarantineEqualParts decides on parts with the same number of ends. It returns the ends that are
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -238,7 +238,8 @@
 	SuspectedParts map[quarantine.Fingerprint]int
 	CompletedParts map[quarantine.Fingerprint]time.Time
 	// ImplicatedParts are the parts of prompts under which enough processes ended for a quarantine, and
-	// whether each is contested: parts of the same prompts, which are included, explain these ends as well.
+	// whether each is contested: other parts, of which those of the same prompts are included, explain these ends
+	// as well.
 	ImplicatedParts map[quarantine.Fingerprint]bool
 	// SharedCrashes are the crashes to report to other instances.
 	SharedCrashes []quarantine.Crash
