--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -83,8 +83,7 @@
 	}
 }
 
-// Guards against a probe that cannot decide on a contested part, or that goes to a second upstream, and against
-// a contested part without probes.
+// Guards against probes that cannot decide on a contested part, or are retried, and against a part without probes.
 func TestProbesHaveNoOtherSuspectedPart(t *testing.T) {
 	part := quarantine.PartFingerprint
 	until := time.Now().Add(time.Minute)
--- a/internal/quarantine/contest_test.go
+++ b/internal/quarantine/contest_test.go
@@ -317,8 +317,7 @@
 	return strings.Join(broken, ", ")
 }
 
-// Guards against harmful parts that go on reaching upstreams, and against shared parts that stay in quarantine,
-// at any rate and length of requests.
+// Guards against harmful parts that go on reaching upstreams, and shared parts that stay in quarantine.
 func TestNoPlayOfHarmfulPartsBreaksTheBounds(t *testing.T) {
 	failed := 0
 	for seed := range *contestSeeds {
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -299,8 +299,7 @@
 	}
 }
 
-// Guards against a part that stays in quarantine because the prompts of harmful requests have it too, and
-// against a harmful part that is admitted between the release of the other and its own quarantine.
+// Guards against a shared part that is never released, and a harmful one that is admitted when the other is.
 func TestPartsOfTheSamePromptsAreContestedUntilOneCompletes(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -337,9 +336,7 @@
 	}
 }
 
-// Guards against a shared part that is quarantined for good before the harmful one has as many crashes, because
-// other processes ended as well, and against a harmful part that is let through because parts of its prompts
-// each have one of its crashes.
+// Guards against convicting a shared part before the harmful one, and against probing a harmful part by chance.
 func TestAPartIsContestedByPartsWithSeveralOfItsCrashes(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -367,8 +364,7 @@
 	}
 }
 
-// Guards against a harmful part that is let through to upstreams because an innocent one of other prompts
-// was in flight at its crashes, and against a popular part that is quarantined for good with it.
+// Guards against probing a harmful part, and convicting a popular one, as both were in flight at its crashes.
 func TestAPartIsContestedByRarerPartsOfOtherPromptsOnly(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -401,8 +397,7 @@
 	}
 }
 
-// Guards against an instance that learns from heartbeats which parts are in quarantine but not that they are
-// contested.
+// Guards against an instance that learns of a quarantine from heartbeats, but not that it is contested.
 func TestHeartbeatsTellThatPartsAreContested(t *testing.T) {
 	table, peer := NewTable(), NewTable()
 	sharedEnds(table, 4)
@@ -418,8 +413,7 @@
 	}
 }
 
-// Guards against a shared part that stays in quarantine without probes because processes that ended together
-// count as no time, so that its crashes do not suffice any more.
+// Guards against a quarantine without probes because processes that ended together count as no time.
 func TestAQuarantinedPartIsContestedThoughItsCrashesNoLongerSuffice(t *testing.T) {
 	table := NewTable()
 	for i := range 3 {
--- a/internal/quarantine/probes_test.go
+++ b/internal/quarantine/probes_test.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// Guards against several requests with a part that may be harmful at the same time, or in quick succession,
-// and against a part that is never probed because the first instance in rank gets no request with it.
+// Guards against many requests with a part that may be harmful, and against a part that no instance probes.
 func TestOneProbeAtATime(t *testing.T) {
 	const part = Fingerprint(7)
 	rank := func(n int) func() int { return func() int { return n } }
--- a/internal/storefeed/drill_test.go
+++ b/internal/storefeed/drill_test.go
@@ -270,8 +270,7 @@
 	return ""
 }
 
-// Guards against keys that are admitted too long after their removal, and against a configuration or an order
-// that goes back or never comes into force, in any sequence of drills of the store.
+// Guards against keys admitted after their removal, and against configurations and orders that go back or never apply.
 func TestNoSequenceOfDrillsRevivesAKey(t *testing.T) {
 	failed := 0
 	for seed := range *drillSeeds {
--- a/internal/storefeed/quarantine_test.go
+++ b/internal/storefeed/quarantine_test.go
@@ -68,8 +68,7 @@
 	}
 }
 
-// Guards against a contested quarantine that outlives the evidence about it in the store, and against one that
-// is forgotten when all instances restart because nothing decides on it.
+// Guards against rows of contested quarantines that outlive the evidence, and against none after a restart of all.
 func TestContestedQuarantinesAreWrittenLate(t *testing.T) {
 	const f = quarantine.Fingerprint(7)
 	until := start.Add(quarantine.Duration)
--- a/internal/storefeed/restore_test.go
+++ b/internal/storefeed/restore_test.go
@@ -125,8 +125,7 @@
 	}
 }
 
-// Guards against an API key that is admitted again because a restored store holds a later configuration
-// than this instance had read, which was taken for an older one.
+// Guards against keys that are admitted again because a later configuration in the copy is taken for an older one.
 func TestRestoredStoreWithALaterConfigurationPutsItInForce(t *testing.T) {
 	for _, c := range []struct {
 		name         string
@@ -153,8 +152,7 @@
 	}
 }
 
-// Guards against orders, states and upstreams that stay as they were read before although the restored
-// store holds what was written later.
+// Guards against orders and upstreams that stay as read before although the copy holds later ones.
 func TestRestoredStoreWithLaterRowsPutsThemInForce(t *testing.T) {
 	read := []external.Entry{entry("a", "live", 1), entry("order", "v1", 2), entry("state", "v1", 3)}
 	v := testView()
@@ -169,8 +167,7 @@
 	}
 }
 
-// Guards against a retained row that is replaced by an older one of a second copy that was made after the
-// first, because the revision of the first copy's row is taken for its own.
+// Guards against taking the revision of the row in the first copy for that of the retained row.
 func TestRowsRetainedThroughTwoRestoresAreNotReplacedByOlderOnes(t *testing.T) {
 	v := testView()
 	v.replace([]external.Entry{entry("order", "v2", 50)}, start, time.Time{})
