Log why an upstream may have started again, and what its health check told

In the trace of the flooded upstreams the lines of an instance that lost an idle connection to the upstream and of one that had none look the same: there are none. event=restart_suspected names the sign and how long the connection was idle, event=restart_checked the answer of the health check. No decision changes.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -158,6 +158,8 @@
 	// ReportProbe is called for each request that is sent although a part of its prompt is in quarantine, with
 	// the part and the id of the request; nil to ignore them.
 	ReportProbe func(part quarantine.Fingerprint, request string)
+	// ReportSuspectedRestart is called when an upstream may have started again, with the sign of it; nil to ignore it.
+	ReportSuspectedRestart func(upstream string, sign RestartSign)
 	// ObserveRollout is called for each attempt on a target with an active rollout; nil to
 	// ignore them.
 	ObserveRollout func(RolloutObservation)
@@ -651,7 +653,7 @@
 		u.Counters.ConsecutiveFailures.Add(1)
 	}
 	if result.ConnectionBroken || result.Outcome == retry.Crashed {
-		u.Counters.SuspectRestart(clock.Now())
+		d.suspectRestart(u, RestartSign{Reason: "the connection broke"})
 	}
 	d.endAttempt(r, open, result, timed.status)
 	d.recordResends(r, result)
@@ -670,11 +672,24 @@
 	snapshot := d.Snapshot()
 	for i := range snapshot.Upstreams {
 		if u := &snapshot.Upstreams[i]; u.Address == address && (u.Cold || idle < minIdleTimeout) {
-			u.Counters.SuspectRestart(clock.Now())
+			d.suspectRestart(u, RestartSign{Reason: "an idle connection was closed", Idle: idle})
 		}
 	}
 }
 
+// RestartSign tells why an upstream may have started again.
+type RestartSign struct {
+	Reason string
+	// Idle is how long the connection that was closed had been idle; 0 for one in use.
+	Idle time.Duration
+}
+
+func (d *Dispatcher) suspectRestart(u *routing.Upstream, sign RestartSign) {
+	if u.Counters.SuspectRestart(clock.Now()) && u.MayBecomeCold && d.ReportSuspectedRestart != nil {
+		d.ReportSuspectedRestart(u.ID, sign)
+	}
+}
+
 // recordResends charges the retry budget for the sends that the transport repeated by itself.
 func (d *Dispatcher) recordResends(r *Request, result relay.Result) {
 	if result.Resends == 0 {
--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -133,6 +133,9 @@
 
 		ReportCompletedParts: n.completedPartsReporter(),
 		ReportProbe:          probeReporter(log),
+
+		ReportSuspectedRestart: restartReporter(log),
+
 		Timeline:             n.timeline,
 		Metrics:              metrics,
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -326,6 +326,18 @@
 	}
 }
 
+// restartReporter returns the function that logs the signs of upstreams that may have started again.
+func restartReporter(log *logrus.Entry) func(string, dispatch.RestartSign) {
+	return func(upstream string, sign dispatch.RestartSign) {
+		log.WithFields(logrus.Fields{
+			telemetry.FieldEvent:    "restart_suspected",
+			telemetry.FieldUpstream: upstream,
+			telemetry.FieldReason:   sign.Reason,
+			telemetry.FieldIdle:     sign.Idle.Milliseconds(),
+		}).Info("an upstream may have started again and gets no more requests than a cold one until a health check")
+	}
+}
+
 func (n *Node) metrics() *telemetry.Metrics {
 	return telemetry.NewMetrics(telemetry.Sources{
 		InFlight:       func() float64 { return float64(n.drain.Progress().InFlight) },
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -195,6 +195,11 @@
 			u.Counters.RecordLeaving(clock.Now())
 		}
 	}
+	p.Log.WithFields(logrus.Fields{
+		telemetry.FieldEvent:    "restart_checked",
+		telemetry.FieldUpstream: u.ID,
+		telemetry.FieldColdFor:  health.ColdFor.Milliseconds(),
+	}).Info("a health check told whether an upstream started again")
 	p.Loop.Post(ctx, control.RestartCheckedEvent{Upstream: u.ID, Sent: sent, ColdFor: health.ColdFor})
 }
 
--- a/internal/routing/cold.go
+++ b/internal/routing/cold.go
@@ -102,12 +102,14 @@
 
 // SuspectRestart records that a connection to the upstream broke, so that it may have started again and be
 // cold. Until RecordColdTime, it gets at most ColdRateLimit requests in coldWindowLength if it is one
-// that may become cold.
-func (c *Counters) SuspectRestart(now time.Time) {
+// that may become cold. It reports whether that was not suspected before.
+func (c *Counters) SuspectRestart(now time.Time) bool {
 	w := c.coldSends()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	first := !w.unchecked
 	w.suspect(now)
+	return first
 }
 
 // suspect records that the upstream may have started again. The mutex must be held.
--- a/internal/telemetry/fields.go
+++ b/internal/telemetry/fields.go
@@ -31,6 +31,7 @@
 	FieldUpstream          = "upstream"
 	FieldAge               = "age_ms"
 	FieldColdFor           = "cold_ms"
+	FieldIdle              = "idle_ms"
 	FieldFirstByte         = "first_ms"
 	FieldExpectedFirstByte = "expected_ms"
 	FieldPromptTokens      = "prompt_tokens"
