--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -136,8 +136,8 @@
 
 		ReportSuspectedRestart: restartReporter(log),
 
-		Timeline:             n.timeline,
-		Metrics:              metrics,
+		Timeline: n.timeline,
+		Metrics:  metrics,
 	}
 	d.Relay.OnIdleClose(d.RecordIdleClose)
 	return d
