--- /dev/null
+++ b/internal/control/cold_fleet_test.go
@@ -0,0 +1,391 @@
+package control
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"heatherloom/internal/routing"
+)
+
+const (
+	fleetStep   = 10 * time.Millisecond
+	fleetLength = 60 * time.Second
+	// fleetIdleTimeout is how long a connection of an instance stays idle.
+	fleetIdleTimeout = 8500 * time.Millisecond
+	// maxSendDelay bounds the time from a pick to the send, and maxReportDelay that of a report which is not late.
+	maxSendDelay   = 30 * time.Millisecond
+	maxReportDelay = 40 * time.Millisecond
+	// reportLoss and lateReports are the fractions of reports that are lost and that take up to a second.
+	reportLoss  = 0.02
+	lateReports = 0.02
+)
+
+var (
+	coldFleetSeeds = flag.Uint64("cold.fleet.seeds", 3, "number of seeds of TestColdLimitHoldsInLargeRegions for each size")
+	coldFleetFirst = flag.Uint64("cold.fleet.first", 0, "first seed of TestColdLimitHoldsInLargeRegions")
+)
+
+// fleetSender is an instance with at most one connection to the upstream.
+type fleetSender struct {
+	id       string
+	tables   *tables
+	snapshot *routing.Snapshot
+	policy   routing.ServicePolicy
+	scratch  *routing.Scratch
+	// connectedTo is the start of the process to which the connection leads, and usedAt when it was last used.
+	connectedTo, usedAt time.Time
+	// broken is true if the upstream closed the connection and this instance has not run since.
+	broken      bool
+	frozenUntil time.Time
+	cutOffUntil time.Time
+	nextRead    time.Time
+	heartbeatAt time.Time
+	checkAt     time.Time
+	checked     Event
+	checkedAt   time.Time
+	sends       []fleetSend
+	reports     []fleetReport
+	// told holds the reports that are known, like peer.RestartReporter.
+	toldEnd, toldCold time.Time
+}
+
+type fleetSend struct {
+	at          time.Time
+	reservation *routing.ColdReservation
+	upstream    string
+}
+
+type fleetReport struct {
+	at, expires time.Time
+	report      RestartReport
+}
+
+// coldFleet is one upstream of a region with many instances, each of which sends to it now and then.
+type coldFleet struct {
+	rng       *rand.Rand
+	now       time.Time
+	server    coldServer
+	senders   []*fleetSender
+	listed    []string
+	rate      float64
+	storeAway time.Time
+	steps     int
+	events    []fleetEvent
+}
+
+type fleetEvent struct {
+	at  time.Time
+	run func()
+}
+
+func newColdFleet(seed uint64, instances int) *coldFleet {
+	w := &coldFleet{rng: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0)}
+	w.rate = []float64{0.1, 0.3, 0.6, 1.2}[w.rng.IntN(4)]
+	for i := range instances {
+		w.listed = append(w.listed, fmt.Sprint("e", i))
+	}
+	w.start()
+	for _, id := range w.listed {
+		w.senders = append(w.senders, w.newSender(id))
+	}
+	w.plan()
+	return w
+}
+
+func (w *coldFleet) newSender(id string) *fleetSender {
+	s := (&coldSchedule{rng: w.rng, now: w.now}).newSender(id)
+	return &fleetSender{id: id, tables: s.tables, policy: s.policy, scratch: s.scratch, nextRead: w.now}
+}
+
+func (w *coldFleet) random(limit time.Duration) time.Duration {
+	return time.Duration(w.rng.Int64N(int64(limit)))
+}
+
+func (w *coldFleet) start() {
+	w.server = coldServer{id: "u0", born: w.now, up: true, rowBackAt: w.now.Add(w.random(800 * time.Millisecond)), row: w.server.row}
+	if w.server.row == nil {
+		w.server.rowBackAt = w.now
+	}
+}
+
+func (w *coldFleet) crash(down time.Duration) {
+	w.server.up, w.server.startAt = false, w.now.Add(down)
+	for _, s := range w.senders {
+		s.broken = s.broken || s.hasConnection(w.now)
+	}
+}
+
+func (s *fleetSender) hasConnection(now time.Time) bool {
+	return !s.usedAt.IsZero() && now.Sub(s.usedAt) < fleetIdleTimeout
+}
+
+// plan draws the next time at which the upstream crashes while it is warm, and what happens shortly before and after.
+func (w *coldFleet) plan() {
+	at := w.now.Add(7*time.Second + w.random(2*time.Second))
+	for range w.rng.IntN(4) {
+		w.events = append(w.events, fleetEvent{at.Add(-w.random(4 * time.Second)), w.impair})
+	}
+	downs := []time.Duration{0, 300 * time.Millisecond, time.Second, 4 * time.Second}
+	crash := func() { w.crash(w.random(downs[w.rng.IntN(len(downs))] + time.Millisecond)) }
+	w.events = append(w.events, fleetEvent{at, crash})
+	if w.rng.IntN(3) == 0 {
+		w.events = append(w.events, fleetEvent{at.Add(w.random(5 * time.Second)), crash})
+	}
+	w.events = append(w.events, fleetEvent{at.Add(5 * time.Second), w.plan})
+}
+
+// impair makes some instances know less.
+func (w *coldFleet) impair() {
+	some := func(f func(i int)) {
+		for range 1 + w.rng.IntN(len(w.senders)/4) {
+			f(w.rng.IntN(len(w.senders)))
+		}
+	}
+	switch w.rng.IntN(5) {
+	case 0:
+		some(func(i int) { w.senders[i].frozenUntil = w.now.Add(w.random(6 * time.Second)) })
+	case 1:
+		some(func(i int) { w.senders[i] = w.newSender(w.senders[i].id) })
+	case 2:
+		some(func(i int) { w.senders[i].cutOffUntil = w.now.Add(w.random(8 * time.Second)) })
+	case 3:
+		w.storeAway = w.now.Add(w.random(10 * time.Second))
+	default:
+		some(func(i int) { w.senders[i].nextRead = w.now.Add(w.random(2 * time.Second)) })
+	}
+}
+
+// runEvents runs the events that are due.
+func (w *coldFleet) runEvents() {
+	due := w.events
+	w.events = nil
+	for _, e := range due {
+		if w.now.Before(e.at) {
+			w.events = append(w.events, e)
+		} else {
+			e.run()
+		}
+	}
+}
+
+func (w *coldFleet) step() {
+	w.now = w.now.Add(fleetStep)
+	w.steps++
+	if !w.server.startAt.IsZero() && !w.now.Before(w.server.startAt) {
+		w.start()
+	}
+	if !w.server.rowBackAt.IsZero() && !w.now.Before(w.server.rowBackAt) {
+		w.server.rowBackAt = time.Time{}
+		(&coldSchedule{now: w.now}).writeRowOf(&w.server)
+	}
+	for i, s := range w.senders {
+		if !w.now.Before(s.frozenUntil) {
+			w.run(s, (w.steps+i)%5 == 0)
+		}
+	}
+}
+
+func (w *coldFleet) run(s *fleetSender, tick bool) {
+	row := s.tables.upstreams[w.server.id]
+	if s.broken {
+		s.broken, s.usedAt = false, time.Time{}
+		if row != nil {
+			row.counters.SuspectRestart(w.now)
+		}
+	}
+	w.receive(s)
+	if !w.now.Before(s.nextRead) && w.now.After(w.storeAway) {
+		(&coldSchedule{now: w.now, listed: w.listed, server: w.server}).read(&coldSender{tables: s.tables})
+		s.nextRead = w.now.Add(1100*time.Millisecond + w.random(300*time.Millisecond))
+	}
+	if !w.now.Before(s.heartbeatAt) {
+		w.heartbeat(s)
+		s.heartbeatAt = w.now.Add(time.Second)
+	}
+	w.check(s)
+	w.transmit(s)
+	if s.snapshot != nil && w.rng.Float64() < w.rate*fleetStep.Seconds() {
+		w.pick(s)
+	}
+	if tick {
+		for _, step := range tickSteps {
+			step(s.tables, w.now)
+		}
+		s.snapshot = buildSnapshot(s.tables, w.now)
+	}
+}
+
+// receive applies the reports that have arrived.
+func (w *coldFleet) receive(s *fleetSender) {
+	waiting := s.reports[:0]
+	for _, r := range s.reports {
+		if w.now.Before(r.at) {
+			waiting = append(waiting, r)
+			continue
+		}
+		row := s.tables.upstreams[r.report.Upstream]
+		if w.now.After(r.expires) || row == nil || !s.isNew(r.report) {
+			continue
+		}
+		if r.report.ColdFor > 0 {
+			row.counters.RecordReportedColdTime(r.report.NoticedAt.Add(r.report.ColdFor))
+		} else {
+			row.counters.SuspectReportedRestart(r.report.NoticedAt)
+		}
+		RestartsReportedEvent{Reports: []RestartReport{r.report}}.apply(s.tables, w.now)
+	}
+	s.reports = waiting
+}
+
+func (s *fleetSender) isNew(r RestartReport) bool {
+	known, at, slack := &s.toldEnd, r.NoticedAt, 2*time.Second
+	if r.ColdFor > 0 {
+		known, at, slack = &s.toldCold, r.NoticedAt.Add(r.ColdFor), 300*time.Millisecond
+	}
+	isNew := at.Sub(*known) >= slack
+	if isNew {
+		*known = at
+	}
+	return isNew
+}
+
+func (w *coldFleet) report(s *fleetSender, r RestartReport) {
+	if !s.isNew(r) || w.now.Before(s.cutOffUntil) {
+		return
+	}
+	for _, other := range w.senders {
+		if other == s || w.now.Before(other.cutOffUntil) || w.rng.Float64() < reportLoss {
+			continue
+		}
+		delay := w.random(maxReportDelay)
+		if w.rng.Float64() < lateReports {
+			delay = w.random(time.Second)
+		}
+		other.reports = append(other.reports, fleetReport{at: w.now.Add(delay), expires: w.now.Add(time.Second), report: r})
+	}
+}
+
+// heartbeat exchanges heartbeats with two instances of the region.
+func (w *coldFleet) heartbeat(s *fleetSender) {
+	for range 2 {
+		peer := w.senders[w.rng.IntN(len(w.senders))]
+		if peer == s || peer.snapshot == nil || w.now.Before(s.cutOffUntil) || w.now.Before(peer.cutOffUntil) || w.now.Before(peer.frozenUntil) {
+			continue
+		}
+		cold := map[string]time.Duration{}
+		for i := range peer.snapshot.Upstreams {
+			if u := &peer.snapshot.Upstreams[i]; u.Cold {
+				cold[u.ID] = u.ColdFor(w.now)
+			}
+		}
+		HeartbeatEvent{Peer: routing.Peer{ID: peer.id, Region: "a"}, Incarnation: 1, RequestSentAt: w.now, RoundTrip: time.Millisecond, ColdFor: cold}.apply(s.tables, w.now)
+	}
+}
+
+func (w *coldFleet) check(s *fleetSender) {
+	if s.checked != nil && !w.now.Before(s.checkedAt) {
+		s.checked.apply(s.tables, w.now)
+		s.checked = nil
+	}
+	row := s.tables.upstreams[w.server.id]
+	if row == nil || s.checked != nil || w.now.Before(s.checkAt) || (!row.awaitsHealthCheck && !row.counters.CheckWanted()) {
+		return
+	}
+	s.checkAt = w.now.Add(400 * time.Millisecond)
+	s.checkedAt = w.now.Add(w.random(maxCheckTime))
+	remaining := max(scheduleCold-w.now.Sub(w.server.born), 0)
+	switch {
+	case !w.server.up:
+		row.counters.RecordUnreachable()
+		w.report(s, RestartReport{Upstream: w.server.id, NoticedAt: w.now})
+		return
+	case row.awaitsHealthCheck:
+		s.checked = HealthCheckPassedEvent{Upstream: w.server.id, Sent: w.now, ColdFor: remaining}
+	default:
+		s.checked = RestartCheckedEvent{Upstream: w.server.id, Sent: w.now, ColdFor: remaining}
+	}
+	if remaining > 0 {
+		w.report(s, RestartReport{Upstream: w.server.id, NoticedAt: w.now, ColdFor: remaining})
+	}
+}
+
+func (w *coldFleet) pick(s *fleetSender) {
+	request := &routing.Request{ID: fmt.Sprint(w.rng.Uint64()), Target: scheduleService, Now: w.now.UnixNano(), Service: &routing.ServiceRequest{Remaining: time.Second}}
+	choice, err := s.policy.Pick(s.snapshot, request, s.scratch)
+	if err != nil || choice.Upstream < 0 {
+		return
+	}
+	u := &s.snapshot.Upstreams[choice.Upstream]
+	s.sends = append(s.sends, fleetSend{at: w.now.Add(w.random(maxSendDelay)), reservation: u.Counters.ColdReservation(choice), upstream: u.ID})
+}
+
+// transmit sends what was picked and has a connection by now.
+func (w *coldFleet) transmit(s *fleetSender) {
+	waiting := s.sends[:0]
+	for _, send := range s.sends {
+		if w.now.Before(send.at) {
+			waiting = append(waiting, send)
+			continue
+		}
+		row := s.tables.upstreams[send.upstream]
+		switch {
+		case !w.server.up && row != nil:
+			row.counters.SuspectRestart(w.now)
+			row.counters.ConsecutiveFailures.Add(1)
+		case w.server.up:
+			send.reservation.Sent(w.now)
+			s.connectedTo, s.usedAt = w.server.born, w.now
+			w.server.arrivals = append(w.server.arrivals, w.now)
+		}
+		send.reservation.End(w.now)
+	}
+	s.sends = waiting
+}
+
+// newArrivals returns the number of arrivals since the last call.
+func (s *coldServer) newArrivals() int {
+	n := len(s.arrivals) - s.counted
+	s.counted = len(s.arrivals)
+	return n
+}
+
+// latestSecond returns the number of arrivals in the last second, 0 while the process is warm.
+func (s *coldServer) latestSecond(now time.Time) (n int) {
+	if now.Sub(s.born) >= scheduleCold {
+		s.arrivals, s.counted = s.arrivals[:0], 0
+		return 0
+	}
+	for i := len(s.arrivals) - 1; i >= 0 && now.Sub(s.arrivals[i]) < time.Second; i-- {
+		n++
+	}
+	return n
+}
+
+// Guards against an upstream that starts again under its id and is flooded by the many instances of its region, most of
+// which have no part of its limit.
+func TestColdLimitHoldsInLargeRegions(t *testing.T) {
+	for _, instances := range []int{24, 50} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			t.Parallel()
+			arrived := 0
+			for seed := *coldFleetFirst; seed < *coldFleetFirst+*coldFleetSeeds; seed++ {
+				w := newColdFleet(seed, instances)
+				for end := w.now.Add(fleetLength); w.now.Before(end); {
+					w.runEvents()
+					w.step()
+					arrived += w.server.newArrivals()
+					if got := w.server.latestSecond(w.now); got > scheduleLimit {
+						t.Errorf("seed %d, %s: the upstream got %d requests in a second, at most %d are allowed", seed, w.now.Sub(time.Unix(1000, 0)), got, scheduleLimit)
+						break
+					}
+				}
+			}
+			if arrived == 0 {
+				t.Error("no request arrived")
+			}
+		})
+	}
+}
--- a/internal/control/cold_schedule_test.go
+++ b/internal/control/cold_schedule_test.go
@@ -42,6 +42,8 @@
 	startAt   time.Time
 	startID   string
 	arrivals  []time.Time
+	// counted is the number of arrivals that newArrivals has returned.
+	counted int
 }
 
 // coldSender is an entry instance that reads rows late, freezes and restarts.
@@ -101,10 +103,12 @@
 	w.writeRow()
 }
 
-func (w *coldSchedule) writeRow() {
-	w.server.row = &external.Instance{
-		ID: w.server.id, Role: external.RoleService, Region: "a", FailureDomain: "a1", Service: scheduleService, Address: "x",
-		StartedAtUnixMilli: w.server.born.UnixMilli(), ColdFor: max(scheduleCold-w.now.Sub(w.server.born), 0), ListedAt: w.now,
+func (w *coldSchedule) writeRow() { w.writeRowOf(&w.server) }
+
+func (w *coldSchedule) writeRowOf(s *coldServer) {
+	s.row = &external.Instance{
+		ID: s.id, Role: external.RoleService, Region: "a", FailureDomain: "a1", Service: scheduleService, Address: "x",
+		StartedAtUnixMilli: s.born.UnixMilli(), ColdFor: max(scheduleCold-w.now.Sub(s.born), 0), ListedAt: w.now,
 	}
 }
 
@@ -195,9 +199,7 @@
 		list = append(list, external.Instance{ID: id, Role: external.RoleEntry, Region: "a", State: external.InstanceLive})
 	}
 	if w.server.row != nil {
-		row := *w.server.row
-		row.ListedAt = w.now
-		list = append(list, row)
+		list = append(list, *w.server.row)
 	}
 	InstancesEvent{Instances: list}.apply(s.tables, w.now)
 }
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -153,7 +153,7 @@
 		if ok {
 			counters = row.counters.Successor()
 		}
-		row = &upstreamRow{counters: counters}
+		row = &upstreamRow{counters: counters, restarted: ok}
 		row.counters.UpSince.Store(now.UnixNano())
 		t.upstreams[instance.ID] = row
 	}
@@ -220,6 +220,9 @@
 		t.publishing.peersChanged = true
 	}
 	t.recordOutsideResponse(e.Peer, e.RequestSentAt)
+	if e.Peer.Region == t.identity.Region {
+		t.reports.respondedAt = latest(t.reports.respondedAt, e.RequestSentAt)
+	}
 	t.mergeCold(e.ColdFor, now)
 	t.recordReport(e, now)
 	if row := t.confirmations[e.Peer.ID]; e.ConfigConfirmedAt.After(row.at) {
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -163,6 +163,7 @@
 func upstreamsOf(t *tables, now time.Time) []routing.Upstream {
 	upstreams := t.publishing.upstreams[:0]
 	budget := regionBudget{tables: t, now: now}
+	uninformedSince := t.reports.uninformedSince()
 	for _, row := range t.sortedUpstreams {
 		cold := now.Before(row.coldUntil)
 		id := row.instance.ID
@@ -194,13 +195,16 @@
 			ColdUntil:      row.coldUntil,
 			ColdRateLimit:  budget.coldLimit(row, cold),
 			MayBecomeCold:  t.mayBecomeCold(row),
-			Brittle:        isBrittle,
-			Places:         places,
-			PlaceSharers:   sharers,
-			RateLimited:    limited,
-			RequestRate:    requestRate,
-			Load:           row.load,
-			Counters:       row.counters,
+
+			UninformedSince: uninformedSince,
+
+			Brittle:      isBrittle,
+			Places:       places,
+			PlaceSharers: sharers,
+			RateLimited:  limited,
+			RequestRate:  requestRate,
+			Load:         row.load,
+			Counters:     row.counters,
 		})
 	}
 	return upstreams
@@ -260,7 +264,7 @@
 func entryContacts(entries map[string]external.Instance) []membership.Contact {
 	contacts := make([]membership.Contact, 0, len(entries))
 	for _, i := range entries {
-		contacts = append(contacts, membership.Contact{FailureDomain: i.FailureDomain, PeerAddress: i.Address})
+		contacts = append(contacts, membership.Contact{Region: i.Region, FailureDomain: i.FailureDomain, PeerAddress: i.Address})
 	}
 	return contacts
 }
--- /dev/null
+++ b/internal/control/reports_test.go
@@ -0,0 +1,114 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"heatherloom/internal/routing"
+)
+
+// Guards against an instance that counts as informed although it started, slept or was cut off, and against one that
+// never counts as informed again.
+func TestAnInstanceKnowsWhenReportsMayHaveMissedIt(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	const never = 1 << 30
+	for name, c := range map[string]struct {
+		// responses are the times in ms at which heartbeats were sent to which the region responded.
+		responses []int
+		// pausedFrom and pausedTo bound a time without ticks.
+		pausedFrom, pausedTo int
+		alone                bool
+		want                 map[int]bool
+	}{
+		"started":                   {pausedFrom: never, want: map[int]bool{0: false, 2000: false}},
+		"response after the start":  {responses: []int{100}, pausedFrom: never, want: map[int]bool{50: false, 150: true, 2500: true, 2800: false}},
+		"alone":                     {alone: true, pausedFrom: never, want: map[int]bool{2000: false, 2700: true, 20000: true}},
+		"short pause":               {responses: []int{100, 1100, 2100}, pausedFrom: 1200, pausedTo: 2100, want: map[int]bool{2200: true}},
+		"long pause":                {responses: []int{100, 1100}, pausedFrom: 1200, pausedTo: 3000, want: map[int]bool{1150: true, 3000: false, 3200: false}},
+		"response after the pause":  {responses: []int{100, 1100, 3100}, pausedFrom: 1200, pausedTo: 3000, want: map[int]bool{3050: false, 3200: true}},
+		"response while cut off":    {responses: []int{100, 9000}, pausedFrom: never, want: map[int]bool{2800: false, 8000: false, 9100: true}},
+		"response before the start": {responses: []int{-500}, pausedFrom: never, want: map[int]bool{1000: false}},
+	} {
+		var a reportAccess
+		for ms := 0; ms <= 20000; ms += 50 {
+			if ms > c.pausedFrom && ms < c.pausedTo {
+				continue
+			}
+			for _, sent := range c.responses {
+				if sent < ms {
+					a.respondedAt = latest(a.respondedAt, at(sent))
+				}
+			}
+			a.update(at(ms), c.alone)
+			if want, ok := c.want[ms]; ok && (a.uninformedSince() == 0) != want {
+				t.Errorf("%s: after %d ms informed %t, want %t", name, ms, !want, want)
+			}
+		}
+	}
+}
+
+// Guards against an instance without a part of the limit that sends to an upstream which may have started again while
+// reports did not reach it, and against one that is kept from a warm upstream after a health check.
+func TestAnInstanceThatMissedReportsSendsAsToAColdUpstream(t *testing.T) {
+	x := newServiceTables("e0", 3)
+	start := time.Unix(1000, 0)
+	listedUpstream(nil).apply(x, start)
+	tick := func(now time.Time) *routing.Upstream {
+		for _, step := range tickSteps {
+			step(x, now)
+		}
+		return &buildSnapshot(x, now).Upstreams[0]
+	}
+	sends := func(now time.Time) (n int) {
+		u := tick(now)
+		request := &routing.Request{ID: "r", Target: "s", Now: now.UnixNano(), Service: &routing.ServiceRequest{Remaining: time.Second}}
+		for ; n < 20; n++ {
+			choice, err := routing.ServicePolicy{Index: routing.NewPrefixIndex()}.Pick(buildSnapshot(x, now), request, routing.NewScratch(1))
+			if err != nil {
+				break
+			}
+			u.Counters.ColdReservation(choice).Sent(now)
+		}
+		return n
+	}
+	if got := sends(start); got > scheduleLimit {
+		t.Errorf("%d requests in the first second of an instance that knows nothing", got)
+	}
+	checked := start.Add(100 * time.Millisecond)
+	RestartCheckedEvent{Upstream: "u", Sent: checked}.apply(x, checked)
+	if got := sends(checked); got != 20 {
+		t.Errorf("%d requests after a health check that tells no cold time, want all of 20", got)
+	}
+}
+
+// Guards against instances that use the whole limit of an upstream which started again under its id, so that one
+// request of an instance that has not noticed is too many.
+func TestPartOfTheLimitIsLeftAfterARestartInPlace(t *testing.T) {
+	const instances = 24
+	for _, c := range []struct {
+		name            string
+		cold, restarted bool
+		want            int
+	}{
+		{"new", true, false, scheduleLimit},
+		{"started again", true, true, scheduleLimit - scheduleLimit/restartReserve},
+		{"may have started again", false, false, scheduleLimit - scheduleLimit/restartReserve},
+	} {
+		sum, now := 0, time.Unix(1000, 0)
+		for i := range instances {
+			x := newServiceTables(fmt.Sprint("e", i), instances)
+			listedUpstream(nil).apply(x, now)
+			row := testUpstream(x)
+			row.restarted = c.restarted
+			if c.cold {
+				row.coldUntil = now.Add(time.Second)
+			}
+			sum += (&regionBudget{tables: x, now: now}).coldLimit(row, c.cold)
+		}
+		if sum != c.want {
+			t.Errorf("%s: all instances send %d requests a second, want %d", c.name, sum, c.want)
+		}
+	}
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -33,6 +33,30 @@
 	for id, remaining := range cold {
 		if row, ok := t.upstreams[id]; ok {
 			row.coldUntil = latest(row.coldUntil, now.Add(remaining))
+			row.restarted = true
+		}
+	}
+}
+
+// RestartReport tells that an upstream ended, or started again, as one instance noticed.
+type RestartReport struct {
+	Upstream string
+	// NoticedAt is when that was.
+	NoticedAt time.Time
+	// ColdFor is how long the upstream remains cold after NoticedAt; 0 if it has not responded since it ended.
+	ColdFor time.Duration
+}
+
+// RestartsReportedEvent delivers what another instance of the region reported. The reporter has also recorded it in the
+// counters of the upstreams, which act before the next tick.
+type RestartsReportedEvent struct {
+	Reports []RestartReport
+}
+
+func (e RestartsReportedEvent) apply(t *tables, now time.Time) {
+	for _, r := range e.Reports {
+		if remaining := r.NoticedAt.Add(r.ColdFor).Sub(now); r.ColdFor > 0 && remaining > 0 {
+			t.mergeCold(map[string]time.Duration{r.Upstream: remaining}, now)
 		}
 	}
 }
@@ -128,6 +152,7 @@
 func (row *upstreamRow) recordColdTime(sent time.Time, remaining time.Duration, now time.Time) {
 	if remaining > 0 {
 		row.coldUntil = latest(row.coldUntil, now.Add(remaining))
+		row.restarted = true
 	}
 	row.counters.RecordColdTime(sent, now.Add(remaining))
 }
@@ -180,18 +205,26 @@
 
 // partOfColdLimit returns this instance's part of the requests per second that a cold upstream tolerates. The limit is
 // divided equally. If it is lower than the number of instances, those with the highest rendezvous
-// weight send one request.
+// weight send one request, fewer of them if it may have started again under its id.
 func (c *regionBudget) partOfColdLimit(row *upstreamRow) int {
 	limit := c.totalColdLimit(row)
 	if part := math.Floor(limit / float64(c.instances())); part >= 1 {
 		return int(part)
 	}
-	if c.tables.rank(row) < int(limit) {
+	senders := int(limit)
+	if row.restarted || !c.now.Before(row.coldUntil) {
+		senders -= senders / restartReserve
+	}
+	if c.tables.rank(row) < senders {
 		return 1
 	}
 	return 0
 }
 
+// restartReserve divides the limit of an upstream that may have started again under its id: one such part of it is left
+// for requests of instances that have not noticed yet.
+const restartReserve = 3
+
 // rateSenders is how many more instances than requests a second of an upstream's rate may send to it.
 // Each of them may send one request at any time.
 const rateSenders = 4
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -71,6 +71,8 @@
 	paused bool
 	// coldUntil is the time until which the upstream can handle only few requests.
 	coldUntil time.Time
+	// restarted is true if the upstream is or was cold although its row was known before.
+	restarted bool
 	// wasCold is true if the upstream was cold at the last tick.
 	wasCold bool
 	// keptUntil is until when the row is kept while it is not listed.
@@ -117,6 +119,7 @@
 	// coldSendsFrom is when this instance may first send to cold upstreams; zero before the first
 	// instance list.
 	coldSendsFrom time.Time
+	reports       reportAccess
 	members       *membership.Table
 	crashes       *quarantine.Table
 	// listedInstances holds the other entry instances of the instance list by id.
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -13,6 +13,7 @@
 var tickSteps = []tickStep{
 	expireMembers,
 	prunePeerRows,
+	updateReportAccess,
 	confirmConfig,
 	updateHealth,
 	updateQuarantines,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"heatherloom/internal/callerconn"
@@ -652,8 +653,10 @@
 	} else if result.UpstreamFault && !d.versionFault(r, result) {
 		u.Counters.ConsecutiveFailures.Add(1)
 	}
-	if result.ConnectionBroken || result.Outcome == retry.Crashed {
+	if result.ConnectionBroken || result.Outcome == retry.Crashed || result.Resends > 0 {
 		d.suspectRestart(u, RestartSign{Reason: "the connection broke"})
+	} else if result.Err != nil && errors.Is(result.Err.Cause, syscall.ECONNREFUSED) {
+		d.suspectRestart(u, RestartSign{Reason: "it refused a connection"})
 	}
 	d.endAttempt(r, open, result, timed.status)
 	d.recordResends(r, result)
@@ -662,17 +665,22 @@
 	return result
 }
 
-// minIdleTimeout is the shortest time after which upstreams close idle connections.
-const minIdleTimeout = time.Second
+const (
+	// minIdleTimeout is the shortest time after which upstreams that state no idle timeout close idle connections.
+	minIdleTimeout = time.Second
+	// idleTimeoutSlack is how much earlier than stated an upstream may close an idle connection.
+	idleTimeoutSlack = time.Second
+)
 
-// RecordIdleClose records that the upstream at an address closed a connection that was idle for a time. It may
-// have ended if that is sooner than upstreams close them. A cold one may have started again in any case: it gets
-// so few requests that most connections are idle for long.
-func (d *Dispatcher) RecordIdleClose(address string, idle time.Duration) {
+// RecordIdleClose records that an upstream closed an idle connection. It may have ended if that is sooner than it
+// closes them. A cold one may have started again in any case: it gets so few requests that most connections are
+// idle for long.
+func (d *Dispatcher) RecordIdleClose(c relay.IdleClose) {
+	early := c.Idle < max(c.Announced-idleTimeoutSlack, minIdleTimeout)
 	snapshot := d.Snapshot()
 	for i := range snapshot.Upstreams {
-		if u := &snapshot.Upstreams[i]; u.Address == address && (u.Cold || idle < minIdleTimeout) {
-			d.suspectRestart(u, RestartSign{Reason: "an idle connection was closed", Idle: idle})
+		if u := &snapshot.Upstreams[i]; u.Address == c.Address && (u.Cold || early) {
+			d.suspectRestart(u, RestartSign{Reason: "an idle connection was closed", Idle: c.Idle})
 		}
 	}
 }
--- a/internal/membership/targets.go
+++ b/internal/membership/targets.go
@@ -39,6 +39,8 @@
 
 // Contact is the failure domain and peer address of a member or a possible member.
 type Contact struct {
+	// Region is that of the failure domain; empty if it is not known.
+	Region        string
 	FailureDomain string
 	PeerAddress   string
 	// Heard is true if this instance itself received a message from the member.
--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -90,7 +90,9 @@
 		Metrics:      metrics,
 		Now:          clock.Now,
 	})
+	restarts := &peer.RestartReporter{Identity: identity, Loop: n.loop, Client: peers, Log: entry}
 	server := &peer.Server{
+		Restarts: restarts,
 		Identity: identity, Loop: n.loop, Dispatcher: n.dispatcher, Secret: s.Peer.Secret,
 		Config: &configsync.PeerSource{Loop: n.loop},
 		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Drain: n.drain,
@@ -105,7 +107,7 @@
 		n.serve(l.ready, &http.Server{Handler: gateway.NewReadinessHandler(platform.EntryProtocol{}, n.loop.Snapshot, clock.Now)}, entry))
 	n.operator = n.serve(l.operator, &http.Server{Handler: n.operatorHandler(s, metrics), TLSConfig: n.callerTLS()}, entry)
 	n.watchTLSFiles(entry)
-	n.startHostControl(s, entry, identity, peers, heartbeats, readers, server.Changes)
+	n.startHostControl(s, entry, identity, peers, heartbeats, readers, server.Changes, restarts)
 }
 
 func limitMemory(p settings.Process) {
@@ -145,7 +147,7 @@
 
 // startHostControl starts the control loop of an instance that serves host routes, and the
 // goroutines that post events to it.
-func (n *Node) startHostControl(s settings.Settings, log *logrus.Entry, identity control.Identity, peers *peer.Client, heartbeats *peer.Heartbeater, readers *peer.StoreReaders, changes *storefeed.ChangeLog) {
+func (n *Node) startHostControl(s settings.Settings, log *logrus.Entry, identity control.Identity, peers *peer.Client, heartbeats *peer.Heartbeater, readers *peer.StoreReaders, changes *storefeed.ChangeLog, restarts *peer.RestartReporter) {
 	ctx := n.ctx
 	syncer := &configsync.Syncer{Identity: identity, Peers: peers, Loop: n.loop, AnnounceToDomain: heartbeats.AnnounceToDomain, Log: log}
 	store := platform.NewStore(s.Platform.Store)
@@ -165,12 +167,13 @@
 	rollouts := &rolloutctl.ServiceController{
 		Identity: identity, Store: store, Documents: documents, Loop: n.loop, Recorder: n.recorder, Log: log,
 	}
-	prober := &probe.Prober{Loop: n.loop, ParseHeader: platform.HeaderCodec{}.DecodeHealth, Log: log}
+	prober := &probe.Prober{Loop: n.loop, ParseHeader: platform.HeaderCodec{}.DecodeHealth, ReportRestart: restarts.Report, Log: log}
 	n.wg.Go(func() { n.loop.Run(ctx) })
 	n.wg.Go(func() { feed.Run(ctx) })
 	n.wg.Go(func() { syncer.SyncFromPeers(ctx) })
 	n.wg.Go(func() { heartbeats.Run(ctx) })
 	n.wg.Go(func() { prober.Run(ctx) })
+	n.wg.Go(func() { restarts.Run(ctx) })
 	n.wg.Go(func() { n.dispatcher.DetectCrashes(ctx) })
 	n.wg.Go(func() { rollouts.Run(ctx) })
 }
--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -53,6 +53,9 @@
 	PeerServicePullEventsProcedure = "/peer.v1.PeerService/PullEvents"
 	// PeerServicePullChangesProcedure is the fully-qualified name of the PeerService's PullChanges RPC.
 	PeerServicePullChangesProcedure = "/peer.v1.PeerService/PullChanges"
+	// PeerServiceReportRestartsProcedure is the fully-qualified name of the PeerService's
+	// ReportRestarts RPC.
+	PeerServiceReportRestartsProcedure = "/peer.v1.PeerService/ReportRestarts"
 )
 
 // PeerServiceClient is a client for the peer.v1.PeerService service.
@@ -66,6 +69,7 @@
 	PullWrites(context.Context, *connect.Request[peerv1.PullWritesRequest]) (*connect.Response[peerv1.PullWritesResponse], error)
 	PullEvents(context.Context, *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error)
 	PullChanges(context.Context, *connect.Request[peerv1.PullChangesRequest]) (*connect.Response[peerv1.PullChangesResponse], error)
+	ReportRestarts(context.Context, *connect.Request[peerv1.ReportRestartsRequest]) (*connect.Response[peerv1.ReportRestartsResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the peer.v1.PeerService service. By default, it uses
@@ -133,20 +137,27 @@
 			connect.WithSchema(peerServiceMethods.ByName("PullChanges")),
 			connect.WithClientOptions(opts...),
 		),
+		reportRestarts: connect.NewClient[peerv1.ReportRestartsRequest, peerv1.ReportRestartsResponse](
+			httpClient,
+			baseURL+PeerServiceReportRestartsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ReportRestarts")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	heartbeat   *connect.Client[peerv1.HeartbeatRequest, peerv1.HeartbeatResponse]
-	pullConfig  *connect.Client[peerv1.PullConfigRequest, peerv1.PullConfigResponse]
-	forward     *connect.Client[peerv1.ForwardRequest, peerv1.ForwardResponse]
-	runWrite    *connect.Client[peerv1.RunWriteRequest, peerv1.RunWriteResponse]
-	copyWrite   *connect.Client[peerv1.CopyWriteRequest, peerv1.CopyWriteResponse]
-	borrow      *connect.Client[peerv1.BorrowRequest, peerv1.BorrowResponse]
-	pullWrites  *connect.Client[peerv1.PullWritesRequest, peerv1.PullWritesResponse]
-	pullEvents  *connect.Client[peerv1.PullEventsRequest, peerv1.PullEventsResponse]
-	pullChanges *connect.Client[peerv1.PullChangesRequest, peerv1.PullChangesResponse]
+	heartbeat      *connect.Client[peerv1.HeartbeatRequest, peerv1.HeartbeatResponse]
+	pullConfig     *connect.Client[peerv1.PullConfigRequest, peerv1.PullConfigResponse]
+	forward        *connect.Client[peerv1.ForwardRequest, peerv1.ForwardResponse]
+	runWrite       *connect.Client[peerv1.RunWriteRequest, peerv1.RunWriteResponse]
+	copyWrite      *connect.Client[peerv1.CopyWriteRequest, peerv1.CopyWriteResponse]
+	borrow         *connect.Client[peerv1.BorrowRequest, peerv1.BorrowResponse]
+	pullWrites     *connect.Client[peerv1.PullWritesRequest, peerv1.PullWritesResponse]
+	pullEvents     *connect.Client[peerv1.PullEventsRequest, peerv1.PullEventsResponse]
+	pullChanges    *connect.Client[peerv1.PullChangesRequest, peerv1.PullChangesResponse]
+	reportRestarts *connect.Client[peerv1.ReportRestartsRequest, peerv1.ReportRestartsResponse]
 }
 
 // Heartbeat calls peer.v1.PeerService.Heartbeat.
@@ -194,6 +205,11 @@
 	return c.pullChanges.CallUnary(ctx, req)
 }
 
+// ReportRestarts calls peer.v1.PeerService.ReportRestarts.
+func (c *peerServiceClient) ReportRestarts(ctx context.Context, req *connect.Request[peerv1.ReportRestartsRequest]) (*connect.Response[peerv1.ReportRestartsResponse], error) {
+	return c.reportRestarts.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	Heartbeat(context.Context, *connect.Request[peerv1.HeartbeatRequest]) (*connect.Response[peerv1.HeartbeatResponse], error)
@@ -205,6 +221,7 @@
 	PullWrites(context.Context, *connect.Request[peerv1.PullWritesRequest]) (*connect.Response[peerv1.PullWritesResponse], error)
 	PullEvents(context.Context, *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error)
 	PullChanges(context.Context, *connect.Request[peerv1.PullChangesRequest]) (*connect.Response[peerv1.PullChangesResponse], error)
+	ReportRestarts(context.Context, *connect.Request[peerv1.ReportRestartsRequest]) (*connect.Response[peerv1.ReportRestartsResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -268,6 +285,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("PullChanges")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceReportRestartsHandler := connect.NewUnaryHandler(
+		PeerServiceReportRestartsProcedure,
+		svc.ReportRestarts,
+		connect.WithSchema(peerServiceMethods.ByName("ReportRestarts")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceHeartbeatProcedure:
@@ -288,6 +311,8 @@
 			peerServicePullEventsHandler.ServeHTTP(w, r)
 		case PeerServicePullChangesProcedure:
 			peerServicePullChangesHandler.ServeHTTP(w, r)
+		case PeerServiceReportRestartsProcedure:
+			peerServiceReportRestartsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -332,3 +357,7 @@
 func (UnimplementedPeerServiceHandler) PullChanges(context.Context, *connect.Request[peerv1.PullChangesRequest]) (*connect.Response[peerv1.PullChangesResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.PullChanges is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) ReportRestarts(context.Context, *connect.Request[peerv1.ReportRestartsRequest]) (*connect.Response[peerv1.ReportRestartsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.ReportRestarts is not implemented"))
+}
--- /dev/null
+++ b/internal/peer/restarts_test.go
@@ -0,0 +1,113 @@
+package peer
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	"heatherloom/internal/control"
+	"heatherloom/internal/external"
+	"heatherloom/internal/membership"
+	"heatherloom/internal/opconfig"
+	"heatherloom/internal/peer/peerv1"
+	"heatherloom/internal/routing"
+)
+
+// newRestartReporter returns a reporter of an instance in region r that knows one upstream, and its loop.
+func newRestartReporter(t *testing.T) (*RestartReporter, *control.Loop) {
+	t.Helper()
+	identity := control.Identity{ID: "i0", Region: "r", PeerAddress: "a0"}
+	loop := control.NewLoop(identity)
+	go loop.Run(t.Context())
+	config := opconfig.New()
+	config.Revision = 1
+	config.Services["s"] = opconfig.Service{Name: "s", ColdRateLimit: 2, ColdFor: 3 * time.Second, HealthPath: "/h"}
+	loop.Post(t.Context(), control.ConfigEvent{Config: config})
+	loop.Post(t.Context(), control.InstancesEvent{Instances: []external.Instance{{ID: "u", Role: external.RoleService, Region: "r", Service: "s", Address: "x"}}})
+	for len(loop.Snapshot().Upstreams) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return &RestartReporter{Identity: identity, Loop: loop, Client: NewClient("i0", ""), Log: logrus.NewEntry(log)}, loop
+}
+
+// Guards against an instance that takes an upstream for the process that it knew although another one told it of its
+// end, and against reports that undo what a later health check told.
+func TestAReportedRestartActsAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		report        *peerv1.RestartReport
+		checkedBefore bool
+		want          bool
+	}{
+		{"ended", &peerv1.RestartReport{Upstream: "u", AgeMs: 50}, false, true},
+		{"ended before the last health check", &peerv1.RestartReport{Upstream: "u", AgeMs: 50}, true, false},
+		{"another upstream", &peerv1.RestartReport{Upstream: "v", AgeMs: 50}, false, false},
+	} {
+		r, loop := newRestartReporter(t)
+		counters := loop.Snapshot().Upstreams[0].Counters
+		if c.checkedBefore {
+			counters.RecordColdTime(time.Now(), time.Time{})
+		}
+		if _, err := (&Server{Restarts: r}).ReportRestarts(t.Context(), connect.NewRequest(&peerv1.ReportRestartsRequest{Reports: []*peerv1.RestartReport{c.report}})); err != nil {
+			t.Fatal(err)
+		}
+		if got := counters.RestartSuspected(); got != c.want {
+			t.Errorf("%s: suspected %t, want %t", c.name, got, c.want)
+		}
+	}
+	r, loop := newRestartReporter(t)
+	r.receive(t.Context(), []control.RestartReport{{Upstream: "u", NoticedAt: time.Now(), ColdFor: 3 * time.Second}})
+	for deadline := time.Now().Add(2 * time.Second); !loop.Snapshot().Upstreams[0].Cold; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("a reported cold time is not in force after 2 s")
+		}
+	}
+}
+
+// Guards against a storm of reports of the same restart, and against one of the next restart that is held for the
+// same.
+func TestARestartIsReportedOnce(t *testing.T) {
+	start := time.Unix(1000, 0)
+	end := func(ms int) control.RestartReport {
+		return control.RestartReport{Upstream: "u", NoticedAt: start.Add(time.Duration(ms) * time.Millisecond)}
+	}
+	cold := func(ms, coldMS int) control.RestartReport {
+		r := end(ms)
+		r.ColdFor = time.Duration(coldMS) * time.Millisecond
+		return r
+	}
+	r := &RestartReporter{}
+	for i, c := range []struct {
+		report control.RestartReport
+		want   bool
+	}{
+		{end(0), true}, {end(30), false}, {end(-20), false}, {cold(1200, 3000), true}, {cold(1500, 2690), false}, {cold(1600, 2000), false},
+		{cold(1700, 3000), true}, {end(2500), true}, {end(2600), false},
+	} {
+		if got := r.isNew(c.report); got != c.want {
+			t.Errorf("report %d: new %t, want %t", i, got, c.want)
+		}
+	}
+	r.prune(start.Add(time.Minute))
+	if len(r.known) != 0 {
+		t.Errorf("%d reports are kept for a minute", len(r.known))
+	}
+}
+
+// Guards against reports that go to other regions, to this instance, or to one instance twice, and against instances
+// of the region that get none because no heartbeat named them.
+func TestReportsGoToTheListedAndLiveInstancesOfTheRegion(t *testing.T) {
+	s := &routing.Snapshot{
+		Peers:       []routing.Peer{{Region: "r", PeerAddress: "a1"}, {Region: "q", PeerAddress: "a2"}},
+		ListedPeers: []membership.Contact{{Region: "r", PeerAddress: "a1"}, {Region: "r", PeerAddress: "a3"}, {Region: "q", PeerAddress: "a4"}, {Region: "r", PeerAddress: "a0"}},
+	}
+	if got := fmt.Sprint(regionAddresses(s, control.Identity{Region: "r", PeerAddress: "a0"})); got != "[a1 a3]" {
+		t.Errorf("reports go to %s", got)
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -70,6 +70,8 @@
 	Log *logrus.Entry
 	// HostReport returns the report on the host routes; nil if the instance serves none.
 	HostReport HostReportFunc
+	// Restarts applies what other instances report of restarted upstreams; nil to ignore it.
+	Restarts *RestartReporter
 	// Changes holds what this instance reads from the store, for the others of its failure domain; nil for none.
 	Changes *storefeed.ChangeLog
 	// Timeline and Drain may be nil.
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -59,7 +59,10 @@
 	Loop *control.Loop
 	// ParseHeader decodes the header of the response to a health check.
 	ParseHeader func(h http.Header) Health
-	Log         *logrus.Entry
+	// ReportRestart tells the other instances of the region that an upstream ended, or started again and is
+	// cold; nil to tell nobody.
+	ReportRestart func(ctx context.Context, r control.RestartReport)
+	Log           *logrus.Entry
 
 	client *http.Client
 	// checks are indexed by upstream id.
@@ -104,7 +107,7 @@
 		u := &snapshot.Upstreams[i]
 		path := healthPath(snapshot, u)
 		silent := !u.Down && u.Counters.SilentFor(now) >= silenceToCheck
-		restarted := !u.Down && u.MayBecomeCold && u.Counters.RestartSuspected()
+		restarted := !u.Down && u.MayBecomeCold && u.Counters.CheckWanted()
 		leaving := u.Draining && !u.ListedDraining
 		if (!u.Down && !silent && !restarted && !leaving) || u.ListedDraining || path == "" {
 			continue
@@ -181,10 +184,12 @@
 	case errors.As(err, &operation) && operation.Op == "dial":
 		p.logFailed(u.ID, err.Error())
 		u.Counters.RecordUnreachable()
+		p.reportEnd(ctx, u, sent)
 		return
 	case err != nil && !os.IsTimeout(err):
 		// The connection broke: the upstream may be ending just now.
 		p.logFailed(u.ID, err.Error())
+		p.reportEnd(ctx, u, sent)
 		return
 	case err == nil:
 		_ = resp.Body.Close()
@@ -200,9 +205,33 @@
 		telemetry.FieldUpstream: u.ID,
 		telemetry.FieldColdFor:  health.ColdFor.Milliseconds(),
 	}).Info("a health check told whether an upstream started again")
+	p.reportColdTime(ctx, u.ID, sent, health)
 	p.Loop.Post(ctx, control.RestartCheckedEvent{Upstream: u.ID, Sent: sent, ColdFor: health.ColdFor})
 }
 
+// reportEnd tells the others of the region that an upstream ended. An instance that reaches less than half of the
+// upstreams of the service has probably lost its own links, and tells nothing.
+func (p *Prober) reportEnd(ctx context.Context, u *routing.Upstream, noticed time.Time) {
+	snapshot := p.Loop.Snapshot()
+	suspected, listed := 0, 0
+	for _, i := range snapshot.ByTarget[u.Targets[0]] {
+		listed++
+		if other := &snapshot.Upstreams[i]; other.Down || other.Counters.RestartSuspected() {
+			suspected++
+		}
+	}
+	if p.ReportRestart != nil && 2*suspected <= max(listed, 2) {
+		p.ReportRestart(ctx, control.RestartReport{Upstream: u.ID, NoticedAt: noticed})
+	}
+}
+
+// reportColdTime tells the others of the region until when an upstream is cold.
+func (p *Prober) reportColdTime(ctx context.Context, id string, sent time.Time, health Health) {
+	if p.ReportRestart != nil && health.ColdFor > 0 {
+		p.ReportRestart(ctx, control.RestartReport{Upstream: id, NoticedAt: sent, ColdFor: health.ColdFor})
+	}
+}
+
 // checkLeaving makes one health check of an upstream that leaves according to its responses only, which may stay or
 // may have started again.
 func (p *Prober) checkLeaving(ctx context.Context, u *routing.Upstream, url string) {
@@ -246,6 +275,7 @@
 		telemetry.FieldUpstream: id,
 		telemetry.FieldColdFor:  health.ColdFor.Milliseconds(),
 	}).Info("paused upstream passed a health check")
+	p.reportColdTime(ctx, id, sent, health)
 	p.Loop.Post(ctx, control.HealthCheckPassedEvent{Upstream: id, Sent: sent, ColdFor: health.ColdFor})
 }
 
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"log"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -113,3 +115,56 @@
 		server.Close()
 	}
 }
+
+// Guards against instances of the region that learn too late of a restart, and against reports of an instance that has
+// lost its own links.
+func TestRestartsAreReportedToTheRegion(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// ended is true if nothing listens, and others is the number of other upstreams of the service, of which
+		// suspected may have started again.
+		ended             bool
+		others, suspected int
+		coldFor           time.Duration
+		want              []time.Duration
+	}{
+		{"ended", true, 3, 0, 0, []time.Duration{0}},
+		{"ended, no other", true, 0, 0, 0, []time.Duration{0}},
+		{"half of them ended", true, 3, 1, 0, []time.Duration{0}},
+		{"most of them ended", true, 3, 2, 0, nil},
+		{"cold", false, 3, 3, 3 * time.Second, []time.Duration{3 * time.Second}},
+		{"warm", false, 3, 0, 0, nil},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		if c.ended {
+			server.Close()
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		loop := control.NewLoop(control.Identity{ID: "i", Region: "r"})
+		go loop.Run(ctx)
+		list := []external.Instance{{ID: "u", Role: external.RoleService, Region: "r", Service: "s", Address: "x"}}
+		for i := range c.others {
+			list = append(list, external.Instance{ID: fmt.Sprint("v", i), Role: external.RoleService, Region: "r", Service: "s", Address: "y"})
+		}
+		loop.Post(ctx, control.InstancesEvent{Instances: list})
+		for len(loop.Snapshot().Upstreams) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		upstreams := loop.Snapshot().Upstreams
+		for i := range c.suspected + 1 {
+			upstreams[i].Counters.SuspectRestart(time.Now())
+		}
+		var got []time.Duration
+		p := &Prober{
+			Loop: loop, ParseHeader: func(http.Header) Health { return Health{ColdFor: c.coldFor} }, Log: logrus.NewEntry(logrus.New()), client: newClient(),
+			ReportRestart: func(_ context.Context, r control.RestartReport) { got = append(got, r.ColdFor) },
+		}
+		p.Log.Logger.SetOutput(io.Discard)
+		p.checkRestarted(ctx, &upstreams[0], server.URL)
+		if !slices.Equal(got, c.want) {
+			t.Errorf("%s: reported %v, want %v", c.name, got, c.want)
+		}
+		cancel()
+		server.Close()
+	}
+}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -39,8 +41,59 @@
 	// exchanges counts the attempts that were assigned the connection, and named those whose response had
 	// the id of its request.
 	exchanges, named int
-	// lastRead is when bytes last arrived.
+	// lastRead is when bytes last arrived, or the connection was established.
 	lastRead time.Time
+	// announced is the idle timeout that the upstream stated last; 0 if it states none.
+	announced time.Duration
+	// maxIdle is how long the connection may stay idle if announced is 0.
+	maxIdle time.Duration
+	// idleTimer ends the connection when it has been idle for idleLimit.
+	idleTimer *time.Timer
+}
+
+// announcedIdleMargin is how much earlier than the upstream states an idle connection is closed, so that no request
+// crosses the close. Upstreams state whole seconds.
+const announcedIdleMargin = 1500 * time.Millisecond
+
+// idleLimit returns how long the connection may stay idle. The mutex must be held.
+func (c *conn) idleLimit() time.Duration {
+	if c.announced == 0 {
+		return c.maxIdle
+	}
+	return min(max(c.announced-announcedIdleMargin, c.announced/2), idleConnTimeout)
+}
+
+// closeIdle closes the connection if no attempt uses it.
+func (c *conn) closeIdle() {
+	c.mu.Lock()
+	idle := c.users == 0
+	c.sealed = c.sealed || idle
+	c.mu.Unlock()
+	if idle {
+		_ = c.Close()
+	}
+}
+
+// recordKeepAlive records the idle timeout that a response stated.
+func (c *conn) recordKeepAlive(header http.Header) {
+	announced := keepAliveTimeout(header)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.announced = announced
+}
+
+// keepAliveTimeout returns the timeout parameter of the Keep-Alive header; 0 if there is none.
+func keepAliveTimeout(header http.Header) time.Duration {
+	for _, value := range header.Values("Keep-Alive") {
+		for parameter := range strings.SplitSeq(value, ",") {
+			name, text, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+			seconds, err := strconv.ParseUint(strings.Trim(text, `" `), 10, 31)
+			if strings.EqualFold(strings.TrimSpace(name), "timeout") && err == nil {
+				return time.Duration(seconds) * time.Second
+			}
+		}
+	}
+	return 0
 }
 
 // Read implements net.Conn.
@@ -50,7 +103,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil && !c.ended && c.closedWhileIdle(err) {
-		c.pool.recordIdleClose(c.address, time.Since(c.lastRead))
+		c.pool.recordIdleClose(IdleClose{Address: c.address, Idle: time.Since(c.lastRead), Announced: c.announced})
 	}
 	c.ended = c.ended || err != nil
 	if n > 0 {
@@ -101,6 +154,7 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.pool.remove(c)
+	c.idleTimer.Stop()
 	return c.Conn.Close()
 }
 
@@ -109,6 +163,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.users++
+	c.idleTimer.Stop()
 	c.exchanges++
 	return c.writes, c.exchanges - 1
 }
@@ -137,6 +192,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.users--
+	if c.users == 0 && !c.sealed && !c.ended {
+		c.idleTimer.Reset(c.idleLimit())
+	}
 }
 
 // seal closes the connection, rejects further writes, and returns the number of writes.
@@ -173,12 +231,22 @@
 	mu     sync.Mutex
 	conns  map[string]map[*conn]struct{}
 	// onIdleClose is that of Relay.OnIdleClose; nil if it was not called.
-	onIdleClose atomic.Pointer[func(address string, idle time.Duration)]
+	onIdleClose atomic.Pointer[func(IdleClose)]
 }
 
-func (p *connPool) recordIdleClose(address string, idle time.Duration) {
+// IdleClose is the end of an idle connection that its upstream closed.
+type IdleClose struct {
+	// Address is the host:port of the upstream.
+	Address string
+	// Idle is the time since it last sent something on the connection.
+	Idle time.Duration
+	// Announced is the idle timeout that the upstream stated; 0 if it stated none.
+	Announced time.Duration
+}
+
+func (p *connPool) recordIdleClose(c IdleClose) {
 	if f := p.onIdleClose.Load(); f != nil {
-		(*f)(address, idle)
+		(*f)(c)
 	}
 }
 
@@ -186,12 +254,14 @@
 	return &connPool{dialer: dialer, conns: map[string]map[*conn]struct{}{}}
 }
 
-func (p *connPool) dial(ctx context.Context, network, address string) (net.Conn, error) {
+// dial connects to an upstream. The connection may stay idle for maxIdle unless the upstream states a timeout.
+func (p *connPool) dial(ctx context.Context, network, address string, maxIdle time.Duration) (net.Conn, error) {
 	raw, err := p.dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: abortive.New(raw), pool: p, address: address}
+	c := &conn{Conn: abortive.New(raw), pool: p, address: address, maxIdle: maxIdle, lastRead: time.Now()}
+	c.idleTimer = time.AfterFunc(maxIdle, c.closeIdle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns[address] == nil {
@@ -271,6 +341,15 @@
 	s.uses = append(s.uses, connUse{conn: c, writesBefore: writes, receivedBefore: c.received.Load(), exchangesBefore: exchanges})
 }
 
+// recordKeepAlive records the idle timeout that the response states for its connection.
+func (s *sendTracker) recordKeepAlive(header http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.uses) > 0 {
+		s.uses[len(s.uses)-1].conn.recordKeepAlive(header)
+	}
+}
+
 // recordNamed records that the response had the id of the request.
 func (s *sendTracker) recordNamed() {
 	s.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -193,17 +193,19 @@
 	}
 }
 
-// OnIdleClose sets a function that is called when an upstream closes an idle connection, with the host:port of
-// the upstream and the time since it last sent something there. It must return at once.
-func (r *Relay) OnIdleClose(f func(address string, idle time.Duration)) {
+// OnIdleClose sets a function that is called when an upstream closes an idle connection. It must return at once.
+func (r *Relay) OnIdleClose(f func(IdleClose)) {
 	r.pool.onIdleClose.Store(&f)
 }
 
-func newTransport(pool *connPool, idle time.Duration) *http.Transport {
+// newTransport returns a transport whose connections stay idle for maxIdle, or for the time that the upstream states.
+func newTransport(pool *connPool, maxIdle time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext:         pool.dial,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return pool.dial(ctx, network, address, maxIdle)
+		},
 		MaxIdleConnsPerHost: idleConnsPerHost,
-		IdleConnTimeout:     idle,
+		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 		// The default of net/http is 10 MB per response.
 		MaxResponseHeaderBytes: maxHeaderBytes,
@@ -250,6 +252,7 @@
 	}
 	defer sent.release()
 	defer resp.Body.Close()
+	sent.recordKeepAlive(resp.Header)
 	resp.Body = trackedBody{ReadCloser: resp.Body, sent: sent}
 	if a.Protocol != nil && sent.unwritten() {
 		return unsolicitedResponse(sent)
--- a/internal/routing/cold.go
+++ b/internal/routing/cold.go
@@ -13,6 +13,9 @@
 	// coldWindowLength is the window in which requests to a cold upstream are counted: one
 	// second, the unit of its limit, and the transit time of a request.
 	coldWindowLength = 1100 * time.Millisecond
+	// MaxReportTime is how long a report of a restart from another instance may take. An instance that did not run
+	// for longer may have missed one.
+	MaxReportTime = time.Second
 	// prunedSends is the number of recorded sends from which old ones are removed on each send.
 	prunedSends = 256
 )
@@ -27,6 +30,10 @@
 	// that was last noticed.
 	unchecked   bool
 	suspectedAt int64
+	// checkedAt is when the latest health check was sent whose result is known, and checkWanted is true if a request
+	// was not sent for want of one.
+	checkedAt   int64
+	checkWanted bool
 	// coldUntil is the end of the cold time that a health check told. It holds from then on, also while snapshots
 	// do not have it yet.
 	coldUntil int64
@@ -59,7 +66,7 @@
 // limited returns how many requests may be sent within coldWindowLength; ok is false if any number may. The
 // mutex must be held.
 func (w *coldWindow) limited(u *Upstream, now int64) (limit int, ok bool) {
-	return u.ColdRateLimit, u.Cold || (u.MayBecomeCold && (w.unchecked || now < w.coldUntil))
+	return u.ColdRateLimit, u.Cold || (u.MayBecomeCold && (w.unchecked || now < w.coldUntil || w.checkedAt < u.UninformedSince))
 }
 
 // allowsSend reports whether reserveSend would succeed.
@@ -68,7 +75,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	limit, limited := w.limited(u, now)
-	return !limited || w.used(now) < limit
+	allowed := !limited || w.used(now) < limit
+	w.checkWanted = w.checkWanted || (!allowed && w.checkedAt < u.UninformedSince)
+	return allowed
 }
 
 // reserveSend reports whether one more request may go to the upstream, and reserves a place for it if so.
@@ -122,11 +131,32 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.coldUntil = max(w.coldUntil, coldUntil.UnixNano())
+	w.checkedAt = max(w.checkedAt, sent.UnixNano())
+	w.checkWanted = false
 	if w.suspectedAt <= sent.UnixNano() {
 		w.unchecked = false
 	}
 }
 
+// SuspectReportedRestart is SuspectRestart for what another instance noticed at a time. It changes nothing if a health
+// check was sent since then.
+func (c *Counters) SuspectReportedRestart(noticed time.Time) {
+	w := c.coldSends()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if at := noticed.UnixNano(); at > w.checkedAt {
+		w.unchecked, w.suspectedAt = true, max(w.suspectedAt, at)
+	}
+}
+
+// RecordReportedColdTime records until when the upstream is cold according to another instance.
+func (c *Counters) RecordReportedColdTime(coldUntil time.Time) {
+	w := c.coldSends()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.coldUntil = max(w.coldUntil, coldUntil.UnixNano())
+}
+
 // RestartSuspected reports whether the upstream may have started again since its last health check.
 func (c *Counters) RestartSuspected() bool {
 	w := c.coldSends()
@@ -135,6 +165,14 @@
 	return w.unchecked
 }
 
+// CheckWanted reports whether a health check has to tell if the upstream started again.
+func (c *Counters) CheckWanted() bool {
+	w := c.coldSends()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.unchecked || w.checkWanted
+}
+
 // RecordHealthCheck counts a health check among the requests to the upstream.
 func (c *Counters) RecordHealthCheck(now time.Time) {
 	w := c.coldSends()
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -60,6 +60,9 @@
 	ColdRateLimit int
 	// MayBecomeCold is true for the upstreams of services that are cold after a start.
 	MayBecomeCold bool
+	// UninformedSince is since when this instance may have missed that an upstream which may become cold started again,
+	// in Unix nanoseconds; 0 if it would know. Such an upstream counts as cold until a later health check.
+	UninformedSince int64
 	// Brittle upstreams end if they have to turn away many requests. Places is this instance's part
 	// of the requests that the upstream runs at once, of which PlaceSharers instances have one.
 	Brittle      bool
@@ -85,7 +88,7 @@
 		u.Draining == v.Draining && u.ListedDraining == v.ListedDraining && u.Down == v.Down &&
 		u.Load == v.Load && u.Counters == v.Counters && u.StartedAt == v.StartedAt && u.Version == v.Version &&
 		u.MaxConcurrency == v.MaxConcurrency && u.CachesPrompts == v.CachesPrompts && u.Evacuated == v.Evacuated &&
-		u.Cold == v.Cold && u.ColdRateLimit == v.ColdRateLimit && u.MayBecomeCold == v.MayBecomeCold && u.ColdUntil.Equal(v.ColdUntil) &&
+		u.Cold == v.Cold && u.ColdRateLimit == v.ColdRateLimit && u.MayBecomeCold == v.MayBecomeCold && u.UninformedSince == v.UninformedSince && u.ColdUntil.Equal(v.ColdUntil) &&
 		u.Brittle == v.Brittle && u.Places == v.Places && u.PlaceSharers == v.PlaceSharers &&
 		u.RateLimited == v.RateLimited && u.RequestRate == v.RequestRate
 }
--- a/internal/telemetry/fields.go
+++ b/internal/telemetry/fields.go
@@ -32,6 +32,7 @@
 	FieldAge               = "age_ms"
 	FieldColdFor           = "cold_ms"
 	FieldIdle              = "idle_ms"
+	FieldChange            = "change"
 	FieldFirstByte         = "first_ms"
 	FieldExpectedFirstByte = "expected_ms"
 	FieldPromptTokens      = "prompt_tokens"
