Check at the send whether an upstream that may have started again takes one more request

A request that was picked before the connections broke, or that the transport repeats, is sent to whatever listens when it has a connection: callers lose requests at a cold upstream that gets more than it tolerates (FAILBACK). The belief: the process that was picked is the one that is reached.

The limit is now checked again when the attempt has its connection and before a byte of it is written; what is refused there counts as not sent and goes elsewhere, without a failure of the upstream.

--- a/internal/control/cold_fleet_test.go
+++ b/internal/control/cold_fleet_test.go
@@ -319,7 +319,7 @@
 		return
 	}
 	u := &s.snapshot.Upstreams[choice.Upstream]
-	s.sends = append(s.sends, fleetSend{at: w.now.Add(w.random(maxSendDelay)), reservation: u.Counters.ColdReservation(choice), upstream: u.ID})
+	s.sends = append(s.sends, fleetSend{at: w.now.Add(w.random(maxSendDelay)), reservation: u.ColdReservation(choice, w.now), upstream: u.ID})
 }
 
 // transmit sends what was picked and has a connection by now.
@@ -335,7 +335,7 @@
 		case !w.server.up && row != nil:
 			row.counters.SuspectRestart(w.now)
 			row.counters.ConsecutiveFailures.Add(1)
-		case w.server.up:
+		case w.server.up && send.reservation.MaySend(w.now, false):
 			send.reservation.Sent(w.now)
 			s.connectedTo, s.usedAt = w.server.born, w.now
 			w.server.arrivals = append(w.server.arrivals, w.now)
--- a/internal/control/cold_schedule_test.go
+++ b/internal/control/cold_schedule_test.go
@@ -233,7 +233,7 @@
 		return
 	}
 	u := &s.snapshot.Upstreams[choice.Upstream]
-	reservation := u.Counters.ColdReservation(choice)
+	reservation := u.ColdReservation(choice, w.now)
 	defer reservation.End(w.now)
 	if !w.server.up {
 		u.Counters.RecordUnreachable()
--- a/internal/control/reports_test.go
+++ b/internal/control/reports_test.go
@@ -69,7 +69,7 @@
 			if err != nil {
 				break
 			}
-			u.Counters.ColdReservation(choice).Sent(now)
+			u.ColdReservation(choice, now).Sent(now)
 		}
 		return n
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -615,7 +615,7 @@
 	now := clock.Now()
 	tracked := u.Counters.Begin(now, choice.PrefillTokens, choice.QueuedTokens)
 	defer func() { tracked.End(clock.Now()) }()
-	cold := u.Counters.ColdReservation(choice)
+	cold := u.ColdReservation(choice, now)
 	defer func() { cold.End(clock.Now()) }()
 	if d.Prefixes != nil {
 		d.Prefixes.Add(now.UnixNano(), u.Counters.HolderID(), promptHashes(r))
@@ -634,6 +634,7 @@
 		Completion:     r.RouteParams == nil && r.IsCompletion(),
 	}
 	if cold != nil {
+		attempt.MaySend = func(again bool) bool { return cold.MaySend(clock.Now(), again) }
 		attempt.OnSent = func() { cold.Sent(clock.Now()) }
 	}
 	if ctx.detached {
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -302,8 +302,11 @@
 	uses []connUse
 	// unknownConn is true if the attempt used a connection of an unknown type.
 	unknownConn bool
-	// onSent is Attempt.OnSent.
-	onSent func()
+	// onSent is Attempt.OnSent, and maySend is Attempt.MaySend.
+	onSent  func()
+	maySend func(again bool) bool
+	// refused is true once maySend has returned false.
+	refused bool
 	// abandoned is true once abandon has succeeded; connections that come later are not used.
 	abandoned bool
 }
@@ -321,7 +324,11 @@
 func (s *sendTracker) withTrace(ctx context.Context) context.Context {
 	trace := &httptrace.ClientTrace{GotConn: s.gotConn}
 	if s.onSent != nil {
-		trace.WroteRequest = func(httptrace.WroteRequestInfo) { s.onSent() }
+		trace.WroteRequest = func(httptrace.WroteRequestInfo) {
+			if !s.wasRefused() {
+				s.onSent()
+			}
+		}
 	}
 	return httptrace.WithClientTrace(ctx, trace)
 }
@@ -334,13 +341,23 @@
 		s.unknownConn = true
 		return
 	}
-	if s.abandoned {
+	if !s.refused && !s.abandoned && s.maySend != nil {
+		s.refused = !s.maySend(len(s.uses) > 0)
+	}
+	if s.abandoned || s.refused {
 		c.seal()
 	}
 	writes, exchanges := c.use()
 	s.uses = append(s.uses, connUse{conn: c, writesBefore: writes, receivedBefore: c.received.Load(), exchangesBefore: exchanges})
 }
 
+// wasRefused reports whether Attempt.MaySend kept the attempt from a connection.
+func (s *sendTracker) wasRefused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused
+}
+
 // recordKeepAlive records the idle timeout that the response states for its connection.
 func (s *sendTracker) recordKeepAlive(header http.Header) {
 	s.mu.Lock()
@@ -468,6 +485,9 @@
 			n++
 		}
 	}
+	if s.refused {
+		return max(n-1, 0)
+	}
 	return n
 }
 
--- a/internal/relay/idle_test.go
+++ b/internal/relay/idle_test.go
@@ -3,8 +3,11 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"heatherloom/internal/retry"
 )
 
 func keepAliveHead(timeout string) string {
@@ -77,3 +80,51 @@
 		}
 	}
 }
+
+// Guards against a request that reaches an upstream which may get none any more since the request was picked.
+func TestARefusedSendReachesNoUpstream(t *testing.T) {
+	for name, c := range map[string]struct {
+		allowed, wantSent, wantConns int
+		repeatable, completes        bool
+		want                         retry.Outcome
+	}{
+		"first send":                {allowed: 0, wantSent: 0, wantConns: 1, repeatable: true, want: retry.NotSent},
+		"first send of a write":     {allowed: 0, wantSent: 0, wantConns: 1, want: retry.NotSent},
+		"repeat on a broken one":    {allowed: 2, wantSent: 2, wantConns: 2, repeatable: true, want: retry.Crashed},
+		"repeat that is allowed":    {allowed: 3, wantSent: 3, wantConns: 2, repeatable: true, completes: true},
+		"write on a broken one":     {allowed: 2, wantSent: 2, wantConns: 1, want: retry.Crashed},
+		"second send of the second": {allowed: 1, wantSent: 1, wantConns: 2, repeatable: true, want: retry.NotSent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := startByteUpstream(t, func(n int) (string, func(net.Conn)) {
+				if n == 2 {
+					return "", closeConn
+				}
+				return response(validHead, "x"), nil
+			})
+			var asked, sent atomic.Int64
+			attempt := newAttempt(u)
+			if attempt.Repeatable = c.repeatable; c.repeatable {
+				attempt.Method, attempt.Body = http.MethodGet, nil
+			}
+			attempt.MaySend = func(bool) bool { return asked.Add(1) <= int64(c.allowed) }
+			attempt.OnSent = func() { sent.Add(1) }
+			r := New(DefaultLimits())
+			result := r.Do(t.Context(), attempt, &memorySink{})
+			if c.allowed > 0 {
+				result = r.Do(t.Context(), attempt, &memorySink{})
+			}
+			if (result.Err == nil) != c.completes || (result.Err != nil && result.Outcome != c.want) {
+				t.Errorf("outcome %v, want %v: %v", result.Outcome, c.want, result.Err)
+			}
+			if refused := result.Err != nil && result.Outcome == retry.NotSent; refused != result.Refused || (refused && result.UpstreamFault) {
+				t.Errorf("refused %t, upstream fault %t", result.Refused, result.UpstreamFault)
+			}
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			if len(u.heads) != c.wantSent || int(sent.Load()) != c.wantSent || u.conns > c.wantConns {
+				t.Errorf("%d requests arrived and %d count as sent, want %d, on %d connections", len(u.heads), sent.Load(), c.wantSent, u.conns)
+			}
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -136,6 +136,10 @@
 	// nothing was sent, must not block, and runs on another goroutine, but not after Do has returned. Nil to
 	// give up always.
 	ReserveRetry func() bool
+	// MaySend is called when the attempt has a connection, before a byte of it is sent there, again if the
+	// transport sends it once more because the connection before broke. If it returns false, nothing is sent on
+	// that connection and the attempt ends. Nil to send always.
+	MaySend func(again bool) bool
 	// OnSent is called each time the request was written to a connection, completely or not; nil to
 	// ignore it. The transport may write a request more than once.
 	OnSent func()
@@ -158,6 +162,8 @@
 	EndedByClose bool
 	// ConnectionBroken is true if the connection broke during the response.
 	ConnectionBroken bool
+	// Refused is true if Attempt.MaySend kept the attempt from being sent.
+	Refused bool
 	// ErrorResponse is a complete response of the upstream with a 5xx status. It is
 	// delivered if no further attempt is made.
 	ErrorResponse *BufferedResponse
@@ -221,7 +227,7 @@
 func (r *Relay) Do(ctx context.Context, a Attempt, sink Sink) Result {
 	result := r.doOnce(ctx, a, sink)
 	for range maxSealedConnRetries {
-		if a.Protocol == nil || result.Err == nil || result.Outcome != retry.NotSent || !errors.Is(result.Err.Cause, errSealed) {
+		if a.Protocol == nil || result.Err == nil || result.Outcome != retry.NotSent || !errors.Is(result.Err.Cause, errSealed) || result.Refused {
 			break
 		}
 		result = r.doOnce(ctx, a, sink)
@@ -235,7 +241,7 @@
 
 // doOnce makes the attempt without repeating it after a sealed connection.
 func (r *Relay) doOnce(ctx context.Context, a Attempt, sink Sink) Result {
-	sent := &sendTracker{onSent: a.OnSent}
+	sent := &sendTracker{onSent: a.OnSent, maySend: a.MaySend}
 	mayGiveUp := func() bool { return a.ReserveRetry == nil || sent.unsent() || a.ReserveRetry() }
 	w := newWatchdog(ctx, firstByteTimeout(a, r.limits), mayGiveUp)
 	defer w.stop()
@@ -407,6 +413,13 @@
 		}
 		return upstreamFault(errkind.UpstreamTimeout, execution, outcome, err, "the upstream sent no response within %s", firstByteTimeout(a, r.limits))
 	}
+	if refused := sent.wasRefused(); refused && outcome == retry.NotSent {
+		result := upstreamFault(errkind.UpstreamFailed, execution, outcome, err, "the upstream may have started again, and other requests use all that it may get")
+		result.Refused, result.UpstreamFault = true, false
+		return result
+	} else if refused {
+		return upstreamFault(errkind.UpstreamFailed, execution, outcome, err, "the connection to the upstream broke before a response")
+	}
 	if outcome == retry.NotSent {
 		return upstreamFault(errkind.UpstreamFailed, execution, outcome, err, "the upstream could not be reached")
 	}
--- a/internal/routing/cold.go
+++ b/internal/routing/cold.go
@@ -185,20 +185,42 @@
 // cold. It counts from the pick until coldWindowLength after the request was sent, however long a connection,
 // or this process, took in between. It is safe for concurrent use, and nil does nothing.
 type ColdReservation struct {
-	window *coldWindow
-	once   sync.Once
+	upstream *Upstream
+	window   *coldWindow
+	// pickedAt is when the attempt began, just after the pick.
+	pickedAt int64
+	once     sync.Once
 }
 
 // ColdReservation returns the reservation that a pick made; nil if the pick reserved none.
-func (c *Counters) ColdReservation(choice Choice) *ColdReservation {
+func (u *Upstream) ColdReservation(choice Choice, pickedAt time.Time) *ColdReservation {
 	if !choice.ColdReserved {
 		return nil
 	}
-	return &ColdReservation{window: c.coldSends()}
+	return &ColdReservation{upstream: u, window: u.Counters.coldSends(), pickedAt: pickedAt.UnixNano()}
 }
 
-// Sent records that the request was sent. The transport may send it more than once: the connection broke then,
-// as in SuspectRestart.
+// MaySend reports whether the request may be sent on the connection that it has now: between the pick and the send, or
+// between two sends, the upstream may have started again. again is true if it was sent before, on a connection
+// that broke.
+func (r *ColdReservation) MaySend(now time.Time, again bool) bool {
+	r.window.mu.Lock()
+	defer r.window.mu.Unlock()
+	own := 0
+	if again {
+		r.window.suspect(now)
+		own = 1
+	}
+	limit, limited := r.window.limited(r.upstream, now.UnixNano())
+	limited = limited || now.UnixNano()-r.pickedAt > int64(MaxReportTime)
+	if !limited || r.window.used(now.UnixNano())+own <= limit {
+		return true
+	}
+	r.once.Do(func() { r.window.reserved-- })
+	return false
+}
+
+// Sent records that the request was sent. The transport may send it more than once.
 func (r *ColdReservation) Sent(now time.Time) {
 	if r == nil {
 		return
@@ -206,14 +228,7 @@
 	r.window.mu.Lock()
 	defer r.window.mu.Unlock()
 	r.window.add(now)
-	again := true
-	r.once.Do(func() {
-		r.window.reserved--
-		again = false
-	})
-	if again {
-		r.window.suspect(now)
-	}
+	r.once.Do(func() { r.window.reserved-- })
 }
 
 // End records the end of the attempt. If it is not known that the request was sent, it counts as
--- a/internal/routing/service_test.go
+++ b/internal/routing/service_test.go
@@ -241,7 +241,7 @@
 	for ms := 0; ms < 5000; ms += 10 {
 		now := testNow.Add(time.Duration(ms) * time.Millisecond)
 		if u.reserveSend(now.UnixNano()) {
-			u.Counters.ColdReservation(Choice{ColdReserved: true}).Sent(now)
+			u.ColdReservation(Choice{ColdReserved: true}, now).Sent(now)
 			taken = append(taken, now)
 		}
 	}
@@ -264,7 +264,7 @@
 		if !u.reserveSend(at(ms).UnixNano()) {
 			return nil
 		}
-		return u.Counters.ColdReservation(Choice{ColdReserved: true})
+		return u.ColdReservation(Choice{ColdReserved: true}, testNow)
 	}
 	first, second := reserve(0), reserve(0)
 	if reserve(1500) != nil {
