Keep the cold time of an upstream that does not leave any more

An upstream that said it leaves, ended and started again under its id is checked every 4 s. The check that passes returned it to service as a warm one, whatever cold time it told, so that callers could lose requests at it (FAILBACK). The belief: one that no longer leaves is the process that said so.

The check now records the cold time and tells the region. TestAnUpstreamThatDoesNotLeaveAnyMoreMayBeCold failed before (not cold 2 s after the check).

--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -242,7 +242,10 @@
 	}
 	_ = resp.Body.Close()
 	if health := p.ParseHeader(resp.Header); resp.StatusCode == http.StatusOK && health.ID == u.ID && !health.Leaving {
+		u.Counters.RecordColdTime(sent, clock.Now().Add(health.ColdFor))
 		u.Counters.ClearLeaving(sent)
+		p.reportColdTime(ctx, u.ID, sent, health)
+		p.Loop.Post(ctx, control.RestartCheckedEvent{Upstream: u.ID, Sent: sent, ColdFor: health.ColdFor})
 	}
 }
 
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -168,3 +168,28 @@
 		server.Close()
 	}
 }
+
+// Guards against an upstream that said it leaves, started again instead, and is flooded because its health check counts
+// as that of a warm one.
+func TestAnUpstreamThatDoesNotLeaveAnyMoreMayBeCold(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	loop := control.NewLoop(control.Identity{ID: "i", Region: "r"})
+	go loop.Run(t.Context())
+	loop.Post(t.Context(), control.InstancesEvent{Instances: []external.Instance{{ID: "u", Role: external.RoleService, Region: "r", Service: "s", Address: "x"}}})
+	for len(loop.Snapshot().Upstreams) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	u := &loop.Snapshot().Upstreams[0]
+	u.Counters.RecordLeaving(time.Now().Add(-time.Second))
+	p := &Prober{Loop: loop, ParseHeader: func(http.Header) Health { return Health{ID: "u", ColdFor: 3 * time.Second} }, client: newClient()}
+	p.checkLeaving(t.Context(), u, server.URL)
+	for deadline := time.Now().Add(2 * time.Second); !loop.Snapshot().Upstreams[0].Cold; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the upstream is not cold 2 s after its health check told so")
+		}
+	}
+	if u.Counters.SaysLeaving() {
+		t.Error("the upstream still leaves")
+	}
+}
