Check an upstream at once for a new sign of a restart

An upstream that started again up to 0.1 s after a health check had told that it had not was checked for it only when the next check of the first sign was due, 0.4 s later. It happens when an upstream starts again just as its cold time ends, when all instances check it.

The result of a check now counts from its arrival, not from the next tick, and a later sign starts a new schedule, 0.1 s after the last check at the earliest. TestANewSignOfARestartIsCheckedAtOnce failed before with one check for two signs.

--- a/internal/control/cold_fleet_test.go
+++ b/internal/control/cold_fleet_test.go
@@ -289,6 +289,7 @@
 	if s.checked != nil && !w.now.Before(s.checkedAt) {
 		s.checked.apply(s.tables, w.now)
 		s.checked = nil
+		s.checkAt = minCheckTime(s.checkAt, w.now.Add(checkSpacing))
 	}
 	row := s.tables.upstreams[w.server.id]
 	if row == nil || s.checked != nil || w.now.Before(s.checkAt) || (!row.awaitsHealthCheck && !row.counters.CheckWanted()) {
--- a/internal/control/cold_schedule_test.go
+++ b/internal/control/cold_schedule_test.go
@@ -23,6 +23,8 @@
 	keptConnection = 5 * time.Second
 	// maxCheckTime bounds the time from a health check to its result.
 	maxCheckTime = 50 * time.Millisecond
+	// checkSpacing is the time from the result of a health check to the next check.
+	checkSpacing = 100 * time.Millisecond
 	// sendsPerStep is the mean number of requests that an instance gets in a step.
 	sendsPerStep = 0.5
 )
@@ -204,11 +206,19 @@
 	InstancesEvent{Instances: list}.apply(s.tables, w.now)
 }
 
+func minCheckTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // check makes the health check of an upstream that is paused or may have started again.
 func (w *coldSchedule) check(s *coldSender) {
 	if s.checked != nil && !w.now.Before(s.checkedAt) {
 		s.checked.apply(s.tables, w.now)
 		s.checked = nil
+		s.checkAt = minCheckTime(s.checkAt, w.now.Add(checkSpacing))
 	}
 	row := s.tables.upstreams[w.server.id]
 	if row == nil || s.checked != nil || w.now.Before(s.checkAt) || (!row.awaitsHealthCheck && !row.counters.RestartSuspected()) {
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -29,6 +29,8 @@
 	// The interval doubles after each check up to maxInterval, because every check has a cost.
 	initialDelay = 400 * time.Millisecond
 	maxInterval  = 2 * time.Second
+	// minCheckSpacing is the time between two checks if the first told that the upstream did not start again.
+	minCheckSpacing = 2 * scanInterval
 	// leavingDelay is the time to the first check of an upstream that leaves according to its responses only, and between
 	// two. Most have ended by then.
 	leavingDelay = 4 * time.Second
@@ -73,6 +75,14 @@
 type check struct {
 	due      time.Time
 	interval time.Duration
+	// sent is when the last check was sent; zero before the first.
+	sent time.Time
+}
+
+// restartNoticed returns the schedule for an upstream of which a new sign of a restart was noticed after the last check
+// told that there was none.
+func (c *check) restartNoticed() *check {
+	return &check{due: c.sent.Add(minCheckSpacing), interval: initialDelay}
 }
 
 // Run checks paused upstreams until ctx ends.
@@ -114,6 +124,10 @@
 		}
 		checked[u.ID] = true
 		c, ok := p.checks[u.ID]
+		if ok && restarted && !c.sent.IsZero() && u.Counters.CheckedSince(c.sent) {
+			c = c.restartNoticed()
+			p.checks[u.ID] = c
+		}
 		if !ok {
 			c = &check{due: now, interval: initialDelay}
 			switch {
@@ -128,7 +142,7 @@
 			continue
 		}
 		c.interval = min(2*c.interval, max(maxInterval, c.interval))
-		c.due = now.Add(c.interval)
+		c.due, c.sent = now.Add(c.interval), now
 		u.Counters.RecordHealthCheck(now)
 		switch url := "http://" + u.Address + path; {
 		case leaving:
@@ -205,6 +219,7 @@
 		telemetry.FieldUpstream: u.ID,
 		telemetry.FieldColdFor:  health.ColdFor.Milliseconds(),
 	}).Info("a health check told whether an upstream started again")
+	u.Counters.RecordColdTime(sent, clock.Now().Add(health.ColdFor))
 	p.reportColdTime(ctx, u.ID, sent, health)
 	p.Loop.Post(ctx, control.RestartCheckedEvent{Upstream: u.ID, Sent: sent, ColdFor: health.ColdFor})
 }
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -10,13 +10,16 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"heatherloom/internal/clock"
 	"heatherloom/internal/control"
 	"heatherloom/internal/external"
+	"heatherloom/internal/opconfig"
 	"heatherloom/internal/routing"
 )
 
@@ -193,3 +196,35 @@
 		t.Error("the upstream still leaves")
 	}
 }
+
+// Guards against an upstream that starts again just after a health check and is checked for it only when the next check
+// of the first sign would be due.
+func TestANewSignOfARestartIsCheckedAtOnce(t *testing.T) {
+	var checks atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { checks.Add(1) }))
+	defer server.Close()
+	loop := control.NewLoop(control.Identity{ID: "i", Region: "r"})
+	go loop.Run(t.Context())
+	config := opconfig.New()
+	config.Revision = 1
+	config.Services["s"] = opconfig.Service{Name: "s", ColdRateLimit: 2, ColdFor: 3 * time.Second, HealthPath: "/h"}
+	loop.Post(t.Context(), control.ConfigEvent{Config: config})
+	loop.Post(t.Context(), control.InstancesEvent{Instances: []external.Instance{
+		{ID: "u", Role: external.RoleService, Region: "r", Service: "s", Address: server.Listener.Addr().String()},
+	}})
+	for len(loop.Snapshot().Upstreams) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	counters := loop.Snapshot().Upstreams[0].Counters
+	p := &Prober{Loop: loop, ParseHeader: func(http.Header) Health { return Health{} }, Log: logrus.NewEntry(logrus.New()), client: newClient(), checks: map[string]*check{}}
+	p.Log.Logger.SetOutput(io.Discard)
+	for want := range int64(3) {
+		counters.SuspectRestart(clock.Now())
+		for started := time.Now(); checks.Load() <= want || counters.RestartSuspected(); time.Sleep(time.Millisecond) {
+			p.scan(t.Context(), clock.Now())
+			if time.Since(started) > initialDelay {
+				t.Fatalf("%d health checks for %d signs of a restart", checks.Load(), want+1)
+			}
+		}
+	}
+}
--- a/internal/routing/cold.go
+++ b/internal/routing/cold.go
@@ -165,6 +165,14 @@
 	return w.unchecked
 }
 
+// CheckedSince reports whether the result of a health check is known that was sent at a time or later.
+func (c *Counters) CheckedSince(sent time.Time) bool {
+	w := c.coldSends()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.checkedAt >= sent.UnixNano()
+}
+
 // CheckWanted reports whether a health check has to tell if the upstream started again.
 func (c *Counters) CheckWanted() bool {
 	w := c.coldSends()
