Show that what a new process said is forgotten when its row arrives

An upstream starts again in place and says in its responses that it leaves, wants a pause, names a rate or is brittle. Its row shows the new process seconds later, and with it setUpstream replaces the counters: requests go to the upstream in its pause (BUDGET), while it leaves (DRAIN) and beyond its rate (LIMIT), and callers get rejections. The belief: all that was heard under the former row came from the former process. Responses to requests sent before the row are recorded on the former counters and lost too, also if they arrive later.

--- /dev/null
+++ b/internal/control/new_process_test.go
@@ -0,0 +1,60 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"heatherloom/internal/external"
+	"heatherloom/internal/routing"
+)
+
+// rowDelay is the time from the start of a process to its row.
+const rowDelay = 2 * time.Second
+
+// startedAgain returns a listed upstream whose process started again at a time, and the event of its new row.
+func startedAgain(x *tables, now time.Time) (newRow InstancesEvent) {
+	started := func(at time.Time) InstancesEvent {
+		return listedUpstream(func(i *external.Instance) { i.StartedAtUnixMilli, i.MaxConcurrency = at.UnixMilli(), 4 })
+	}
+	started(now.Add(-time.Minute)).apply(x, now.Add(-time.Minute))
+	return started(now)
+}
+
+// Guards against what a process that started again said of itself being forgotten when its row shows it.
+func TestWhatANewProcessSaidOutlastsTheArrivalOfItsRow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name  string
+		says  func(c *routing.Counters, at time.Time)
+		known func(u *routing.Upstream, at time.Time) bool
+	}{
+		{"that it leaves", func(c *routing.Counters, at time.Time) { c.RecordLeaving(at) },
+			func(u *routing.Upstream, _ time.Time) bool { return u.Draining }},
+		{"that it wants a pause", func(c *routing.Counters, at time.Time) { c.RecordRetryAfter(at, 10*time.Second) },
+			func(u *routing.Upstream, at time.Time) bool { return u.Counters.PausedFor(at.UnixNano()) > 0 }},
+		{"its rate", func(c *routing.Counters, at time.Time) { c.RecordNamedRate(at, at, 1, true) },
+			func(u *routing.Upstream, _ time.Time) bool { return u.RateLimited }},
+		{"that it is brittle", func(c *routing.Counters, at time.Time) { c.RecordBrittle(at, at, true) },
+			func(u *routing.Upstream, _ time.Time) bool { return u.Brittle }},
+	} {
+		for _, said := range []struct {
+			when string
+			at   time.Duration
+		}{{"before its row", rowDelay / 2}, {"in response to a request sent before its row", rowDelay + time.Second}} {
+			x := newServiceTables("e0", 2)
+			newRow := startedAgain(x, now)
+			counters := testUpstream(x).counters
+			if said.at < rowDelay {
+				c.says(counters, now.Add(said.at))
+			}
+			newRow.apply(x, now.Add(rowDelay))
+			if said.at > rowDelay {
+				c.says(counters, now.Add(said.at))
+			}
+			at := now.Add(rowDelay + 2*time.Second)
+			if u := &buildSnapshot(x, at).Upstreams[0]; !c.known(u, at) {
+				t.Errorf("it said %s %s, which is not known any more", c.name, said.when)
+			}
+		}
+	}
+}
