Show that requests which a new process runs are not counted after its row

Requests that were sent to a brittle upstream between its start in place and its row run on while the new counters start at 0, so that an instance uses its places twice and the upstream turns requests away, or falls over (LIMIT). The belief: the requests in flight under the former row ended with the former process. Those sent before the start did.

The test fails: a fifth request goes to an upstream with four places.

--- a/internal/control/new_process_test.go
+++ b/internal/control/new_process_test.go
@@ -58,3 +58,21 @@
 		}
 	}
 }
+
+// Guards against more requests than a brittle upstream has places because those since before its row do not count.
+func TestRequestsThatANewProcessRunsTakePlacesAfterItsRow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	x := newServiceTables("e0", 1)
+	newRow := startedAgain(x, now)
+	for range 4 {
+		testUpstream(x).counters.Begin(now.Add(rowDelay/2), 0, 0).FirstByte(now.Add(rowDelay / 2))
+	}
+	newRow.apply(x, now.Add(rowDelay))
+	at := now.Add(rowDelay + 100*time.Millisecond)
+	testUpstream(x).counters.RecordBrittle(at, at, true)
+	s := buildSnapshot(x, at)
+	request := &routing.Request{ID: "r", Target: "s", Now: at.UnixNano(), Service: &routing.ServiceRequest{Remaining: time.Second}}
+	if _, err := (routing.ServicePolicy{Index: routing.NewPrefixIndex()}).Pick(s, request, routing.NewScratch(1)); err == nil {
+		t.Errorf("a fifth request goes to an upstream with %d places that runs four", s.Upstreams[0].Places)
+	}
+}
