Show that a stopped version gets requests again when its upstream starts again

An instance stops sending to a version after its part of 40 failed attempts. The rollback by evidence does not forget; this bound is for faults that it finds too late.

--- a/internal/control/new_process_test.go
+++ b/internal/control/new_process_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heatherloom/internal/external"
+	"heatherloom/internal/rollout"
 	"heatherloom/internal/routing"
 )
 
@@ -76,3 +77,27 @@
 		t.Errorf("a fifth request goes to an upstream with %d places that runs four", s.Upstreams[0].Places)
 	}
 }
+
+// Guards against a faulty version that gets requests again because its upstream started again in place.
+func TestAVersionThatStartsAgainGetsNothingAfterBadAnswers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	x := newServiceTables("e0", 8)
+	x.identity.CanaryShare = 0.1
+	row := func(started time.Time) InstancesEvent {
+		event := listedUpstream(func(i *external.Instance) { i.Version, i.StartedAtUnixMilli = "v2", started.UnixMilli() })
+		event.Instances = append(event.Instances, external.Instance{ID: "old", Role: external.RoleService, Region: "a", Service: "s", Version: "v1", State: external.InstanceLive})
+		return event
+	}
+	row(now.Add(-time.Minute)).apply(x, now)
+	ServiceRolloutsEvent{Rollouts: []rollout.ServiceRollout{{Service: "s", Version: "v2", State: rollout.Serving}}}.apply(x, now)
+	for range 5 {
+		testUpstream(x).counters.ObserveAttempt(true)
+	}
+	if got := buildSnapshot(x, now).ServiceSplits["s"].Share; got != 0 {
+		t.Fatalf("share %v after five failed attempts at each of eight instances", got)
+	}
+	row(now).apply(x, now.Add(rowDelay))
+	if got := buildSnapshot(x, now.Add(rowDelay)).ServiceSplits["s"].Share; got != 0 {
+		t.Errorf("share %v after the upstream started again", got)
+	}
+}
