Show that a late row of a former process makes a cold upstream count as warm

A write to the store that got no response may take effect seconds later. Such a write of a process that crashed follows the row of the next process, and each change of the start time replaces what is known: the upstream counts as the former process, which was warm, gets any number of requests and falls over (FAILBACK). The belief: a row with another start time is that of a later process.

--- a/internal/control/new_process_test.go
+++ b/internal/control/new_process_test.go
@@ -101,3 +101,21 @@
 		t.Errorf("share %v after the upstream started again", got)
 	}
 }
+
+// Guards against a flood of a cold upstream because its row is followed by one of its former process.
+func TestARowOfAFormerProcessDoesNotReplaceThatOfALaterOne(t *testing.T) {
+	now := time.Unix(1000, 0)
+	x := newServiceTables("e0", 3)
+	row := func(started, listed time.Time, coldFor time.Duration) InstancesEvent {
+		return listedUpstream(func(i *external.Instance) {
+			i.StartedAtUnixMilli, i.ListedAt, i.ColdFor = started.UnixMilli(), listed, coldFor
+		})
+	}
+	row(now.Add(-time.Minute), now.Add(-time.Minute), 0).apply(x, now.Add(-time.Minute))
+	row(now, now.Add(time.Second), 5*time.Second).apply(x, now.Add(time.Second))
+	late := now.Add(2 * time.Second)
+	row(now.Add(-time.Minute), late, 0).apply(x, late)
+	if u := buildSnapshot(x, late).Upstreams[0]; !u.Cold || u.StartedAt != now.UnixMilli() {
+		t.Errorf("cold %t, started at %d, the later process at %d", u.Cold, u.StartedAt, now.UnixMilli())
+	}
+}
