Show that sound requests are quarantined after slow upstreams started again

Requests that are sent to an upstream after its start in place and before its row are tracked as those of the former process. When the row arrives, those that have waited 2 s for a byte, or were given up, count as crashes of it: after two upstreams that started again, callers get 503 for this content for ten minutes. The belief: what was sent under the former row reached the former process.

--- a/internal/quarantine/in_place_test.go
+++ b/internal/quarantine/in_place_test.go
@@ -51,3 +51,17 @@
 		t.Errorf("the end under the request was found %d times, want once", got)
 	}
 }
+
+// Guards against a sound request that is held responsible for the end of a process which never got it.
+func TestRequestsOfTheNextProcessAreNotBlamedForTheEndOfTheFormerOne(t *testing.T) {
+	for name, act := range map[string]func(p *inPlace, a *Attempt){
+		"it still runs there":            func(*inPlace, *Attempt) {},
+		"it was given up before the row": func(p *inPlace, a *Attempt) { a.Abandon(p.at(1.5)) },
+	} {
+		p := newInPlace(0.5)
+		act(p, p.begin(1, 7))
+		if got := count(p.sweep(1.75, 2, 5), 7); got != 0 {
+			t.Errorf("%s: blamed %d times", name, got)
+		}
+	}
+}
