Record the cold time that the health check of a silent upstream told

An upstream that owed responses is checked, and its response dropped the cold time that it told: one that had started again under its id was used as a warm one and flooded (FAILBACK). The belief: whoever responds is the process that owes the responses.

All four kinds of health check now record the cold time and tell the region. The test of silent upstreams gets the decoder of headers that each prober has; its checks are the same.

--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -172,10 +172,14 @@
 
 // checkSilent makes one health check of an upstream in service, which is paused if it sends nothing.
 func (p *Prober) checkSilent(ctx context.Context, u *routing.Upstream, url string) {
+	sent := clock.Now()
 	resp, err := p.get(ctx, url)
 	if err == nil {
 		_ = resp.Body.Close()
 		u.Counters.RecordSign(clock.Now())
+		if health := p.ParseHeader(resp.Header); health.ID == u.ID {
+			p.recordColdTime(ctx, u, sent, health)
+		}
 		return
 	}
 	if ctx.Err() == nil && u.Counters.SilentFor(clock.Now()) >= silenceToCheck {
@@ -219,9 +223,7 @@
 		telemetry.FieldUpstream: u.ID,
 		telemetry.FieldColdFor:  health.ColdFor.Milliseconds(),
 	}).Info("a health check told whether an upstream started again")
-	u.Counters.RecordColdTime(sent, clock.Now().Add(health.ColdFor))
-	p.reportColdTime(ctx, u.ID, sent, health)
-	p.Loop.Post(ctx, control.RestartCheckedEvent{Upstream: u.ID, Sent: sent, ColdFor: health.ColdFor})
+	p.recordColdTime(ctx, u, sent, health)
 }
 
 // reportEnd tells the others of the region that an upstream ended. An instance that reaches less than half of the
@@ -240,6 +242,13 @@
 	}
 }
 
+// recordColdTime records what the response to a health check of an upstream in service said of its cold time.
+func (p *Prober) recordColdTime(ctx context.Context, u *routing.Upstream, sent time.Time, health Health) {
+	u.Counters.RecordColdTime(sent, clock.Now().Add(health.ColdFor))
+	p.reportColdTime(ctx, u.ID, sent, health)
+	p.Loop.Post(ctx, control.RestartCheckedEvent{Upstream: u.ID, Sent: sent, ColdFor: health.ColdFor})
+}
+
 // reportColdTime tells the others of the region until when an upstream is cold.
 func (p *Prober) reportColdTime(ctx context.Context, id string, sent time.Time, health Health) {
 	if p.ReportRestart != nil && health.ColdFor > 0 {
@@ -257,10 +266,8 @@
 	}
 	_ = resp.Body.Close()
 	if health := p.ParseHeader(resp.Header); resp.StatusCode == http.StatusOK && health.ID == u.ID && !health.Leaving {
-		u.Counters.RecordColdTime(sent, clock.Now().Add(health.ColdFor))
+		p.recordColdTime(ctx, u, sent, health)
 		u.Counters.ClearLeaving(sent)
-		p.reportColdTime(ctx, u.ID, sent, health)
-		p.Loop.Post(ctx, control.RestartCheckedEvent{Upstream: u.ID, Sent: sent, ColdFor: health.ColdFor})
 	}
 }
 
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -75,7 +75,7 @@
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { c.respond(w) }))
 		u := &routing.Upstream{ID: "u", Counters: &routing.Counters{}}
 		u.Counters.Begin(time.Now().Add(-2*silenceToCheck), 0, 0)
-		p := &Prober{Log: logrus.NewEntry(logrus.New()), client: newClient()}
+		p := &Prober{Log: logrus.NewEntry(logrus.New()), client: newClient(), ParseHeader: func(http.Header) Health { return Health{} }}
 		p.Log.Logger.SetOutput(io.Discard)
 		p.checkSilent(t.Context(), u, server.URL)
 		if got := u.Counters.ConsecutiveFailures.Load() >= routing.FailuresToPause; got != c.want {
