Do not take the row of a former process for that of a later one

A write to the store that got no response may take effect seconds later. Such a row of a process that crashed follows that of the next one, and each change of the start time replaced what was known: the upstream counted as the former process, which was warm, got up to 54 requests in a second, 6 are allowed, and fell over (FAILBACK). The belief: a row with another start is that of a later process.

For 10 s after the row of a process, one with an earlier start is not believed; after that it is, because the clock of a later process may have been set back, and keeps the cold time. TestARowOfAFormerProcessDoesNotReplaceThatOfALaterOne failed before and now also asks that a process whose clock was set back is believed in the end.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -143,17 +143,29 @@
 	return row, ok
 }
 
+// formerRowGrace is how long after the row of a process that of an earlier one is not believed. A write to the store may
+// take effect seconds after it was sent. A later process has an earlier start if its clock was set back.
+const formerRowGrace = 10 * time.Second
+
 func (t *tables) setUpstream(instance external.Instance, now time.Time) {
 	row, ok := t.upstreams[instance.ID]
 	if !ok {
 		row, ok = t.relist(instance.ID)
 	}
+	isFormer := ok && instance.StartedAtUnixMilli > 0 && instance.StartedAtUnixMilli < row.instance.StartedAtUnixMilli
+	if isFormer && now.Sub(row.firstListedAt) < formerRowGrace {
+		return
+	}
 	if !ok || row.instance.Address != instance.Address || row.instance.StartedAtUnixMilli != instance.StartedAtUnixMilli {
 		counters := &routing.Counters{}
 		if ok {
 			counters = row.counters.Successor()
 		}
-		row = &upstreamRow{counters: counters, restarted: ok}
+		next := &upstreamRow{counters: counters, restarted: ok, firstListedAt: now}
+		if isFormer {
+			next.coldUntil = row.coldUntil
+		}
+		row = next
 		row.counters.UpSince.Store(now.UnixNano())
 		t.upstreams[instance.ID] = row
 	}
--- a/internal/control/new_process_test.go
+++ b/internal/control/new_process_test.go
@@ -118,4 +118,9 @@
 	if u := buildSnapshot(x, late).Upstreams[0]; !u.Cold || u.StartedAt != now.UnixMilli() {
 		t.Errorf("cold %t, started at %d, the later process at %d", u.Cold, u.StartedAt, now.UnixMilli())
 	}
+	setBack := now.Add(2 * formerRowGrace)
+	row(now.Add(-time.Minute), setBack, 0).apply(x, setBack)
+	if u := buildSnapshot(x, setBack).Upstreams[0]; u.StartedAt == now.UnixMilli() {
+		t.Error("a process whose clock was set back is never believed")
+	}
 }
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -71,6 +71,8 @@
 	paused bool
 	// coldUntil is the time until which the upstream can handle only few requests.
 	coldUntil time.Time
+	// firstListedAt is when the row of this process was first applied.
+	firstListedAt time.Time
 	// restarted is true if the upstream is or was cold although its row was known before.
 	restarted bool
 	// wasCold is true if the upstream was cold at the last tick.
