--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -30,6 +30,7 @@
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
+	closed bool
 	// start holds the first bytes that were read since the last write, last is the last byte
 	// read, and ended is true once a read has failed.
 	start []byte
@@ -154,7 +155,10 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.pool.remove(c)
+	c.mu.Lock()
+	c.closed = true
 	c.idleTimer.Stop()
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
@@ -192,7 +196,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.users--
-	if c.users == 0 && !c.sealed && !c.ended {
+	if c.users == 0 && !c.closed && !c.ended {
 		c.idleTimer.Reset(c.idleLimit())
 	}
 }
@@ -342,7 +346,7 @@
 		return
 	}
 	if !s.refused && !s.abandoned && s.maySend != nil {
-		s.refused = !s.maySend(len(s.uses) > 0)
+		s.refused = !s.maySend(s.wrote())
 	}
 	if s.abandoned || s.refused {
 		c.seal()
@@ -456,6 +460,16 @@
 	return true
 }
 
+// wrote reports whether a byte may have been sent on one of the connections. The mutex must be held.
+func (s *sendTracker) wrote() bool {
+	for _, u := range s.uses {
+		if u.conn.writeCount() != u.writesBefore {
+			return true
+		}
+	}
+	return s.unknownConn
+}
+
 // pending reports whether the upstream is known not to have acknowledged what was sent.
 func (s *sendTracker) pending() bool {
 	s.mu.Lock()
@@ -467,12 +481,7 @@
 func (s *sendTracker) unsent() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, u := range s.uses {
-		if u.conn.writeCount() != u.writesBefore {
-			return false
-		}
-	}
-	return !s.unknownConn
+	return !s.wrote()
 }
 
 // resends returns how often net/http sent the request again by itself. It does so for a request
--- a/internal/relay/idle_test.go
+++ b/internal/relay/idle_test.go
@@ -128,3 +128,29 @@
 		})
 	}
 }
+
+// Guards against timers that keep closed connections in memory.
+func TestAClosedConnectionHasNoTimer(t *testing.T) {
+	u := startByteUpstream(t, func(int) (string, func(net.Conn)) {
+		return response(validHead+"Connection: close\r\n", "x"), closeConn
+	})
+	r := New(DefaultLimits())
+	var conns []*conn
+	attempt := newAttempt(u)
+	attempt.MaySend = func(bool) bool {
+		r.pool.mu.Lock()
+		defer r.pool.mu.Unlock()
+		for c := range r.pool.conns[attempt.Address] {
+			conns = append(conns, c)
+		}
+		return true
+	}
+	if result := r.Do(t.Context(), attempt, &memorySink{}); result.Err != nil || len(conns) == 0 {
+		t.Fatal(result.Err, len(conns))
+	}
+	for _, c := range conns {
+		if c.idleTimer.Stop() {
+			t.Error("the timer of a closed connection is armed")
+		}
+	}
+}
