--- a/internal/control/cold_fleet_test.go
+++ b/internal/control/cold_fleet_test.go
@@ -13,8 +13,8 @@
 const (
 	fleetStep   = 10 * time.Millisecond
 	fleetLength = 60 * time.Second
-	// fleetIdleTimeout is how long a connection of an instance stays idle.
-	fleetIdleTimeout = 8500 * time.Millisecond
+	// maxBacklog is the number of requests that wait at most while an instance is frozen.
+	maxBacklog = 10
 	// maxSendDelay bounds the time from a pick to the send, and maxReportDelay that of a report which is not late.
 	maxSendDelay   = 30 * time.Millisecond
 	maxReportDelay = 40 * time.Millisecond
@@ -25,6 +25,7 @@
 
 var (
 	coldFleetSeeds = flag.Uint64("cold.fleet.seeds", 3, "number of seeds of TestColdLimitHoldsInLargeRegions for each size")
+	coldFleetIdle  = flag.Duration("cold.fleet.idle", 0, "how long connections stay idle; 0 to draw it")
 	coldFleetFirst = flag.Uint64("cold.fleet.first", 0, "first seed of TestColdLimitHoldsInLargeRegions")
 )
 
@@ -40,6 +41,8 @@
 	// broken is true if the upstream closed the connection and this instance has not run since.
 	broken      bool
 	frozenUntil time.Time
+	// ranAt is when the instance last ran.
+	ranAt       time.Time
 	cutOffUntil time.Time
 	nextRead    time.Time
 	heartbeatAt time.Time
@@ -65,15 +68,17 @@
 
 // coldFleet is one upstream of a region with many instances, each of which sends to it now and then.
 type coldFleet struct {
-	rng       *rand.Rand
-	now       time.Time
-	server    coldServer
-	senders   []*fleetSender
-	listed    []string
-	rate      float64
-	storeAway time.Time
-	steps     int
-	events    []fleetEvent
+	rng     *rand.Rand
+	now     time.Time
+	server  coldServer
+	senders []*fleetSender
+	listed  []string
+	// rate is how many requests a second an instance gets, and idleTimeout how long its connection stays idle.
+	rate        float64
+	idleTimeout time.Duration
+	storeAway   time.Time
+	steps       int
+	events      []fleetEvent
 }
 
 type fleetEvent struct {
@@ -84,6 +89,10 @@
 func newColdFleet(seed uint64, instances int) *coldFleet {
 	w := &coldFleet{rng: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0)}
 	w.rate = []float64{0.1, 0.3, 0.6, 1.2}[w.rng.IntN(4)]
+	w.idleTimeout = []time.Duration{3 * time.Second, 8500 * time.Millisecond}[w.rng.IntN(2)]
+	if *coldFleetIdle > 0 {
+		w.idleTimeout = *coldFleetIdle
+	}
 	for i := range instances {
 		w.listed = append(w.listed, fmt.Sprint("e", i))
 	}
@@ -114,12 +123,12 @@
 func (w *coldFleet) crash(down time.Duration) {
 	w.server.up, w.server.startAt = false, w.now.Add(down)
 	for _, s := range w.senders {
-		s.broken = s.broken || s.hasConnection(w.now)
+		s.broken = s.broken || w.hasConnection(s)
 	}
 }
 
-func (s *fleetSender) hasConnection(now time.Time) bool {
-	return !s.usedAt.IsZero() && now.Sub(s.usedAt) < fleetIdleTimeout
+func (w *coldFleet) hasConnection(s *fleetSender) bool {
+	return !s.usedAt.IsZero() && w.now.Sub(s.usedAt) < w.idleTimeout
 }
 
 // plan draws the next time at which the upstream crashes while it is warm, and what happens shortly before and after.
@@ -189,6 +198,12 @@
 }
 
 func (w *coldFleet) run(s *fleetSender, tick bool) {
+	if frozen := w.now.Sub(s.ranAt) - fleetStep; frozen > 0 && s.snapshot != nil && !s.ranAt.IsZero() {
+		for range min(int(w.rate*frozen.Seconds()), maxBacklog) {
+			w.pick(s)
+		}
+	}
+	s.ranAt = w.now
 	row := s.tables.upstreams[w.server.id]
 	if s.broken {
 		s.broken, s.usedAt = false, time.Time{}
@@ -227,7 +242,7 @@
 			continue
 		}
 		row := s.tables.upstreams[r.report.Upstream]
-		if w.now.After(r.expires) || row == nil || !s.isNew(r.report) {
+		if w.now.After(r.expires) || row == nil || !s.isNew(r.report, row) {
 			continue
 		}
 		if r.report.ColdFor > 0 {
@@ -240,12 +255,12 @@
 	s.reports = waiting
 }
 
-func (s *fleetSender) isNew(r RestartReport) bool {
+func (s *fleetSender) isNew(r RestartReport, row *upstreamRow) bool {
 	known, at, slack := &s.toldEnd, r.NoticedAt, 2*time.Second
 	if r.ColdFor > 0 {
 		known, at, slack = &s.toldCold, r.NoticedAt.Add(r.ColdFor), 300*time.Millisecond
 	}
-	isNew := at.Sub(*known) >= slack
+	isNew := at.Sub(*known) >= slack || (r.ColdFor == 0 && r.NoticedAt.After(*known) && row.counters.CheckedSince(*known))
 	if isNew {
 		*known = at
 	}
@@ -253,7 +268,7 @@
 }
 
 func (w *coldFleet) report(s *fleetSender, r RestartReport) {
-	if !s.isNew(r) || w.now.Before(s.cutOffUntil) {
+	if !s.isNew(r, s.tables.upstreams[r.Upstream]) || w.now.Before(s.cutOffUntil) {
 		return
 	}
 	for _, other := range w.senders {
@@ -275,13 +290,17 @@
 		if peer == s || peer.snapshot == nil || w.now.Before(s.cutOffUntil) || w.now.Before(peer.cutOffUntil) || w.now.Before(peer.frozenUntil) {
 			continue
 		}
-		cold := map[string]time.Duration{}
+		cold, ended := map[string]time.Duration{}, []string{}
 		for i := range peer.snapshot.Upstreams {
-			if u := &peer.snapshot.Upstreams[i]; u.Cold {
+			u := &peer.snapshot.Upstreams[i]
+			if u.Cold {
 				cold[u.ID] = u.ColdFor(w.now)
 			}
+			if u.Down || u.Counters.RestartSuspected() {
+				ended = append(ended, u.ID)
+			}
 		}
-		HeartbeatEvent{Peer: routing.Peer{ID: peer.id, Region: "a"}, Incarnation: 1, RequestSentAt: w.now, RoundTrip: time.Millisecond, ColdFor: cold}.apply(s.tables, w.now)
+		HeartbeatEvent{Peer: routing.Peer{ID: peer.id, Region: "a"}, Incarnation: 1, RequestSentAt: w.now, RoundTrip: time.Millisecond, ColdFor: cold, Ended: ended}.apply(s.tables, w.now)
 	}
 }
 
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -154,6 +154,7 @@
 	}
 	isFormer := ok && instance.StartedAtUnixMilli > 0 && instance.StartedAtUnixMilli < row.instance.StartedAtUnixMilli
 	if isFormer && now.Sub(row.firstListedAt) < formerRowGrace {
+		row.counters.SuspectRestart(now)
 		return
 	}
 	if !ok || row.instance.Address != instance.Address || row.instance.StartedAtUnixMilli != instance.StartedAtUnixMilli {
@@ -206,6 +207,8 @@
 	Services map[string]routing.ServiceLoad
 	// ColdFor holds the remaining cold time of upstreams in the peer's region, by id.
 	ColdFor map[string]time.Duration
+	// Ended holds the upstreams in the peer's region that ended, or may have started again, as far as the peer knows.
+	Ended []string
 	// News are what the peer heard of the members of its failure domain.
 	News []MemberNews
 	// DomainDemand is the demand of the peer's failure domain; its FailureDomain is empty if the message
@@ -236,6 +239,7 @@
 		t.reports.respondedAt = latest(t.reports.respondedAt, e.RequestSentAt)
 	}
 	t.mergeCold(e.ColdFor, now)
+	t.suspectEnded(e.Ended, now)
 	t.recordReport(e, now)
 	if row := t.confirmations[e.Peer.ID]; e.ConfigConfirmedAt.After(row.at) {
 		t.confirmations[e.Peer.ID] = confirmation{revision: e.Peer.ConfigRevision, at: e.ConfigConfirmedAt}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -56,3 +56,15 @@
 func updateReportAccess(t *tables, now time.Time) {
 	t.reports.update(now, len(t.regionInstances()) <= 1)
 }
+
+// suspectEnded applies what a heartbeat tells of upstreams that ended to an instance that may have missed the report.
+func (t *tables) suspectEnded(ended []string, now time.Time) {
+	if t.reports.since.IsZero() {
+		return
+	}
+	for _, id := range ended {
+		if row, ok := t.upstreams[id]; ok {
+			row.counters.SuspectReportedRestart(now)
+		}
+	}
+}
--- a/internal/control/reports_test.go
+++ b/internal/control/reports_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"heatherloom/internal/external"
 	"heatherloom/internal/routing"
 )
 
@@ -112,3 +113,36 @@
 		}
 	}
 }
+
+// Guards against an instance that missed a report, takes the next heartbeat for all that it missed, and sends to an
+// upstream which has ended and starts again, and against heartbeats that make each instance check an upstream.
+func TestAHeartbeatTellsAnInstanceThatMissedReportsOfEnds(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, missed := range []bool{true, false} {
+		x := newServiceTables("e0", 3)
+		listedUpstream(nil).apply(x, start)
+		if missed {
+			x.reports.since = start
+		}
+		HeartbeatEvent{Peer: routing.Peer{ID: "e1", Region: "a"}, Incarnation: 1, RequestSentAt: start, Ended: []string{"u", "v"}}.apply(x, start)
+		if got := testUpstream(x).counters.RestartSuspected(); got != missed {
+			t.Errorf("missed reports %t: suspected %t", missed, got)
+		}
+	}
+}
+
+// Guards against instances that leave a part of the limit of each new upstream unused because heartbeats name it.
+func TestANewColdUpstreamDidNotStartAgain(t *testing.T) {
+	start := time.Unix(1000, 0)
+	x := newServiceTables("e0", 3)
+	listedUpstream(func(i *external.Instance) { i.ColdFor, i.ListedAt = 3*time.Second, start }).apply(x, start)
+	cold := HeartbeatEvent{Peer: routing.Peer{ID: "e1", Region: "a"}, Incarnation: 1, ColdFor: map[string]time.Duration{"u": 2 * time.Second}}
+	cold.apply(x, start.Add(time.Second))
+	if testUpstream(x).restarted {
+		t.Error("an upstream that is cold by its row counts as one that started again")
+	}
+	cold.apply(x, start.Add(10*time.Second))
+	if !testUpstream(x).restarted {
+		t.Error("an upstream that became cold later does not count as one that started again")
+	}
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -32,8 +32,8 @@
 func (t *tables) mergeCold(cold map[string]time.Duration, now time.Time) {
 	for id, remaining := range cold {
 		if row, ok := t.upstreams[id]; ok {
+			row.restarted = row.restarted || !now.Before(row.coldUntil)
 			row.coldUntil = latest(row.coldUntil, now.Add(remaining))
-			row.restarted = true
 		}
 	}
 }
--- a/internal/peer/host.go
+++ b/internal/peer/host.go
@@ -69,8 +69,10 @@
 		})
 	}
 	for i := range s.Upstreams {
-		if u := &s.Upstreams[i]; u.Cold || u.Evacuated {
-			status.Cold = append(status.Cold, &peerv1.ColdUpstream{Upstream: u.ID, ColdMs: u.ColdFor(now).Milliseconds()})
+		u := &s.Upstreams[i]
+		ended := u.MayBecomeCold && (u.Down || u.Counters.RestartSuspected())
+		if u.Cold || u.Evacuated || ended {
+			status.Cold = append(status.Cold, &peerv1.ColdUpstream{Upstream: u.ID, ColdMs: max(u.ColdFor(now).Milliseconds(), 0), Ended: ended})
 		}
 	}
 	report := &HostReport{status: status, brief: &peerv1.HostStatus{Serving: status.Serving, Services: status.Services, Cold: status.Cold}}
@@ -306,7 +308,7 @@
 	for _, d := range host.GetDemands() {
 		e.Demands[d.GetAccount()] = d.GetPerSecond()
 	}
-	e.ColdFor = decodeColdUpstreams(host)
+	e.ColdFor, e.Ended = decodeColdUpstreams(host)
 	e.Services = map[string]routing.ServiceLoad{}
 	for _, load := range host.GetServices() {
 		decoded := routing.ServiceLoad{Upstreams: int(load.GetUpstreams()), WaitSeconds: seconds(load.GetWaitUs())}
@@ -322,13 +324,18 @@
 
 func seconds(microseconds int64) float64 { return float64(microseconds) / 1e6 }
 
-// decodeColdUpstreams returns how long each upstream that the peer reports remains cold.
-func decodeColdUpstreams(host *peerv1.HostStatus) map[string]time.Duration {
-	cold := make(map[string]time.Duration, len(host.GetCold()))
+// decodeColdUpstreams returns how long each upstream that the peer reports remains cold, and which ended.
+func decodeColdUpstreams(host *peerv1.HostStatus) (cold map[string]time.Duration, ended []string) {
+	cold = make(map[string]time.Duration, len(host.GetCold()))
 	for _, c := range host.GetCold() {
-		cold[c.GetUpstream()] = time.Duration(c.GetColdMs()) * time.Millisecond
+		if c.GetColdMs() > 0 {
+			cold[c.GetUpstream()] = time.Duration(c.GetColdMs()) * time.Millisecond
+		}
+		if c.GetEnded() {
+			ended = append(ended, c.GetUpstream())
+		}
 	}
-	return cold
+	return cold, ended
 }
 
 // encodeRouteParams encodes the route parameters of a forwarded request; nil for a request
--- a/internal/peer/restarts.go
+++ b/internal/peer/restarts.go
@@ -51,8 +51,9 @@
 	coldUntil time.Time
 }
 
-// isNew reports whether the report adds something to what is known, and notes it if so. The mutex must be held.
-func (r *RestartReporter) isNew(report control.RestartReport) bool {
+// isNew reports whether the report adds something to what is known, and notes it if so. checkedAfter is true if a health
+// check after the last known end has told that the upstream is back. The mutex must be held.
+func (r *RestartReporter) isNew(report control.RestartReport, checkedAfter bool) bool {
 	if r.known == nil {
 		r.known = map[string]knownRestart{}
 	}
@@ -64,7 +65,7 @@
 		}
 		known.coldUntil = coldUntil
 	} else {
-		if report.NoticedAt.Sub(known.endedAt) < reportedFor {
+		if report.NoticedAt.Sub(known.endedAt) < reportedFor && !(checkedAfter && report.NoticedAt.After(known.endedAt)) {
 			return false
 		}
 		known.endedAt = report.NoticedAt
@@ -73,6 +74,13 @@
 	return true
 }
 
+// checkedAfterEnd reports whether a health check after the last known end of an upstream told that it is back. The
+// mutex must be held.
+func (r *RestartReporter) checkedAfterEnd(s *routing.Snapshot, upstream string) bool {
+	u := upstreamByID(s, upstream)
+	return u != nil && u.Counters.CheckedSince(r.known[upstream].endedAt)
+}
+
 // Report tells the other instances of the region, unless one of them reports the same first. It does not wait.
 func (r *RestartReporter) Report(ctx context.Context, report control.RestartReport) {
 	r.mu.Lock()
@@ -86,10 +94,11 @@
 
 // send sends the pending reports that no other instance has made.
 func (r *RestartReporter) send(ctx context.Context) {
+	snapshot := r.Loop.Snapshot()
 	r.mu.Lock()
 	var reports []control.RestartReport
 	for _, report := range r.pending {
-		if r.isNew(report) {
+		if r.isNew(report, r.checkedAfterEnd(snapshot, report.Upstream)) {
 			reports = append(reports, report)
 		}
 	}
@@ -98,7 +107,7 @@
 	if len(reports) == 0 || ctx.Err() != nil {
 		return
 	}
-	addresses := regionAddresses(r.Loop.Snapshot(), r.Identity)
+	addresses := regionAddresses(snapshot, r.Identity)
 	for _, report := range reports {
 		r.log("sent", report)
 	}
@@ -129,7 +138,7 @@
 	var fresh []control.RestartReport
 	r.mu.Lock()
 	for _, report := range reports {
-		if r.isNew(report) {
+		if r.isNew(report, r.checkedAfterEnd(snapshot, report.Upstream)) {
 			fresh = append(fresh, report)
 		}
 	}
--- a/internal/peer/restarts_test.go
+++ b/internal/peer/restarts_test.go
@@ -84,13 +84,14 @@
 	}
 	r := &RestartReporter{}
 	for i, c := range []struct {
-		report control.RestartReport
-		want   bool
+		report        control.RestartReport
+		checked, want bool
 	}{
-		{end(0), true}, {end(30), false}, {end(-20), false}, {cold(1200, 3000), true}, {cold(1500, 2690), false}, {cold(1600, 2000), false},
-		{cold(1700, 3000), true}, {end(2500), true}, {end(2600), false},
+		{end(0), false, true}, {end(30), false, false}, {end(-20), true, false}, {end(300), true, true}, {end(310), false, false},
+		{cold(1200, 3000), false, true}, {cold(1500, 2690), false, false}, {cold(1600, 2000), false, false}, {cold(1700, 3000), false, true},
+		{end(2500), false, true}, {end(2600), false, false},
 	} {
-		if got := r.isNew(c.report); got != c.want {
+		if got := r.isNew(c.report, c.checked); got != c.want {
 			t.Errorf("report %d: new %t, want %t", i, got, c.want)
 		}
 	}
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -40,6 +41,10 @@
 	// checkTimeout is the timeout of a check. A healthy upstream responds within a few
 	// milliseconds, unless the check waits for a slot.
 	checkTimeout = 500 * time.Millisecond
+	// dialTimeout is shorter, so that an upstream that cannot be reached differs from one that is busy.
+	dialTimeout = 300 * time.Millisecond
+	// linksCheckedFor is how long the check of this instance's own links holds.
+	linksCheckedFor = time.Second
 	// maxBodyBytes limits how much of a response body is read.
 	maxBodyBytes = 4 << 10
 	// maxHeaderBytes limits the response header; the default of net/http is 10 MB.
@@ -69,6 +74,14 @@
 	client *http.Client
 	// checks are indexed by upstream id.
 	checks map[string]*check
+	links  links
+}
+
+// links is whether this instance reached an upstream at a time.
+type links struct {
+	mu        sync.Mutex
+	checkedAt time.Time
+	up        bool
 }
 
 // check is the schedule of the health checks of one upstream.
@@ -103,7 +116,7 @@
 
 func newClient() *http.Client {
 	transport := &http.Transport{
-		DialContext: (&net.Dialer{Timeout: checkTimeout}).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes,
+		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &http.Client{Transport: transport, Timeout: checkTimeout}
 }
@@ -205,9 +218,11 @@
 		p.reportEnd(ctx, u, sent)
 		return
 	case err != nil && !os.IsTimeout(err):
-		// The connection broke: the upstream may be ending just now.
+		// The connection broke: the upstream may be ending just now, or have too many connections.
 		p.logFailed(u.ID, err.Error())
-		p.reportEnd(ctx, u, sent)
+		return
+	case err != nil:
+		u.Counters.RecordBusyCheck(sent)
 		return
 	case err == nil:
 		_ = resp.Body.Close()
@@ -226,22 +241,42 @@
 	p.recordColdTime(ctx, u, sent, health)
 }
 
-// reportEnd tells the others of the region that an upstream ended. An instance that reaches less than half of the
-// upstreams of the service has probably lost its own links, and tells nothing.
+// reportEnd tells the others of the region that an upstream ended. If more than half of the upstreams of the service
+// seem to have ended, this instance may have lost its own links, and tells nothing unless it reaches another one.
 func (p *Prober) reportEnd(ctx context.Context, u *routing.Upstream, noticed time.Time) {
 	snapshot := p.Loop.Snapshot()
 	suspected, listed := 0, 0
+	var sound *routing.Upstream
 	for _, i := range snapshot.ByTarget[u.Targets[0]] {
 		listed++
 		if other := &snapshot.Upstreams[i]; other.Down || other.Counters.RestartSuspected() {
 			suspected++
+		} else if !other.Draining {
+			sound = other
 		}
 	}
-	if p.ReportRestart != nil && 2*suspected <= max(listed, 2) {
+	if p.ReportRestart != nil && (2*suspected <= max(listed, 2) || p.hasLinks(ctx, snapshot, sound)) {
 		p.ReportRestart(ctx, control.RestartReport{Upstream: u.ID, NoticedAt: noticed})
 	}
 }
 
+// hasLinks reports whether this instance reaches an upstream over a new connection; false for nil.
+func (p *Prober) hasLinks(ctx context.Context, s *routing.Snapshot, u *routing.Upstream) bool {
+	if u == nil {
+		return false
+	}
+	p.links.mu.Lock()
+	defer p.links.mu.Unlock()
+	if now := clock.Now(); now.Sub(p.links.checkedAt) > linksCheckedFor {
+		p.links.checkedAt, p.links.up = now, false
+		if resp, err := p.get(ctx, "http://"+u.Address+healthPath(s, u)); err == nil {
+			_ = resp.Body.Close()
+			p.links.up = true
+		}
+	}
+	return p.links.up
+}
+
 // recordColdTime records what the response to a health check of an upstream in service said of its cold time.
 func (p *Prober) recordColdTime(ctx context.Context, u *routing.Upstream, sent time.Time, health Health) {
 	u.Counters.RecordColdTime(sent, clock.Now().Add(health.ColdFor))
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -88,13 +88,16 @@
 // Guards against an upstream that counts as checked although the connection of its check broke as it ended.
 func TestABrokenHealthCheckTellsNothingOfARestart(t *testing.T) {
 	for _, c := range []struct {
-		name    string
-		respond func(w http.ResponseWriter)
-		want    bool
+		name     string
+		respond  func(w http.ResponseWriter)
+		reported bool
+		want     bool
 	}{
-		{"connection closed", func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, true},
-		{"too busy to answer", func(http.ResponseWriter) { time.Sleep(2 * checkTimeout) }, false},
-		{"answered", func(http.ResponseWriter) {}, false},
+		{"connection closed", func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, false, true},
+		{"too busy to answer", func(http.ResponseWriter) { time.Sleep(2 * checkTimeout) }, false, false},
+		{"too busy to answer, and reported", func(http.ResponseWriter) { time.Sleep(2 * checkTimeout) }, true, true},
+		{"answered", func(http.ResponseWriter) {}, false, false},
+		{"answered, and reported", func(http.ResponseWriter) {}, true, false},
 	} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { c.respond(w) }))
 		server.Config.ErrorLog = log.New(io.Discard, "", 0)
@@ -106,7 +109,11 @@
 			time.Sleep(time.Millisecond)
 		}
 		u := &loop.Snapshot().Upstreams[0]
-		u.Counters.SuspectRestart(time.Now().Add(-time.Second))
+		if suspected := time.Now().Add(-time.Second); c.reported {
+			u.Counters.SuspectReportedRestart(suspected)
+		} else {
+			u.Counters.SuspectRestart(suspected)
+		}
 		p := &Prober{Loop: loop, ParseHeader: func(http.Header) Health { return Health{} }, Log: logrus.NewEntry(logrus.New()), client: newClient()}
 		p.Log.Logger.SetOutput(io.Discard)
 		p.checkRestarted(ctx, u, server.URL)
@@ -134,20 +141,32 @@
 		{"ended", true, 3, 0, 0, []time.Duration{0}},
 		{"ended, no other", true, 0, 0, 0, []time.Duration{0}},
 		{"half of them ended", true, 3, 1, 0, []time.Duration{0}},
-		{"most of them ended", true, 3, 2, 0, nil},
+		{"most of them ended, no other is reached", true, 3, 2, 0, nil},
+		{"most of them ended, another is reached", true, 4, 3, 0, []time.Duration{0}},
+		{"all of them ended", true, 3, 3, 0, nil},
+		{"too many connections", false, 3, 0, -1, nil},
 		{"cold", false, 3, 3, 3 * time.Second, []time.Duration{3 * time.Second}},
 		{"warm", false, 3, 0, 0, nil},
 	} {
-		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			if c.coldFor < 0 {
+				panic(http.ErrAbortHandler)
+			}
+		}))
+		server.Config.ErrorLog = log.New(io.Discard, "", 0)
 		if c.ended {
 			server.Close()
 		}
+		sound := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 		ctx, cancel := context.WithCancel(t.Context())
 		loop := control.NewLoop(control.Identity{ID: "i", Region: "r"})
 		go loop.Run(ctx)
 		list := []external.Instance{{ID: "u", Role: external.RoleService, Region: "r", Service: "s", Address: "x"}}
 		for i := range c.others {
-			list = append(list, external.Instance{ID: fmt.Sprint("v", i), Role: external.RoleService, Region: "r", Service: "s", Address: "y"})
+			list = append(list, external.Instance{ID: fmt.Sprint("v", i), Role: external.RoleService, Region: "r", Service: "s", Address: "127.0.0.1:1"})
+		}
+		if c.others == 4 {
+			list[c.others].Address = sound.Listener.Addr().String()
 		}
 		loop.Post(ctx, control.InstancesEvent{Instances: list})
 		for len(loop.Snapshot().Upstreams) == 0 {
@@ -169,6 +188,7 @@
 		}
 		cancel()
 		server.Close()
+		sound.Close()
 	}
 }
 
--- a/internal/routing/cold.go
+++ b/internal/routing/cold.go
@@ -30,6 +30,8 @@
 	// that was last noticed.
 	unchecked   bool
 	suspectedAt int64
+	// reported is true if another instance reported that since the last health check.
+	reported bool
 	// checkedAt is when the latest health check was sent whose result is known, and checkWanted is true if a request
 	// was not sent for want of one.
 	checkedAt   int64
@@ -70,22 +72,24 @@
 }
 
 // allowsSend reports whether reserveSend would succeed.
-func (u *Upstream) allowsSend(now int64) bool {
+func (u *Upstream) allowsSend(now int64, outdated bool) bool {
 	w := u.Counters.coldSends()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	limit, limited := w.limited(u, now)
+	limited = limited || outdated
 	allowed := !limited || w.used(now) < limit
 	w.checkWanted = w.checkWanted || (!allowed && w.checkedAt < u.UninformedSince)
 	return allowed
 }
 
-// reserveSend reports whether one more request may go to the upstream, and reserves a place for it if so.
-func (u *Upstream) reserveSend(now int64) bool {
+// reserveSend reports whether one more request may go to the upstream, and reserves a place for it if so. outdated is
+// true if the snapshot is so old that the process did not run for a while, and may have missed reports.
+func (u *Upstream) reserveSend(now int64, outdated bool) bool {
 	w := u.Counters.coldSends()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if limit, limited := w.limited(u, now); limited && w.used(now) >= limit {
+	if limit, limited := w.limited(u, now); (limited || outdated) && w.used(now) >= limit {
 		return false
 	}
 	w.reserved++
@@ -134,6 +138,17 @@
 	w.checkedAt = max(w.checkedAt, sent.UnixNano())
 	w.checkWanted = false
 	if w.suspectedAt <= sent.UnixNano() {
+		w.unchecked, w.reported = false, false
+	}
+}
+
+// RecordBusyCheck records that the upstream accepted a health check that was sent at a time, and did not answer it in
+// time. One that is too busy has not just started, unless another instance reported its end.
+func (c *Counters) RecordBusyCheck(sent time.Time) {
+	w := c.coldSends()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.reported && w.suspectedAt <= sent.UnixNano() {
 		w.unchecked = false
 	}
 }
@@ -145,7 +160,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if at := noticed.UnixNano(); at > w.checkedAt {
-		w.unchecked, w.suspectedAt = true, max(w.suspectedAt, at)
+		w.unchecked, w.reported, w.suspectedAt = true, true, max(w.suspectedAt, at)
 	}
 }
 
@@ -197,7 +212,9 @@
 	window   *coldWindow
 	// pickedAt is when the attempt began, just after the pick.
 	pickedAt int64
-	once     sync.Once
+	// refused is true once MaySend has returned false. The mutex of window protects it.
+	refused bool
+	once    sync.Once
 }
 
 // ColdReservation returns the reservation that a pick made; nil if the pick reserved none.
@@ -221,9 +238,10 @@
 	}
 	limit, limited := r.window.limited(r.upstream, now.UnixNano())
 	limited = limited || now.UnixNano()-r.pickedAt > int64(MaxReportTime)
-	if !limited || r.window.used(now.UnixNano())+own <= limit {
+	if !r.refused && (!limited || r.window.used(now.UnixNano())+own <= limit) {
 		return true
 	}
+	r.refused = true
 	r.once.Do(func() { r.window.reserved-- })
 	return false
 }
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -127,7 +127,7 @@
 		return Choice{}, noServiceUpstreamError(s, r)
 	}
 	counted := u.Cold || u.MayBecomeCold
-	if counted && !u.reserveSend(r.Now) {
+	if counted && !u.reserveSend(r.Now, s.outdated(r.Now)) {
 		return Choice{}, noServiceUpstreamError(s, r)
 	}
 	return Choice{Upstream: best.index, Peer: none, PrefillTokens: best.tokens, QueuedTokens: best.queued, ColdReserved: counted}, nil
@@ -191,11 +191,12 @@
 	}
 	start := x.rng.IntN(len(candidates))
 	owner := sharedOwner(s, r, candidates)
+	outdated := s.outdated(r.Now)
 	shared := x.shared.tokens
 	for k := range candidates {
 		i := candidates[(start+k)%len(candidates)]
 		u := &s.Upstreams[i]
-		if !allowsService(u, r, split) {
+		if !allowsService(u, r, split, outdated) {
 			continue
 		}
 		cached := p.cachedTokens(u, r, x)
@@ -261,11 +262,11 @@
 }
 
 // allowsService filters upstreams for requests on host routes.
-func allowsService(u *Upstream, r *Request, split ServiceSplit) bool {
+func allowsService(u *Upstream, r *Request, split ServiceSplit, outdated bool) bool {
 	if !allowsUpstream(u, r) || u.Evacuated || u.Counters.PausedFor(r.Now) > 0 || u.Counters.Stalled(r.Now, stallTimeout) {
 		return false
 	}
-	if (u.Cold || u.MayBecomeCold) && !u.allowsSend(r.Now) {
+	if (u.Cold || u.MayBecomeCold) && !u.allowsSend(r.Now, outdated) {
 		return false
 	}
 	return u.hasRoom(r.Now) && u.untilRateAllows(r.Now) == 0 && split.allows(r.ID, u.Version)
--- a/internal/routing/service_test.go
+++ b/internal/routing/service_test.go
@@ -240,7 +240,7 @@
 	var taken []time.Time
 	for ms := 0; ms < 5000; ms += 10 {
 		now := testNow.Add(time.Duration(ms) * time.Millisecond)
-		if u.reserveSend(now.UnixNano()) {
+		if u.reserveSend(now.UnixNano(), false) {
 			u.ColdReservation(Choice{ColdReserved: true}, now).Sent(now)
 			taken = append(taken, now)
 		}
@@ -255,13 +255,45 @@
 	}
 }
 
+// Guards against requests that a process sends after it was frozen, before it can know what happened meanwhile.
+func TestAPickAfterAFreezeCountsTheUpstreamAsCold(t *testing.T) {
+	for _, c := range []struct {
+		age  time.Duration
+		want bool
+	}{{50 * time.Millisecond, true}, {MaxReportTime, true}, {3 * time.Second, false}} {
+		s := &Snapshot{
+			Published: testNow.Add(-c.age), ByTarget: map[string][]int32{"s": {0}},
+			Upstreams: []Upstream{{ID: "u", MayBecomeCold: true, Counters: &Counters{}}},
+		}
+		request := &Request{ID: "r", Target: "s", Now: testNow.UnixNano(), Service: &ServiceRequest{Remaining: time.Second}}
+		if _, err := (ServicePolicy{Index: NewPrefixIndex()}).Pick(s, request, NewScratch(1)); (err == nil) != c.want {
+			t.Errorf("snapshot of %s: %v", c.age, err)
+		}
+	}
+}
+
+// Guards against a request that is sent although it was refused, because the connection is asked for again.
+func TestARefusedSendStaysRefused(t *testing.T) {
+	u := &Upstream{MayBecomeCold: true, Counters: &Counters{}}
+	if !u.reserveSend(testNow.UnixNano(), false) {
+		t.Fatal("a warm upstream gets no request")
+	}
+	r := u.ColdReservation(Choice{ColdReserved: true}, testNow)
+	u.Counters.SuspectRestart(testNow)
+	for range 2 {
+		if r.MaySend(testNow, false) {
+			t.Error("the request may be sent to an upstream of which this instance has no part")
+		}
+	}
+}
+
 // Guards against a cold upstream that gets two seconds' worth of requests at once because the first
 // of them were held up on their way.
 func TestColdSendsCountFromTheTimeTheyAreSent(t *testing.T) {
 	u := &Upstream{Cold: true, ColdRateLimit: 2, Counters: &Counters{}}
 	at := func(ms int) time.Time { return testNow.Add(time.Duration(ms) * time.Millisecond) }
 	reserve := func(ms int) *ColdReservation {
-		if !u.reserveSend(at(ms).UnixNano()) {
+		if !u.reserveSend(at(ms).UnixNano(), false) {
 			return nil
 		}
 		return u.ColdReservation(Choice{ColdReserved: true}, testNow)
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -280,6 +280,11 @@
 	return !s.ConfigValidUntil.IsZero() && now.After(s.ConfigValidUntil)
 }
 
+// outdated reports whether the process did not run for so long that reports of other instances may have missed it.
+func (s *Snapshot) outdated(now int64) bool {
+	return !s.Published.IsZero() && now-s.Published.UnixNano() > int64(MaxReportTime)
+}
+
 // BuildIndexes fills ByTarget, ByHolderID, the preferences and the sizes of other regions from Upstreams and
 // Peers. It is called once, before publication.
 func (s *Snapshot) BuildIndexes() {
