Keep what a process that started again said before its row is read

An upstream that started again in place said that it leaves, wants a pause, names a rate or is brittle, and got requests all the same once its row was read, up to seconds later: 303 in a pause instead of 6, 3 while it left instead of none, 43 and 45 in 4 s instead of 11.

Cause: setUpstream made new counters for the new row, and requests sent before it wrote to the former ones. The belief was that all that was heard under the former row came from the former process.

The counters of both processes now share the statements, as they share the window of cold requests, unless the address changed. The row ends what was said before the sign of the end of the former process (a connection broke or was refused, another instance said so, the row went missing) or, without a sign, more than 4 s ago. Signs within 4 s are of one end, because a connection to the former process may break late. What ends each statement otherwise is unchanged. The check after a cold time is no sign of an end, and has its own method.

requestrate_test.go reaches the bucket by its new field; nothing it demands changed.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -127,6 +127,7 @@
 		if row.counters.SaysLeaving() {
 			row.keptUntil = latest(row.keptUntil, now.Add(leavingRetention))
 		}
+		row.counters.RecordUnlisted(now)
 		t.unlisted[id] = row
 	}
 	maps.DeleteFunc(t.unlisted, func(_ string, row *upstreamRow) bool { return !now.Before(row.keptUntil) })
@@ -154,13 +155,16 @@
 	}
 	isFormer := ok && instance.StartedAtUnixMilli > 0 && instance.StartedAtUnixMilli < row.instance.StartedAtUnixMilli
 	if isFormer && now.Sub(row.firstListedAt) < formerRowGrace {
-		row.counters.SuspectRestart(now)
+		row.counters.RequireCheck(now)
 		return
 	}
 	if !ok || row.instance.Address != instance.Address || row.instance.StartedAtUnixMilli != instance.StartedAtUnixMilli {
 		counters := &routing.Counters{}
 		if ok {
 			counters = row.counters.Successor()
+			if row.instance.Address == instance.Address {
+				counters.KeepStatements(row.counters, now)
+			}
 		}
 		next := &upstreamRow{counters: counters, restarted: ok, firstListedAt: now}
 		if isFormer {
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -63,7 +63,7 @@
 func (t *tables) checkAfterColdTime(row *upstreamRow, now time.Time) {
 	cold := now.Before(row.coldUntil)
 	if row.wasCold && !cold && t.mayBecomeCold(row) {
-		row.counters.SuspectRestart(now)
+		row.counters.RequireCheck(now)
 	}
 	row.wasCold = cold
 }
--- a/internal/routing/brittle.go
+++ b/internal/routing/brittle.go
@@ -43,7 +43,7 @@
 // other: that it is no longer brittle counts only in the response to a request that was sent after it
 // had said so. The times are those of package clock.
 func (c *Counters) RecordBrittle(now, sent time.Time, named bool) {
-	b := &c.brittle
+	b := &c.said().brittle
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch {
@@ -56,22 +56,27 @@
 
 // RecordFull records that the upstream turned a request away for want of room.
 func (c *Counters) RecordFull(now time.Time) {
-	c.brittle.mu.Lock()
-	defer c.brittle.mu.Unlock()
-	c.brittle.fullAt = now.UnixNano()
+	b := &c.said().brittle
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fullAt = now.UnixNano()
 }
 
 // Brittle reports whether the upstream says that it is brittle.
 func (c *Counters) Brittle() bool {
-	c.brittle.mu.Lock()
-	defer c.brittle.mu.Unlock()
-	return c.brittle.named
+	s := c.statements.Load()
+	if s == nil {
+		return false
+	}
+	s.brittle.mu.Lock()
+	defer s.brittle.mu.Unlock()
+	return s.brittle.named
 }
 
 // RecordFreePlaces records how many places a load report leaves. It is to be called when the report
 // arrives.
 func (c *Counters) RecordFreePlaces(now time.Time, load external.Load) {
-	b := &c.brittle
+	b := &c.said().brittle
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.free, b.reportedAt, b.sent = int64(load.Slots-load.Running-load.Waiting), now.UnixNano(), 0
@@ -95,6 +100,21 @@
 // before the clock was set back.
 func within(age int64, limit time.Duration) bool { return age >= 0 && age < int64(limit) }
 
+// endUntil ends what the upstream said up to a time.
+func (b *brittleness) endUntil(at int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.namedAt <= at {
+		b.named = false
+	}
+	if b.reportedAt <= at {
+		b.free, b.reportedAt, b.sent = 0, 0, 0
+	}
+	if b.fullAt <= at {
+		b.fullAt = 0
+	}
+}
+
 func (b *brittleness) countSend() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -103,5 +123,5 @@
 
 // hasRoom reports whether this instance may send a request to the upstream, if it is brittle.
 func (u *Upstream) hasRoom(now int64) bool {
-	return !u.Brittle || u.Counters.brittle.allows(now, u.Counters.InFlight.Load(), u.Places, u.PlaceSharers)
+	return !u.Brittle || u.Counters.said().brittle.allows(now, u.Counters.InFlight.Load(), u.Places, u.PlaceSharers)
 }
--- a/internal/routing/cold.go
+++ b/internal/routing/cold.go
@@ -32,6 +32,9 @@
 	suspectedAt int64
 	// reported is true if another instance reported that since the last health check.
 	reported bool
+	// endedAt is when the upstream gave the first sign of its end, in Unix nanoseconds; 0 for none since its row
+	// was first read.
+	endedAt int64
 	// checkedAt is when the latest health check was sent whose result is known, and checkWanted is true if a request
 	// was not sent for want of one.
 	checkedAt   int64
@@ -126,7 +129,19 @@
 }
 
 // suspect records that the upstream may have started again. The mutex must be held.
-func (w *coldWindow) suspect(now time.Time) { w.unchecked, w.suspectedAt = true, now.UnixNano() }
+func (w *coldWindow) suspect(now time.Time) {
+	w.unchecked, w.suspectedAt = true, now.UnixNano()
+	w.noticeEnd(now.UnixNano())
+}
+
+// RequireCheck has a health check tell whether the upstream started again, of which there is no sign. It gets no more
+// requests than after SuspectRestart until then.
+func (c *Counters) RequireCheck(now time.Time) {
+	w := c.coldSends()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unchecked, w.suspectedAt = true, now.UnixNano()
+}
 
 // RecordColdTime records until when the upstream is cold according to a health check that was sent at a time. The
 // check tells nothing of what has been suspected since then.
@@ -161,6 +176,7 @@
 	defer w.mu.Unlock()
 	if at := noticed.UnixNano(); at > w.checkedAt {
 		w.unchecked, w.reported, w.suspectedAt = true, true, max(w.suspectedAt, at)
+		w.noticeEnd(at)
 	}
 }
 
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -44,16 +44,10 @@
 	// the bits of a float64.
 	meanTokens atomic.Uint64
 	// window is that of Counters.coldSends; nil before the first use.
-	window  atomic.Pointer[coldWindow]
-	silence silence
-	brittle brittleness
-	// named is the request rate that the upstream names; nil for none.
-	named atomic.Pointer[namedRate]
-	rate  rateBucket
-	// leavingAt is when the upstream last said that it leaves, in Unix nanoseconds; 0 if it does not leave.
-	leavingAt atomic.Int64
-	// pausedUntil is the end of the time for which the upstream wants no request, in Unix nanoseconds.
-	pausedUntil atomic.Int64
+	window atomic.Pointer[coldWindow]
+	// statements are those of Counters.said; nil before the first use.
+	statements atomic.Pointer[statements]
+	silence    silence
 
 	holderID        atomic.Uint32
 	secondsPerToken atomic.Uint64
@@ -120,7 +114,7 @@
 	}
 	c.PendingTokens.Add(tokens)
 	c.silence.begin(now.UnixNano())
-	c.brittle.countSend()
+	c.said().brittle.countSend()
 	c.observeTokens(tokens)
 	return &TrackedAttempt{counters: c, tokens: tokens, queued: queued, started: now}
 }
--- a/internal/routing/pause.go
+++ b/internal/routing/pause.go
@@ -8,10 +8,12 @@
 // RecordRetryAfter records that the upstream rejected a request and wants none from this instance for a time.
 // A later rejection may prolong that time; it does not shorten it. now is that of package clock.
 func (c *Counters) RecordRetryAfter(now time.Time, wait time.Duration) {
+	s := c.said()
+	s.pausedAt.Store(now.UnixNano())
 	until := now.Add(wait).UnixNano()
 	for {
-		old := c.pausedUntil.Load()
-		if until <= old || c.pausedUntil.CompareAndSwap(old, until) {
+		old := s.pausedUntil.Load()
+		if until <= old || s.pausedUntil.CompareAndSwap(old, until) {
 			return
 		}
 	}
@@ -19,7 +21,10 @@
 
 // PausedFor returns the rest of the time for which the upstream wants no request; 0 if it takes requests.
 func (c *Counters) PausedFor(now int64) time.Duration {
-	return time.Duration(max(c.pausedUntil.Load()-now, 0))
+	if s := c.statements.Load(); s != nil {
+		return time.Duration(max(s.pausedUntil.Load()-now, 0))
+	}
+	return 0
 }
 
 // shortestPause returns the shortest of the pauses that upstreams of the region have asked for, of those that are left
--- a/internal/routing/requestrate.go
+++ b/internal/routing/requestrate.go
@@ -28,8 +28,9 @@
 // other: a rate ends, or rises, only with the response to a request that was sent after the rate
 // had been named. The times are those of package clock.
 func (c *Counters) RecordNamedRate(now, sent time.Time, perSecond float64, named bool) {
+	s := c.said()
 	for {
-		old := c.named.Load()
+		old := s.named.Load()
 		if old != nil && sent.UnixNano() <= old.at && (!named || perSecond > old.perSecond) {
 			return
 		}
@@ -37,7 +38,7 @@
 		if named {
 			next = &namedRate{perSecond: perSecond, at: now.UnixNano()}
 		}
-		if old == next || c.named.CompareAndSwap(old, next) {
+		if old == next || s.named.CompareAndSwap(old, next) {
 			return
 		}
 	}
@@ -46,7 +47,11 @@
 // NamedRate returns the request rate that the upstream names, at least minNamedRate; ok is false if it
 // names none.
 func (c *Counters) NamedRate() (perSecond float64, ok bool) {
-	if named := c.named.Load(); named != nil {
+	s := c.statements.Load()
+	if s == nil {
+		return 0, false
+	}
+	if named := s.named.Load(); named != nil {
 		return max(named.perSecond, minNamedRate), true
 	}
 	return 0, false
@@ -123,24 +128,31 @@
 	b.tokens -= float64(n)
 }
 
+// reset empties the bucket, as before its first use.
+func (b *rateBucket) reset() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens, b.filledAt, b.announcedAt = 0, 0, 0
+}
+
 // untilRateAllows returns the time until this instance may send a request to the upstream; 0 if it may
 // now.
 func (u *Upstream) untilRateAllows(now int64) time.Duration {
 	if !u.RateLimited {
 		return 0
 	}
-	return u.Counters.rate.untilAllowed(now, u.RequestRate)
+	return u.Counters.said().rate.untilAllowed(now, u.RequestRate)
 }
 
 // TakeRequest reports whether this instance may send a request to the upstream now by the rate that it
 // names, and counts the request if so.
 func (u *Upstream) TakeRequest(now int64) bool {
-	return !u.RateLimited || u.Counters.rate.take(now, u.RequestRate)
+	return !u.RateLimited || u.Counters.said().rate.take(now, u.RequestRate)
 }
 
 // ChargeResends counts requests that the transport sent again by itself.
 func (u *Upstream) ChargeResends(n int) {
 	if u.RateLimited && n > 0 {
-		u.Counters.rate.charge(n)
+		u.Counters.said().rate.charge(n)
 	}
 }
--- a/internal/routing/requestrate_test.go
+++ b/internal/routing/requestrate_test.go
@@ -92,7 +92,7 @@
 	if !u.TakeRequest(back.Add(1100 * time.Millisecond).UnixNano()) {
 		t.Error("no request is allowed a second after the clock was set back")
 	}
-	if wait := u.Counters.rate.announce(back.UnixNano(), 1); wait > maxRetryAfter {
+	if wait := u.Counters.said().rate.announce(back.UnixNano(), 1); wait > maxRetryAfter {
 		t.Errorf("a caller is told to come back after %s", wait)
 	}
 }
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -433,7 +433,7 @@
 	}
 	if u := firstAllowedByRate(s, r); u != nil {
 		err := errkind.New(errkind.Overloaded, "the upstreams of %q take no more requests now: %s", r.Target, exclusionSummary(s, r))
-		err.RetryAfter = min(u.Counters.rate.announce(r.Now, u.RequestRate)+retryAfterMargin, maxRetryAfter)
+		err.RetryAfter = min(u.Counters.said().rate.announce(r.Now, u.RequestRate)+retryAfterMargin, maxRetryAfter)
 		return err
 	}
 	if wait, ok := shortestPause(s, r); ok {
