Keep the failed attempts at a version when its upstream starts again in place

Callers got requests served by a faulty version again: after its part of 40 failed attempts an instance stops sending to a candidate, and began again (share 0.05) when the upstream started again in place.

Cause: the attempts were counted with the process. They are evidence about the version. The counters of both processes now share the count, so that attempts at the former process that fail later count too, if both run the same version and its rollout is in progress. A rollout that is ordered again after its end starts at 0 after a restart, as before, and another version has its own count.

Not covered: a row that is missing for a moment still loses the count, unless it is kept for another reason.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -11,6 +11,7 @@
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/quarantine"
 	"heatherloom/internal/quota"
+	"heatherloom/internal/rollout"
 	"heatherloom/internal/routing"
 	"heatherloom/internal/slotclaim"
 )
@@ -165,6 +166,10 @@
 			if row.instance.Address == instance.Address {
 				counters.KeepStatements(row.counters, now)
 			}
+			candidate := rollout.ServiceRollout{Service: instance.Service, Version: instance.Version}
+			if row.instance.Version == instance.Version && t.serviceRolloutActive(candidate.ID()) {
+				counters.KeepFailedAttempts(row.counters)
+			}
 		}
 		next := &upstreamRow{counters: counters, restarted: ok, firstListedAt: now}
 		if isFormer {
--- a/internal/control/new_process_test.go
+++ b/internal/control/new_process_test.go
@@ -102,6 +102,26 @@
 	}
 }
 
+// Guards against failed attempts that are lost because they end after the row of the next process, and against a version
+// that is judged by those at another one.
+func TestFailedAttemptsCountForTheirVersion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		next string
+		want int64
+	}{{"v2", 1}, {"v3", 0}} {
+		x := newServiceTables("e0", 8)
+		ServiceRolloutsEvent{Rollouts: []rollout.ServiceRollout{{Service: "s", Version: c.next, State: rollout.Serving}}}.apply(x, now)
+		listedUpstream(func(i *external.Instance) { i.Version, i.StartedAtUnixMilli = "v2", 1 }).apply(x, now)
+		former := testUpstream(x).counters
+		listedUpstream(func(i *external.Instance) { i.Version, i.StartedAtUnixMilli = c.next, 2 }).apply(x, now)
+		former.ObserveAttempt(true)
+		if got := testUpstream(x).counters.FailedAttempts().Load(); got != c.want {
+			t.Errorf("%d failed attempts at %s after one at v2, want %d", got, c.next, c.want)
+		}
+	}
+}
+
 // Guards against a flood of a cold upstream because its row is followed by one of its former process.
 func TestARowOfAFormerProcessDoesNotReplaceThatOfALaterOne(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -108,7 +108,7 @@
 	failed := int64(0)
 	for _, row := range t.sortedUpstreams {
 		if row.instance.Service == r.Service && row.instance.Version == r.Version {
-			failed += row.counters.TotalFailures.Load()
+			failed += row.counters.FailedAttempts().Load()
 		}
 	}
 	return failed >= max(maxFailedAttempts/int64(max(instances, 1)), 1)
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -25,8 +25,6 @@
 	InFlight atomic.Int64
 	// ConsecutiveFailures counts failed attempts since the last success.
 	ConsecutiveFailures atomic.Int64
-	// TotalFailures counts all failed attempts at an upstream of a service.
-	TotalFailures atomic.Int64
 	// Pending is the number of attempts that wait for the first byte of the response, and
 	// PendingTokens the number of prompt tokens still to be computed for them.
 	Pending       atomic.Int64
@@ -45,6 +43,8 @@
 	meanTokens atomic.Uint64
 	// window is that of Counters.coldSends; nil before the first use.
 	window atomic.Pointer[coldWindow]
+	// failed is that of Counters.FailedAttempts; nil before the first use.
+	failed atomic.Pointer[atomic.Int64]
 	// statements are those of Counters.said; nil before the first use.
 	statements atomic.Pointer[statements]
 	silence    silence
--- a/internal/routing/servicecounters.go
+++ b/internal/routing/servicecounters.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync/atomic"
 	"time"
 
 	"heatherloom/internal/external"
@@ -42,12 +43,25 @@
 	return running, waiting
 }
 
+// FailedAttempts returns the number of all failed attempts at the upstream, which is made at the first call.
+func (c *Counters) FailedAttempts() *atomic.Int64 {
+	if n := c.failed.Load(); n != nil {
+		return n
+	}
+	c.failed.CompareAndSwap(nil, new(atomic.Int64))
+	return c.failed.Load()
+}
+
+// KeepFailedAttempts makes the counters of another process of the same version share the failed attempts of the former
+// one: they are evidence about the version, and attempts at the former process may fail later.
+func (c *Counters) KeepFailedAttempts(former *Counters) { c.failed.Store(former.FailedAttempts()) }
+
 // ObserveAttempt records the end of an attempt and whether the upstream made it fail.
 func (c *Counters) ObserveAttempt(failed bool) {
 	sample := 0.0
 	if failed {
 		sample = 1
-		c.TotalFailures.Add(1)
+		c.FailedAttempts().Add(1)
 	}
 	for {
 		old := c.failureRate.Load()
