Check an upstream as soon as there is a sign of its restart

Upstreams that may have started again were looked for every 50 ms, and the region learned of a restart only after that.

A sign of a restart, or a report of one, now wakes the prober.

--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -90,7 +90,7 @@
 		Metrics:      metrics,
 		Now:          clock.Now,
 	})
-	restarts := &peer.RestartReporter{Identity: identity, Loop: n.loop, Client: peers, Log: entry}
+	restarts := &peer.RestartReporter{Identity: identity, Loop: n.loop, Client: peers, Log: entry, Wake: n.wakeProber}
 	server := &peer.Server{
 		Restarts: restarts,
 		Identity: identity, Loop: n.loop, Dispatcher: n.dispatcher, Secret: s.Peer.Secret,
@@ -136,7 +136,7 @@
 		ReportCompletedParts: n.completedPartsReporter(),
 		ReportProbe:          probeReporter(log),
 
-		ReportSuspectedRestart: restartReporter(log),
+		ReportSuspectedRestart: restartReporter(log, n.wakeProber),
 
 		Timeline: n.timeline,
 		Metrics:  metrics,
@@ -167,7 +167,7 @@
 	rollouts := &rolloutctl.ServiceController{
 		Identity: identity, Store: store, Documents: documents, Loop: n.loop, Recorder: n.recorder, Log: log,
 	}
-	prober := &probe.Prober{Loop: n.loop, ParseHeader: platform.HeaderCodec{}.DecodeHealth, ReportRestart: restarts.Report, Log: log}
+	prober := &probe.Prober{Loop: n.loop, ParseHeader: platform.HeaderCodec{}.DecodeHealth, ReportRestart: restarts.Report, Wake: n.wakeProber, Log: log}
 	n.wg.Go(func() { n.loop.Run(ctx) })
 	n.wg.Go(func() { feed.Run(ctx) })
 	n.wg.Go(func() { syncer.SyncFromPeers(ctx) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,9 +61,11 @@
 	PeerAddress     string
 	OperatorAddress string
 
-	id          string
-	loop        *control.Loop
-	dispatcher  *dispatch.Dispatcher
+	id         string
+	loop       *control.Loop
+	dispatcher *dispatch.Dispatcher
+	// wakeProber gets a value when an upstream may have started again.
+	wakeProber  chan struct{}
 	lease       *lease.Holder
 	slots       *slotclaim.Holder
 	drain       *drain.Controller
@@ -178,6 +180,7 @@
 		PeerAddress:     l.peer.Addr().String(),
 		OperatorAddress: l.operator.Addr().String(),
 		drain:           drain.NewController(),
+		wakeProber:      make(chan struct{}, 1),
 		options:         o,
 		announcedPeriod: s.Shutdown.ServeFor,
 		operatorLinger:  defaultOperatorLinger,
@@ -326,9 +329,14 @@
 	}
 }
 
-// restartReporter returns the function that logs the signs of upstreams that may have started again.
-func restartReporter(log *logrus.Entry) func(string, dispatch.RestartSign) {
+// restartReporter returns the function that logs the signs of upstreams that may have started again, and wakes the
+// prober, which checks them.
+func restartReporter(log *logrus.Entry, wake chan<- struct{}) func(string, dispatch.RestartSign) {
 	return func(upstream string, sign dispatch.RestartSign) {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
 		log.WithFields(logrus.Fields{
 			telemetry.FieldEvent:    "restart_suspected",
 			telemetry.FieldUpstream: upstream,
--- a/internal/peer/restarts.go
+++ b/internal/peer/restarts.go
@@ -38,6 +38,8 @@
 	Loop     *control.Loop
 	Client   *Client
 	Log      *logrus.Entry
+	// Wake, if it is not nil, gets a value when a report needs a health check.
+	Wake chan<- struct{}
 
 	mu      sync.Mutex
 	pending []control.RestartReport
@@ -152,6 +154,10 @@
 			applyRestart(u.Counters, report)
 		}
 	}
+	select {
+	case r.Wake <- struct{}{}:
+	default:
+	}
 	r.Loop.Post(ctx, control.RestartsReportedEvent{Reports: fresh})
 	if addresses := regionAddresses(snapshot, r.Identity); len(addresses) > maxReportTargets {
 		r.sendTo(context.WithoutCancel(ctx), sample(addresses, passedOnTo), fresh)
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -71,6 +71,9 @@
 	ReportRestart func(ctx context.Context, r control.RestartReport)
 	Log           *logrus.Entry
 
+	// Wake, if it is not nil, has the prober look at once for upstreams to check.
+	Wake <-chan struct{}
+
 	client *http.Client
 	// checks are indexed by upstream id.
 	checks map[string]*check
@@ -108,6 +111,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-p.Wake:
+			p.scan(ctx, clock.Now())
 		case <-ticker.C:
 			p.scan(ctx, clock.Now())
 		}
