Renew the health checks of an instance that is cut off before they end

Callers of instances that reached no other instance of their region got 503 for 2% of their requests: every 3 s all health checks stopped counting at once, and requests beyond the part of the limit were rejected until the next ones, up to 50 ms later. A starting instance that is alone rejected a read in the same way.

Checks are now renewed before they end, for upstreams in use, the first request asks for one, and an instance that has been alone since its start is not in doubt.

--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -40,6 +40,7 @@
 	a.lastTick = now
 	cutOff := !alone && now.Sub(latest(a.respondedAt, a.noticedAt)) > maxSilence
 	switch {
+	case started && alone:
 	case started || paused:
 		a.since, a.noticedAt = now, now
 	case a.since.IsZero():
@@ -49,12 +50,21 @@
 	case a.respondedAt.After(a.noticedAt), alone && now.Sub(a.noticedAt) > maxSilence:
 		a.since = time.Time{}
 	case now.Sub(a.since) > uninformedStep:
-		a.since = now
+		a.since = now.Add(-uninformedStep / 2)
 	}
 }
 
 func updateReportAccess(t *tables, now time.Time) {
 	t.reports.update(now, len(t.regionInstances()) <= 1)
+	if t.reports.since.IsZero() {
+		return
+	}
+	// Checks are renewed before they stop counting, so that no request has to wait for one.
+	for _, row := range t.sortedUpstreams {
+		if t.mayBecomeCold(row) {
+			row.counters.RenewCheck(now, now.Add(-uninformedStep/4))
+		}
+	}
 }
 
 // suspectEnded applies what a heartbeat tells of upstreams that ended to an instance that may have missed the report.
--- a/internal/routing/cold.go
+++ b/internal/routing/cold.go
@@ -96,6 +96,7 @@
 		return false
 	}
 	w.reserved++
+	w.checkWanted = w.checkWanted || w.checkedAt < u.UninformedSince
 	return true
 }
 
@@ -204,6 +205,14 @@
 	return w.checkedAt >= sent.UnixNano()
 }
 
+// RenewCheck has a health check made if one was made before a time and requests were sent lately.
+func (c *Counters) RenewCheck(now, before time.Time) {
+	w := c.coldSends()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.checkWanted = w.checkWanted || (w.checkedAt < before.UnixNano() && w.used(now.UnixNano()) > 0)
+}
+
 // CheckWanted reports whether a health check has to tell if the upstream started again.
 func (c *Counters) CheckWanted() bool {
 	w := c.coldSends()
