--- a/internal/external/external.go
+++ b/internal/external/external.go
@@ -126,6 +126,9 @@
 	// ListedAt is when the row was first read, by the local clock; zero if unknown. A row that was
 	// written again counts as another one.
 	ListedAt time.Time
+	// GoneAfter is the time until an upstream that is shut down at short notice ends whatever it
+	// runs, as of when it wrote the row; 0 if unknown.
+	GoneAfter time.Duration
 	// StartedAtUnixMilli is the start time of the process in Unix milliseconds; 0 if unknown.
 	StartedAtUnixMilli int64
 }
--- a/internal/opconfig/hostroute.go
+++ b/internal/opconfig/hostroute.go
@@ -85,6 +85,16 @@
 	// KVCacheTokens is the capacity of the KV cache of an engine, which holds running
 	// requests and cached prompts, in tokens; 0 for a plain service.
 	KVCacheTokens int64 `json:"cache_tokens,omitempty"`
+	// Autoscale bounds the number of upstreams that the gateway orders; nil if the operators set it.
+	Autoscale *Autoscale `json:"autoscale,omitempty"`
+}
+
+// Autoscale bounds the number of upstreams of a service in each failure domain.
+type Autoscale struct {
+	Min int `json:"min"`
+	Max int `json:"max"`
+	// Startup is the time from an order until a new upstream serves.
+	Startup time.Duration `json:"startup"`
 }
 
 // Limits restricts the requests and connections of callers on host routes. A zero field
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"heatherloom/internal/external"
 	"heatherloom/internal/routing"
 )
 
@@ -19,6 +20,12 @@
 	maxLinkMbit        = 1e6
 	maxServeFor        = time.Minute
 	maxBound           = 1e12
+	minDutyLease       = time.Second
+	maxDutyLease       = time.Minute
+	minUsageWindow     = time.Second
+	minUsageDue        = 3 * time.Second
+	maxUsageTime       = time.Hour
+	maxDutyRate        = 1e6
 )
 
 // key is one key of the settings file.
@@ -78,6 +85,12 @@
 	{"bounds.cold_excess", "1", bind(number(0, maxBound), func(s *Settings) *float64 { return &s.Bounds.ColdExcess })},
 	{"bounds.cold_slack", "0", bind(number(0, maxBound), func(s *Settings) *float64 { return &s.Bounds.ColdSlack })},
 	{"bounds.canary_share", "0.1", bind(number(0, 1), func(s *Settings) *float64 { return &s.Bounds.CanaryShare })},
+	{"duties.api", "", bind(optional(ParseBaseURL), func(s *Settings) *string { return &s.Duties.API })},
+	{"duties.names", "", bind(listOf(oneOf(string(external.DutyUsageReport), string(external.DutyAutoscaler))), func(s *Settings) *[]string { return &s.Duties.Names })},
+	{"duties.rate", "50", bind(number(0, maxDutyRate), func(s *Settings) *float64 { return &s.Duties.Rate })},
+	{"duties.lease", "3s", bind(duration(minDutyLease, maxDutyLease), func(s *Settings) *time.Duration { return &s.Duties.Lease })},
+	{"duties.usage_window", "5s", bind(duration(minUsageWindow, maxUsageTime), func(s *Settings) *time.Duration { return &s.Duties.UsageWindow })},
+	{"duties.usage_due", "10s", bind(duration(minUsageDue, maxUsageTime), func(s *Settings) *time.Duration { return &s.Duties.UsageDue })},
 	{"process.memory_mb", "0", bind(number(0, maxBound), func(s *Settings) *float64 { return &s.Process.MemoryMB })},
 	{"policy.name", routing.NameDefault, bind(oneOf(routing.PolicyNames()...), func(s *Settings) *string { return &s.Policy.Name })},
 	{"policy.preset", routing.PresetDerwent, bind(oneOf(routing.PresetDerwent, routing.PresetGuild), func(s *Settings) *string { return &s.Policy.Preset })},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,7 @@
 	Shutdown  Shutdown
 	Policy    Policy
 	Bounds    Bounds
+	Duties    Duties
 	Process   Process
 }
 
@@ -139,6 +140,25 @@
 	CanaryShare float64
 }
 
+// Duties is the section [duties]: calls to the platform that one instance makes at a time.
+type Duties struct {
+	// API is the base URL of the platform's API for them, http or https without a path. Default none:
+	// no instance then makes such calls.
+	API string
+	// Names are the duties that the API accepts, see external.Duty. Default none.
+	Names []string
+	// Rate is the number of calls a second that the API accepts from all instances. Default 50.
+	Rate float64
+	// Lease is the time for which a former holder may still act, and for which a new one makes no
+	// call. Default 3s, from 1s to 1m.
+	Lease time.Duration
+	// UsageWindow is the length of a window of usage. Default 5s, from 1s to 1h.
+	UsageWindow time.Duration
+	// UsageDue is the time after the end of a window by which its usage is due. Default 10s, from 3s
+	// to 1h.
+	UsageDue time.Duration
+}
+
 // Process is the section [process].
 type Process struct {
 	// MemoryMB is the memory limit that the platform sets for the process. Default 0, which sets
