Do not take a response for whole that ends while its request is still sent

Callers got part of a response as a complete one: an upstream read 4 KB of an upload of 8 or 32 MB, sent a 200 without a length and some bytes, and reset or closed the connection. The end of the connection was taken for the end of the body whatever had become of the request; the reset went to the goroutine that writes, so that the one that reads saw an ordinary end. A response whose end only the connection marks is now whole only if the request was written without an error and the kernel of the upstream has acknowledged all of it; otherwise the attempt fails as truncated, with an unknown outcome. A response that says its length is whole as before, also during the upload.

Statuses above 599 are no valid responses either and are not passed on any more; 000 to 199 and texts that are no number were not before.

The same belief elsewhere: health checks read the head only (holds); the store and the other platform APIs decode a JSON value, which a cut breaks (holds); forwards between instances are framed by HTTP/2 (holds); numbered streams and API responses use the same reader (fixed).

--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -166,6 +166,9 @@
 		outcome = retry.Failed
 	}
 	result := upstreamFault(kind, errkind.Executed, outcome, err, "the stream of the upstream was interrupted: %v", err)
+	if errors.Is(err, errUploadUnfinished) {
+		result.Err.Execution = errkind.ExecutionUnknown
+	}
 	result.Started = started
 	return result
 }
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -313,6 +313,9 @@
 	refused bool
 	// abandoned is true once abandon has succeeded; connections that come later are not used.
 	abandoned bool
+	// written is closed when the writing of the request to the latest connection has ended, with writeErr.
+	written  chan struct{}
+	writeErr error
 }
 
 type connUse struct {
@@ -326,14 +329,12 @@
 }
 
 func (s *sendTracker) withTrace(ctx context.Context) context.Context {
-	trace := &httptrace.ClientTrace{GotConn: s.gotConn}
-	if s.onSent != nil {
-		trace.WroteRequest = func(httptrace.WroteRequestInfo) {
-			if !s.wasRefused() {
-				s.onSent()
-			}
+	trace := &httptrace.ClientTrace{GotConn: s.gotConn, WroteRequest: func(info httptrace.WroteRequestInfo) {
+		s.recordWritten(info.Err)
+		if s.onSent != nil && !s.wasRefused() {
+			s.onSent()
 		}
-	}
+	}}
 	return httptrace.WithClientTrace(ctx, trace)
 }
 
@@ -351,10 +352,67 @@
 	if s.abandoned || s.refused {
 		c.seal()
 	}
+	s.written, s.writeErr = make(chan struct{}), nil
 	writes, exchanges := c.use()
 	s.uses = append(s.uses, connUse{conn: c, writesBefore: writes, receivedBefore: c.received.Load(), exchangesBefore: exchanges})
 }
 
+// recordWritten records the end of the writing of the request to the latest connection.
+func (s *sendTracker) recordWritten(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.written != nil {
+		s.writeErr = err
+		close(s.written)
+		s.written = nil
+	}
+}
+
+const (
+	// writeEndPoll is the interval at which receivedWhole looks for bytes that the upstream has not acknowledged, and
+	// writeEndTimeout how long it waits for the end of a write that no such byte holds up.
+	writeEndPoll    = time.Millisecond
+	writeEndTimeout = time.Second
+)
+
+// receivedWhole reports, after the end of the response, whether the kernel of the upstream has received the whole
+// request. The goroutine that writes may record the end of its last write after the response has been read.
+func (s *sendTracker) receivedWhole() bool {
+	s.mu.Lock()
+	written, uses := s.written, s.uses
+	s.mu.Unlock()
+	if len(uses) == 0 {
+		return false
+	}
+	last := uses[len(uses)-1].conn
+	if written != nil && !waitForWrite(written, last) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writeErr == nil && !last.Pending()
+}
+
+// waitForWrite waits for the end of a write. It returns false if the upstream holds it up.
+func waitForWrite(written <-chan struct{}, c *conn) bool {
+	poll := time.NewTicker(writeEndPoll)
+	defer poll.Stop()
+	timeout := time.NewTimer(writeEndTimeout)
+	defer timeout.Stop()
+	for {
+		select {
+		case <-written:
+			return true
+		case <-timeout.C:
+			return false
+		case <-poll.C:
+			if c.Pending() {
+				return false
+			}
+		}
+	}
+}
+
 // wasRefused reports whether Attempt.MaySend kept the attempt from a connection.
 func (s *sendTracker) wasRefused() bool {
 	s.mu.Lock()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -118,6 +118,9 @@
 	return result
 }
 
+// maxStatus is the highest valid status of a response (RFC 9110, section 15).
+const maxStatus = 599
+
 func (r *Relay) handleHostResponse(w *watchdog, sent *sendTracker, resp *http.Response, metadata ResponseMetadata, a Attempt, sink Sink) Result {
 	idMatches := metadata.RequestID == a.RequestID
 	if a.OnMetadata != nil && idMatches && !metadata.Misdirected {
@@ -133,7 +136,7 @@
 		return upstreamFault(errkind.ResponseMismatched, errkind.ExecutionUnknown, retry.Failed, nil, "the upstream sent a response for another request")
 	}
 	success := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
-	if resp.StatusCode < http.StatusOK || (success && !metadata.Signed) || resp.Header.Get("Content-Encoding") != "" {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus || (success && !metadata.Signed) || resp.Header.Get("Content-Encoding") != "" {
 		return upstreamFault(errkind.UpstreamFailed, errkind.ExecutionUnknown, retry.Failed, nil, "the upstream sent a response that is unsigned, encoded, or has an invalid status")
 	}
 	if a.StreamPosition != nil && IsEventStream(resp.StatusCode, resp.Header) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"mime"
 	"net"
@@ -259,7 +260,7 @@
 	defer sent.release()
 	defer resp.Body.Close()
 	sent.recordKeepAlive(resp.Header)
-	resp.Body = trackedBody{ReadCloser: resp.Body, sent: sent}
+	resp.Body = trackedBody{ReadCloser: resp.Body, sent: sent, endsWithConnection: endsWithConnection(resp, a.Method)}
 	if a.Protocol != nil && sent.unwritten() {
 		return unsolicitedResponse(sent)
 	}
@@ -441,10 +442,15 @@
 // buffer, and also if the connection ended inside one.
 const longTrailerText = "suspiciously long trailer"
 
-// trackedBody is the body of a response. A connection that ended inside its trailer is io.ErrUnexpectedEOF.
+// errUploadUnfinished reports a response without a length whose connection ended before the request was sent whole.
+var errUploadUnfinished = fmt.Errorf("the connection ended before the upstream had received the whole request: %w", io.ErrUnexpectedEOF)
+
+// trackedBody is the body of a response. A connection that ended inside its trailer is io.ErrUnexpectedEOF, and
+// one that ended during the request is errUploadUnfinished if only its end marks the end of the body.
 type trackedBody struct {
 	io.ReadCloser
-	sent *sendTracker
+	sent               *sendTracker
+	endsWithConnection bool
 }
 
 // Read implements io.Reader.
@@ -453,6 +459,9 @@
 	if err != nil && strings.Contains(err.Error(), longTrailerText) && b.sent.connectionEnded() {
 		err = io.ErrUnexpectedEOF
 	}
+	if b.endsWithConnection && errors.Is(err, io.EOF) && !b.sent.receivedWhole() {
+		err = errUploadUnfinished
+	}
 	return n, err
 }
 
