End the cold time of an upstream on time also where messages and ticks are late

Callers got 503 from instances that limited an upstream for more than 5 s after its cold time: in a run beside ten busy loops 10 of 18 instances held it for cold with up to 1.9 s to go, 8 s after its start with 3 s of cold time.

Cause: the remaining cold time that an upstream or an instance told was added to the time of the tick that applied it, and heartbeats passed on what other instances had told. Each hop added its delay, so instances with late ticks or messages passed the cold time round without end.

Cold times now count from the earliest time at which they can have been told, and heartbeats carry only what an instance knows from the store or its own health checks. As such a time may end too early, the limit holds until a health check that was sent after its end; before, it ended without one if the cold time was over before the tick that applied a report.

A test that gave a health check without its send time now gives one.

--- a/internal/control/cold_fleet_test.go
+++ b/internal/control/cold_fleet_test.go
@@ -18,6 +18,12 @@
 	// maxSendDelay bounds the time from a pick to the send, and maxReportDelay that of a report which is not late.
 	maxSendDelay   = 30 * time.Millisecond
 	maxReportDelay = 40 * time.Millisecond
+	// fleetCheckInterval is the time from the detection of a paused upstream to its first health check, and
+	// maxFleetCheckInterval the longest time between two. fleetDialTimeout and fleetCheckTimeout are the timeouts.
+	fleetCheckInterval    = 400 * time.Millisecond
+	maxFleetCheckInterval = 2 * time.Second
+	fleetDialTimeout      = 300 * time.Millisecond
+	fleetCheckTimeout     = 500 * time.Millisecond
 	// reportLoss and lateReports are the fractions of reports that are lost and that take up to a second.
 	reportLoss  = 0.02
 	lateReports = 0.02
@@ -46,13 +52,20 @@
 	cutOffUntil time.Time
 	nextRead    time.Time
 	heartbeatAt time.Time
-	checkAt     time.Time
-	checked     Event
-	checkedAt   time.Time
-	sends       []fleetSend
-	reports     []fleetReport
+	// checkAt is when the next health check is due, checkInterval the time to the one after it, and checked the
+	// one in progress; nil for none.
+	checkAt       time.Time
+	checkInterval time.Duration
+	checked       *fleetCheck
+	sends         []fleetSend
+	reports       []fleetReport
 	// told holds the reports that are known, like peer.RestartReporter.
 	toldEnd, toldCold time.Time
+	// late is how late the instance runs, and messages are those that it has not applied.
+	late     lateness
+	messages []fleetMessage
+	// runAt and tickAt are when it runs and ticks next if it is late.
+	runAt, tickAt time.Time
 }
 
 type fleetSend struct {
@@ -79,6 +92,10 @@
 	storeAway   time.Time
 	steps       int
 	events      []fleetEvent
+	// setLate sets which instances are late.
+	setLate func()
+	// slowMessages is true if messages take up to maxLateness.
+	slowMessages bool
 }
 
 type fleetEvent struct {
@@ -191,8 +208,8 @@
 		(&coldSchedule{now: w.now}).writeRowOf(&w.server)
 	}
 	for i, s := range w.senders {
-		if !w.now.Before(s.frozenUntil) {
-			w.run(s, (w.steps+i)%5 == 0)
+		if !w.now.Before(s.frozenUntil) && w.runsNow(s) {
+			w.run(s, w.ticksNow(s, (w.steps+i)%5 == 0))
 		}
 	}
 }
@@ -226,6 +243,7 @@
 		w.pick(s)
 	}
 	if tick {
+		w.applyMessages(s)
 		for _, step := range tickSteps {
 			step(s.tables, w.now)
 		}
@@ -246,11 +264,11 @@
 			continue
 		}
 		if r.report.ColdFor > 0 {
-			row.counters.RecordReportedColdTime(r.report.NoticedAt.Add(r.report.ColdFor))
+			row.counters.RecordColdUntil(r.report.NoticedAt.Add(r.report.ColdFor))
 		} else {
 			row.counters.SuspectReportedRestart(r.report.NoticedAt)
 		}
-		RestartsReportedEvent{Reports: []RestartReport{r.report}}.apply(s.tables, w.now)
+		w.post(s, RestartsReportedEvent{Reports: []RestartReport{r.report}})
 	}
 	s.reports = waiting
 }
@@ -276,6 +294,9 @@
 			continue
 		}
 		delay := w.random(maxReportDelay)
+		if w.slowMessages {
+			delay = w.messageTime()
+		}
 		if w.rng.Float64() < lateReports {
 			delay = w.random(time.Second)
 		}
@@ -290,46 +311,118 @@
 		if peer == s || peer.snapshot == nil || w.now.Before(s.cutOffUntil) || w.now.Before(peer.cutOffUntil) || w.now.Before(peer.frozenUntil) {
 			continue
 		}
-		cold, ended := map[string]time.Duration{}, []string{}
-		for i := range peer.snapshot.Upstreams {
-			u := &peer.snapshot.Upstreams[i]
-			if u.Cold {
-				cold[u.ID] = u.ColdFor(w.now)
-			}
-			if u.Down || u.Counters.RestartSuspected() {
-				ended = append(ended, u.ID)
+		request := w.status(s)
+		request.Peer.ID = s.id
+		there, back := w.messageTime(), w.messageTime()
+		sent := w.now
+		w.deliver(peer, there, request)
+		w.events = append(w.events, fleetEvent{w.now.Add(there), func() {
+			if response := w.status(peer); w.now.Sub(sent)+back < time.Second {
+				response.RequestSentAt, response.RoundTrip = sent, time.Millisecond
+				w.deliver(s, back, response)
 			}
+		}})
+	}
+}
+
+// status returns what an instance tells of the upstream with a heartbeat.
+func (w *coldFleet) status(s *fleetSender) HeartbeatEvent {
+	e := HeartbeatEvent{Peer: routing.Peer{ID: s.id, Region: "a"}, Incarnation: 1, ColdFor: map[string]time.Duration{}}
+	if s.snapshot == nil {
+		return e
+	}
+	for i := range s.snapshot.Upstreams {
+		u := &s.snapshot.Upstreams[i]
+		if cold := u.ColdFor(w.now); cold > 0 {
+			e.ColdFor[u.ID] = cold
+		}
+		if u.Down || u.Counters.RestartSuspected() {
+			e.Ended = append(e.Ended, u.ID)
 		}
-		HeartbeatEvent{Peer: routing.Peer{ID: peer.id, Region: "a"}, Incarnation: 1, RequestSentAt: w.now, RoundTrip: time.Millisecond, ColdFor: cold, Ended: ended}.apply(s.tables, w.now)
 	}
+	return e
+}
+
+// fleetCheck is a health check that is in progress.
+type fleetCheck struct {
+	sent, answeredAt time.Time
+	// paused is true if the upstream is paused, up if it accepted the connection, and coldFor what it told.
+	paused, up bool
+	coldFor    time.Duration
+	// connected is true once the instance has run since the connection was established.
+	connected bool
 }
 
+// check makes the health checks that are due, like probe.Prober.
 func (w *coldFleet) check(s *fleetSender) {
-	if s.checked != nil && !w.now.Before(s.checkedAt) {
-		s.checked.apply(s.tables, w.now)
-		s.checked = nil
-		s.checkAt = minCheckTime(s.checkAt, w.now.Add(checkSpacing))
+	if s.checked != nil {
+		w.continueCheck(s)
 	}
 	row := s.tables.upstreams[w.server.id]
-	if row == nil || s.checked != nil || w.now.Before(s.checkAt) || (!row.awaitsHealthCheck && !row.counters.CheckWanted()) {
+	if row == nil || s.checked != nil {
 		return
 	}
-	s.checkAt = w.now.Add(400 * time.Millisecond)
-	s.checkedAt = w.now.Add(w.random(maxCheckTime))
-	remaining := max(scheduleCold-w.now.Sub(w.server.born), 0)
-	switch {
-	case !w.server.up:
-		row.counters.RecordUnreachable()
-		w.report(s, RestartReport{Upstream: w.server.id, NoticedAt: w.now})
+	if !row.awaitsHealthCheck && !row.counters.CheckWanted(w.now) {
+		s.checkAt, s.checkInterval = time.Time{}, 0
 		return
-	case row.awaitsHealthCheck:
-		s.checked = HealthCheckPassedEvent{Upstream: w.server.id, Sent: w.now, ColdFor: remaining}
-	default:
-		s.checked = RestartCheckedEvent{Upstream: w.server.id, Sent: w.now, ColdFor: remaining}
 	}
-	if remaining > 0 {
-		w.report(s, RestartReport{Upstream: w.server.id, NoticedAt: w.now, ColdFor: remaining})
+	if s.checkInterval == 0 {
+		s.checkAt, s.checkInterval = w.now, fleetCheckInterval
+		if row.awaitsHealthCheck {
+			s.checkAt = w.now.Add(fleetCheckInterval)
+		}
+	}
+	if w.now.Before(s.checkAt) {
+		return
+	}
+	s.checkInterval = min(2*s.checkInterval, maxFleetCheckInterval)
+	s.checkAt = w.now.Add(s.checkInterval)
+	s.checked = &fleetCheck{
+		sent: w.now, answeredAt: w.now.Add(w.random(maxCheckTime)), paused: row.awaitsHealthCheck, up: w.server.up,
+		coldFor: max(scheduleCold-w.now.Sub(w.server.born), 0),
+	}
+	w.continueCheck(s)
+}
+
+// continueCheck does what an instance that runs can do about its health check.
+func (w *coldFleet) continueCheck(s *fleetSender) {
+	c, row := s.checked, s.tables.upstreams[w.server.id]
+	elapsed := w.now.Sub(c.sent)
+	switch {
+	case row == nil:
+		s.checked = nil
+	case !c.up, !c.connected && elapsed > fleetDialTimeout:
+		s.checked = nil
+		if !c.paused {
+			row.counters.RecordUnreachable()
+			w.report(s, RestartReport{Upstream: w.server.id, NoticedAt: c.sent})
+		}
+	case elapsed > fleetCheckTimeout:
+		s.checked = nil
+		if !c.paused {
+			row.counters.RecordBusyCheck(c.sent)
+		}
+	case !c.connected:
+		c.connected = elapsed > 0
+	case !w.now.Before(c.answeredAt):
+		w.endCheck(s, row)
+	}
+}
+
+// endCheck records the response to a health check.
+func (w *coldFleet) endCheck(s *fleetSender, row *upstreamRow) {
+	c := s.checked
+	s.checked = nil
+	s.checkAt, s.checkInterval = minCheckTime(s.checkAt, w.now.Add(checkSpacing)), fleetCheckInterval
+	if c.coldFor > 0 {
+		w.report(s, RestartReport{Upstream: w.server.id, NoticedAt: c.sent, ColdFor: c.coldFor})
+	}
+	if c.paused {
+		w.post(s, HealthCheckPassedEvent{Upstream: w.server.id, Sent: c.sent, ColdFor: c.coldFor})
+		return
 	}
+	row.counters.RecordColdTime(c.sent, c.coldFor)
+	w.post(s, RestartCheckedEvent{Upstream: w.server.id, Sent: c.sent, ColdFor: c.coldFor})
 }
 
 func (w *coldFleet) pick(s *fleetSender) {
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -173,14 +174,14 @@
 		}
 		next := &upstreamRow{counters: counters, restarted: ok, firstListedAt: now}
 		if isFormer {
-			next.coldUntil = row.coldUntil
+			next.coldUntil, next.ownColdUntil = row.coldUntil, row.ownColdUntil
 		}
 		row = next
 		row.counters.UpSince.Store(now.UnixNano())
 		t.upstreams[instance.ID] = row
 	}
 	if instance.ColdFor > 0 {
-		row.coldUntil = latest(row.coldUntil, instance.ListedAt.Add(instance.ColdFor))
+		row.setCold(instance.ListedAt.Add(instance.ColdFor))
 	}
 	row.instance = instance
 	row.service = []string{instance.Service}
@@ -214,8 +215,10 @@
 	// the services in its region; nil if the message carries none.
 	Demands  map[string]float64
 	Services map[string]routing.ServiceLoad
-	// ColdFor holds the remaining cold time of upstreams in the peer's region, by id.
-	ColdFor map[string]time.Duration
+	// ColdFor holds the remaining cold time of upstreams in the peer's region, by id, and ReceivedAt is when the peer
+	// told it; zero for the time at which the event is applied.
+	ColdFor    map[string]time.Duration
+	ReceivedAt time.Time
 	// Ended holds the upstreams in the peer's region that ended, or may have started again, as far as the peer knows.
 	Ended []string
 	// News are what the peer heard of the members of its failure domain.
@@ -247,7 +250,7 @@
 	if e.Peer.Region == t.identity.Region {
 		t.reports.respondedAt = latest(t.reports.respondedAt, e.RequestSentAt)
 	}
-	t.mergeCold(e.ColdFor, now)
+	t.mergeCold(e.ColdFor, e.RequestSentAt, cmp.Or(e.ReceivedAt, now))
 	t.suspectEnded(e.Ended, now)
 	t.recordReport(e, now)
 	if row := t.confirmations[e.Peer.ID]; e.ConfigConfirmedAt.After(row.at) {
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -193,6 +193,7 @@
 			Evacuated:      evacuated(t, row),
 			Cold:           cold,
 			ColdUntil:      row.coldUntil,
+			OwnColdUntil:   row.ownColdUntil,
 			ColdRateLimit:  budget.coldLimit(row, cold),
 			MayBecomeCold:  t.mayBecomeCold(row),
 
--- a/internal/control/reports_test.go
+++ b/internal/control/reports_test.go
@@ -147,3 +147,45 @@
 		t.Error("an upstream that became cold later does not count as one that started again")
 	}
 }
+
+// Guards against a cold time that instances which apply heartbeats late pass to each other without end.
+func TestColdTimesDoNotGrowWithLateHeartbeats(t *testing.T) {
+	const late = 300 * time.Millisecond
+	start := time.Unix(1000, 0)
+	instances := []*tables{newServiceTables("e0", 3), newServiceTables("e1", 3)}
+	for _, x := range instances {
+		listedUpstream(nil).apply(x, start)
+	}
+	RestartCheckedEvent{Upstream: "u", Sent: start, ColdFor: scheduleCold}.apply(instances[0], start.Add(late))
+	for now := start.Add(late); now.Before(start.Add(2 * scheduleCold)); now = now.Add(2 * late) {
+		for i, x := range instances {
+			u := &buildSnapshot(instances[1-i], now).Upstreams[0]
+			if cold := u.ColdFor(now); cold > 0 {
+				HeartbeatEvent{
+					Peer: routing.Peer{ID: instances[1-i].identity.ID, Region: "a"}, Incarnation: 1, RequestSentAt: now.Add(-late),
+					ColdFor: map[string]time.Duration{"u": cold},
+				}.apply(x, now.Add(late))
+			}
+		}
+	}
+	for _, x := range instances {
+		if end := testUpstream(x).coldUntil; end.After(start.Add(scheduleCold+late)) || end.Before(start.Add(scheduleCold-maxMessageAge)) {
+			t.Errorf("%s: the cold time ends after %s, the upstream said %s", x.identity.ID, end.Sub(start), scheduleCold)
+		}
+	}
+}
+
+// Guards against requests that exceed the limit because the cold time that another instance told ends before the tick that
+// applies it.
+func TestAReportedColdTimeEndsWithAHealthCheck(t *testing.T) {
+	start := time.Unix(1000, 0)
+	var c routing.Counters
+	c.RecordColdUntil(start)
+	if now := start.Add(time.Second); !c.CheckWanted(now) {
+		t.Error("no health check is wanted after a reported cold time")
+	}
+	c.RecordColdTime(start.Add(time.Second), 0)
+	if now := start.Add(2 * time.Second); c.CheckWanted(now) {
+		t.Error("a health check is wanted after one told that the upstream is warm")
+	}
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -21,20 +21,46 @@
 		_, before := t.evacuated[domain]
 		_, after := e.Domains[domain]
 		if before && !after {
-			row.coldUntil = latest(row.coldUntil, now.Add(t.config.Services[row.instance.Service].ColdFor))
+			row.setCold(now.Add(t.config.Services[row.instance.Service].ColdFor))
 		}
 	}
 	t.evacuated = e.Domains
 }
 
-// mergeCold applies the remaining cold times that a peer reported. An instance
-// without access to the store has no other way to learn of evacuations and cold upstreams.
-func (t *tables) mergeCold(cold map[string]time.Duration, now time.Time) {
+// setCold records until when the upstream is cold, as this instance learned from the store or from the upstream itself.
+func (row *upstreamRow) setCold(until time.Time) {
+	row.ownColdUntil = latest(row.ownColdUntil, until)
+	row.setReportedCold(until)
+}
+
+// setReportedCold records until when the upstream is cold according to another instance. It is not passed on to others:
+// the time of each message would be added to it.
+func (row *upstreamRow) setReportedCold(until time.Time) {
+	row.coldUntil = latest(row.coldUntil, until)
+	row.counters.RecordColdUntil(until)
+}
+
+// maxMessageAge is how long ago a peer may have sent a message that has arrived: the timeout of a heartbeat.
+const maxMessageAge = time.Second
+
+// mergeCold applies the remaining cold times that a peer reported between two times; the first is zero if it is not
+// known. An instance without access to the store has no other way to learn of evacuations and cold upstreams.
+//
+// Where a health check tells whether an upstream is cold, the times count from the earliest time at which the peer may
+// have reported them: the check at their end shows if that is too early, but nothing shows an instance that they last
+// too long.
+func (t *tables) mergeCold(cold map[string]time.Duration, from, received time.Time) {
 	for id, remaining := range cold {
-		if row, ok := t.upstreams[id]; ok {
-			row.restarted = row.restarted || !now.Before(row.coldUntil)
-			row.coldUntil = latest(row.coldUntil, now.Add(remaining))
+		row, ok := t.upstreams[id]
+		if !ok {
+			continue
 		}
+		row.restarted = row.restarted || !received.Before(row.coldUntil)
+		told := received
+		if t.mayBecomeCold(row) {
+			told = latest(from, received.Add(-maxMessageAge))
+		}
+		row.setReportedCold(told.Add(remaining))
 	}
 }
 
@@ -55,8 +81,9 @@
 
 func (e RestartsReportedEvent) apply(t *tables, now time.Time) {
 	for _, r := range e.Reports {
-		if remaining := r.NoticedAt.Add(r.ColdFor).Sub(now); r.ColdFor > 0 && remaining > 0 {
-			t.mergeCold(map[string]time.Duration{r.Upstream: remaining}, now)
+		if row, ok := t.upstreams[r.Upstream]; ok && r.ColdFor > 0 {
+			row.restarted = row.restarted || !now.Before(row.coldUntil)
+			row.setReportedCold(r.NoticedAt.Add(r.ColdFor))
 		}
 	}
 }
@@ -131,7 +158,7 @@
 	row.downUntil = now
 	row.counters.ConsecutiveFailures.Store(0)
 	row.counters.RecordSign(now)
-	row.recordColdTime(e.Sent, e.ColdFor, now)
+	row.recordColdTime(e.Sent, e.ColdFor)
 }
 
 // RestartCheckedEvent reports that an upstream whose connection broke responded to a health check.
@@ -142,19 +169,19 @@
 	ColdFor time.Duration
 }
 
-func (e RestartCheckedEvent) apply(t *tables, now time.Time) {
+func (e RestartCheckedEvent) apply(t *tables, _ time.Time) {
 	if row, ok := t.upstreams[e.Upstream]; ok {
-		row.recordColdTime(e.Sent, e.ColdFor, now)
+		row.recordColdTime(e.Sent, e.ColdFor)
 	}
 }
 
 // recordColdTime records how long the upstream remains cold, as it said in response to a health check.
-func (row *upstreamRow) recordColdTime(sent time.Time, remaining time.Duration, now time.Time) {
+func (row *upstreamRow) recordColdTime(sent time.Time, remaining time.Duration) {
 	if remaining > 0 {
-		row.coldUntil = latest(row.coldUntil, now.Add(remaining))
+		row.setCold(routing.ColdUntil(sent, remaining))
 		row.restarted = true
 	}
-	row.counters.RecordColdTime(sent, now.Add(remaining))
+	row.counters.RecordColdTime(sent, remaining)
 }
 
 // mayBecomeCold reports whether the upstream is cold after a start, which health checks can tell.
--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -141,7 +141,9 @@
 		{"cold time in the instance list", func(x *tables) {
 			listedUpstream(func(i *external.Instance) { i.ColdFor, i.ListedAt, i.StartedAtUnixMilli = 2*time.Second, now, 2 }).apply(x, now)
 		}},
-		{"cold time in a health check", func(x *tables) { HealthCheckPassedEvent{Upstream: "u", ColdFor: 2 * time.Second}.apply(x, now) }},
+		{"cold time in a health check", func(x *tables) {
+			HealthCheckPassedEvent{Upstream: "u", Sent: now, ColdFor: 2 * time.Second}.apply(x, now)
+		}},
 		{"end of the evacuation", func(x *tables) {
 			EvacuationEvent{Domains: map[string]struct{}{"a1": {}}}.apply(x, now)
 			EvacuationEvent{}.apply(x, now)
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -69,14 +69,13 @@
 	downUntil time.Time
 	// paused is true from the start of a pause until a tick finds that it has ended.
 	paused bool
-	// coldUntil is the time until which the upstream can handle only few requests.
-	coldUntil time.Time
+	// coldUntil is the time until which the upstream can handle only few requests. ownColdUntil is the same without
+	// what other instances told.
+	coldUntil, ownColdUntil time.Time
 	// firstListedAt is when the row of this process was first applied.
 	firstListedAt time.Time
 	// restarted is true if the upstream is or was cold although its row was known before.
 	restarted bool
-	// wasCold is true if the upstream was cold at the last tick.
-	wasCold bool
 	// keptUntil is until when the row is kept while it is not listed.
 	keptUntil time.Time
 	// pauses counts the pauses since the last successful request.
--- a/internal/control/tick.go
+++ b/internal/control/tick.go
@@ -58,19 +58,8 @@
 
 func updateQuarantines(t *tables, now time.Time) { t.crashes.Update(now) }
 
-// checkAfterColdTime has a health check confirm the end of a cold time: the upstream may have started again
-// since.
-func (t *tables) checkAfterColdTime(row *upstreamRow, now time.Time) {
-	cold := now.Before(row.coldUntil)
-	if row.wasCold && !cold && t.mayBecomeCold(row) {
-		row.counters.RequireCheck(now)
-	}
-	row.wasCold = cold
-}
-
 func updateHealth(t *tables, now time.Time) {
 	for _, row := range t.sortedUpstreams {
-		t.checkAfterColdTime(row, now)
 		if row.paused && !now.Before(row.downUntil) {
 			row.paused = false
 			row.counters.UpSince.Store(now.UnixNano())
--- a/internal/peer/host.go
+++ b/internal/peer/host.go
@@ -71,8 +71,8 @@
 	for i := range s.Upstreams {
 		u := &s.Upstreams[i]
 		ended := u.MayBecomeCold && (u.Down || u.Counters.RestartSuspected())
-		if u.Cold || u.Evacuated || ended {
-			status.Cold = append(status.Cold, &peerv1.ColdUpstream{Upstream: u.ID, ColdMs: max(u.ColdFor(now).Milliseconds(), 0), Ended: ended})
+		if cold := u.ColdFor(now); cold > 0 || ended {
+			status.Cold = append(status.Cold, &peerv1.ColdUpstream{Upstream: u.ID, ColdMs: max(cold.Milliseconds(), 0), Ended: ended})
 		}
 	}
 	report := &HostReport{status: status, brief: &peerv1.HostStatus{Serving: status.Serving, Services: status.Services, Cold: status.Cold}}
@@ -278,10 +278,10 @@
 // sent to which it responds; zero for a request, whose news are not used: it may have waited for long.
 func decodeHostMessage(e *control.HeartbeatEvent, m hostMessage, sentAt, now time.Time) {
 	if brief := m.GetBrief(); brief != nil {
-		decodeHostStatus(e, brief)
+		decodeHostStatus(e, brief, now)
 		e.Demands = nil
 	}
-	decodeHostStatus(e, m.GetHost())
+	decodeHostStatus(e, m.GetHost(), now)
 	if !sentAt.IsZero() {
 		e.News = decodeNews(m.GetNews(), sentAt)
 	}
@@ -299,7 +299,7 @@
 }
 
 // decodeHostStatus adds the status of a peer's host routes to the event of its heartbeat.
-func decodeHostStatus(e *control.HeartbeatEvent, host *peerv1.HostStatus) {
+func decodeHostStatus(e *control.HeartbeatEvent, host *peerv1.HostStatus, now time.Time) {
 	if host == nil {
 		return
 	}
@@ -309,6 +309,7 @@
 		e.Demands[d.GetAccount()] = d.GetPerSecond()
 	}
 	e.ColdFor, e.Ended = decodeColdUpstreams(host)
+	e.ReceivedAt = now
 	e.Services = map[string]routing.ServiceLoad{}
 	for _, load := range host.GetServices() {
 		decoded := routing.ServiceLoad{Upstreams: int(load.GetUpstreams()), WaitSeconds: seconds(load.GetWaitUs())}
--- a/internal/peer/restarts.go
+++ b/internal/peer/restarts.go
@@ -166,7 +166,7 @@
 
 func applyRestart(c *routing.Counters, report control.RestartReport) {
 	if report.ColdFor > 0 {
-		c.RecordReportedColdTime(report.NoticedAt.Add(report.ColdFor))
+		c.RecordColdUntil(report.NoticedAt.Add(report.ColdFor))
 	} else {
 		c.SuspectReportedRestart(report.NoticedAt)
 	}
--- a/internal/peer/restarts_test.go
+++ b/internal/peer/restarts_test.go
@@ -52,7 +52,7 @@
 		r, loop := newRestartReporter(t)
 		counters := loop.Snapshot().Upstreams[0].Counters
 		if c.checkedBefore {
-			counters.RecordColdTime(time.Now(), time.Time{})
+			counters.RecordColdTime(time.Now(), 0)
 		}
 		if _, err := (&Server{Restarts: r}).ReportRestarts(t.Context(), connect.NewRequest(&peerv1.ReportRestartsRequest{Reports: []*peerv1.RestartReport{c.report}})); err != nil {
 			t.Fatal(err)
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -135,7 +135,7 @@
 		u := &snapshot.Upstreams[i]
 		path := healthPath(snapshot, u)
 		silent := !u.Down && u.Counters.SilentFor(now) >= silenceToCheck
-		restarted := !u.Down && u.MayBecomeCold && u.Counters.CheckWanted()
+		restarted := !u.Down && u.MayBecomeCold && u.Counters.CheckWanted(now)
 		leaving := u.Draining && !u.ListedDraining
 		if (!u.Down && !silent && !restarted && !leaving) || u.ListedDraining || path == "" {
 			continue
@@ -284,7 +284,7 @@
 
 // recordColdTime records what the response to a health check of an upstream in service said of its cold time.
 func (p *Prober) recordColdTime(ctx context.Context, u *routing.Upstream, sent time.Time, health Health) {
-	u.Counters.RecordColdTime(sent, clock.Now().Add(health.ColdFor))
+	u.Counters.RecordColdTime(sent, health.ColdFor)
 	p.reportColdTime(ctx, u.ID, sent, health)
 	p.Loop.Post(ctx, control.RestartCheckedEvent{Upstream: u.ID, Sent: sent, ColdFor: health.ColdFor})
 }
--- a/internal/routing/cold.go
+++ b/internal/routing/cold.go
@@ -39,9 +39,26 @@
 	// was not sent for want of one.
 	checkedAt   int64
 	checkWanted bool
-	// coldUntil is the end of the cold time that a health check told. It holds from then on, also while snapshots
-	// do not have it yet.
+	// coldUntil is the end of the latest known cold time. The limit holds until a health check that was sent later
+	// tells that the upstream is warm: the time may be too short, and this process may not run when it ends.
 	coldUntil int64
+	// busyAt is when the latest health check was sent that the upstream accepted and did not answer in time.
+	busyAt int64
+}
+
+// maxCheckLatency is how long after its send a health check is assumed to be answered at most when its cold time
+// is counted. A response that is read later makes the cold time end too early, which the health check at its end shows;
+// one counted from its arrival would last longer at each instance that runs late.
+const maxCheckLatency = 100 * time.Millisecond
+
+// ColdUntil returns when an upstream is warm that told at a time which is not before sent how long it remains cold.
+func ColdUntil(sent time.Time, remaining time.Duration) time.Time {
+	return sent.Add(maxCheckLatency + remaining)
+}
+
+// coldTimeUnconfirmed reports whether no health check has been sent since the end of the cold time. The mutex must be held.
+func (w *coldWindow) coldTimeUnconfirmed(now int64) bool {
+	return now >= w.coldUntil && max(w.checkedAt, w.busyAt) < w.coldUntil
 }
 
 // used returns the number of requests that count at the given time. The mutex must be held.
@@ -71,7 +88,7 @@
 // limited returns how many requests may be sent within coldWindowLength; ok is false if any number may. The
 // mutex must be held.
 func (w *coldWindow) limited(u *Upstream, now int64) (limit int, ok bool) {
-	return u.ColdRateLimit, u.Cold || (u.MayBecomeCold && (w.unchecked || now < w.coldUntil || w.checkedAt < u.UninformedSince))
+	return u.ColdRateLimit, u.Cold || (u.MayBecomeCold && (w.unchecked || now < w.coldUntil || w.coldTimeUnconfirmed(now) || w.checkedAt < u.UninformedSince))
 }
 
 // allowsSend reports whether reserveSend would succeed.
@@ -144,13 +161,15 @@
 	w.unchecked, w.suspectedAt = true, now.UnixNano()
 }
 
-// RecordColdTime records until when the upstream is cold according to a health check that was sent at a time. The
-// check tells nothing of what has been suspected since then.
-func (c *Counters) RecordColdTime(sent, coldUntil time.Time) {
+// RecordColdTime records how long the upstream remains cold, 0 if it is warm, according to a health check that was sent
+// at a time. The check tells nothing of what has been suspected since then.
+func (c *Counters) RecordColdTime(sent time.Time, remaining time.Duration) {
 	w := c.coldSends()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.coldUntil = max(w.coldUntil, coldUntil.UnixNano())
+	if remaining > 0 {
+		w.coldUntil = max(w.coldUntil, ColdUntil(sent, remaining).UnixNano())
+	}
 	w.checkedAt = max(w.checkedAt, sent.UnixNano())
 	w.checkWanted = false
 	if w.suspectedAt <= sent.UnixNano() {
@@ -164,6 +183,7 @@
 	w := c.coldSends()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.busyAt = max(w.busyAt, sent.UnixNano())
 	if !w.reported && w.suspectedAt <= sent.UnixNano() {
 		w.unchecked = false
 	}
@@ -181,8 +201,8 @@
 	}
 }
 
-// RecordReportedColdTime records until when the upstream is cold according to another instance.
-func (c *Counters) RecordReportedColdTime(coldUntil time.Time) {
+// RecordColdUntil records until when the upstream is cold according to its row or another instance.
+func (c *Counters) RecordColdUntil(coldUntil time.Time) {
 	w := c.coldSends()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -214,11 +234,11 @@
 }
 
 // CheckWanted reports whether a health check has to tell if the upstream started again.
-func (c *Counters) CheckWanted() bool {
+func (c *Counters) CheckWanted(now time.Time) bool {
 	w := c.coldSends()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.unchecked || w.checkWanted
+	return w.unchecked || w.checkWanted || w.coldTimeUnconfirmed(now.UnixNano())
 }
 
 // RecordHealthCheck counts a health check among the requests to the upstream.
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -72,8 +72,8 @@
 	// requests a second.
 	RateLimited bool
 	RequestRate float64
-	// ColdUntil is when the upstream is warm.
-	ColdUntil time.Time
+	// ColdUntil is when the upstream is warm, and OwnColdUntil the same without what other instances told.
+	ColdUntil, OwnColdUntil time.Time
 	// idHash is a hash of ID, set by BuildIndexes.
 	idHash uint64
 	// PreferencePenalty is set by BuildIndexes. It is 0 for the upstream that this instance prefers most and rises to
@@ -88,7 +88,7 @@
 		u.Draining == v.Draining && u.ListedDraining == v.ListedDraining && u.Down == v.Down &&
 		u.Load == v.Load && u.Counters == v.Counters && u.StartedAt == v.StartedAt && u.Version == v.Version &&
 		u.MaxConcurrency == v.MaxConcurrency && u.CachesPrompts == v.CachesPrompts && u.Evacuated == v.Evacuated &&
-		u.Cold == v.Cold && u.ColdRateLimit == v.ColdRateLimit && u.MayBecomeCold == v.MayBecomeCold && u.UninformedSince == v.UninformedSince && u.ColdUntil.Equal(v.ColdUntil) &&
+		u.Cold == v.Cold && u.ColdRateLimit == v.ColdRateLimit && u.MayBecomeCold == v.MayBecomeCold && u.UninformedSince == v.UninformedSince && u.ColdUntil.Equal(v.ColdUntil) && u.OwnColdUntil.Equal(v.OwnColdUntil) &&
 		u.Brittle == v.Brittle && u.Places == v.Places && u.PlaceSharers == v.PlaceSharers &&
 		u.RateLimited == v.RateLimited && u.RequestRate == v.RequestRate
 }
@@ -151,9 +151,9 @@
 // evacuated failure domain. It lasts until the next heartbeats, one of which may be lost.
 const evacuatedColdFor = 2500 * time.Millisecond
 
-// ColdFor returns how long peers have to treat the upstream as cold.
+// ColdFor returns how long peers have to treat the upstream as cold, without what other instances told.
 func (u *Upstream) ColdFor(now time.Time) time.Duration {
-	cold := u.ColdUntil.Sub(now)
+	cold := u.OwnColdUntil.Sub(now)
 	if u.Evacuated {
 		return max(cold, evacuatedColdFor)
 	}
