Show duties in the status, and add their metrics and log lines

Operators will see for each duty its holder, the token, the outcome of the last call, the last accepted window with its delay, windows by outcome, and orders. internal/dutystatus passes calls on to the duty API and records them; nothing creates it yet, so the status of an instance without duties has the same fields as before (its test compares the whole JSON). The gauge of ordered capacity is collected from the current term, because a former holder would otherwise show orders that are not in force.

Tests: go test ./internal/dutystatus ./internal/operator passes.

--- a/cmd/heatherloom/status.go
+++ b/cmd/heatherloom/status.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -48,9 +51,44 @@
 		state := choose(u.Draining, "leaving", choose(u.Down, "down", "up"))
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", u.ID, strings.Join(u.Targets, ","), state, u.InFlight)
 	}
+	printDuties(w, s.Duties)
 	return w.Flush()
 }
 
+func printDuties(w io.Writer, duties []operatorapi.Duty) {
+	if len(duties) == 0 {
+		return
+	}
+	fmt.Fprintf(w, "\nDUTY\tHOLDER\tHERE\tTOKEN\tLAST CALL\n")
+	for _, d := range duties {
+		call := "-"
+		if d.LastCall != "" {
+			call = fmt.Sprintf("%s, %.0f s ago", d.LastCall, d.LastCallSeconds)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", d.Name, cmp.Or(d.Holder, "-"), choose(d.Held, "held", "-"), d.Token, call)
+	}
+	for _, d := range duties {
+		if u := d.Usage; u != nil {
+			fmt.Fprintf(w, "\nUSAGE\tLAST WINDOW\tDELAY\tWINDOWS\n%s\t%d\t%.1f s\t%s\n", d.Name, u.LastWindow, u.LastDelaySeconds, outcomesText(u.Windows))
+		}
+		if len(d.Orders) > 0 {
+			fmt.Fprintf(w, "\nSERVICE\tFAILURE DOMAIN\tORDERED\tRUNNING\tREASON\n")
+		}
+		for _, o := range d.Orders {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\n", o.Service, o.FailureDomain, o.Ordered, o.Running, o.Reason)
+		}
+	}
+}
+
+// outcomesText lists counts by outcome in the order of the outcomes.
+func outcomesText(counts map[string]int64) string {
+	var parts []string
+	for _, outcome := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%d %s", counts[outcome], outcome))
+	}
+	return strings.Join(parts, ", ")
+}
+
 func conditionOf(s operatorapi.Status) string {
 	return choose(s.Draining, "draining", choose(s.Ready, "ready", "not ready"))
 }
--- /dev/null
+++ b/internal/dutystatus/tracker.go
@@ -0,0 +1,175 @@
+// Package dutystatus records what an instance does for the duties that it holds: the calls to the
+// platform's API, for the status, the metrics and the log. It makes no decisions.
+package dutystatus
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"heatherloom/internal/external"
+	"heatherloom/internal/operatorapi"
+	"heatherloom/internal/telemetry"
+)
+
+// Outcomes of calls to the duty API, in the status, in metrics and in logs.
+const (
+	OutcomeAccepted    = "accepted"
+	OutcomeStaleFence  = "stale_fence"
+	OutcomeRateLimited = "rate_limited"
+	// OutcomeNoResponse is the outcome of a call that may have taken effect.
+	OutcomeNoResponse = "no_response"
+	OutcomeRejected   = "rejected"
+)
+
+// Outcome returns the name of the outcome of a call to an external.DutyAPI.
+func Outcome(err error) string {
+	var limited *external.RateLimitedError
+	switch {
+	case err == nil:
+		return OutcomeAccepted
+	case errors.Is(err, external.ErrStaleFence):
+		return OutcomeStaleFence
+	case errors.As(err, &limited):
+		return OutcomeRateLimited
+	case errors.Is(err, external.ErrUnavailable):
+		return OutcomeNoResponse
+	}
+	return OutcomeRejected
+}
+
+// capacityKey identifies what an order sets.
+type capacityKey struct{ service, failureDomain string }
+
+// Tracker passes calls on to an API and records them. It implements external.DutyAPI and is safe
+// for concurrent use.
+type Tracker struct {
+	api     external.DutyAPI
+	log     *logrus.Entry
+	metrics *telemetry.DutyMetrics
+	// window is the length of a window of usage.
+	window time.Duration
+	// now returns the time of day.
+	now func() time.Time
+
+	mu    sync.Mutex
+	calls map[external.Duty]lastCall
+	// orders are the accepted ones with the last token.
+	token  int64
+	orders map[capacityKey]operatorapi.DutyCapacity
+	usage  operatorapi.DutyUsage
+}
+
+// lastCall is the last call for a duty.
+type lastCall struct {
+	outcome string
+	at      time.Time
+}
+
+var _ external.DutyAPI = (*Tracker)(nil)
+
+// New returns a tracker of the calls to api. window is the length of a window of usage, now the time
+// of day.
+func New(api external.DutyAPI, window time.Duration, metrics *telemetry.DutyMetrics, log *logrus.Entry, now func() time.Time) *Tracker {
+	return &Tracker{
+		api: api, log: log, metrics: metrics, window: window, now: now,
+		calls:  map[external.Duty]lastCall{},
+		orders: map[capacityKey]operatorapi.DutyCapacity{},
+		usage:  operatorapi.DutyUsage{Windows: map[string]int64{}},
+	}
+}
+
+// ReportUsage implements external.DutyAPI.
+func (t *Tracker) ReportUsage(ctx context.Context, f external.Fence, r external.UsageReport) error {
+	started := t.now()
+	err := t.api.ReportUsage(ctx, f, r)
+	t.record(external.DutyUsageReport, f, started, err, logrus.Fields{"window": r.Window, "accounts": len(r.Counts)})
+	if err == nil {
+		delay := t.now().Sub(time.Unix(0, 0).Add(time.Duration(r.Window+1) * t.window))
+		t.metrics.RecordUsageDelay(delay)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.usage.LastWindow, t.usage.LastDelaySeconds = r.Window, delay.Seconds()
+	}
+	return err
+}
+
+// OrderCapacity implements external.DutyAPI.
+func (t *Tracker) OrderCapacity(ctx context.Context, f external.Fence, o external.CapacityOrder) error {
+	started := t.now()
+	err := t.api.OrderCapacity(ctx, f, o)
+	t.record(external.DutyAutoscaler, f, started, err, logrus.Fields{telemetry.FieldService: o.Service, "failure_domain": o.FailureDomain, "desired": o.Desired})
+	if err == nil {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if f.Token != t.token {
+			clear(t.orders)
+			t.token = f.Token
+		}
+		key := capacityKey{o.Service, o.FailureDomain}
+		t.orders[key] = operatorapi.DutyCapacity{
+			Service: o.Service, FailureDomain: o.FailureDomain, Ordered: o.Desired, Reason: t.orders[key].Reason,
+		}
+	}
+	return err
+}
+
+func (t *Tracker) record(duty external.Duty, f external.Fence, started time.Time, err error, fields logrus.Fields) {
+	outcome, ended := Outcome(err), t.now()
+	t.metrics.RecordCall(string(duty), outcome)
+	t.mu.Lock()
+	t.calls[duty] = lastCall{outcome, ended}
+	t.mu.Unlock()
+	fields[telemetry.FieldEvent] = "duty_call"
+	fields["duty"], fields["token"], fields["outcome"] = duty, f.Token, outcome
+	fields[telemetry.FieldMillis] = ended.Sub(started).Milliseconds()
+	entry := t.log.WithFields(fields)
+	if err == nil {
+		entry.Info("the platform accepted the call")
+		return
+	}
+	entry.WithError(err).Warn("the platform did not accept the call, or its response did not arrive")
+}
+
+// RecordWindow counts a window of usage whose outcome is final.
+func (t *Tracker) RecordWindow(outcome string) {
+	t.metrics.RecordWindow(outcome)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.usage.Windows[outcome]++
+}
+
+// Orders returns the accepted orders with the last token, in the order of services and failure domains.
+func (t *Tracker) Orders() []operatorapi.DutyCapacity {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.SortedFunc(maps.Values(t.orders), func(a, b operatorapi.DutyCapacity) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.FailureDomain, b.FailureDomain))
+	})
+}
+
+// Status returns the state of a duty without Holder, Held and Token. Orders are included while held.
+func (t *Tracker) Status(duty external.Duty, held bool) operatorapi.Duty {
+	status := operatorapi.Duty{Name: string(duty)}
+	if held && duty == external.DutyAutoscaler {
+		status.Orders = t.Orders()
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if call, known := t.calls[duty]; known {
+		status.LastCall, status.LastCallSeconds = call.outcome, t.now().Sub(call.at).Seconds()
+	}
+	if duty == external.DutyUsageReport && (t.usage.LastWindow != 0 || len(t.usage.Windows) > 0) {
+		usage := t.usage
+		usage.Windows = maps.Clone(t.usage.Windows)
+		status.Usage = &usage
+	}
+	return status
+}
--- /dev/null
+++ b/internal/dutystatus/tracker_test.go
@@ -0,0 +1,102 @@
+package dutystatus
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"heatherloom/internal/external"
+	"heatherloom/internal/operatorapi"
+	"heatherloom/internal/telemetry"
+)
+
+// fixedAPI is an API whose calls all have the same result.
+type fixedAPI struct{ err error }
+
+func (a *fixedAPI) ReportUsage(context.Context, external.Fence, external.UsageReport) error {
+	return a.err
+}
+
+func (a *fixedAPI) OrderCapacity(context.Context, external.Fence, external.CapacityOrder) error {
+	return a.err
+}
+
+func newTracker(api external.DutyAPI, now time.Time) (*Tracker, *telemetry.Metrics) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	metrics := telemetry.NewMetrics(telemetry.Sources{})
+	duties := metrics.RegisterDuties(telemetry.DutySources{
+		Held: map[string]func() float64{"usage_report": func() float64 { return 1 }},
+		Ordered: func() []telemetry.OrderedCapacity {
+			return []telemetry.OrderedCapacity{{Service: "s", FailureDomain: "a", Upstreams: 6}}
+		},
+	})
+	return New(api, 5*time.Second, duties, logrus.NewEntry(log), func() time.Time { return now }), metrics
+}
+
+// Guards against a call that may have taken effect and is shown as rejected, or the other way round.
+func TestOutcome(t *testing.T) {
+	for want, err := range map[string]error{
+		OutcomeAccepted:    nil,
+		OutcomeStaleFence:  fmt.Errorf("wrapped: %w", external.ErrStaleFence),
+		OutcomeRateLimited: &external.RateLimitedError{},
+		OutcomeNoResponse:  errors.Join(external.ErrUnavailable, io.EOF),
+		OutcomeRejected:    errors.New("status 500"),
+	} {
+		if got := Outcome(err); got != want {
+			t.Errorf("%v is %s, want %s", err, got, want)
+		}
+	}
+}
+
+// Guards against a delay that counts from the wrong end of the window, and against calls without an effect that
+// replace the last accepted report.
+func TestUsageStatus(t *testing.T) {
+	api := &fixedAPI{}
+	tracker, metrics := newTracker(api, time.Unix(1003, 0))
+	_ = tracker.ReportUsage(t.Context(), external.Fence{}, external.UsageReport{Window: 199})
+	api.err = external.ErrUnavailable
+	_ = tracker.ReportUsage(t.Context(), external.Fence{}, external.UsageReport{Window: 200})
+	tracker.RecordWindow("accepted")
+	status := tracker.Status(external.DutyUsageReport, false)
+	if u := status.Usage; u == nil || u.LastWindow != 199 || u.LastDelaySeconds != 3 || u.Windows["accepted"] != 1 || status.LastCall != OutcomeNoResponse {
+		t.Errorf("status %+v, usage %+v", status, status.Usage)
+	}
+	w := httptest.NewRecorder()
+	metrics.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	for _, line := range []string{
+		`heatherloom_duty_held{duty="usage_report"} 1`, `heatherloom_duty_calls_total{duty="usage_report",outcome="no_response"} 1`,
+		`heatherloom_usage_windows_total{outcome="accepted"} 1`, `heatherloom_usage_delay_seconds_sum 3`,
+		`heatherloom_capacity_ordered{failure_domain="a",service="s"} 6`,
+	} {
+		if !strings.Contains(w.Body.String(), line+"\n") {
+			t.Errorf("the metrics lack %s", line)
+		}
+	}
+}
+
+// Guards against orders of an earlier term that are shown as current ones.
+func TestOrdersOfTheLastTerm(t *testing.T) {
+	tracker, _ := newTracker(&fixedAPI{}, time.Unix(1, 0))
+	order := func(token int64, service string, desired int) {
+		_ = tracker.OrderCapacity(t.Context(), external.Fence{Token: token}, external.CapacityOrder{Service: service, FailureDomain: "a", Desired: desired})
+	}
+	order(1, "s", 2)
+	order(2, "u", 3)
+	order(2, "u", 4)
+	order(2, "t", 5)
+	want := []operatorapi.DutyCapacity{{Service: "t", FailureDomain: "a", Ordered: 5}, {Service: "u", FailureDomain: "a", Ordered: 4}}
+	if got := tracker.Status(external.DutyAutoscaler, true).Orders; fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("orders %v, want %v", got, want)
+	}
+	if got := tracker.Status(external.DutyAutoscaler, false).Orders; len(got) != 0 {
+		t.Errorf("an instance that does not hold the duty shows %v", got)
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -24,6 +24,8 @@
 	Snapshot func() *routing.Snapshot
 	// Rollouts returns the rollouts of a snapshot; nil selects the function Rollouts.
 	Rollouts func(*routing.Snapshot) []operatorapi.Rollout
+	// Duties returns the duties and what this instance has done for them; nil if there are none.
+	Duties   func() []operatorapi.Duty
 	Timeline *timeline.Recorder
 	Drain    *drain.Controller
 	Metrics  http.Handler
@@ -40,6 +42,9 @@
 	if deps.Rollouts == nil {
 		deps.Rollouts = Rollouts
 	}
+	if deps.Duties == nil {
+		deps.Duties = func() []operatorapi.Duty { return nil }
+	}
 	s := &server{Deps: deps, token: sha256.Sum256([]byte(deps.Token))}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", s.health)
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -26,6 +26,7 @@
 		Rollouts:         s.Rollouts(snapshot),
 		Peers:            encodePeers(snapshot, s.Now()),
 		Upstreams:        encodeUpstreams(snapshot),
+		Duties:           s.Duties(),
 	})
 }
 
--- a/internal/operatorapi/types.go
+++ b/internal/operatorapi/types.go
@@ -18,6 +18,44 @@
 	Rollouts         []Rollout  `json:"rollouts"`
 	Peers            []Peer     `json:"peers"`
 	Upstreams        []Upstream `json:"upstreams"`
+	// Duties are the calls to the platform that one instance makes at a time; empty if the settings
+	// name no API for them.
+	Duties []Duty `json:"duties,omitempty"`
+}
+
+// Duty is a kind of call to the platform that one instance makes at a time. Only the holder knows
+// the token, the usage and the orders.
+type Duty struct {
+	Name string `json:"name"`
+	// Holder is the instance that holds the duty; empty if none is known.
+	Holder string `json:"holder"`
+	// Held reports whether this instance may act, or waits until the former holder cannot act any
+	// more. Token is 0 unless it may act.
+	Held  bool  `json:"held"`
+	Token int64 `json:"token,omitempty"`
+	// LastCall is the outcome of the last call of this instance, LastCallSeconds the time since it.
+	LastCall        string         `json:"last_call,omitempty"`
+	LastCallSeconds float64        `json:"last_call_seconds,omitempty"`
+	Usage           *DutyUsage     `json:"usage,omitempty"`
+	Orders          []DutyCapacity `json:"orders,omitempty"`
+}
+
+// DutyUsage is what this instance has reported since its start.
+type DutyUsage struct {
+	// LastWindow is the last accepted window, LastDelaySeconds the time from its end to the response.
+	LastWindow       int64   `json:"last_window"`
+	LastDelaySeconds float64 `json:"last_delay_seconds"`
+	// Windows counts the windows by outcome, see docs/OPERATIONS.md.
+	Windows map[string]int64 `json:"windows"`
+}
+
+// DutyCapacity is the last number of upstreams that was ordered.
+type DutyCapacity struct {
+	Service       string `json:"service"`
+	FailureDomain string `json:"failure_domain"`
+	Ordered       int    `json:"ordered"`
+	Running       int    `json:"running"`
+	Reason        string `json:"reason"`
 }
 
 // Rollout is the state of one version rollout as the instance sees it.
