Let leases have times, values and a store interface of their own

A read back compares the value, because lease IDs are issued again after a restore of the store, and a key whose holder is known to be invalid may be replaced. lease.New and the leader lease that uses it behave as before.

go test ./internal/lease passes with two new tests: a key left by an invalid holder, and another holder's key that is attached to the own lease.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -23,7 +23,6 @@
 // sim simulates a store with its clock and two contenders. Calls take simulated time,
 // during which the other contender proceeds.
 type sim struct {
-	external.Store
 	t                       *rapid.T
 	now, outageEnd          time.Duration
 	revision, highestToken  int64
@@ -185,7 +184,7 @@
 		}
 		if ok = s.key.ModRevision == c[0].ModRevision; ok {
 			s.revision++
-			s.key = external.Entry{Key: w[0].Key, ModRevision: s.revision, Lease: w[0].Lease}
+			s.key = external.Entry{Key: w[0].Key, Value: w[0].Value, ModRevision: s.revision, Lease: w[0].Lease}
 		}
 		modRevision = s.revision
 		return nil
@@ -229,16 +228,21 @@
 	}
 }
 
+var defaultTiming = Timing{TTL: DefaultTTL, RenewInterval: defaultRenewInterval, RetryInterval: defaultRetryInterval}
+
+// instant is the time of a call that takes no time.
+func instant(t time.Time) callTime { return callTime{t, t} }
+
 // Guards against giving up a lease that was acquired although the response was lost, and
 // against treating a lease as acquired that was not.
 func TestALostAcquireIsReadBack(t *testing.T) {
 	now := time.Unix(0, 0)
-	claimed := state{phase: granted, leaseID: 7, validUntil: now.Add(time.Second)}.after(actClaim, now, DefaultTTL, callResult{status: statusUnknown})
+	claimed := state{phase: granted, leaseID: 7, validUntil: now.Add(time.Second)}.after(actClaim, instant(now), defaultTiming, callResult{status: statusUnknown})
 	if claimed.next(now) != actReadBack || claimed.validAt(now) {
 		t.Fatalf("after a lost response the state is %+v", claimed)
 	}
 	for r, want := range map[callStatus]bool{statusOK: true, statusRejected: false, statusAbsent: false, statusUnknown: false} {
-		if s := claimed.after(actReadBack, now, DefaultTTL, callResult{status: r, token: 9}); s.validAt(now) != want {
+		if s := claimed.after(actReadBack, instant(now), defaultTiming, callResult{status: r, token: 9}); s.validAt(now) != want {
 			t.Errorf("after reading back %v the state is %+v", r, s)
 		}
 	}
@@ -248,7 +252,7 @@
 // expires in the store.
 func TestASlowClockEndsBeforeTheLease(t *testing.T) {
 	start := time.Unix(0, 0)
-	s := state{phase: held}.after(actRenew, start, DefaultTTL, callResult{})
+	s := state{phase: held}.after(actRenew, instant(start), defaultTiming, callResult{})
 	if slowNow := start.Add(DefaultTTL - DefaultTTL*19/1000); s.validAt(slowNow) || !s.validAt(slowNow.Add(-time.Second)) {
 		t.Errorf("validity ends at %v, want up to a second before %v", s.validUntil, slowNow)
 	}
@@ -267,7 +271,7 @@
 		for !now.Before(s.due) {
 			a := s.next(now)
 			calls = append(calls, a)
-			s = s.after(a, now, DefaultTTL, results[a])
+			s = s.after(a, instant(now), defaultTiming, results[a])
 		}
 		if !s.validAt(now) {
 			t.Fatalf("the lease is not valid at %v", now)
@@ -277,3 +281,73 @@
 		t.Errorf("%d calls: %v", len(calls), calls)
 	}
 }
+
+// oneKeyStore answers at once and without faults.
+type oneKeyStore struct {
+	Store
+	key   external.Entry
+	lease int64
+	pause func()
+}
+
+func (s *oneKeyStore) Get(context.Context, string) (external.Entry, error) { return s.key, nil }
+func (s *oneKeyStore) GrantLease(context.Context, time.Duration) (int64, error) {
+	s.lease++
+	return s.lease, nil
+}
+func (s *oneKeyStore) RevokeLease(context.Context, int64) error { return nil }
+func (s *oneKeyStore) Commit(_ context.Context, c []external.Condition, w []external.Write) (bool, int64, error) {
+	defer s.pause()
+	if c[0].ModRevision != s.key.ModRevision {
+		return false, 0, nil
+	}
+	s.key = external.Entry{Value: w[0].Value, ModRevision: s.key.ModRevision + 1, Lease: w[0].Lease}
+	return true, s.key.ModRevision, nil
+}
+
+// Guards against a key that is left by a holder known to be invalid and blocks the lease for
+// ever, and against a term that begins before the response to its claim.
+func TestAKeyOfAnInvalidHolderIsReplaced(t *testing.T) {
+	now := time.Unix(0, 0)
+	store := &oneKeyStore{key: external.Entry{Value: []byte("old"), ModRevision: 5, Lease: 99}}
+	store.pause = func() { now = now.Add(time.Second) }
+	invalid := false
+	h := NewFromConfig(Config{
+		Store: store, Key: "k", Timing: defaultTiming, Now: func() time.Time { return now },
+		Value:   func(int64) []byte { return []byte("own") },
+		Invalid: func(e external.Entry) bool { return invalid && string(e.Value) == "old" },
+	})
+	for range 4 {
+		h.Step(context.Background())
+		now = now.Add(defaultRenewInterval)
+	}
+	if _, ok := h.Term(); ok {
+		t.Fatal("a key of a valid holder was replaced")
+	}
+	invalid = true
+	started := now
+	for range 3 {
+		h.Step(context.Background())
+	}
+	if term, ok := h.Term(); !ok || term.Token != 6 || term.Since != started.Add(time.Second) {
+		t.Errorf("the term is %+v, %v", term, ok)
+	}
+}
+
+// Guards against holding the lease by a key that another holder wrote: after a restore of the
+// store, its late claim may name a lease whose ID was given out again.
+func TestAKeyOfAnotherHolderWithTheOwnLeaseIsNotHeld(t *testing.T) {
+	store := &oneKeyStore{pause: func() {}}
+	h := NewFromConfig(Config{
+		Store: store, Key: "k", Timing: defaultTiming, Now: func() time.Time { return time.Unix(0, 0) },
+		Value: func(int64) []byte { return []byte("own") },
+	})
+	h.Step(context.Background())
+	h.Step(context.Background())
+	store.key = external.Entry{Value: []byte("other"), ModRevision: 5, Lease: store.lease}
+	h.Step(context.Background())
+	h.Step(context.Background())
+	if _, ok := h.Term(); ok || h.read().phase != abandoned {
+		t.Errorf("the state is %+v", h.read())
+	}
+}
--- a/internal/lease/state.go
+++ b/internal/lease/state.go
@@ -14,22 +14,37 @@
 const (
 	// DefaultTTL is the time after which a lease that is not renewed expires.
 	DefaultTTL = 10 * time.Second
-	// RenewInterval is the time between the starts of two renewals.
-	RenewInterval = 3 * time.Second
-	// retryInterval is the delay after a call without a response. It allows several
-	// attempts within the TTL.
-	retryInterval = time.Second
+	// defaultRenewInterval and defaultRetryInterval are the intervals of the holders that New returns.
+	defaultRenewInterval = 3 * time.Second
+	defaultRetryInterval = time.Second
 	// marginPercent is the percentage of the TTL that covers the drift between the clocks
 	// of the holder and the store.
 	marginPercent = 2
 )
 
+// Timing holds the times of a lease.
+type Timing struct {
+	// TTL is the time after which a lease that is not renewed expires.
+	TTL time.Duration
+	// RenewInterval is the time between the starts of two renewals, and between two reads of
+	// a key that another holder has.
+	RenewInterval time.Duration
+	// RetryInterval is the delay after a call without a response. It should allow several
+	// attempts within the TTL.
+	RetryInterval time.Duration
+}
+
+// validity returns when the validity ends that a call which began at started has granted.
+func (t Timing) validity(started time.Time) time.Time {
+	return started.Add(t.TTL - t.TTL*marginPercent/100)
+}
+
 type phase int
 
 const (
 	// idle: there is no lease; the key is read before one is requested.
 	idle phase = iota
-	// available: the key did not exist.
+	// available: the key did not exist, or its holder is known to be invalid.
 	available
 	// granted: the store granted a lease, but the key is not attached to it yet, so the role
 	// is not held.
@@ -74,8 +89,12 @@
 	phase phase
 	// leaseID is the id of the lease in the store; 0 if there is none.
 	leaseID int64
+	// replaces is the key's mod revision before the claim; 0 if the key did not exist.
+	replaces int64
 	// token is the key's mod revision in the store; it grows with each new holder.
 	token int64
+	// heldSince is when the response arrived that showed that the key is attached to the lease.
+	heldSince time.Time
 	// validUntil is when validity ends, by the holder's own clock.
 	validUntil time.Time
 	// due is the earliest start of the next call.
@@ -113,82 +132,86 @@
 	status  callStatus
 	leaseID int64
 	token   int64
+	// replaces is the mod revision of a key that may be claimed although it exists.
+	replaces int64
 }
 
-// after returns the state after a call that began at started.
-func (s state) after(a action, started time.Time, ttl time.Duration, r callResult) state {
-	validity := started.Add(ttl - ttl*marginPercent/100)
+// callTime is when a call began and when its response arrived, by the holder's own clock.
+type callTime struct{ started, returned time.Time }
+
+// after returns the state after a call.
+func (s state) after(a action, at callTime, t Timing, r callResult) state {
 	switch a {
 	case actCheck:
-		return s.afterCheck(started, r)
+		return s.afterCheck(at.started, t, r)
 	case actGrant:
-		return s.afterGrant(started, validity, r)
+		return s.afterGrant(at.started, t, r)
 	case actClaim:
-		return s.afterClaim(started, r)
+		return s.afterClaim(at, t, r)
 	case actReadBack:
-		return s.afterReadBack(started, r)
+		return s.afterReadBack(at, t, r)
 	case actRenew:
-		return s.afterRenew(started, validity, r)
+		return s.afterRenew(at.started, t, r)
 	default:
-		return idleUntil(started.Add(retryInterval))
+		return idleUntil(at.started.Add(t.RetryInterval))
 	}
 }
 
 func idleUntil(due time.Time) state { return state{phase: idle, due: due} }
 
-func (s state) afterCheck(started time.Time, r callResult) state {
+func (s state) afterCheck(started time.Time, t Timing, r callResult) state {
 	if r.status == statusAbsent {
-		return state{phase: available, due: started}
+		return state{phase: available, replaces: r.replaces, due: started}
 	}
-	return idleUntil(started.Add(RenewInterval))
+	return idleUntil(started.Add(t.RenewInterval))
 }
 
 // afterGrant discards a lease whose grant had no response: it has no key attached and
 // expires by itself.
-func (s state) afterGrant(started, validity time.Time, r callResult) state {
+func (s state) afterGrant(started time.Time, t Timing, r callResult) state {
 	if r.status != statusOK {
-		return idleUntil(started.Add(retryInterval))
+		return idleUntil(started.Add(t.RetryInterval))
 	}
-	return state{phase: granted, leaseID: r.leaseID, validUntil: validity, due: started}
+	return state{phase: granted, leaseID: r.leaseID, replaces: s.replaces, validUntil: t.validity(started), due: started}
 }
 
 // afterClaim also has the key read back after a rejected claim, because an earlier claim
 // without a response may have taken effect since.
-func (s state) afterClaim(started time.Time, r callResult) state {
+func (s state) afterClaim(at callTime, t Timing, r callResult) state {
 	switch r.status {
 	case statusOK:
-		s.phase, s.token, s.due = held, r.token, started.Add(RenewInterval)
+		s.phase, s.token, s.heldSince, s.due = held, r.token, at.returned, at.started.Add(t.RenewInterval)
 	case statusLeaseNotFound:
-		return idleUntil(started.Add(retryInterval))
+		return idleUntil(at.started.Add(t.RetryInterval))
 	default:
-		s.phase, s.due = uncertain, started
+		s.phase, s.due = uncertain, at.started
 	}
 	return s
 }
 
-func (s state) afterReadBack(started time.Time, r callResult) state {
+func (s state) afterReadBack(at callTime, t Timing, r callResult) state {
 	switch r.status {
 	case statusOK:
-		s.phase, s.token, s.due = held, r.token, started
+		s.phase, s.token, s.heldSince, s.due = held, r.token, at.returned, at.started
 	case statusAbsent:
-		s.phase, s.due = granted, started
+		s.phase, s.replaces, s.due = granted, r.replaces, at.started
 	case statusRejected:
-		s.phase, s.due = abandoned, started
+		s.phase, s.due = abandoned, at.started
 	default:
-		s.due = started.Add(retryInterval)
+		s.due = at.started.Add(t.RetryInterval)
 	}
 	return s
 }
 
 // afterRenew treats a renewal whose response was lost as not renewed.
-func (s state) afterRenew(started, validity time.Time, r callResult) state {
+func (s state) afterRenew(started time.Time, t Timing, r callResult) state {
 	switch r.status {
 	case statusOK:
-		s.validUntil, s.due = validity, started.Add(RenewInterval)
+		s.validUntil, s.due = t.validity(started), started.Add(t.RenewInterval)
 	case statusLeaseNotFound:
 		return idleUntil(started)
 	default:
-		s.due = started.Add(retryInterval)
+		s.due = started.Add(t.RetryInterval)
 	}
 	return s
 }
