--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -103,9 +103,9 @@
 	return Term{Token: s.token, Since: s.heldSince, Until: s.validUntil}, true
 }
 
-// NextStep returns when the next call of Step is due; vacant is true if no lease is held or
+// NextStep returns when the next call of Step is due; isIdle is true if no lease is held or
 // requested, so that a step would begin to compete for it.
-func (h *Holder) NextStep() (due time.Time, vacant bool) {
+func (h *Holder) NextStep() (due time.Time, isIdle bool) {
 	s := h.read()
 	return s.due, s.phase == idle
 }
