Hold duties on instances whose settings name the API for them

An instance with duties.api and usage_report in duties.names competes for the duty, holds it and releases it as soon as a drain is requested, so that another one takes over without the wait for the end of the lease. The store feed passes the rows of duties on, which costs no call: instances learn of a vacant duty from the changes that they read anyway. The status and the metrics name holder and token. No call is made yet, as nothing reports usage. Without the settings there is no holder, and the feed passes nothing on.

Orders in the status will come from the autoscaler.

--- a/internal/dutystatus/tracker.go
+++ b/internal/dutystatus/tracker.go
@@ -3,12 +3,9 @@
 package dutystatus
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"maps"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -45,9 +42,6 @@
 	return OutcomeRejected
 }
 
-// capacityKey identifies what an order sets.
-type capacityKey struct{ service, failureDomain string }
-
 // Tracker passes calls on to an API and records them. It implements external.DutyAPI and is safe
 // for concurrent use.
 type Tracker struct {
@@ -61,10 +55,7 @@
 
 	mu    sync.Mutex
 	calls map[external.Duty]lastCall
-	// orders are the accepted ones with the last token.
-	token  int64
-	orders map[capacityKey]operatorapi.DutyCapacity
-	usage  operatorapi.DutyUsage
+	usage operatorapi.DutyUsage
 }
 
 // lastCall is the last call for a duty.
@@ -80,9 +71,8 @@
 func New(api external.DutyAPI, window time.Duration, metrics *telemetry.DutyMetrics, log *logrus.Entry, now func() time.Time) *Tracker {
 	return &Tracker{
 		api: api, log: log, metrics: metrics, window: window, now: now,
-		calls:  map[external.Duty]lastCall{},
-		orders: map[capacityKey]operatorapi.DutyCapacity{},
-		usage:  operatorapi.DutyUsage{Windows: map[string]int64{}},
+		calls: map[external.Duty]lastCall{},
+		usage: operatorapi.DutyUsage{Windows: map[string]int64{}},
 	}
 }
 
@@ -106,18 +96,6 @@
 	started := t.now()
 	err := t.api.OrderCapacity(ctx, f, o)
 	t.record(external.DutyAutoscaler, f, started, err, logrus.Fields{telemetry.FieldService: o.Service, "failure_domain": o.FailureDomain, "desired": o.Desired})
-	if err == nil {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		if f.Token != t.token {
-			clear(t.orders)
-			t.token = f.Token
-		}
-		key := capacityKey{o.Service, o.FailureDomain}
-		t.orders[key] = operatorapi.DutyCapacity{
-			Service: o.Service, FailureDomain: o.FailureDomain, Ordered: o.Desired, Reason: t.orders[key].Reason,
-		}
-	}
 	return err
 }
 
@@ -132,7 +110,7 @@
 	fields[telemetry.FieldMillis] = ended.Sub(started).Milliseconds()
 	entry := t.log.WithFields(fields)
 	if err == nil {
-		entry.Info("the platform accepted the call")
+		entry.Debug("the platform accepted the call")
 		return
 	}
 	entry.WithError(err).Warn("the platform did not accept the call, or its response did not arrive")
@@ -146,21 +124,10 @@
 	t.usage.Windows[outcome]++
 }
 
-// Orders returns the accepted orders with the last token, in the order of services and failure domains.
-func (t *Tracker) Orders() []operatorapi.DutyCapacity {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return slices.SortedFunc(maps.Values(t.orders), func(a, b operatorapi.DutyCapacity) int {
-		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.FailureDomain, b.FailureDomain))
-	})
-}
-
-// Status returns the state of a duty without Holder, Held and Token. Orders are included while held.
-func (t *Tracker) Status(duty external.Duty, held bool) operatorapi.Duty {
+// Status returns the calls of this instance for a duty. The fields on its holder and the orders are
+// left empty.
+func (t *Tracker) Status(duty external.Duty) operatorapi.Duty {
 	status := operatorapi.Duty{Name: string(duty)}
-	if held && duty == external.DutyAutoscaler {
-		status.Orders = t.Orders()
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if call, known := t.calls[duty]; known {
--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -63,6 +63,8 @@
 	n.drain.OnPhaseChange = func(p drain.Progress) { n.onDrainPhase(p, entry) }
 	n.drain.OthersServe = n.otherInstancesServe
 	metrics := n.metrics()
+	store := platform.NewStore(s.Platform.Store)
+	n.duties = n.wireDuties(s, entry, identity, store, metrics)
 	n.loop.SetObserver(control.Observer{Timeline: n.timeline, Tick: metrics.RecordTick, Log: entry})
 	peers := peer.NewClient(identity.ID, s.Peer.Secret)
 	peers.SetClock(n.timeline.Clock())
@@ -107,7 +109,7 @@
 		n.serve(l.ready, &http.Server{Handler: gateway.NewReadinessHandler(platform.EntryProtocol{}, n.loop.Snapshot, clock.Now)}, entry))
 	n.operator = n.serve(l.operator, &http.Server{Handler: n.operatorHandler(s, metrics), TLSConfig: n.callerTLS()}, entry)
 	n.watchTLSFiles(entry)
-	n.startHostControl(s, entry, identity, peers, heartbeats, readers, server.Changes, restarts)
+	n.startHostControl(s, entry, identity, store, peers, heartbeats, readers, server.Changes, restarts)
 }
 
 func limitMemory(p settings.Process) {
@@ -147,10 +149,9 @@
 
 // startHostControl starts the control loop of an instance that serves host routes, and the
 // goroutines that post events to it.
-func (n *Node) startHostControl(s settings.Settings, log *logrus.Entry, identity control.Identity, peers *peer.Client, heartbeats *peer.Heartbeater, readers *peer.StoreReaders, changes *storefeed.ChangeLog, restarts *peer.RestartReporter) {
+func (n *Node) startHostControl(s settings.Settings, log *logrus.Entry, identity control.Identity, store *platform.Store, peers *peer.Client, heartbeats *peer.Heartbeater, readers *peer.StoreReaders, changes *storefeed.ChangeLog, restarts *peer.RestartReporter) {
 	ctx := n.ctx
 	syncer := &configsync.Syncer{Identity: identity, Peers: peers, Loop: n.loop, AnnounceToDomain: heartbeats.AnnounceToDomain, Log: log}
-	store := platform.NewStore(s.Platform.Store)
 	documents := platform.DocumentCodec{Regions: s.Platform.Domains}
 	feed := &storefeed.Feed{
 		Store:     store,
@@ -163,6 +164,8 @@
 		Log:     log,
 		Readers: readers,
 		Changes: changes,
+
+		Observer: n.duties.observer(),
 	}
 	rollouts := &rolloutctl.ServiceController{
 		Identity: identity, Store: store, Documents: documents, Loop: n.loop, Recorder: n.recorder, Log: log,
@@ -176,4 +179,5 @@
 	n.wg.Go(func() { restarts.Run(ctx) })
 	n.wg.Go(func() { n.dispatcher.DetectCrashes(ctx) })
 	n.wg.Go(func() { rollouts.Run(ctx) })
+	n.duties.start(n)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,11 +65,13 @@
 	loop       *control.Loop
 	dispatcher *dispatch.Dispatcher
 	// wakeProber gets a value when an upstream may have started again.
-	wakeProber  chan struct{}
-	lease       *lease.Holder
-	slots       *slotclaim.Holder
-	drain       *drain.Controller
-	writes      *writes.Service
+	wakeProber chan struct{}
+	lease      *lease.Holder
+	slots      *slotclaim.Holder
+	drain      *drain.Controller
+	writes     *writes.Service
+	// duties is nil unless the settings name an API for them.
+	duties      *duties
 	timeline    *timeline.Recorder
 	memberCache *peer.MemberCache
 	// servers are all servers except the operator's, which is stopped last, so that the end
@@ -363,6 +365,7 @@
 		Snapshot: n.loop.Snapshot,
 		Timeline: n.timeline,
 		Drain:    n.drain,
+		Duties:   n.duties.status,
 		Metrics:  metrics.Handler(),
 		Now:      time.Now,
 	})
--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -58,8 +58,10 @@
 	Log  *logrus.Entry
 	// Readers are those of the failure domain; nil to read the store always directly. Changes holds what this
 	// instance reads directly, for others; nil to keep nothing.
-	Readers   Readers
-	Changes   *ChangeLog
+	Readers Readers
+	Changes *ChangeLog
+	// Observer takes the entries of keys that the documents leave out; nil for none.
+	Observer  *Observer
 	following following
 	view      view
 	// lastSuccess is when the last successful call began.
@@ -128,6 +130,7 @@
 	f.view.received = clock.Now()
 	for _, e := range changes.Events {
 		f.view.apply(e, began, f.keepExpiredUntil(began))
+		f.Observer.observe(e, changes.Era)
 	}
 }
 
@@ -153,6 +156,7 @@
 	default:
 		f.view.replace(reading.Entries, started, f.keepExpiredUntil(started))
 	}
+	f.Observer.observeAll(reading.Entries, reading.Era)
 	if first || restored {
 		go f.register(ctx)
 	}
