Report once for each request when an upstream begins to execute it

Callers and operators see no change until a dispatcher has a CountUsage function. An attempt reports the execution at the first event of a stream, at the head of another response to the request, or when the connection breaks after a request that is not streamed was sent completely; the same goes for a caller that leaves then. Rejections, streams without an event, requests that were given up because the upstream was silent, requests without a client account and rollout probes are not counted, nor is a stream that its caller resumes, whose first event was counted before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -79,6 +79,9 @@
 	leavingUpstream string
 	// executedAttempts counts the attempts that an upstream may have executed.
 	executedAttempts int
+	// Counted is true once the usage of the request was counted, here or at another instance, and for a
+	// request that continues a stream of an earlier one. It is not counted again.
+	Counted bool
 	// Probe marks a rollout probe: a request that tests the candidate version of a rollout.
 	// It may be sent to the candidate whatever the candidate's traffic share.
 	Probe bool
@@ -164,6 +167,9 @@
 	// ObserveRollout is called for each attempt on a target with an active rollout; nil to
 	// ignore them.
 	ObserveRollout func(RolloutObservation)
+	// CountUsage is called once for each request of a client account that an upstream of this instance begins to
+	// execute, with the account, when that is known. It must not block. Nil counts nothing.
+	CountUsage func(account string)
 	// Timeline and Metrics may be nil.
 	Timeline *timeline.Recorder
 	Metrics  *telemetry.Metrics
@@ -207,6 +213,7 @@
 		if r.Stream && r.StreamPosition == nil {
 			r.StreamPosition = &relay.StreamPosition{}
 		}
+		r.Counted = r.Counted || (r.StreamPosition != nil && r.StreamPosition.HasLastEventID)
 		err = d.attemptWithRetries(run, r, sink)
 	}
 	if isProbe {
@@ -640,6 +647,9 @@
 	if ctx.detached {
 		attempt.Caller = ctx.caller
 	}
+	if d.CountUsage != nil && !r.Counted && r.Account != "" && !r.Probe {
+		attempt.OnExecution = func() { d.countUsage(r) }
+	}
 	d.applyRouteParams(&attempt, r, u, choice)
 	if r.Repeatable || r.RouteParams != nil {
 		attempt.ReserveRetry = func() bool { return d.reserveRetry(r) }
@@ -666,6 +676,13 @@
 	return result
 }
 
+func (d *Dispatcher) countUsage(r *Request) {
+	if !r.Counted {
+		r.Counted = true
+		d.CountUsage(r.Account)
+	}
+}
+
 const (
 	// minIdleTimeout is the shortest time after which upstreams that state no idle timeout close idle connections.
 	minIdleTimeout = time.Second
--- a/internal/dispatch/timeout_test.go
+++ b/internal/dispatch/timeout_test.go
@@ -22,7 +22,9 @@
 
 func (idProtocol) EncodeAttempt(h http.Header, a *relay.Attempt, _ time.Duration) {
 	h.Set("Id", a.RequestID)
-	h.Set("After", fmt.Sprint(a.StreamPosition.LastEventID))
+	if a.StreamPosition != nil {
+		h.Set("After", fmt.Sprint(a.StreamPosition.LastEventID))
+	}
 }
 
 func (idProtocol) DecodeResponse(_ int, h http.Header) relay.ResponseMetadata {
@@ -58,7 +60,7 @@
 const streamOfTwo = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 
 // newTestDispatcher returns a dispatcher for one upstream per handler, and the requests that each got.
-func newTestDispatcher(t *testing.T, limits retry.Limits, handlers ...http.HandlerFunc) (*Dispatcher, []atomic.Int64) {
+func newTestDispatcher(t testing.TB, limits retry.Limits, handlers ...http.HandlerFunc) (*Dispatcher, []atomic.Int64) {
 	t.Helper()
 	counts := make([]atomic.Int64, len(handlers))
 	s := &routing.Snapshot{Quarantined: quarantine.Set{}, InstanceCount: 1}
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -123,6 +123,7 @@
 		Position:      a.StreamPosition,
 		MaxEventBytes: r.limits.MaxEventBytes,
 		Sink:          sink,
+		OnFirstEvent:  a.OnExecution,
 	}
 	if a.Completion {
 		copier.RequestID = a.RequestID
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -309,6 +309,8 @@
 	// onSent is Attempt.OnSent, and maySend is Attempt.MaySend.
 	onSent  func()
 	maySend func(again bool) bool
+	// trackWhole is true if whole is needed, which is true once the request was written completely.
+	trackWhole, whole bool
 	// refused is true once maySend has returned false.
 	refused bool
 	// abandoned is true once abandon has succeeded; connections that come later are not used.
@@ -327,9 +329,12 @@
 
 func (s *sendTracker) withTrace(ctx context.Context) context.Context {
 	trace := &httptrace.ClientTrace{GotConn: s.gotConn}
-	if s.onSent != nil {
-		trace.WroteRequest = func(httptrace.WroteRequestInfo) {
-			if !s.wasRefused() {
+	if s.onSent != nil || s.trackWhole {
+		trace.WroteRequest = func(info httptrace.WroteRequestInfo) {
+			s.mu.Lock()
+			s.whole = s.whole || info.Err == nil
+			s.mu.Unlock()
+			if s.onSent != nil && !s.wasRefused() {
 				s.onSent()
 			}
 		}
@@ -355,6 +360,13 @@
 	s.uses = append(s.uses, connUse{conn: c, writesBefore: writes, receivedBefore: c.received.Load(), exchangesBefore: exchanges})
 }
 
+// sentWhole reports whether the request was written completely to a connection. It is known only with trackWhole.
+func (s *sendTracker) sentWhole() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.whole
+}
+
 // wasRefused reports whether Attempt.MaySend kept the attempt from a connection.
 func (s *sendTracker) wasRefused() bool {
 	s.mu.Lock()
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -56,6 +56,9 @@
 	// Numbered is true if the events have consecutive ids and the stream ends with its body
 	// instead of [DONE].
 	Numbered bool
+	// OnFirstEvent is called when the first event of this response was accepted; nil to ignore it. Comments and [DONE]
+	// are no events.
+	OnFirstEvent func()
 
 	pending []byte
 	// eventless is the number of bytes without data since the last event with data.
@@ -150,7 +153,9 @@
 	c.eventless = 0
 	c.hasEvents = true
 	if c.Numbered {
-		return c.advanceNumbered(e, next)
+		err := c.advanceNumbered(e, next)
+		c.recordEvent(err)
+		return err
 	}
 	if e.isDone() {
 		c.done = true
@@ -159,7 +164,17 @@
 	if c.RequestID != "" && !belongsTo(e.data, c.RequestID) {
 		return errWrongRequestID
 	}
-	return c.advance(e, next)
+	err = c.advance(e, next)
+	c.recordEvent(err)
+	return err
+}
+
+// recordEvent calls OnFirstEvent at the first event that was accepted.
+func (c *EventCopier) recordEvent(err error) {
+	if err == nil && c.OnFirstEvent != nil {
+		c.OnFirstEvent()
+		c.OnFirstEvent = nil
+	}
 }
 
 // Finish handles the end of the body of a numbered stream. It returns an error if the body
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -132,11 +132,15 @@
 	if !idMatches {
 		return upstreamFault(errkind.ResponseMismatched, errkind.ExecutionUnknown, retry.Failed, nil, "the upstream sent a response for another request")
 	}
+	isStream := a.StreamPosition != nil && IsEventStream(resp.StatusCode, resp.Header)
+	if !isStream {
+		a.recordExecution()
+	}
 	success := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
 	if resp.StatusCode < http.StatusOK || (success && !metadata.Signed) || resp.Header.Get("Content-Encoding") != "" {
 		return upstreamFault(errkind.UpstreamFailed, errkind.ExecutionUnknown, retry.Failed, nil, "the upstream sent a response that is unsigned, encoded, or has an invalid status")
 	}
-	if a.StreamPosition != nil && IsEventStream(resp.StatusCode, resp.Header) {
+	if isStream {
 		return r.copyNumberedStream(w, resp, a, sink)
 	}
 	if a.StreamPosition != nil && a.StreamPosition.Started {
@@ -187,6 +191,7 @@
 		MaxEventBytes: r.limits.MaxEventBytes,
 		Sink:          sink,
 		Numbered:      true,
+		OnFirstEvent:  a.OnExecution,
 	}
 	buf := make([]byte, copyBufferBytes)
 	for {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -146,6 +146,17 @@
 	// OnMetadata is called when the head of a response to the request arrives from the upstream;
 	// nil to ignore it. Responses that name another request or upstream are left out.
 	OnMetadata func(ResponseMetadata)
+	// OnExecution is called when the upstream has begun to execute the request: at each response's first event, at
+	// the head of a response that is not a stream, or when the connection breaks after a request that is not streamed
+	// was sent completely, because it has probably been executed. Nil to ignore it. It runs on the goroutine of Do
+	// and may be called more than once.
+	OnExecution func()
+}
+
+func (a *Attempt) recordExecution() {
+	if a.OnExecution != nil {
+		a.OnExecution()
+	}
 }
 
 // Result is the outcome of an attempt.
@@ -241,7 +252,7 @@
 
 // doOnce makes the attempt without repeating it after a sealed connection.
 func (r *Relay) doOnce(ctx context.Context, a Attempt, sink Sink) Result {
-	sent := &sendTracker{onSent: a.OnSent, maySend: a.MaySend}
+	sent := &sendTracker{onSent: a.OnSent, maySend: a.MaySend, trackWhole: a.OnExecution != nil}
 	mayGiveUp := func() bool { return a.ReserveRetry == nil || sent.unsent() || a.ReserveRetry() }
 	w := newWatchdog(ctx, firstByteTimeout(a, r.limits), mayGiveUp)
 	defer w.stop()
@@ -253,6 +264,9 @@
 	resp, err := r.transport(a).RoundTrip(req)
 	if err != nil {
 		result := r.classifySendError(w, sent, a, err)
+		if a.StreamPosition == nil && sent.sentWhole() && brokeWhileExecuting(result) {
+			a.recordExecution()
+		}
 		result.Resends = sent.resends()
 		return result
 	}
@@ -272,6 +286,19 @@
 	return result
 }
 
+// brokeWhileExecuting reports whether a request that was sent completely has probably been executed although
+// no response arrived. One that was given up because the upstream was silent may have waited in its queue.
+func brokeWhileExecuting(result Result) bool {
+	switch result.Outcome {
+	case retry.Crashed, retry.Failed:
+		return result.Err.Execution != errkind.NotExecuted
+	case retry.RequestEnded:
+		return result.Err.Execution != errkind.NotExecuted && result.Err.Kind != errkind.UpstreamTimeout
+	default:
+		return false
+	}
+}
+
 // callerLeftGrace is the time in which an upstream of the region acknowledges what was sent if its link works.
 const callerLeftGrace = 100 * time.Millisecond
 
@@ -332,11 +359,13 @@
 		return overloadedResult(resp)
 	}
 	if resp.StatusCode >= http.StatusInternalServerError {
+		a.recordExecution()
 		return upstreamFault(errkind.UpstreamFailed, errkind.ExecutionUnknown, retry.Failed, nil, "the upstream failed with status %d", resp.StatusCode)
 	}
 	if a.StreamPosition != nil && IsEventStream(resp.StatusCode, resp.Header) {
 		return r.copyStream(w, resp, a, sink)
 	}
+	a.recordExecution()
 	if a.StreamPosition != nil && a.StreamPosition.HasLastEventID {
 		return upstreamFault(errkind.ResponseIncomplete, errkind.Executed, retry.Failed, nil, "the upstream could not resume the stream")
 	}
