--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -2,7 +2,8 @@
 // time, and decides what the holder of the duty external.DutyUsageReport reports of them and when.
 // docs/design/usage.md describes the protocol.
 //
-// Clock, Ledger and Row know no network and take the time from their callers.
+// Clock, Ledger and Row know no network and take the time from their callers. Reporter connects them
+// to the store, the duty API and the other instances.
 package usage
 
 import (
