--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -11,6 +11,7 @@
 	"heatherloom/internal/external"
 	"heatherloom/internal/lease"
 	"heatherloom/internal/membership"
+	"heatherloom/internal/telemetry"
 )
 
 // idleInterval is the time between two checks whether to compete for the duty.
@@ -185,9 +186,9 @@
 		h.mu.Lock()
 		h.outcomes = outcomes{}
 		h.mu.Unlock()
-		log.WithField("token", term.Token).Info("duty acquired")
+		log.WithFields(logrus.Fields{telemetry.FieldEvent: "duty_acquired", "token": term.Token}).Info("duty acquired; calls begin after the settling time")
 	case had && !has:
-		log.WithField("token", before.Token).Warn("duty lost: its lease has ended in the store")
+		log.WithFields(logrus.Fields{telemetry.FieldEvent: "duty_lost", "token": before.Token}).Warn("duty lost: its lease has ended in the store")
 	}
 }
 
@@ -208,7 +209,9 @@
 	term, held := h.lease.Term()
 	h.lease.Release(ctx)
 	if held {
-		h.config.Log.WithFields(logrus.Fields{"duty": h.config.Duty, "token": term.Token, "reason": reason}).Info("duty released")
+		h.config.Log.WithFields(logrus.Fields{
+			telemetry.FieldEvent: "duty_released", "duty": h.config.Duty, "token": term.Token, telemetry.FieldReason: reason,
+		}).Info("duty released")
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/dutystatus/tracker.go
+++ b/internal/dutystatus/tracker.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"sync"
 	"time"
 
@@ -50,12 +49,11 @@
 	metrics *telemetry.DutyMetrics
 	// window is the length of a window of usage.
 	window time.Duration
-	// now returns the time of day.
+	// now returns the true time.
 	now func() time.Time
 
 	mu    sync.Mutex
 	calls map[external.Duty]lastCall
-	usage operatorapi.DutyUsage
 }
 
 // lastCall is the last call for a duty.
@@ -66,13 +64,12 @@
 
 var _ external.DutyAPI = (*Tracker)(nil)
 
-// New returns a tracker of the calls to api. window is the length of a window of usage, now the time
-// of day.
+// New returns a tracker of the calls to api. window is the length of a window of usage, now the true
+// time.
 func New(api external.DutyAPI, window time.Duration, metrics *telemetry.DutyMetrics, log *logrus.Entry, now func() time.Time) *Tracker {
 	return &Tracker{
 		api: api, log: log, metrics: metrics, window: window, now: now,
 		calls: map[external.Duty]lastCall{},
-		usage: operatorapi.DutyUsage{Windows: map[string]int64{}},
 	}
 }
 
@@ -82,11 +79,7 @@
 	err := t.api.ReportUsage(ctx, f, r)
 	t.record(external.DutyUsageReport, f, started, err, logrus.Fields{"window": r.Window, "accounts": len(r.Counts)})
 	if err == nil {
-		delay := t.now().Sub(time.Unix(0, 0).Add(time.Duration(r.Window+1) * t.window))
-		t.metrics.RecordUsageDelay(delay)
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		t.usage.LastWindow, t.usage.LastDelaySeconds = r.Window, delay.Seconds()
+		t.metrics.RecordUsageDelay(t.now().Sub(time.Unix(0, 0).Add(time.Duration(r.Window+1) * t.window)))
 	}
 	return err
 }
@@ -116,16 +109,7 @@
 	entry.WithError(err).Warn("the platform did not accept the call, or its response did not arrive")
 }
 
-// RecordWindow counts a window of usage whose outcome is final.
-func (t *Tracker) RecordWindow(outcome string) {
-	t.metrics.RecordWindow(outcome)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.usage.Windows[outcome]++
-}
-
-// Status returns the calls of this instance for a duty. The fields on its holder and the orders are
-// left empty.
+// Status returns the last call of this instance for a duty. The other fields are left empty.
 func (t *Tracker) Status(duty external.Duty) operatorapi.Duty {
 	status := operatorapi.Duty{Name: string(duty)}
 	t.mu.Lock()
@@ -133,10 +117,5 @@
 	if call, known := t.calls[duty]; known {
 		status.LastCall, status.LastCallSeconds = call.outcome, t.now().Sub(call.at).Seconds()
 	}
-	if duty == external.DutyUsageReport && (t.usage.LastWindow != 0 || len(t.usage.Windows) > 0) {
-		usage := t.usage
-		usage.Windows = maps.Clone(t.usage.Windows)
-		status.Usage = &usage
-	}
 	return status
 }
--- a/internal/telemetry/duties.go
+++ b/internal/telemetry/duties.go
@@ -21,35 +21,39 @@
 type DutySources struct {
 	// Held returns 1 while this instance holds a duty, else 0, by the name of the duty.
 	Held map[string]func() float64
-	// Ordered returns the orders of this instance, none unless it holds the duty.
+	// Windows returns how many windows of usage this instance has reported or left out, by outcome; nil
+	// for none.
+	Windows func() map[string]int64
+	// Ordered returns the orders of this instance, none unless it holds the duty; nil for none.
 	Ordered func() []OrderedCapacity
 }
 
 // DutyMetrics holds the metrics of calls to the platform that one instance makes at a time. They are
 // registered only where the settings name such calls. A nil *DutyMetrics records nothing.
 type DutyMetrics struct {
-	calls   *prometheus.CounterVec
-	windows *prometheus.CounterVec
-	delay   prometheus.Histogram
+	calls *prometheus.CounterVec
+	delay prometheus.Histogram
 }
 
 // RegisterDuties adds the metrics of duties. It must be called at most once.
 func (m *Metrics) RegisterDuties(s DutySources) *DutyMetrics {
 	d := &DutyMetrics{
-		calls:   counterVec("duty_calls_total", "Calls to the duty API by duty and outcome.", "duty", "outcome"),
-		windows: counterVec("usage_windows_total", "Windows of usage that this instance reported or left out, by outcome.", "outcome"),
+		calls: counterVec("duty_calls_total", "Calls to the duty API by duty and outcome.", "duty", "outcome"),
 		delay: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "usage_delay_seconds", Buckets: usageDelayBuckets,
 			Help: "Time from the end of a window until its usage was accepted.",
 		}),
 	}
-	m.registry.MustRegister(d.calls, d.windows, d.delay)
+	m.registry.MustRegister(d.calls, d.delay)
 	for duty, read := range s.Held {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "duty_held", Help: "1 while this instance holds the duty.",
 			ConstLabels: prometheus.Labels{"duty": duty},
 		}, read))
 	}
+	if s.Windows != nil {
+		m.registry.MustRegister(windowsCollector(s.Windows))
+	}
 	if s.Ordered != nil {
 		m.registry.MustRegister(orderedCollector(s.Ordered))
 	}
@@ -63,13 +67,6 @@
 	}
 }
 
-// RecordWindow counts one window of usage whose outcome is final.
-func (d *DutyMetrics) RecordWindow(outcome string) {
-	if d != nil {
-		d.windows.WithLabelValues(outcome).Inc()
-	}
-}
-
 // RecordUsageDelay records the time from the end of a window until its usage was accepted.
 func (d *DutyMetrics) RecordUsageDelay(delay time.Duration) {
 	if d != nil {
@@ -77,6 +74,22 @@
 	}
 }
 
+var windowsDesc = prometheus.NewDesc(namespace+"_usage_windows_total",
+	"Windows of usage that this instance reported or left out, by outcome.", []string{"outcome"}, nil)
+
+// windowsCollector collects the windows by outcome.
+type windowsCollector func() map[string]int64
+
+// Describe implements prometheus.Collector.
+func (windowsCollector) Describe(descriptions chan<- *prometheus.Desc) { descriptions <- windowsDesc }
+
+// Collect implements prometheus.Collector.
+func (c windowsCollector) Collect(metrics chan<- prometheus.Metric) {
+	for outcome, n := range c() {
+		metrics <- prometheus.MustNewConstMetric(windowsDesc, prometheus.CounterValue, float64(n), outcome)
+	}
+}
+
 var orderedDesc = prometheus.NewDesc(namespace+"_capacity_ordered",
 	"Upstreams that this instance ordered, while it holds the duty.", []string{"service", "failure_domain"}, nil)
 
