Exchange counts of usage between instances

Adds the RPCs CopyUsage and CollectUsage, the clock reading by which usage is dated to heartbeat responses, and a mark to forwarded requests and their ends, so that a request which several instances handle is counted once.

--- a/internal/membership/targets.go
+++ b/internal/membership/targets.go
@@ -74,6 +74,12 @@
 // budget for control traffic.
 const MaxFullMeshMembers = 16
 
+// ByWeight returns the members by descending rendezvous weight for key. All processes with the same members get the
+// same order.
+func ByWeight(key string, members []string) []string {
+	return topByWeight(slices.Clone(members), key, len(members))
+}
+
 // topByWeight returns the n elements of s with the highest rendezvous weight for key.
 func topByWeight(s []string, key string, n int) []string {
 	slices.SortFunc(s, func(a, b string) int { return compareWeight(key, a, b) })
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -73,6 +73,7 @@
 		Crashes:     int32(r.Crashes),
 		Clock:       uint64(c.clock.Now()),
 		Terms:       encodeRouteParams(r),
+		Counted:     r.Counted,
 	}
 }
 
@@ -112,6 +113,8 @@
 	f.header = unflatten(h.GetHeaders())
 	f.request.SetLeavingUpstream(h.GetLeavingUpstream())
 	if f.request.StreamPosition == nil || !relay.IsEventStream(f.status, f.header) {
+		// The other instance counted the request when it got this head.
+		f.request.Counted = true
 		return
 	}
 	f.numbered = f.request.RouteParams != nil
@@ -122,6 +125,7 @@
 		MaxEventBytes: f.limits.MaxEventBytes,
 		Sink:          f.sink,
 		Numbered:      f.numbered,
+		OnFirstEvent:  func() { f.request.Counted = true },
 	}
 	if !f.numbered && f.request.IsCompletion() {
 		f.copier.RequestID = f.request.ID
@@ -144,6 +148,7 @@
 
 func (f *forwardedResponse) handleEnd(end *peerv1.ForwardEnd) relay.Result {
 	f.clock.Observe(timeline.Stamp(end.GetClock()))
+	f.request.Counted = f.request.Counted || end.GetCounted()
 	result := f.endResult(end)
 	result.Attempts = int(end.GetAttempts())
 	if result.Outcome == retry.NotSent && result.Attempts > 0 {
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -16,6 +16,7 @@
 	"heatherloom/internal/rollout"
 	"heatherloom/internal/routing"
 	"heatherloom/internal/timeline"
+	"heatherloom/internal/usage"
 )
 
 const (
@@ -42,6 +43,10 @@
 	Samples func() []rollout.KeyedSample
 	// HostReport returns the report on the host routes; nil if the instance serves none.
 	HostReport HostReportFunc
+	// Recent notes which peers answer, and UsageClock compares its time with theirs. Both are nil unless the
+	// instance counts usage.
+	Recent     *RecentPeers
+	UsageClock *usage.Clock
 }
 
 // Run sends heartbeats until ctx ends.
@@ -155,6 +160,11 @@
 		self = h.MemberCache.expand(resp.GetSelf())
 	}
 	h.SentReports.Observe(address, self.GetIncarnation(), started)
+	now := clock.Now()
+	h.Recent.record(address, now)
+	if h.UsageClock != nil && resp.GetUsageClock() != 0 {
+		h.UsageClock.Observe(self.GetId(), time.Unix(0, resp.GetUsageClock()), now, now.Sub(started))
+	}
 	postMember(ctx, h.Loop, self, started, nil, resp)
 	postCrashes(ctx, h.Loop, resp.GetCrashes(), h.SentReports, address)
 	postCompletedParts(ctx, h.Loop, resp.GetCompletedParts())
--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -56,6 +56,11 @@
 	// PeerServiceReportRestartsProcedure is the fully-qualified name of the PeerService's
 	// ReportRestarts RPC.
 	PeerServiceReportRestartsProcedure = "/peer.v1.PeerService/ReportRestarts"
+	// PeerServiceCopyUsageProcedure is the fully-qualified name of the PeerService's CopyUsage RPC.
+	PeerServiceCopyUsageProcedure = "/peer.v1.PeerService/CopyUsage"
+	// PeerServiceCollectUsageProcedure is the fully-qualified name of the PeerService's CollectUsage
+	// RPC.
+	PeerServiceCollectUsageProcedure = "/peer.v1.PeerService/CollectUsage"
 )
 
 // PeerServiceClient is a client for the peer.v1.PeerService service.
@@ -70,6 +75,8 @@
 	PullEvents(context.Context, *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error)
 	PullChanges(context.Context, *connect.Request[peerv1.PullChangesRequest]) (*connect.Response[peerv1.PullChangesResponse], error)
 	ReportRestarts(context.Context, *connect.Request[peerv1.ReportRestartsRequest]) (*connect.Response[peerv1.ReportRestartsResponse], error)
+	CopyUsage(context.Context, *connect.Request[peerv1.CopyUsageRequest]) (*connect.Response[peerv1.CopyUsageResponse], error)
+	CollectUsage(context.Context, *connect.Request[peerv1.CollectUsageRequest]) (*connect.Response[peerv1.CollectUsageResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the peer.v1.PeerService service. By default, it uses
@@ -143,6 +150,18 @@
 			connect.WithSchema(peerServiceMethods.ByName("ReportRestarts")),
 			connect.WithClientOptions(opts...),
 		),
+		copyUsage: connect.NewClient[peerv1.CopyUsageRequest, peerv1.CopyUsageResponse](
+			httpClient,
+			baseURL+PeerServiceCopyUsageProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("CopyUsage")),
+			connect.WithClientOptions(opts...),
+		),
+		collectUsage: connect.NewClient[peerv1.CollectUsageRequest, peerv1.CollectUsageResponse](
+			httpClient,
+			baseURL+PeerServiceCollectUsageProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("CollectUsage")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -158,6 +177,8 @@
 	pullEvents     *connect.Client[peerv1.PullEventsRequest, peerv1.PullEventsResponse]
 	pullChanges    *connect.Client[peerv1.PullChangesRequest, peerv1.PullChangesResponse]
 	reportRestarts *connect.Client[peerv1.ReportRestartsRequest, peerv1.ReportRestartsResponse]
+	copyUsage      *connect.Client[peerv1.CopyUsageRequest, peerv1.CopyUsageResponse]
+	collectUsage   *connect.Client[peerv1.CollectUsageRequest, peerv1.CollectUsageResponse]
 }
 
 // Heartbeat calls peer.v1.PeerService.Heartbeat.
@@ -210,6 +231,16 @@
 	return c.reportRestarts.CallUnary(ctx, req)
 }
 
+// CopyUsage calls peer.v1.PeerService.CopyUsage.
+func (c *peerServiceClient) CopyUsage(ctx context.Context, req *connect.Request[peerv1.CopyUsageRequest]) (*connect.Response[peerv1.CopyUsageResponse], error) {
+	return c.copyUsage.CallUnary(ctx, req)
+}
+
+// CollectUsage calls peer.v1.PeerService.CollectUsage.
+func (c *peerServiceClient) CollectUsage(ctx context.Context, req *connect.Request[peerv1.CollectUsageRequest]) (*connect.Response[peerv1.CollectUsageResponse], error) {
+	return c.collectUsage.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	Heartbeat(context.Context, *connect.Request[peerv1.HeartbeatRequest]) (*connect.Response[peerv1.HeartbeatResponse], error)
@@ -222,6 +253,8 @@
 	PullEvents(context.Context, *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error)
 	PullChanges(context.Context, *connect.Request[peerv1.PullChangesRequest]) (*connect.Response[peerv1.PullChangesResponse], error)
 	ReportRestarts(context.Context, *connect.Request[peerv1.ReportRestartsRequest]) (*connect.Response[peerv1.ReportRestartsResponse], error)
+	CopyUsage(context.Context, *connect.Request[peerv1.CopyUsageRequest]) (*connect.Response[peerv1.CopyUsageResponse], error)
+	CollectUsage(context.Context, *connect.Request[peerv1.CollectUsageRequest]) (*connect.Response[peerv1.CollectUsageResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -291,6 +324,18 @@
 		connect.WithSchema(peerServiceMethods.ByName("ReportRestarts")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceCopyUsageHandler := connect.NewUnaryHandler(
+		PeerServiceCopyUsageProcedure,
+		svc.CopyUsage,
+		connect.WithSchema(peerServiceMethods.ByName("CopyUsage")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceCollectUsageHandler := connect.NewUnaryHandler(
+		PeerServiceCollectUsageProcedure,
+		svc.CollectUsage,
+		connect.WithSchema(peerServiceMethods.ByName("CollectUsage")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceHeartbeatProcedure:
@@ -313,6 +358,10 @@
 			peerServicePullChangesHandler.ServeHTTP(w, r)
 		case PeerServiceReportRestartsProcedure:
 			peerServiceReportRestartsHandler.ServeHTTP(w, r)
+		case PeerServiceCopyUsageProcedure:
+			peerServiceCopyUsageHandler.ServeHTTP(w, r)
+		case PeerServiceCollectUsageProcedure:
+			peerServiceCollectUsageHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -361,3 +410,11 @@
 func (UnimplementedPeerServiceHandler) ReportRestarts(context.Context, *connect.Request[peerv1.ReportRestartsRequest]) (*connect.Response[peerv1.ReportRestartsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.ReportRestarts is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) CopyUsage(context.Context, *connect.Request[peerv1.CopyUsageRequest]) (*connect.Response[peerv1.CopyUsageResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.CopyUsage is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) CollectUsage(context.Context, *connect.Request[peerv1.CollectUsageRequest]) (*connect.Response[peerv1.CollectUsageResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.CollectUsage is not implemented"))
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -30,6 +30,7 @@
 	"heatherloom/internal/storefeed"
 	"heatherloom/internal/telemetry"
 	"heatherloom/internal/timeline"
+	"heatherloom/internal/usage"
 	"heatherloom/internal/writes"
 )
 
@@ -74,6 +75,8 @@
 	Restarts *RestartReporter
 	// Changes holds what this instance reads from the store, for the others of its failure domain; nil for none.
 	Changes *storefeed.ChangeLog
+	// Usage keeps counts of usage and answers questions about them; nil if the instance counts none.
+	Usage *usage.Reporter
 	// Timeline and Drain may be nil.
 	Timeline *timeline.Recorder
 	Drain    *drain.Controller
@@ -136,6 +139,9 @@
 	if report := s.HostReport.of(snapshot); report != nil {
 		report.addToResponse(resp, snapshot, sender, now)
 	}
+	if s.Usage != nil {
+		resp.UsageClock = clock.Now().UnixNano()
+	}
 	return connect.NewResponse(resp), nil
 }
 
@@ -176,6 +182,7 @@
 	end.Clock = uint64(s.Timeline.Clock().Now())
 	end.Attempts = int32(request.Attempts) - req.Msg.GetAttempts()
 	end.Crashes = int32(request.Crashes) - req.Msg.GetCrashes()
+	end.Counted = request.Counted
 	return stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_End{End: end}})
 }
 
@@ -265,6 +272,7 @@
 		Stream:         m.GetStream(),
 		Repeatable:     m.GetRepeatable(),
 		BoundRegion:    m.GetBoundRegion(),
+		Counted:        m.GetCounted(),
 		Visited:        m.GetVisited(),
 		Deadline:       time.Unix(0, m.GetDeadline()),
 	}
--- a/internal/peer/writes.go
+++ b/internal/peer/writes.go
@@ -37,6 +37,7 @@
 		return writes.Result{}, classifyWriteFailure(ctx, tracker, err)
 	}
 	c.clock.Observe(timeline.Stamp(resp.Msg.GetEnd().GetClock()))
+	w.Request.Counted = w.Request.Counted || resp.Msg.GetEnd().GetCounted()
 	if !resp.Msg.GetEnd().GetComplete() {
 		return writes.Result{}, decodeError(resp.Msg.GetEnd())
 	}
@@ -183,6 +184,7 @@
 	s.logForward(request, failure, time.Since(started))
 	end := encodeEnd(failure)
 	end.Clock = uint64(s.Timeline.Clock().Now())
+	end.Counted = request.Counted
 	return connect.NewResponse(&peerv1.RunWriteResponse{
 		Status:   int32(result.Status),
 		Headers:  result.Headers,
--- a/internal/usage/clock.go
+++ b/internal/usage/clock.go
@@ -46,6 +46,15 @@
 // Correction returns what Date adds to the local time.
 func (c *Clock) Correction() time.Duration { return time.Duration(c.correction.Load()) }
 
+// Difference returns how far the clock of another instance was ahead of the own uncorrected one when it was last
+// observed; ok is false if that is not known.
+func (c *Clock) Difference(instance string) (ahead time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d, ok := c.differences[instance]
+	return d.ahead, ok
+}
+
 // Observe records the uncorrected clock reading of another instance in a response that arrived at a
 // local time, after a round trip of the given length.
 func (c *Clock) Observe(instance string, reading, local time.Time, roundTrip time.Duration) {
