Report usage from instances whose settings name the duty

With duties.api and usage_report, an instance counts the requests that upstreams begin to run, copies the counts to others and, as the holder of the duty, reports them; at its end it passes on the counts of its last second. The status shows the last accepted window and the windows by outcome, and the delay metric uses the clock that dates usage. Without the settings nothing is counted and no field of a message is set.

--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -12,18 +12,25 @@
 
 	"heatherloom/internal/clock"
 	"heatherloom/internal/control"
+	"heatherloom/internal/dispatch"
 	"heatherloom/internal/duty"
 	"heatherloom/internal/dutystatus"
 	"heatherloom/internal/external"
 	"heatherloom/internal/operatorapi"
+	"heatherloom/internal/peer"
 	"heatherloom/internal/settings"
 	"heatherloom/internal/storefeed"
 	"heatherloom/internal/telemetry"
+	"heatherloom/internal/usage"
 	"heatherloom/platform"
 )
 
-// dutyReleaseTimeout bounds the release of the duties. Without it, their leases expire by themselves.
-const dutyReleaseTimeout = 2 * time.Second
+const (
+	// dutyReleaseTimeout bounds the release of the duties. Without it, their leases expire by themselves.
+	dutyReleaseTimeout = 2 * time.Second
+	// usageFlushTimeout bounds the transfer of the last counts of usage, which takes a round trip.
+	usageFlushTimeout = 500 * time.Millisecond
+)
 
 // duties are the calls to the platform that one instance makes at a time, as this instance takes
 // part in them.
@@ -31,6 +38,10 @@
 	names   []external.Duty
 	holders map[external.Duty]*duty.Holder
 	tracker *dutystatus.Tracker
+	// usage counts requests and reports them; nil without the duty. recentPeers are the instances to
+	// which it sends copies.
+	usage       *usage.Reporter
+	recentPeers *peer.RecentPeers
 
 	mu sync.Mutex
 	// holderIDs are the instances that hold the duties according to the store; empty for none.
@@ -38,7 +49,7 @@
 }
 
 // wireDuties returns nil if the settings do not name the API or no duty that this instance knows.
-func (n *Node) wireDuties(s settings.Settings, log *logrus.Entry, identity control.Identity, store *platform.Store, metrics *telemetry.Metrics) *duties {
+func (n *Node) wireDuties(s settings.Settings, log *logrus.Entry, identity control.Identity, store *platform.Store, peers *peer.Client, metrics *telemetry.Metrics) *duties {
 	d := &duties{holders: map[external.Duty]*duty.Holder{}, holderIDs: map[external.Duty]string{}}
 	for _, name := range []external.Duty{external.DutyUsageReport} {
 		if slices.Contains(s.Duties.Names, string(name)) {
@@ -68,10 +79,47 @@
 			return 0
 		}
 	}
-	d.tracker = dutystatus.New(api, s.Duties.UsageWindow, metrics.RegisterDuties(sources), log, time.Now)
+	usageClock := usage.NewClock()
+	sources.Windows = d.usageWindows
+	date := func() time.Time { return usageClock.Date(clock.Now()) }
+	d.tracker = dutystatus.New(api, s.Duties.UsageWindow, metrics.RegisterDuties(sources), log, date)
+	if holder := d.holders[external.DutyUsageReport]; holder != nil {
+		d.recentPeers = &peer.RecentPeers{}
+		d.usage = &usage.Reporter{
+			Config: usage.Config{Window: s.Duties.UsageWindow, Due: s.Duties.UsageDue, Lease: s.Duties.Lease},
+			Ledger: usage.NewLedger(usage.Process{Instance: identity.ID, Started: identity.Incarnation}, s.Duties.UsageWindow),
+			Clock:  usageClock,
+			Permit: holder.Permit, Outcome: holder.ReportOutcome,
+			Store: eraStore, API: d.tracker,
+			Peers: &peer.UsagePeers{Identity: identity, Loop: n.loop, Client: peers, Recent: d.recentPeers},
+			Log:   log, Now: clock.Now,
+		}
+	}
 	return d
 }
 
+// connect makes the requests and the messages of other instances known to the usage reporter.
+func (d *duties) connect(dispatcher *dispatch.Dispatcher, heartbeats *peer.Heartbeater, server *peer.Server) {
+	if d == nil || d.usage == nil {
+		return
+	}
+	dispatcher.CountUsage = d.usage.Count
+	heartbeats.Recent, heartbeats.UsageClock = d.recentPeers, d.usage.Clock
+	server.Usage = d.usage
+}
+
+// usageWindows returns the windows that this instance reported or left out, by outcome.
+func (d *duties) usageWindows() map[string]int64 {
+	if d.usage == nil {
+		return nil
+	}
+	windows := map[string]int64{}
+	for outcome, n := range d.usage.Status().Windows {
+		windows[string(outcome)] = n
+	}
+	return windows
+}
+
 // livePeers returns the IDs of the other instances that live and do not drain.
 func (n *Node) livePeers() []string {
 	var ids []string
@@ -91,6 +139,9 @@
 	for _, holder := range d.holders {
 		n.wg.Go(func() { holder.Run(n.ctx) })
 	}
+	if d.usage != nil {
+		n.wg.Go(func() { d.usage.Run(n.ctx) })
+	}
 	n.wg.Go(func() {
 		select {
 		case <-n.ctx.Done():
@@ -111,6 +162,16 @@
 	releases.Wait()
 }
 
+// flush passes the counts of usage on to other instances after the last request. Without it, the holder waits
+// for the counts of the last second.
+func (d *duties) flush(ctx context.Context) {
+	if d != nil && d.usage != nil {
+		ctx, cancel := context.WithTimeout(ctx, usageFlushTimeout)
+		defer cancel()
+		d.usage.Flush(ctx)
+	}
+}
+
 // observer returns what the store feed passes on; nil without duties.
 func (d *duties) observer() *storefeed.Observer {
 	if d == nil {
@@ -137,6 +198,16 @@
 	}
 }
 
+// usageStatus returns nil for an instance that has not held the duty.
+func (d *duties) usageStatus() *operatorapi.DutyUsage {
+	windows := d.usageWindows()
+	if len(windows) == 0 {
+		return nil
+	}
+	s := d.usage.Status()
+	return &operatorapi.DutyUsage{LastWindow: s.LastWindow, LastDelaySeconds: s.LastDelay.Seconds(), Windows: windows}
+}
+
 // status returns the state of all duties; nil without any.
 func (d *duties) status() []operatorapi.Duty {
 	if d == nil {
@@ -151,6 +222,9 @@
 		d.mu.Lock()
 		status.Holder = cmp.Or(fence.Holder, d.holderIDs[name])
 		d.mu.Unlock()
+		if u := d.usageStatus(); u != nil && name == external.DutyUsageReport {
+			status.Usage = u
+		}
 		list = append(list, status)
 	}
 	return list
--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -63,8 +63,6 @@
 	n.drain.OnPhaseChange = func(p drain.Progress) { n.onDrainPhase(p, entry) }
 	n.drain.OthersServe = n.otherInstancesServe
 	metrics := n.metrics()
-	store := platform.NewStore(s.Platform.Store)
-	n.duties = n.wireDuties(s, entry, identity, store, metrics)
 	n.loop.SetObserver(control.Observer{Timeline: n.timeline, Tick: metrics.RecordTick, Log: entry})
 	peers := peer.NewClient(identity.ID, s.Peer.Secret)
 	peers.SetClock(n.timeline.Clock())
@@ -72,6 +70,8 @@
 		peers.SetTLSDialer(n.tls.Dial)
 	}
 	peers.SetDialer((&net.Dialer{Timeout: peerDialTimeout}).DialContext)
+	store := platform.NewStore(s.Platform.Store)
+	n.duties = n.wireDuties(s, entry, identity, store, peers, metrics)
 	n.dispatcher = n.hostDispatcher(s, entry, peers, metrics)
 	n.wireRolloutRecorder(identity, n.dispatcher)
 	shareLimiter := quota.NewShareLimiter(clock.Now(), s.Bounds.QuotaSlack)
@@ -100,6 +100,7 @@
 		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Drain: n.drain,
 		Log: entry, MemberCache: n.memberCache, SentReports: reports, HostReport: hostReport, Changes: &storefeed.ChangeLog{},
 	}
+	n.duties.connect(n.dispatcher, heartbeats, server)
 	readers := &peer.StoreReaders{Self: identity.PeerAddress, Snapshot: n.loop.Snapshot, Report: hostReport, Client: peers}
 	self := identity.CallerAddress()
 	n.servers = append(n.servers,
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -178,6 +178,7 @@
 func (n *Node) Shutdown(ctx context.Context) error {
 	n.drain.RequestDrain("shutdown")
 	failures := n.stopServers(ctx)
+	n.duties.flush(ctx)
 	// The slot is no longer in use once the listeners are closed.
 	n.releaseSlot(ctx)
 	if p := n.drain.Progress(); p.Phase == drain.Drained && n.drain.Context().Err() == nil {
