Collect the load of services from the instances of all regions

Callers and operators see no change until the node is wired to it.

The messages are new and stand at the end of the file.

--- a/internal/autoscale/autoscaler_test.go
+++ b/internal/autoscale/autoscaler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"heatherloom/internal/external"
 	"heatherloom/internal/opconfig"
+	"heatherloom/internal/routing"
 )
 
 // apiCall is an order that a testAPI received.
@@ -209,3 +211,36 @@
 		})
 	}
 }
+
+// Guards against upstreams that count as serving although they get no requests, and reports without a bound.
+func TestLoadOfCountsUpstreamsByState(t *testing.T) {
+	now := time.Unix(3000, 0)
+	upstream := func(domain string, change func(u *routing.Upstream)) routing.Upstream {
+		u := routing.Upstream{ID: domain, FailureDomain: domain, Targets: []string{"s"}, MaxConcurrency: 64, Counters: &routing.Counters{}}
+		u.Counters.Begin(now.Add(-time.Second), 3000, 0)
+		u.Counters.RecordLoad(now, external.Load{Running: 5, Waiting: 2})
+		change(&u)
+		return u
+	}
+	s := &routing.Snapshot{Upstreams: []routing.Upstream{
+		upstream("a", func(*routing.Upstream) {}),
+		upstream("a", func(u *routing.Upstream) { u.Counters.RecordLoad(now.Add(-2*time.Second), external.Load{Running: 9}) }),
+		upstream("a", func(u *routing.Upstream) { u.Cold = true }),
+		upstream("a", func(u *routing.Upstream) { u.Down = true }),
+		upstream("a", func(u *routing.Upstream) { u.Evacuated = true }),
+		upstream("a", func(u *routing.Upstream) { u.Draining = true }),
+		upstream("a", func(u *routing.Upstream) { u.Targets = []string{"other"} }),
+	}}
+	for i := range 2 * maxReportedDomains {
+		s.Upstreams = append(s.Upstreams, upstream(fmt.Sprintf("b-%03d", i), func(*routing.Upstream) {}))
+	}
+	s.BuildIndexes()
+	load := LoadOf(s, nil, []string{"s"}, now)
+	want := DomainLoad{
+		Service: "s", Domain: Domain{Name: "a", Serving: 2, Cold: 1, Unavailable: 2, Leaving: 1}, Slots: 5 * 64, InFlight: 6,
+		Reporting: 1, Running: 5, Waiting: 2, Arrivals: 3, PromptTokens: 9000,
+	}
+	if len(load.Domains) != maxReportedDomains || load.Domains[0] != want {
+		t.Errorf("%d failure domains, the first is %+v, want %+v", len(load.Domains), load.Domains[0], want)
+	}
+}
--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -56,6 +56,8 @@
 	// PeerServiceReportRestartsProcedure is the fully-qualified name of the PeerService's
 	// ReportRestarts RPC.
 	PeerServiceReportRestartsProcedure = "/peer.v1.PeerService/ReportRestarts"
+	// PeerServiceCollectLoadProcedure is the fully-qualified name of the PeerService's CollectLoad RPC.
+	PeerServiceCollectLoadProcedure = "/peer.v1.PeerService/CollectLoad"
 )
 
 // PeerServiceClient is a client for the peer.v1.PeerService service.
@@ -70,6 +72,7 @@
 	PullEvents(context.Context, *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error)
 	PullChanges(context.Context, *connect.Request[peerv1.PullChangesRequest]) (*connect.Response[peerv1.PullChangesResponse], error)
 	ReportRestarts(context.Context, *connect.Request[peerv1.ReportRestartsRequest]) (*connect.Response[peerv1.ReportRestartsResponse], error)
+	CollectLoad(context.Context, *connect.Request[peerv1.CollectLoadRequest]) (*connect.Response[peerv1.CollectLoadResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the peer.v1.PeerService service. By default, it uses
@@ -143,6 +146,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("ReportRestarts")),
 			connect.WithClientOptions(opts...),
 		),
+		collectLoad: connect.NewClient[peerv1.CollectLoadRequest, peerv1.CollectLoadResponse](
+			httpClient,
+			baseURL+PeerServiceCollectLoadProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("CollectLoad")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -158,6 +167,7 @@
 	pullEvents     *connect.Client[peerv1.PullEventsRequest, peerv1.PullEventsResponse]
 	pullChanges    *connect.Client[peerv1.PullChangesRequest, peerv1.PullChangesResponse]
 	reportRestarts *connect.Client[peerv1.ReportRestartsRequest, peerv1.ReportRestartsResponse]
+	collectLoad    *connect.Client[peerv1.CollectLoadRequest, peerv1.CollectLoadResponse]
 }
 
 // Heartbeat calls peer.v1.PeerService.Heartbeat.
@@ -210,6 +220,11 @@
 	return c.reportRestarts.CallUnary(ctx, req)
 }
 
+// CollectLoad calls peer.v1.PeerService.CollectLoad.
+func (c *peerServiceClient) CollectLoad(ctx context.Context, req *connect.Request[peerv1.CollectLoadRequest]) (*connect.Response[peerv1.CollectLoadResponse], error) {
+	return c.collectLoad.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	Heartbeat(context.Context, *connect.Request[peerv1.HeartbeatRequest]) (*connect.Response[peerv1.HeartbeatResponse], error)
@@ -222,6 +237,7 @@
 	PullEvents(context.Context, *connect.Request[peerv1.PullEventsRequest]) (*connect.Response[peerv1.PullEventsResponse], error)
 	PullChanges(context.Context, *connect.Request[peerv1.PullChangesRequest]) (*connect.Response[peerv1.PullChangesResponse], error)
 	ReportRestarts(context.Context, *connect.Request[peerv1.ReportRestartsRequest]) (*connect.Response[peerv1.ReportRestartsResponse], error)
+	CollectLoad(context.Context, *connect.Request[peerv1.CollectLoadRequest]) (*connect.Response[peerv1.CollectLoadResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -291,6 +307,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("ReportRestarts")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceCollectLoadHandler := connect.NewUnaryHandler(
+		PeerServiceCollectLoadProcedure,
+		svc.CollectLoad,
+		connect.WithSchema(peerServiceMethods.ByName("CollectLoad")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceHeartbeatProcedure:
@@ -313,6 +335,8 @@
 			peerServicePullChangesHandler.ServeHTTP(w, r)
 		case PeerServiceReportRestartsProcedure:
 			peerServiceReportRestartsHandler.ServeHTTP(w, r)
+		case PeerServiceCollectLoadProcedure:
+			peerServiceCollectLoadHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -361,3 +385,7 @@
 func (UnimplementedPeerServiceHandler) ReportRestarts(context.Context, *connect.Request[peerv1.ReportRestartsRequest]) (*connect.Response[peerv1.ReportRestartsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.ReportRestarts is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) CollectLoad(context.Context, *connect.Request[peerv1.CollectLoadRequest]) (*connect.Response[peerv1.CollectLoadResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.CollectLoad is not implemented"))
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -72,6 +72,8 @@
 	HostReport HostReportFunc
 	// Restarts applies what other instances report of restarted upstreams; nil to ignore it.
 	Restarts *RestartReporter
+	// Rejections are the requests of callers for which there was no room; nil for none.
+	Rejections *routing.Rejections
 	// Changes holds what this instance reads from the store, for the others of its failure domain; nil for none.
 	Changes *storefeed.ChangeLog
 	// Timeline and Drain may be nil.
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -48,6 +48,7 @@
 	// statements are those of Counters.said; nil before the first use.
 	statements atomic.Pointer[statements]
 	silence    silence
+	rates      attemptRates
 
 	holderID        atomic.Uint32
 	secondsPerToken atomic.Uint64
@@ -116,6 +117,7 @@
 	c.silence.begin(now.UnixNano())
 	c.said().brittle.countSend()
 	c.observeTokens(tokens)
+	c.rates.begin(now, tokens)
 	return &TrackedAttempt{counters: c, tokens: tokens, queued: queued, started: now}
 }
 
@@ -129,6 +131,7 @@
 	a.counters.RecordSign(now)
 	if a.release(now) {
 		a.counters.ObservePrefill(a.tokens+a.queued, now.Sub(a.started))
+		a.counters.rates.firstByte(now, a.tokens+a.queued, now.Sub(a.started))
 	}
 }
 
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -93,6 +93,8 @@
 // others of its region.
 type ServicePolicy struct {
 	Index *PrefixIndex
+	// Rejections counts the requests without an upstream or room; nil to ignore them.
+	Rejections *Rejections
 }
 
 // Name implements Policy.
@@ -100,6 +102,14 @@
 
 // Pick implements Policy.
 func (p ServicePolicy) Pick(s *Snapshot, r *Request, x *Scratch) (Choice, error) {
+	choice, err := p.pick(s, r, x)
+	if err != nil {
+		p.Rejections.record(r, err)
+	}
+	return choice, err
+}
+
+func (p ServicePolicy) pick(s *Snapshot, r *Request, x *Scratch) (Choice, error) {
 	best := scoredUpstream{index: none}
 	x.shared = locateSharedParts(s, r)
 	if len(r.Service.AllowedRegions) == 0 || slices.Contains(r.Service.AllowedRegions, s.Region) {
