--- a/internal/peer/peerv1/peerv1connect/peer.connect.go
+++ b/internal/peer/peerv1/peerv1connect/peer.connect.go
@@ -61,6 +61,8 @@
 	// PeerServiceCollectUsageProcedure is the fully-qualified name of the PeerService's CollectUsage
 	// RPC.
 	PeerServiceCollectUsageProcedure = "/peer.v1.PeerService/CollectUsage"
+	// PeerServiceCollectLoadProcedure is the fully-qualified name of the PeerService's CollectLoad RPC.
+	PeerServiceCollectLoadProcedure = "/peer.v1.PeerService/CollectLoad"
 )
 
 // PeerServiceClient is a client for the peer.v1.PeerService service.
@@ -77,6 +79,7 @@
 	ReportRestarts(context.Context, *connect.Request[peerv1.ReportRestartsRequest]) (*connect.Response[peerv1.ReportRestartsResponse], error)
 	CopyUsage(context.Context, *connect.Request[peerv1.CopyUsageRequest]) (*connect.Response[peerv1.CopyUsageResponse], error)
 	CollectUsage(context.Context, *connect.Request[peerv1.CollectUsageRequest]) (*connect.Response[peerv1.CollectUsageResponse], error)
+	CollectLoad(context.Context, *connect.Request[peerv1.CollectLoadRequest]) (*connect.Response[peerv1.CollectLoadResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the peer.v1.PeerService service. By default, it uses
@@ -162,6 +165,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("CollectUsage")),
 			connect.WithClientOptions(opts...),
 		),
+		collectLoad: connect.NewClient[peerv1.CollectLoadRequest, peerv1.CollectLoadResponse](
+			httpClient,
+			baseURL+PeerServiceCollectLoadProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("CollectLoad")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -179,6 +188,7 @@
 	reportRestarts *connect.Client[peerv1.ReportRestartsRequest, peerv1.ReportRestartsResponse]
 	copyUsage      *connect.Client[peerv1.CopyUsageRequest, peerv1.CopyUsageResponse]
 	collectUsage   *connect.Client[peerv1.CollectUsageRequest, peerv1.CollectUsageResponse]
+	collectLoad    *connect.Client[peerv1.CollectLoadRequest, peerv1.CollectLoadResponse]
 }
 
 // Heartbeat calls peer.v1.PeerService.Heartbeat.
@@ -241,6 +251,11 @@
 	return c.collectUsage.CallUnary(ctx, req)
 }
 
+// CollectLoad calls peer.v1.PeerService.CollectLoad.
+func (c *peerServiceClient) CollectLoad(ctx context.Context, req *connect.Request[peerv1.CollectLoadRequest]) (*connect.Response[peerv1.CollectLoadResponse], error) {
+	return c.collectLoad.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	Heartbeat(context.Context, *connect.Request[peerv1.HeartbeatRequest]) (*connect.Response[peerv1.HeartbeatResponse], error)
@@ -255,6 +270,7 @@
 	ReportRestarts(context.Context, *connect.Request[peerv1.ReportRestartsRequest]) (*connect.Response[peerv1.ReportRestartsResponse], error)
 	CopyUsage(context.Context, *connect.Request[peerv1.CopyUsageRequest]) (*connect.Response[peerv1.CopyUsageResponse], error)
 	CollectUsage(context.Context, *connect.Request[peerv1.CollectUsageRequest]) (*connect.Response[peerv1.CollectUsageResponse], error)
+	CollectLoad(context.Context, *connect.Request[peerv1.CollectLoadRequest]) (*connect.Response[peerv1.CollectLoadResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -336,6 +352,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("CollectUsage")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceCollectLoadHandler := connect.NewUnaryHandler(
+		PeerServiceCollectLoadProcedure,
+		svc.CollectLoad,
+		connect.WithSchema(peerServiceMethods.ByName("CollectLoad")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceHeartbeatProcedure:
@@ -362,6 +384,8 @@
 			peerServiceCopyUsageHandler.ServeHTTP(w, r)
 		case PeerServiceCollectUsageProcedure:
 			peerServiceCollectUsageHandler.ServeHTTP(w, r)
+		case PeerServiceCollectLoadProcedure:
+			peerServiceCollectLoadHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -418,3 +442,7 @@
 func (UnimplementedPeerServiceHandler) CollectUsage(context.Context, *connect.Request[peerv1.CollectUsageRequest]) (*connect.Response[peerv1.CollectUsageResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.CollectUsage is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) CollectLoad(context.Context, *connect.Request[peerv1.CollectLoadRequest]) (*connect.Response[peerv1.CollectLoadResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.CollectLoad is not implemented"))
+}
