Order capacity from instances whose settings name the duty

With duties.api and autoscaler, the holder of the duty collects the load of services that may be scaled and orders their upstreams; each instance counts the requests that it rejects for lack of room. The status and heatherloom_capacity_ordered show the accepted orders while the instance holds the duty. Without the settings nothing is collected or counted.

--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -10,14 +10,17 @@
 
 	"github.com/sirupsen/logrus"
 
+	"heatherloom/internal/autoscale"
 	"heatherloom/internal/clock"
 	"heatherloom/internal/control"
 	"heatherloom/internal/dispatch"
 	"heatherloom/internal/duty"
 	"heatherloom/internal/dutystatus"
 	"heatherloom/internal/external"
+	"heatherloom/internal/opconfig"
 	"heatherloom/internal/operatorapi"
 	"heatherloom/internal/peer"
+	"heatherloom/internal/routing"
 	"heatherloom/internal/settings"
 	"heatherloom/internal/storefeed"
 	"heatherloom/internal/telemetry"
@@ -42,6 +45,10 @@
 	// which it sends copies.
 	usage       *usage.Reporter
 	recentPeers *peer.RecentPeers
+	// autoscaler orders upstreams; nil without the duty. rejections are requests without an upstream or
+	// room, which it counts.
+	autoscaler *autoscale.Autoscaler
+	rejections *routing.Rejections
 
 	mu sync.Mutex
 	// holderIDs are the instances that hold the duties according to the store; empty for none.
@@ -51,7 +58,7 @@
 // wireDuties returns nil if the settings do not name the API or no duty that this instance knows.
 func (n *Node) wireDuties(s settings.Settings, log *logrus.Entry, identity control.Identity, store *platform.Store, peers *peer.Client, metrics *telemetry.Metrics) *duties {
 	d := &duties{holders: map[external.Duty]*duty.Holder{}, holderIDs: map[external.Duty]string{}}
-	for _, name := range []external.Duty{external.DutyUsageReport} {
+	for _, name := range []external.Duty{external.DutyUsageReport, external.DutyAutoscaler} {
 		if slices.Contains(s.Duties.Names, string(name)) {
 			d.names = append(d.names, name)
 		}
@@ -80,7 +87,7 @@
 		}
 	}
 	usageClock := usage.NewClock()
-	sources.Windows = d.usageWindows
+	sources.Windows, sources.Ordered = d.usageWindows, d.orderedCapacity
 	date := func() time.Time { return usageClock.Date(clock.Now()) }
 	d.tracker = dutystatus.New(api, s.Duties.UsageWindow, metrics.RegisterDuties(sources), log, date)
 	if holder := d.holders[external.DutyUsageReport]; holder != nil {
@@ -95,12 +102,25 @@
 			Log:   log, Now: clock.Now,
 		}
 	}
+	if holder := d.holders[external.DutyAutoscaler]; holder != nil {
+		d.rejections = &routing.Rejections{}
+		collector := &peer.LoadCollector{Identity: identity, Loop: n.loop, Client: peers, Rejections: d.rejections}
+		d.autoscaler = &autoscale.Autoscaler{
+			Permit: holder.Permit, API: d.tracker, ReportOutcome: holder.ReportOutcome, Collect: collector.Collect,
+			Services: func() map[string]opconfig.Service { return n.loop.Snapshot().Config.Services },
+			Now:      clock.Now, Log: log,
+		}
+	}
 	return d
 }
 
-// connect makes the requests and the messages of other instances known to the usage reporter.
+// connect makes the requests and the messages of other instances known to the duties.
 func (d *duties) connect(dispatcher *dispatch.Dispatcher, heartbeats *peer.Heartbeater, server *peer.Server) {
-	if d == nil || d.usage == nil {
+	if d == nil {
+		return
+	}
+	server.Rejections = d.rejections
+	if d.usage == nil {
 		return
 	}
 	dispatcher.CountUsage = d.usage.Count
@@ -108,6 +128,14 @@
 	server.Usage = d.usage
 }
 
+// countedRejections returns where requests without an upstream or room are counted; nil for nowhere.
+func (d *duties) countedRejections() *routing.Rejections {
+	if d == nil {
+		return nil
+	}
+	return d.rejections
+}
+
 // usageWindows returns the windows that this instance reported or left out, by outcome.
 func (d *duties) usageWindows() map[string]int64 {
 	if d.usage == nil {
@@ -142,6 +170,9 @@
 	if d.usage != nil {
 		n.wg.Go(func() { d.usage.Run(n.ctx) })
 	}
+	if d.autoscaler != nil {
+		n.wg.Go(func() { d.autoscaler.Run(n.ctx) })
+	}
 	n.wg.Go(func() {
 		select {
 		case <-n.ctx.Done():
@@ -198,6 +229,29 @@
 	}
 }
 
+// orderedCapacity returns the orders that the API accepted from this instance as the holder of the duty.
+func (d *duties) orderedCapacity() (ordered []telemetry.OrderedCapacity) {
+	for _, o := range d.orders() {
+		ordered = append(ordered, telemetry.OrderedCapacity{Service: o.Service, FailureDomain: o.FailureDomain, Upstreams: o.Ordered})
+	}
+	return ordered
+}
+
+func (d *duties) orders() (orders []operatorapi.DutyCapacity) {
+	if d.autoscaler == nil {
+		return nil
+	}
+	for _, s := range d.autoscaler.Status() {
+		if s.AcceptedAt.IsZero() {
+			continue
+		}
+		orders = append(orders, operatorapi.DutyCapacity{
+			Service: s.Service, FailureDomain: s.FailureDomain, Ordered: s.Accepted, Running: s.Running, Reason: s.Reason,
+		})
+	}
+	return orders
+}
+
 // usageStatus returns nil for an instance that has not held the duty.
 func (d *duties) usageStatus() *operatorapi.DutyUsage {
 	windows := d.usageWindows()
@@ -225,6 +279,9 @@
 		if u := d.usageStatus(); u != nil && name == external.DutyUsageReport {
 			status.Usage = u
 		}
+		if name == external.DutyAutoscaler {
+			status.Orders = d.orders()
+		}
 		list = append(list, status)
 	}
 	return list
--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -130,7 +130,7 @@
 		Snapshot:            n.loop.Snapshot,
 		Relay:               relay.New(limits),
 		Forwarder:           peers,
-		ServicePolicy:       routing.ServicePolicy{Index: prefixes},
+		ServicePolicy:       routing.ServicePolicy{Index: prefixes, Rejections: n.duties.countedRejections()},
 		Protocol:            platform.HeaderCodec{},
 		ServiceRetryBudgets: retry.NewBudgets(retry.Limits{Share: s.Bounds.RetryShare, Slack: s.Bounds.RetrySlack}),
 		Prefixes:            prefixes,
