Send upstreams that are taken away only requests that end in time

An upstream may say in its row when its process ends, whatever it runs. Control keeps that time, counted from when the row was read; the earliest one counts, so that a row that is read or written again does not extend it, and it outlives an older row of a restored store. Draining upstreams get no requests, as before; the rule matters for one that names its end and is still ready. Operators see "listed as ending in ..." in the log line and "about to end" in rejections, and the autoscaler counts such an upstream as leaving. Nothing changes for upstreams without a remaining time.

--- a/internal/autoscale/report.go
+++ b/internal/autoscale/report.go
@@ -43,7 +43,7 @@
 	d.PromptTokens += rates.PromptTokens
 	d.ReadTokens += rates.ReadTokens
 	d.ReadSeconds += rates.ReadSeconds
-	if u.Draining {
+	if u.Draining || u.GoneAt != 0 {
 		d.Domain.Leaving++
 		return
 	}
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -182,10 +182,31 @@
 	if instance.ColdFor > 0 {
 		row.coldUntil = latest(row.coldUntil, instance.ListedAt.Add(instance.ColdFor))
 	}
+	row.recordEnd(instance, now)
 	row.instance = instance
 	row.service = []string{instance.Service}
 }
 
+// goneRetention is how long the announced end of a process is remembered after it, if its row no longer names it. The row
+// of a store that was restored from a copy may be older than the announcement.
+const goneRetention = 4 * time.Second
+
+// recordEnd records when the process ends, as its row says. The earliest time counts: a row that is read again, or is
+// written again without a change, does not extend it.
+func (row *upstreamRow) recordEnd(instance external.Instance, now time.Time) {
+	if instance.GoneAfter > 0 {
+		read := instance.ListedAt
+		if read.IsZero() {
+			read = now
+		}
+		if at := read.Add(instance.GoneAfter); row.goneAt.IsZero() || at.Before(row.goneAt) {
+			row.goneAt = at
+		}
+	} else if !row.goneAt.IsZero() && now.Sub(row.goneAt) > goneRetention {
+		row.goneAt = time.Time{}
+	}
+}
+
 // KnownMember is a member from which the sender of a heartbeat received a message.
 type KnownMember struct {
 	Peer        routing.Peer
--- a/internal/control/observe.go
+++ b/internal/control/observe.go
@@ -182,7 +182,9 @@
 	case !new.Down && old.Down:
 		record(timeline.KindUpstreamUp, new.ID, "probe allowed")
 	case new.Draining && !old.Draining:
-		record(timeline.KindUpstreamLeaving, new.ID, leavingSource(new))
+		record(timeline.KindUpstreamLeaving, new.ID, leavingSource(new, l.Snapshot().Published))
+	case new.GoneAt != 0 && old.GoneAt == 0:
+		record(timeline.KindUpstreamLeaving, new.ID, leavingSource(new, l.Snapshot().Published))
 	case !new.Draining && old.Draining:
 		record(timeline.KindUpstreamUp, new.ID, "does not leave any more")
 	case new.Evacuated != old.Evacuated:
@@ -197,11 +199,15 @@
 }
 
 // leavingSource tells how it was learned that an upstream leaves.
-func leavingSource(u *routing.Upstream) string {
-	if u.ListedDraining {
+func leavingSource(u *routing.Upstream, now time.Time) string {
+	switch {
+	case u.GoneAt != 0:
+		return fmt.Sprintf("listed as ending in %s", time.Duration(u.GoneAt-now.UnixNano()).Round(time.Millisecond))
+	case u.ListedDraining:
 		return "listed as leaving"
+	default:
+		return "its responses say so"
 	}
-	return "its responses say so"
 }
 
 func (l *Loop) observeRollout(old, new *rollout.Rollout) {
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -197,6 +197,7 @@
 			MayBecomeCold:  t.mayBecomeCold(row),
 
 			UninformedSince: uninformedSince,
+			GoneAt:          unixNano(row.goneAt),
 
 			Brittle:      isBrittle,
 			Places:       places,
@@ -210,6 +211,14 @@
 	return upstreams
 }
 
+// unixNano returns the time in Unix nanoseconds; 0 for the zero time.
+func unixNano(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
 func targetsOf(row *upstreamRow) []string {
 	if row.instance.Role == external.RoleService {
 		return row.service
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -73,6 +73,8 @@
 	coldUntil time.Time
 	// firstListedAt is when the row of this process was first applied.
 	firstListedAt time.Time
+	// goneAt is when the process ends whatever it runs; zero if that is not known.
+	goneAt time.Time
 	// restarted is true if the upstream is or was cold although its row was known before.
 	restarted bool
 	// wasCold is true if the upstream was cold at the last tick.
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -49,6 +49,8 @@
 	statements atomic.Pointer[statements]
 	silence    silence
 	rates      attemptRates
+	// longAttempt is the estimate of LongAttempt in seconds, as the bits of a float64; 0 before the first attempt.
+	longAttempt atomic.Uint64
 
 	holderID        atomic.Uint32
 	secondsPerToken atomic.Uint64
@@ -104,6 +106,8 @@
 	queued   int64
 	started  time.Time
 	released atomic.Bool
+	// responded is true once a part of the response arrived.
+	responded atomic.Bool
 }
 
 // Begin records the start of an attempt with the given number of prompt tokens to
@@ -129,6 +133,7 @@
 func (a *TrackedAttempt) FirstByte(now time.Time) {
 	a.counters.waitingSince.Store(now.UnixNano())
 	a.counters.RecordSign(now)
+	a.responded.Store(true)
 	if a.release(now) {
 		a.counters.ObservePrefill(a.tokens+a.queued, now.Sub(a.started))
 		a.counters.rates.firstByte(now, a.tokens+a.queued, now.Sub(a.started))
@@ -149,5 +154,8 @@
 // End records the end of the attempt, with or without a response.
 func (a *TrackedAttempt) End(now time.Time) {
 	a.release(now)
+	if a.responded.Load() {
+		a.counters.observeDuration(now.Sub(a.started))
+	}
 	a.counters.InFlight.Add(-1)
 }
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -236,7 +236,7 @@
 	owner, heaviest := none, uint64(0)
 	for _, i := range candidates {
 		u := &s.Upstreams[i]
-		if !u.CachesPrompts || u.Draining || u.Down || u.Evacuated {
+		if !u.CachesPrompts || u.Draining || u.Down || u.Evacuated || u.GoneAt != 0 {
 			continue
 		}
 		if weight := fmix64(key ^ u.idHash); owner == none || weight > heaviest {
@@ -273,7 +273,7 @@
 
 // allowsService filters upstreams for requests on host routes.
 func allowsService(u *Upstream, r *Request, split ServiceSplit, outdated bool) bool {
-	if !allowsUpstream(u, r) || u.Evacuated || u.Counters.PausedFor(r.Now) > 0 || u.Counters.Stalled(r.Now, stallTimeout) {
+	if !allowsUpstream(u, r) || u.Evacuated || !u.endsInTime(r.Now, r.Service.Remaining) || u.Counters.PausedFor(r.Now) > 0 || u.Counters.Stalled(r.Now, stallTimeout) {
 		return false
 	}
 	if (u.Cold || u.MayBecomeCold) && !u.allowsSend(r.Now, outdated) {
@@ -413,7 +413,7 @@
 		total := 0.0
 		for _, i := range candidates {
 			u := &s.Upstreams[i]
-			if u.Draining || u.Down || u.Evacuated || u.Cold || u.Counters.PausedFor(now) > 0 || !u.hasRoom(now) || u.Counters.Stalled(now, stallTimeout) || !s.ServiceSplits[target].majority(u.Version) {
+			if u.Draining || u.Down || u.Evacuated || u.Cold || u.Counters.PausedFor(now) > 0 || !u.hasRoom(now) || u.Counters.Stalled(now, stallTimeout) || !s.ServiceSplits[target].majority(u.Version) || !u.endsInTime(now, 0) {
 				continue
 			}
 			untilAllowed := u.untilRateAllows(now)
@@ -514,6 +514,8 @@
 		return "tried"
 	case u.Evacuated:
 		return "evacuated"
+	case !u.endsInTime(r.Now, r.Service.Remaining):
+		return "about to end"
 	case u.Counters.PausedFor(r.Now) > 0:
 		return askedPause
 	case u.Counters.Stalled(r.Now, stallTimeout):
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -74,6 +74,8 @@
 	RequestRate float64
 	// ColdUntil is when the upstream is warm.
 	ColdUntil time.Time
+	// GoneAt is when the upstream ends whatever it runs, in Unix nanoseconds; 0 if that is not known.
+	GoneAt int64
 	// idHash is a hash of ID, set by BuildIndexes.
 	idHash uint64
 	// PreferencePenalty is set by BuildIndexes. It is 0 for the upstream that this instance prefers most and rises to
@@ -90,7 +92,7 @@
 		u.MaxConcurrency == v.MaxConcurrency && u.CachesPrompts == v.CachesPrompts && u.Evacuated == v.Evacuated &&
 		u.Cold == v.Cold && u.ColdRateLimit == v.ColdRateLimit && u.MayBecomeCold == v.MayBecomeCold && u.UninformedSince == v.UninformedSince && u.ColdUntil.Equal(v.ColdUntil) &&
 		u.Brittle == v.Brittle && u.Places == v.Places && u.PlaceSharers == v.PlaceSharers &&
-		u.RateLimited == v.RateLimited && u.RequestRate == v.RequestRate
+		u.RateLimited == v.RateLimited && u.RequestRate == v.RequestRate && u.GoneAt == v.GoneAt
 }
 
 // Peer is another entry instance.
