Decide on reports in time while an instance does not answer

A holder could be busy for 2 s with queries to an instance that does not answer, and then decide late on a window that may be reported without it. Rounds of queries now end when such a window is due for its decision, only instances that are missing are asked again, and those that did not answer are not asked for copies in the same round.

--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,12 @@
 	// report is sent again if the duty API names none.
 	storeRetry = 500 * time.Millisecond
 	rateRetry  = time.Second
+	// minAskTimeout is the least time that a round of queries takes before its instances count as missing.
+	minAskTimeout = 200 * time.Millisecond
+	// Copies of the counts of instances that do not answer are asked for in the first copyRounds rounds, in which the
+	// last copies arrive, and then in each copyRoundEvery-th one.
+	copyRounds     = 3
+	copyRoundEvery = 5
 	// recoveryRounds is how often all instances are asked for remembered reports while some do not answer.
 	recoveryRounds = 3
 )
@@ -204,6 +211,7 @@
 	// resolved holds the processes of which no more is to be expected.
 	resolved map[Process]bool
 	asked    time.Time
+	rounds   int
 	// report is set once the counts are final.
 	report *SentReport
 }
@@ -364,6 +372,7 @@
 func (r *Reporter) permitted(t *term, lasting time.Duration) bool {
 	fence, until, ok := r.Permit()
 	now := r.Now()
+	r.noteHeld(fence, now, ok)
 	return ok && fence == t.fence && until.Sub(now) >= lasting
 }
 
@@ -613,6 +622,7 @@
 	if len(windows) == 0 {
 		return
 	}
+	everyone, copies := false, false
 	for _, window := range windows {
 		c := t.windows[window]
 		if c == nil {
@@ -620,28 +630,35 @@
 			t.windows[window] = c
 		}
 		c.asked = now
+		c.rounds++
+		everyone = everyone || c.rounds == 1
+		copies = copies || c.rounds <= copyRounds || c.rounds%copyRoundEvery == 0
 	}
+	ctx, cancel := context.WithTimeout(ctx, r.askTimeout(windows, date))
+	defer cancel()
 	q := Query{Windows: windows, SettledThrough: t.row.Floor}
 	missing := r.missing(t, windows, now, date)
 	r.addAnswer(t, windows, answered{Answer: r.Ledger.Answer(q, date, now)})
-	for _, a := range r.ask(ctx, r.members(missing), func(m Member) Query {
+	silent := map[Process]bool{}
+	for _, a := range r.ask(ctx, r.members(missing, everyone), func(m Member) Query {
 		q := q
 		q.CopiesOnly = !missing[m.Process]
 		return q
 	}) {
 		r.addAnswer(t, windows, a)
+		silent[a.from.Process] = a.err != nil
 	}
-	lost := map[Process]bool{}
-	for p := range r.missing(t, windows, now, date) {
-		lost[p] = true
-		q.CopiesOf = append(q.CopiesOf, p.Instance)
-	}
-	if len(lost) == 0 {
+	lost := r.missing(t, windows, now, date)
+	if len(lost) == 0 || !copies {
 		return
 	}
+	for p := range lost {
+		q.CopiesOf = append(q.CopiesOf, p.Instance)
+	}
 	q.CopiesOnly = true
 	r.addAnswer(t, windows, answered{Answer: r.Ledger.Answer(q, date, now)})
-	for _, a := range r.ask(ctx, r.Peers.Live(), func(Member) Query { return q }) {
+	live := slices.DeleteFunc(r.Peers.Live(), func(m Member) bool { return silent[m.Process] })
+	for _, a := range r.ask(ctx, live, func(Member) Query { return q }) {
 		r.addAnswer(t, windows, a)
 	}
 	// Of a process that has ended, the copies are all that will ever be known.
@@ -654,6 +671,19 @@
 	}
 }
 
+// askTimeout returns how long a round of queries may take: it ends when a window may be reported without instances that
+// do not answer.
+func (r *Reporter) askTimeout(windows []int64, date time.Time) time.Duration {
+	timeout := callTimeout
+	for _, window := range windows {
+		left := r.Config.Due - reserve - date.Sub(windowStart(window+1, r.Config.Window))
+		if left > 0 {
+			timeout = min(timeout, max(left, minAskTimeout))
+		}
+	}
+	return timeout
+}
+
 // missing returns the processes that ran in one of the windows and whose counts may be incomplete.
 func (r *Reporter) missing(t *term, windows []int64, now, date time.Time) map[Process]bool {
 	missing := map[Process]bool{}
@@ -667,9 +697,11 @@
 	return missing
 }
 
-// members returns the live members and the given processes.
-func (r *Reporter) members(processes map[Process]bool) []Member {
-	members := r.Peers.Live()
+// members returns the members of the given processes, and with everyone all live ones.
+func (r *Reporter) members(processes map[Process]bool, everyone bool) (members []Member) {
+	if everyone {
+		members = r.Peers.Live()
+	}
 	listed := map[Process]bool{r.Ledger.Self(): true}
 	for _, m := range members {
 		listed[m.Process] = true
@@ -744,11 +776,16 @@
 	for _, p := range a.Ended {
 		r.noteEnded(p)
 	}
-	if a.err == nil {
-		for p := range r.seen {
-			if p.Instance == a.Process.Instance && p.Started < a.Process.Started {
-				r.noteEnded(p)
-			}
+	if a.err != nil || a.Process.Instance == "" {
+		return
+	}
+	if a.Process.Instance != a.from.Instance {
+		// The address is that of another instance now.
+		r.noteEnded(a.from.Process)
+	}
+	for p := range r.seen {
+		if p.Instance == a.Process.Instance && p.Started < a.Process.Started {
+			r.noteEnded(p)
 		}
 	}
 }
