Count no request twice while the counts of usage are read

A request that was counted just when an instance had read that nothing was pending was added twice, or ended the process with a concurrent use of a map: the map of pending counts was looked at again after its lock was released, while requests still used it. The race detector showed it in all tests of duties over processes.

The decision is now made under the lock.

--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -97,13 +97,13 @@
 func (l *Ledger) addPending() {
 	l.pendingMu.Lock()
 	pending := l.pending
-	if len(pending) > 0 {
-		l.pending = make(map[pendingKey]int64, len(pending))
-	}
-	l.pendingMu.Unlock()
+	// An empty map stays in use by Record, and must not be looked at after the unlock.
 	if len(pending) == 0 {
+		l.pendingMu.Unlock()
 		return
 	}
+	l.pending = make(map[pendingKey]int64, len(pending))
+	l.pendingMu.Unlock()
 	l.change++
 	for key, count := range pending {
 		w := l.own[key.window]
--- a/internal/usage/ledger_test.go
+++ b/internal/usage/ledger_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"runtime"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 )
@@ -168,3 +170,26 @@
 		}
 	})
 }
+
+// Guards against requests that are counted twice, or a crash, when one is counted while the counts are read.
+func TestRequestsAreCountedOnceWhileCountsAreRead(t *testing.T) {
+	const requests = 2000
+	l := NewLedger(Process{Instance: "a", Started: 1}, time.Second)
+	at := time.Unix(10, 0)
+	var recording sync.WaitGroup
+	recording.Go(func() {
+		for range requests {
+			l.Record("t", at)
+			runtime.Gosched()
+		}
+	})
+	for l.Own(10, at).Counts["t"] < requests && !t.Failed() {
+		if n := l.Own(10, at).Total; n > requests {
+			t.Errorf("%d requests counted, %d made", n, requests)
+		}
+	}
+	recording.Wait()
+	if n := l.Own(10, at).Total; n != requests {
+		t.Errorf("%d requests counted, %d made", n, requests)
+	}
+}
