--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -70,6 +70,8 @@
 		peers.SetTLSDialer(n.tls.Dial)
 	}
 	peers.SetDialer((&net.Dialer{Timeout: peerDialTimeout}).DialContext)
+	store := platform.NewStore(s.Platform.Store)
+	n.duties = n.wireDuties(s, entry, identity, store, peers, metrics)
 	n.dispatcher = n.hostDispatcher(s, entry, peers, metrics)
 	n.wireRolloutRecorder(identity, n.dispatcher)
 	shareLimiter := quota.NewShareLimiter(clock.Now(), s.Bounds.QuotaSlack)
@@ -98,6 +100,7 @@
 		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Drain: n.drain,
 		Log: entry, MemberCache: n.memberCache, SentReports: reports, HostReport: hostReport, Changes: &storefeed.ChangeLog{},
 	}
+	n.duties.connect(n.dispatcher, heartbeats, server)
 	readers := &peer.StoreReaders{Self: identity.PeerAddress, Snapshot: n.loop.Snapshot, Report: hostReport, Client: peers}
 	self := identity.CallerAddress()
 	n.servers = append(n.servers,
@@ -107,7 +110,7 @@
 		n.serve(l.ready, &http.Server{Handler: gateway.NewReadinessHandler(platform.EntryProtocol{}, n.loop.Snapshot, clock.Now)}, entry))
 	n.operator = n.serve(l.operator, &http.Server{Handler: n.operatorHandler(s, metrics), TLSConfig: n.callerTLS()}, entry)
 	n.watchTLSFiles(entry)
-	n.startHostControl(s, entry, identity, peers, heartbeats, readers, server.Changes, restarts)
+	n.startHostControl(s, entry, identity, store, peers, heartbeats, readers, server.Changes, restarts)
 }
 
 func limitMemory(p settings.Process) {
@@ -127,7 +130,7 @@
 		Snapshot:            n.loop.Snapshot,
 		Relay:               relay.New(limits),
 		Forwarder:           peers,
-		ServicePolicy:       routing.ServicePolicy{Index: prefixes},
+		ServicePolicy:       routing.ServicePolicy{Index: prefixes, Rejections: n.duties.countedRejections()},
 		Protocol:            platform.HeaderCodec{},
 		ServiceRetryBudgets: retry.NewBudgets(retry.Limits{Share: s.Bounds.RetryShare, Slack: s.Bounds.RetrySlack}),
 		Prefixes:            prefixes,
@@ -147,10 +150,9 @@
 
 // startHostControl starts the control loop of an instance that serves host routes, and the
 // goroutines that post events to it.
-func (n *Node) startHostControl(s settings.Settings, log *logrus.Entry, identity control.Identity, peers *peer.Client, heartbeats *peer.Heartbeater, readers *peer.StoreReaders, changes *storefeed.ChangeLog, restarts *peer.RestartReporter) {
+func (n *Node) startHostControl(s settings.Settings, log *logrus.Entry, identity control.Identity, store *platform.Store, peers *peer.Client, heartbeats *peer.Heartbeater, readers *peer.StoreReaders, changes *storefeed.ChangeLog, restarts *peer.RestartReporter) {
 	ctx := n.ctx
 	syncer := &configsync.Syncer{Identity: identity, Peers: peers, Loop: n.loop, AnnounceToDomain: heartbeats.AnnounceToDomain, Log: log}
-	store := platform.NewStore(s.Platform.Store)
 	documents := platform.DocumentCodec{Regions: s.Platform.Domains}
 	feed := &storefeed.Feed{
 		Store:     store,
@@ -163,6 +165,8 @@
 		Log:     log,
 		Readers: readers,
 		Changes: changes,
+
+		Observer: n.duties.observer(),
 	}
 	rollouts := &rolloutctl.ServiceController{
 		Identity: identity, Store: store, Documents: documents, Loop: n.loop, Recorder: n.recorder, Log: log,
@@ -176,4 +180,5 @@
 	n.wg.Go(func() { restarts.Run(ctx) })
 	n.wg.Go(func() { n.dispatcher.DetectCrashes(ctx) })
 	n.wg.Go(func() { rollouts.Run(ctx) })
+	n.duties.start(n)
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -30,6 +30,7 @@
 	"heatherloom/internal/storefeed"
 	"heatherloom/internal/telemetry"
 	"heatherloom/internal/timeline"
+	"heatherloom/internal/usage"
 	"heatherloom/internal/writes"
 )
 
@@ -72,8 +73,12 @@
 	HostReport HostReportFunc
 	// Restarts applies what other instances report of restarted upstreams; nil to ignore it.
 	Restarts *RestartReporter
+	// Rejections are the requests of callers for which there was no room; nil for none.
+	Rejections *routing.Rejections
 	// Changes holds what this instance reads from the store, for the others of its failure domain; nil for none.
 	Changes *storefeed.ChangeLog
+	// Usage keeps counts of usage and answers questions about them; nil if the instance counts none.
+	Usage *usage.Reporter
 	// Timeline and Drain may be nil.
 	Timeline *timeline.Recorder
 	Drain    *drain.Controller
@@ -136,6 +141,9 @@
 	if report := s.HostReport.of(snapshot); report != nil {
 		report.addToResponse(resp, snapshot, sender, now)
 	}
+	if s.Usage != nil {
+		resp.UsageClock = clock.Now().UnixNano()
+	}
 	return connect.NewResponse(resp), nil
 }
 
@@ -176,6 +184,7 @@
 	end.Clock = uint64(s.Timeline.Clock().Now())
 	end.Attempts = int32(request.Attempts) - req.Msg.GetAttempts()
 	end.Crashes = int32(request.Crashes) - req.Msg.GetCrashes()
+	end.Counted = request.Counted
 	return stream.Send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_End{End: end}})
 }
 
@@ -265,6 +274,7 @@
 		Stream:         m.GetStream(),
 		Repeatable:     m.GetRepeatable(),
 		BoundRegion:    m.GetBoundRegion(),
+		Counted:        m.GetCounted(),
 		Visited:        m.GetVisited(),
 		Deadline:       time.Unix(0, m.GetDeadline()),
 	}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -309,6 +309,8 @@
 	// onSent is Attempt.OnSent, and maySend is Attempt.MaySend.
 	onSent  func()
 	maySend func(again bool) bool
+	// whole is true once the request was written completely to a connection.
+	whole bool
 	// refused is true once maySend has returned false.
 	refused bool
 	// abandoned is true once abandon has succeeded; connections that come later are not used.
@@ -361,6 +363,7 @@
 func (s *sendTracker) recordWritten(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.whole = s.whole || err == nil
 	if s.written != nil {
 		s.writeErr = err
 		close(s.written)
@@ -413,6 +416,13 @@
 	}
 }
 
+// sentWhole reports whether the request was written completely to a connection.
+func (s *sendTracker) sentWhole() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.whole
+}
+
 // wasRefused reports whether Attempt.MaySend kept the attempt from a connection.
 func (s *sendTracker) wasRefused() bool {
 	s.mu.Lock()
--- a/internal/routing/choosers_test.go
+++ b/internal/routing/choosers_test.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// BenchmarkServicePick picks one of a region's upstreams with fixed and with learned estimates.
-func BenchmarkServicePick(b *testing.B) {
+// BenchmarkPickWithLearnedEstimates picks one of a region's upstreams with fixed and with learned estimates.
+func BenchmarkPickWithLearnedEstimates(b *testing.B) {
 	for _, upstreams := range []int{24, 250} {
 		for _, learn := range []bool{false, true} {
 			b.Run(fmt.Sprintf("%d upstreams, learned %t", upstreams, learn), func(b *testing.B) {
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -54,6 +54,9 @@
 	// learned about the upstream itself.
 	service atomic.Pointer[estimate.Service]
 	learned estimate.Upstream
+	rates   attemptRates
+	// longAttempt is the estimate of LongAttempt in seconds, as the bits of a float64; 0 before the first attempt.
+	longAttempt atomic.Uint64
 
 	holderID        atomic.Uint32
 	secondsPerToken atomic.Uint64
@@ -109,6 +112,8 @@
 	queued   int64
 	started  time.Time
 	released atomic.Bool
+	// responded is true once a part of the response arrived.
+	responded atomic.Bool
 }
 
 // Begin records the start of an attempt with the given number of prompt tokens to
@@ -122,6 +127,7 @@
 	c.silence.begin(now.UnixNano())
 	c.said().brittle.countSend()
 	c.observeTokens(tokens)
+	c.rates.begin(now, tokens)
 	return &TrackedAttempt{counters: c, tokens: tokens, queued: queued, started: now}
 }
 
@@ -133,9 +139,11 @@
 func (a *TrackedAttempt) FirstByte(now time.Time) {
 	a.counters.waitingSince.Store(now.UnixNano())
 	a.counters.RecordSign(now)
+	a.responded.Store(true)
 	if a.release(now) {
 		a.counters.ObservePrefill(a.tokens+a.queued, now.Sub(a.started))
 		a.counters.observeTime(now, a.tokens+a.queued, now.Sub(a.started))
+		a.counters.rates.firstByte(now, a.tokens+a.queued, now.Sub(a.started))
 	}
 }
 
@@ -153,5 +161,8 @@
 // End records the end of the attempt, with or without a response.
 func (a *TrackedAttempt) End(now time.Time) {
 	a.release(now)
+	if a.responded.Load() {
+		a.counters.observeDuration(now.Sub(a.started))
+	}
 	a.counters.InFlight.Add(-1)
 }
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -94,6 +94,8 @@
 // others of its region.
 type ServicePolicy struct {
 	Index *PrefixIndex
+	// Rejections counts the requests without an upstream or room; nil to ignore them.
+	Rejections *Rejections
 }
 
 // Name implements Policy.
@@ -101,6 +103,14 @@
 
 // Pick implements Policy.
 func (p ServicePolicy) Pick(s *Snapshot, r *Request, x *Scratch) (Choice, error) {
+	choice, err := p.pick(s, r, x)
+	if err != nil {
+		p.Rejections.record(r, err)
+	}
+	return choice, err
+}
+
+func (p ServicePolicy) pick(s *Snapshot, r *Request, x *Scratch) (Choice, error) {
 	best := scoredUpstream{index: none}
 	x.shared = locateSharedParts(s, r)
 	if len(r.Service.AllowedRegions) == 0 || slices.Contains(r.Service.AllowedRegions, s.Region) {
@@ -235,7 +245,7 @@
 	owner, heaviest := none, uint64(0)
 	for _, i := range candidates {
 		u := &s.Upstreams[i]
-		if !u.CachesPrompts || u.Draining || u.Down || u.Evacuated {
+		if !u.CachesPrompts || u.Draining || u.Down || u.Evacuated || u.GoneAt != 0 {
 			continue
 		}
 		if weight := fmix64(key ^ u.idHash); owner == none || weight > heaviest {
@@ -272,7 +282,7 @@
 
 // allowsService filters upstreams for requests on host routes.
 func allowsService(u *Upstream, r *Request, split ServiceSplit, outdated bool) bool {
-	if !allowsUpstream(u, r) || u.Evacuated || u.Counters.PausedFor(r.Now) > 0 || u.Counters.Stalled(r.Now, stallTimeout) {
+	if !allowsUpstream(u, r) || u.Evacuated || !u.endsInTime(r.Now, r.Service.Remaining) || u.Counters.PausedFor(r.Now) > 0 || u.Counters.Stalled(r.Now, stallTimeout) {
 		return false
 	}
 	if (u.Cold || u.MayBecomeCold) && !u.allowsSend(r.Now, outdated) {
@@ -417,7 +427,7 @@
 		}
 		for _, i := range candidates {
 			u := &s.Upstreams[i]
-			if u.Draining || u.Down || u.Evacuated || u.Cold || u.Counters.PausedFor(now) > 0 || !u.hasRoom(now) || u.Counters.Stalled(now, stallTimeout) || !s.ServiceSplits[target].majority(u.Version) {
+			if u.Draining || u.Down || u.Evacuated || u.Cold || u.Counters.PausedFor(now) > 0 || !u.hasRoom(now) || u.Counters.Stalled(now, stallTimeout) || !s.ServiceSplits[target].majority(u.Version) || !u.endsInTime(now, 0) {
 				continue
 			}
 			untilAllowed := u.untilRateAllows(now)
@@ -519,6 +529,8 @@
 		return "tried"
 	case u.Evacuated:
 		return "evacuated"
+	case !u.endsInTime(r.Now, r.Service.Remaining):
+		return "about to end"
 	case u.Counters.PausedFor(r.Now) > 0:
 		return askedPause
 	case u.Counters.Stalled(r.Now, stallTimeout):
