Let the leases of the store have IDs of any size

Its lease IDs are as large as 63 bits at times, and the adapter that extends them by the era of the store rejected each ID above 2^40, so that a lease was acquired by chance. Only revisions are extended now; a lease has a number of its own at the instance that was granted it, with the era of the grant.

The stand-in issues small IDs, so that no test showed it.

--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -22,7 +22,7 @@
 
 // Config holds the dependencies and settings of a Holder.
 type Config struct {
-	// Store extends all revisions and lease IDs by the era of the store, see external.ExtendByEra.
+	// Store extends all revisions by the era of the store, see lease.EraStore.
 	Store lease.Store
 	Duty  external.Duty
 	// Instance is the own instance ID, and Started the start time of the process in Unix nanoseconds.
--- a/internal/duty/row.go
+++ b/internal/duty/row.go
@@ -19,7 +19,7 @@
 	Holder string `json:"holder"`
 	// Started is the start time of its process in Unix nanoseconds.
 	Started int64 `json:"started"`
-	// Lease is the ID of its lease, extended by the era of the grant (external.ExtendByEra).
+	// Lease is the ID of its lease at its lease.EraStore, which contains the era of the grant.
 	Lease int64 `json:"lease"`
 }
 
--- a/internal/lease/era.go
+++ b/internal/lease/era.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"heatherloom/internal/external"
@@ -19,18 +20,79 @@
 	RevokeLeaseInEra(ctx context.Context, lease int64) error
 }
 
-// EraStore is a Store whose revisions and lease IDs are extended by the era of the store
-// (external.ExtendByEra). They never decrease and are never issued twice, also if the store is
-// restored from an older copy. It is as safe for concurrent use as its calls.
-type EraStore struct{ calls EraCalls }
+// EraStore is a Store whose revisions are extended by the era of the store (external.ExtendByEra). They
+// never decrease and are never issued twice, also if the store is restored from an older copy. Its
+// lease IDs are numbers of its own, extended by the era of the grant, because those of the store may
+// have any size. It is as safe for concurrent use as its calls.
+type EraStore struct {
+	calls EraCalls
+
+	mu sync.Mutex
+	// ids holds the ID in the store of each lease that this EraStore was granted, by the own one, and granted
+	// the own ones, oldest first.
+	ids     map[int64]int64
+	granted []int64
+	// last is the number of the latest grant.
+	last int64
+}
 
 var _ Store = (*EraStore)(nil)
 
 // NewEraStore returns a Store that makes the given calls.
-func NewEraStore(calls EraCalls) *EraStore { return &EraStore{calls: calls} }
+func NewEraStore(calls EraCalls) *EraStore {
+	return &EraStore{calls: calls, ids: map[int64]int64{}}
+}
+
+// maxKnownLeases is how many leases are known at once. A holder has one, and leases that were granted
+// without a response are not known.
+const maxKnownLeases = 64
+
+// foreignLease is the own ID of each lease that this EraStore was not granted in the era of the response.
+const foreignLease = -1
+
+// learn returns the own ID of a lease that the store has granted.
+func (s *EraStore) learn(era, id int64) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last++
+	own, err := extend(era, s.last)
+	if err != nil {
+		return 0, err
+	}
+	s.ids[own] = id
+	s.granted = append(s.granted, own)
+	if len(s.granted) > maxKnownLeases {
+		delete(s.ids, s.granted[0])
+		s.granted = s.granted[1:]
+	}
+	return own, nil
+}
+
+// idOf returns the ID in the store of an own one; ok is false if it is not known any more.
+func (s *EraStore) idOf(own int64) (id int64, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id, ok = s.ids[own]
+	return id, ok
+}
+
+// ownID returns the own ID of a lease that a response of an era names.
+func (s *EraStore) ownID(era, id int64) int64 {
+	if id == 0 {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, own := range s.granted {
+		if granted, _ := external.SplitEra(own); granted == era && s.ids[own] == id {
+			return own
+		}
+	}
+	return foreignLease
+}
 
 // errEra reports a value that cannot be extended by the era.
-var errEra = errors.New("the era, revision or lease ID of a response is out of range")
+var errEra = errors.New("the era or revision of a response is out of range")
 
 func extend(era, revision int64) (int64, error) {
 	extended, ok := external.ExtendByEra(era, revision)
@@ -50,8 +112,8 @@
 	if e.ModRevision, err = extend(era, e.ModRevision); err != nil {
 		return external.Entry{}, err
 	}
-	e.Lease, err = extend(era, e.Lease)
-	return e, err
+	e.Lease = s.ownID(era, e.Lease)
+	return e, nil
 }
 
 // Commit implements Store. It returns external.ErrLeaseNotFound also if the response is not of the
@@ -65,7 +127,14 @@
 	}
 	plainWrites := make([]external.Write, len(writes))
 	for n, w := range writes {
-		w.Lease = want.split(w.Lease)
+		if w.Lease != 0 {
+			want.split(w.Lease)
+			id, ok := s.idOf(w.Lease)
+			if !ok {
+				return false, 0, external.ErrLeaseNotFound
+			}
+			w.Lease = id
+		}
 		plainWrites[n] = w
 	}
 	if want.mixed {
@@ -107,13 +176,17 @@
 	if err != nil {
 		return 0, err
 	}
-	return extend(era, id)
+	return s.learn(era, id)
 }
 
 // RenewLease implements Store. A response of another era than that of the grant is
 // external.ErrLeaseNotFound, because the ID may belong to another lease by now.
-func (s *EraStore) RenewLease(ctx context.Context, extended int64) error {
-	want, id := external.SplitEra(extended)
+func (s *EraStore) RenewLease(ctx context.Context, own int64) error {
+	want, _ := external.SplitEra(own)
+	id, ok := s.idOf(own)
+	if !ok {
+		return external.ErrLeaseNotFound
+	}
 	era, err := s.calls.RenewLeaseInEra(ctx, id)
 	if err == nil && era != want {
 		return external.ErrLeaseNotFound
@@ -123,7 +196,10 @@
 
 // RevokeLease implements Store. In another era than that of the grant it may end another lease,
 // which its holder notices at the next renewal.
-func (s *EraStore) RevokeLease(ctx context.Context, extended int64) error {
-	_, id := external.SplitEra(extended)
+func (s *EraStore) RevokeLease(ctx context.Context, own int64) error {
+	id, ok := s.idOf(own)
+	if !ok {
+		return external.ErrLeaseNotFound
+	}
 	return s.calls.RevokeLeaseInEra(ctx, id)
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -351,3 +351,41 @@
 		t.Errorf("the state is %+v", h.read())
 	}
 }
+
+// leaseCalls is a store in an era that grants leases with given IDs.
+type leaseCalls struct {
+	EraCalls
+	era   int64
+	grant []int64
+	entry external.Entry
+}
+
+func (c *leaseCalls) GrantLeaseInEra(context.Context, time.Duration) (int64, int64, error) {
+	id := c.grant[0]
+	c.grant = c.grant[1:]
+	return id, c.era, nil
+}
+
+func (c *leaseCalls) GetInEra(context.Context, string) (external.Entry, int64, error) {
+	return c.entry, c.era, nil
+}
+
+// Guards against a store whose lease IDs are large, so that no lease can be acquired, and against taking a lease for the
+// own one whose ID was issued again after a restore.
+func TestLeaseIDsOfTheStoreMayHaveAnySize(t *testing.T) {
+	const large = 1 << 62
+	ctx := context.Background()
+	calls := &leaseCalls{era: 3, grant: []int64{large, large + 1}}
+	s := NewEraStore(calls)
+	first, err := s.GrantLease(ctx, time.Second)
+	second, secondErr := s.GrantLease(ctx, time.Second)
+	if err != nil || secondErr != nil || first == second {
+		t.Fatalf("leases %d and %d, %v, %v", first, second, err, secondErr)
+	}
+	for _, c := range []struct{ era, lease, want int64 }{{3, large, first}, {3, large + 1, second}, {3, 7, foreignLease}, {4, large, foreignLease}, {3, 0, 0}} {
+		calls.era, calls.entry = c.era, external.Entry{Key: "k", ModRevision: 5, Lease: c.lease}
+		if e, err := s.Get(ctx, "k"); err != nil || e.Lease != c.want {
+			t.Errorf("in era %d the lease %d counts as %d, %v, want %d", c.era, c.lease, e.Lease, err, c.want)
+		}
+	}
+}
