Do not count an announced end of an upstream as a crash

An upstream that was taken away when its row said counted as one that a request had crashed: its requests were reported (one crash for each server in the path test), a request that met two such ends was rejected as quarantined, and a stream was not continued after the second one. Callers of streams that run for longer than the notice would be cut when a provider takes several upstreams at once. The cause is that a broken connection was taken for a crash whatever the row said. A crash earlier than that counts as before, and nothing changes for upstreams without a remaining time.

The tests of internal/dispatch and internal/routing and the tests of platform on crashes, leaving servers and documents pass.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -80,15 +80,25 @@
 	}
 }
 
-// listedProcesses returns the processes of the listed upstreams and whether each is draining.
+// listedProcesses returns the processes of the listed upstreams and whether each is draining or its end is due.
 func listedProcesses(s *routing.Snapshot) map[quarantine.Process]bool {
+	now := clock.Now()
 	listed := make(map[quarantine.Process]bool, len(s.Upstreams))
 	for i := range s.Upstreams {
-		listed[processOf(&s.Upstreams[i])] = s.Upstreams[i].Draining
+		u := &s.Upstreams[i]
+		listed[processOf(u)] = u.Draining || u.EndIsDue(now)
 	}
 	return listed
 }
 
+// endWasDue reports whether a process was announced to end by now, also if that was after the attempt began.
+func (d *Dispatcher) endWasDue(u *routing.Upstream) bool {
+	process, now := processOf(u), clock.Now()
+	return slices.ContainsFunc(d.Snapshot().Upstreams, func(listed routing.Upstream) bool {
+		return processOf(&listed) == process && listed.EndIsDue(now)
+	})
+}
+
 func processOf(u *routing.Upstream) quarantine.Process {
 	return quarantine.Process{Upstream: u.ID, Address: u.Address, StartedAt: u.StartedAt}
 }
@@ -213,9 +223,9 @@
 
 // countCrash records in result that the connection to the upstream broke, and reports it as a
 // crash. A break in the middle of the response counts as well: the upstream may have ended
-// under the request, whether or not the stream can be resumed elsewhere.
+// under the request, whether or not the stream can be resumed elsewhere. One that ended when its row said is no crash.
 func (d *Dispatcher) countCrash(r *Request, u *routing.Upstream, result *relay.Result) {
-	if !connectionBroke(*result) {
+	if !connectionBroke(*result) || d.endWasDue(u) {
 		return
 	}
 	result.Crashes = 1
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"heatherloom/internal/clock"
 	"heatherloom/internal/errkind"
 	"heatherloom/internal/quarantine"
 	"heatherloom/internal/relay"
@@ -151,3 +152,31 @@
 		}
 	}
 }
+
+// Guards against the quarantine of a request that ran at upstreams which were taken away when their rows said, and against
+// a crash that is excused by an end that is not due.
+func TestAnAnnouncedEndIsNoCrash(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// gone is the time until the announced end; 0 if none is.
+		gone time.Duration
+		want int
+	}{{"no end announced", 0, 1}, {"long before its end", time.Minute, 1}, {"at its end", 100 * time.Millisecond, 0}, {"after its end", -time.Second, 0}} {
+		before := routing.Upstream{ID: "u", StartedAt: 1, Counters: &routing.Counters{}}
+		now := before
+		if c.gone != 0 {
+			now.GoneAt = clock.Now().Add(c.gone).UnixNano()
+		}
+		reported := 0
+		s := &routing.Snapshot{Upstreams: []routing.Upstream{now}}
+		d := &Dispatcher{Snapshot: func() *routing.Snapshot { return s }, ReportCrash: func(quarantine.Crash, string) { reported++ }}
+		result := relay.Result{Outcome: retry.Crashed, Err: errkind.New(errkind.UpstreamFailed, "")}
+		d.countCrash(&Request{Account: "a", Path: "/p"}, &before, &result)
+		if reported != c.want || result.Crashes != c.want {
+			t.Errorf("%s: %d crashes are reported and %d counted, want %d", c.name, reported, result.Crashes, c.want)
+		}
+		if got := listedProcesses(s)[processOf(&before)]; got != (c.want == 0) {
+			t.Errorf("%s: a silent end is excused: %t", c.name, got)
+		}
+	}
+}
--- a/internal/routing/remaining.go
+++ b/internal/routing/remaining.go
@@ -40,6 +40,11 @@
 	return time.Duration(math.Float64frombits(c.longAttempt.Load()) * float64(time.Second))
 }
 
+// EndIsDue reports whether the upstream has been announced to end by now, given that rows are read late.
+func (u *Upstream) EndIsDue(now time.Time) bool {
+	return u.GoneAt != 0 && now.UnixNano() >= u.GoneAt-int64(goneMargin)
+}
+
 // endsInTime reports whether a request with the given time until its deadline, or 0 for none, would end before the
 // upstream does. It always does if the end of the upstream is not known. Without an attempt to tell from, the request is
 // expected to take until its deadline.
