Hold duties in the soak, with faults of the duty API and of holders

The soak runs with usage reports: a sixth series makes the duty API silent, busy, slow, reset or lose its responses, and kills, pauses or cuts the instance that reported last from the API or the store. The calls must keep R1 to R5 at all times, windows must be accepted in time while nothing is disturbed, and two windows in a row after the last fault. Calls of an instance do not count for 300 ms after it was resumed or its link was restored, as the platform grants.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -73,6 +73,8 @@
 	program     string
 	store       *standin.Store
 	storeFaults intervals
+	duties      *standin.DutyAPI
+	dutyFaults  intervals
 	nodes       []*node
 
 	mu sync.Mutex
@@ -111,7 +113,11 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &cluster{dir: dir, program: program, store: store, servers: map[string]*server{}, ends: ends}
+	duties, err := standin.StartDutyAPI(standin.DutyAPIConfig{PerSecond: dutyCallsPerSecond, Lease: dutyLease})
+	if err != nil {
+		return nil, err
+	}
+	s := &cluster{dir: dir, program: program, store: store, duties: duties, servers: map[string]*server{}, ends: ends}
 	for _, r := range regions {
 		for _, service := range []string{servicePlain, servicePlain, servicePlain, serviceStatus1, serviceStatus2, serviceStream, serviceStream} {
 			if _, err := s.addServer(service, r); err != nil {
@@ -150,6 +156,7 @@
 		e.storeLink.Close()
 		e.serverLinks.Close()
 		e.peerLink.Close()
+		e.dutyLink.Close()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -159,6 +166,7 @@
 		srv.Close()
 	}
 	s.store.Close()
+	s.duties.Close()
 }
 
 // domainOf returns the only failure domain of a region.
@@ -294,8 +302,8 @@
 quota_slack = %d
 retry_share = 0.2
 retry_slack = 56
-`, e.id, e.region, domainOf(e.region), e.callerAddress, e.peerAddress, e.peerLink.Address(), e.operatorAddress, e.directoryAddress, e.readyAddress,
-		e.storeLink.Address(), domains, maxRevokeDelay, seeds, shutdownTimeout, quotaSlack)
+%s`, e.id, e.region, domainOf(e.region), e.callerAddress, e.peerAddress, e.peerLink.Address(), e.operatorAddress, e.directoryAddress, e.readyAddress,
+		e.storeLink.Address(), domains, maxRevokeDelay, seeds, shutdownTimeout, quotaSlack, dutySettings(e.dutyLink))
 }
 
 func (s *cluster) writeSettings(e *node) (string, error) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -84,11 +84,12 @@
 		{"store_restored", restoreStore},
 		{"store_compacted", func(d *injector) (string, func()) { d.cluster.store.Compact(); return "", func() {} }},
 	},
+	dutyFaultSeries,
 }
 
 // pauseFactors multiply the pauses of each series. Rules with a time bound apply only after
 // instance and store had no fault for some seconds; without the factors that hardly ever occurs.
-var pauseFactors = []time.Duration{3, 3, 1, 1, 12}
+var pauseFactors = []time.Duration{3, 3, 1, 1, 12, 4}
 
 // injector injects the faults of one series.
 type injector struct {
@@ -153,16 +154,7 @@
 
 func pauseProcess(d *injector) (string, func()) {
 	e := d.randomNode()
-	if !e.mu.TryLock() {
-		return "", nil
-	}
-	end := e.faults.begin()
-	e.signal(syscall.SIGSTOP)
-	return e.id, func() {
-		e.signal(syscall.SIGCONT)
-		end()
-		e.mu.Unlock()
-	}
+	return e.id, pauseNode(d, e)
 }
 
 // shutDownProcess terminates a process as the platform does before planned maintenance.
@@ -219,7 +211,7 @@
 func storeLinkFault(f faultproxy.Faults) func(*injector) (string, func()) {
 	return func(d *injector) (string, func()) {
 		e := d.randomNode()
-		return e.id, injectLinkFault(&e.faults, e.storeLink, f)
+		return e.id, storeLinkFaultOf(f)(d, e)
 	}
 }
 
@@ -228,7 +220,7 @@
 func peerLinkFault(f faultproxy.Faults) func(*injector) (string, func()) {
 	return func(d *injector) (string, func()) {
 		e := d.randomNode()
-		return e.id, injectLinkFault(&e.peerLinkFaults, e.peerLink, f)
+		return e.id, d.resumeAfter(e, injectLinkFault(&e.peerLinkFaults, e.peerLink, f))
 	}
 }
 
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -89,6 +89,10 @@
 	nodes       []*node
 	servers     map[string]*server
 	storeFaults *intervals
+	// started and ended are the times between which all instances were meant to run.
+	started, ended time.Time
+	dutyCalls      []standin.DutyCall
+	dutyFaults     *intervals
 }
 
 // regionOf returns the region of a failure domain.
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -37,13 +37,15 @@
 	storeLink        *faultproxy.Proxy
 	peerLink         *faultproxy.Proxy
 	serverLinks      *standin.Links
+	dutyLink         *faultproxy.Proxy
 
 	// faults are the faults of the process and its link to the store, peerLinkFaults those of
-	// the link from its peers, serverLinkFaults those of its links to all servers, and
-	// plannedShutdowns its graceful shutdowns.
+	// the link from its peers, serverLinkFaults those of its links to all servers, dutyLinkFaults
+	// those of its link to the duty API, and plannedShutdowns its graceful shutdowns.
 	faults           intervals
 	peerLinkFaults   intervals
 	serverLinkFaults intervals
+	dutyLinkFaults   intervals
 	plannedShutdowns intervals
 	// starts are the start times of its processes.
 	starts []time.Time
@@ -75,6 +77,9 @@
 	if e.storeLink, err = faultproxy.Start(freePort, e.serverLinks.Address()); err != nil {
 		return nil, err
 	}
+	if e.dutyLink, err = startDutyLink(s.duties, id); err != nil {
+		return nil, err
+	}
 	e.peerLink, err = faultproxy.Start(freePort, e.peerAddress)
 	return e, err
 }
--- a/internal/soak/rules.go
+++ b/internal/soak/rules.go
@@ -87,6 +87,8 @@
 	{"instances_without_servers", checkInstancesWithoutServers},
 	{"callers_that_left", checkCallersThatLeft},
 	{"leaving_servers", checkLeavingServers},
+	{"duty_calls", checkDutyCalls},
+	{"usage_windows", checkUsageWindows},
 }
 
 // checkRules returns the violations of all rules in a history.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -92,6 +92,8 @@
 	operator *operator
 	callers  *callerGroup
 	faults   *faultLog
+	// started is when all instances were ready.
+	started time.Time
 }
 
 // Run performs one run. It returns an error only for failures of the test setup; those of
@@ -117,14 +119,15 @@
 	if err := s.waitReady(ctx); err != nil {
 		return Report{}, err
 	}
+	s.started = time.Now()
 	if o.Seed%3 == 2 {
 		cluster.nameRate()
 	}
 	if err := s.injectFaults(ctx); err != nil {
 		return Report{}, err
 	}
-	recovered := s.checkRecovery()
-	return s.buildReport(recovered), nil
+	recovered, dutiesRecovered := s.checkRecovery(), s.checkDutyRecovery()
+	return s.buildReport(recovered, dutiesRecovered), nil
 }
 
 // waitReady waits until every instance is ready.
@@ -224,7 +227,7 @@
 	return served == recoveryRequests
 }
 
-func (s *runner) buildReport(recovered bool) Report {
+func (s *runner) buildReport(recovered, dutiesRecovered bool) Report {
 	r := Report{Options: s.options, Faults: s.faults.counts, Results: map[result]int{}}
 	e := s.collectHistory()
 	for _, c := range e.calls {
@@ -235,6 +238,14 @@
 	if !recovered {
 		r.Violations = append(r.Violations, Violation{"recovery", fmt.Sprintf("requests did not succeed again within %s of the last fault", maxRecoveryTime)})
 	}
+	if !dutiesRecovered {
+		r.Violations = append(r.Violations, Violation{"duty_recovery", fmt.Sprintf("no %d windows of usage in a row that began after the last fault were accepted in time within %s", recoveryWindows, maxDutyRecoveryTime)})
+	}
+	for _, v := range s.cluster.duties.Violations() {
+		if v.Rule == standin.RuleMalformed {
+			r.Violations = append(r.Violations, Violation{"duty_calls", v.String()})
+		}
+	}
 	for _, text := range s.cluster.unexpectedExits {
 		r.Violations = append(r.Violations, Violation{"processes", text})
 	}
@@ -263,7 +274,8 @@
 	e := &history{
 		calls: s.callers.calls, executions: map[string][]standin.ExecutedRequest{}, versions: s.operator.versions, revoked: s.operator.revoked,
 		draining: s.operator.draining, evacuated: s.operator.evacuated, nodes: s.cluster.nodes, servers: s.cluster.allServers(),
-		storeFaults: &s.cluster.storeFaults,
+		storeFaults: &s.cluster.storeFaults, dutyFaults: &s.cluster.dutyFaults, dutyCalls: s.cluster.duties.Calls(),
+		started: s.started, ended: time.Now(),
 	}
 	for _, srv := range e.servers {
 		for _, execution := range srv.ExecutedRequests() {
