Keep a holder with many accounts from encoding its record again and again

With 44,000 accounts a report takes 0.2 to 0.5 s of processor time to add up and encode on a busy machine (BenchmarkHolder), and a holder whose row was full encoded it ten times a second; reports remembered from a former holder could also exceed the size of a value, after which the holder never got further. A report is encoded once, a full row is tried again after 0.5 s, and a recovered row drops its oldest reports until it fits.

--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -44,6 +44,8 @@
 	copies map[Process]*copies
 	acked  map[Process]uint64
 	sent   map[int64][]SentReport
+	// lastPending is the number of counts that were pending last.
+	lastPending int
 	// stopped is true once the process counts no more.
 	stopped bool
 	settled int64
@@ -95,12 +97,12 @@
 
 // addPending adds the pending counts to own. The mutex must be held.
 func (l *Ledger) addPending() {
+	next := make(map[pendingKey]int64, l.lastPending)
 	l.pendingMu.Lock()
 	pending := l.pending
-	if len(pending) > 0 {
-		l.pending = make(map[pendingKey]int64, len(pending))
-	}
+	l.pending = next
 	l.pendingMu.Unlock()
+	l.lastPending = len(pending)
 	if len(pending) == 0 {
 		return
 	}
--- a/internal/usage/plan_test.go
+++ b/internal/usage/plan_test.go
@@ -125,6 +125,15 @@
 		row, _ = row.with(RowReport{Window: window, Token: 5, Counts: counts}, 0)
 		value, ok = row.encode()
 	}
+	full := row.clone()
+	for dropped := int64(9); ; dropped++ {
+		if _, fits := full.encode(); fits {
+			break
+		}
+		if !full.dropOldest() || full.Floor != dropped || full.has(dropped) {
+			t.Fatalf("window %d is not dropped, floor %d", dropped, full.Floor)
+		}
+	}
 	if ok || len(value) < maxRowBytes {
 		t.Errorf("a row of %d bytes and %d reports fits, want a bound of %d", len(value), len(row.Reports), maxRowBytes)
 	}
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -191,6 +191,7 @@
 	edge           int64
 	recoveryRounds int
 	storeAfter     time.Time
+	recordAfter    time.Time
 	windows        map[int64]*collection
 	// recorded holds the windows that were recorded, also if the row does not hold them any more.
 	recorded map[int64]bool
@@ -516,16 +517,12 @@
 	}
 }
 
-// commitRow writes the row if it and the duty have not changed hands since it was read, and reports
+// commitRow writes the row, of which value is the encoded form, if it and the duty have not changed hands since it was read, and reports
 // whether the store acknowledged that.
-func (r *Reporter) commitRow(ctx context.Context, t *term, row Row) bool {
+func (r *Reporter) commitRow(ctx context.Context, t *term, row Row, value []byte) bool {
 	if r.Now().Before(t.storeAfter) || !r.permitted(t, 0) {
 		return false
 	}
-	value, ok := row.encode()
-	if !ok {
-		return false
-	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	ok, revision, err := r.Store.Commit(ctx,
@@ -554,7 +551,11 @@
 	}
 	recovery := recovery{token: t.fence.Token, lineage: t.lineage, row: t.row, settled: t.settled, length: r.Config.Window, memories: memories}
 	row := recovery.resolve()
-	if !r.commitRow(ctx, t, row) {
+	value, ok := row.encode()
+	for !ok && row.dropOldest() {
+		value, ok = row.encode()
+	}
+	if !ok || !r.commitRow(ctx, t, row, value) {
 		return false
 	}
 	if t.lineage == lineageMissing && t.edge == 0 {
@@ -810,11 +811,15 @@
 // record adds the reports whose counts are final to the row. The duty API gets none before.
 func (r *Reporter) record(ctx context.Context, t *term) {
 	now := r.Now()
+	if now.Before(t.storeAfter) || now.Before(t.recordAfter) {
+		return
+	}
 	date := r.Clock.Date(now)
 	givenUp := windowOf(date.Add(-giveUpAfter), r.Config.Window)
 	row := t.row.clone()
 	row.accept(func(window int64) bool { return t.accepted[window] })
 	before := row
+	var value []byte
 	var added []*SentReport
 	for _, window := range r.openWindows(t, date) {
 		c := t.windows[window]
@@ -825,12 +830,15 @@
 		if !ok {
 			continue
 		}
-		if _, fits := next.encode(); !fits {
-			continue
+		encoded, fits := next.encode()
+		if !fits {
+			// There is room once a report was accepted. Rows of many accounts take long to encode.
+			t.recordAfter = now.Add(storeRetry)
+			break
 		}
-		row, added = next, append(added, c.report)
+		row, value, added = next, encoded, append(added, c.report)
 	}
-	if len(added) == 0 || !r.commitRow(ctx, t, row) {
+	if len(added) == 0 || !r.commitRow(ctx, t, row, value) {
 		return
 	}
 	for _, report := range before.Reports {
--- a/internal/usage/row.go
+++ b/internal/usage/row.go
@@ -93,6 +93,18 @@
 	return next, true
 }
 
+// dropOldest removes the oldest report that was not accepted, which is then not reported, and reports whether there
+// was one.
+func (r *Row) dropOldest() bool {
+	i := slices.IndexFunc(r.Reports, func(report RowReport) bool { return !report.Accepted })
+	if i < 0 {
+		return false
+	}
+	r.Floor = max(r.Floor, r.Reports[i].Window)
+	r.Reports = slices.Delete(r.Reports, i, i+1)
+	return true
+}
+
 // accept marks the reports for which accepted returns true.
 func (r *Row) accept(accepted func(window int64) bool) {
 	for i := range r.Reports {
