Trust only a former holder that has read the record of reports

After a restore of the store, a holder reports windows with fresh counts if the last holder says that it sent none. One that had claimed the duty and then could not read the row was trusted as well, although it did not know the reports of the holder before it: in a simulation with a killed sender and a backup from before its reports, two windows were reported twice with other counts, which breaks R1. An instance now states that it held the duty only after it has read the row under that claim. The simulated case fails without the change and passes with it; go test of internal/usage and internal/peer passes.

--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -138,12 +138,13 @@
 	held, former holding
 }
 
-// holding tells until when a process held the duty under a token. floor is the last window up to which it
-// reported nothing that it does not remember.
+// holding tells until when a process held the duty under a token. Once it has read the row, it knows all reports of
+// earlier holders: floor is the last window up to which it reported nothing that it does not remember.
 type holding struct {
-	token int64
-	at    time.Time
-	floor int64
+	token   int64
+	at      time.Time
+	hasRead bool
+	floor   int64
 }
 
 // Status tells operators what the reporter does. Delays count from the end of a window.
@@ -343,7 +344,7 @@
 	if q.Sent {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if r.held.token != 0 {
+		if r.held.hasRead {
 			a.HeldToken, a.HeldAgo, a.HolderFloor = r.held.token, r.Now().Sub(r.held.at), r.held.floor
 		}
 	}
@@ -508,7 +509,9 @@
 	maps.DeleteFunc(t.accepted, func(window int64, _ bool) bool { return !t.row.waits(window) })
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.held.floor = max(r.held.floor, t.row.Floor)
+	if r.held.token == t.fence.Token {
+		r.held.hasRead, r.held.floor = true, max(r.held.floor, t.row.Floor)
+	}
 	r.status.Recorded = 0
 	for _, report := range t.row.Reports {
 		if !report.Accepted && !t.accepted[report.Window] {
@@ -575,6 +578,9 @@
 	r.mu.Lock()
 	former := r.former
 	r.mu.Unlock()
+	if !former.hasRead {
+		former = holding{}
+	}
 	memories = append(memories, memory{
 		sent: r.Ledger.Answer(Query{Sent: true}, r.date(), asked).Sent, floor: former.floor,
 		heldToken: former.token, heldBeforeClaim: claimed.Sub(former.at),
--- a/internal/usage/sim_test.go
+++ b/internal/usage/sim_test.go
@@ -615,3 +615,39 @@
 		t.Errorf("%d exact, %d near, %d other, %d not reported", exact, near, other, none)
 	}
 }
+
+// Guards against a former holder that is trusted to know all reports although it never read the record of them (R1).
+func TestALastHolderThatNeverReadTheRecord(t *testing.T) {
+	w := newWorld(t, 3, 4)
+	w.noise = true
+	w.run(40*time.Second, 2)
+	w.store.backup = maps.Clone(w.store.rows)
+	backup := w.store.backup
+	w.run(12*time.Second, 2)
+	sender := w.store.holder
+	sender.kill()
+	for _, m := range w.members {
+		m.Ledger.sent = map[int64][]SentReport{} // Nobody remembers.
+	}
+	w.run(3*time.Second, 2)
+	last := w.store.holder
+	for last == sender {
+		w.run(simTick, 2)
+		last = w.store.holder
+	}
+	// The new holder settles, and cannot read the store from then on.
+	for _, _, ok := last.permit(); !ok; _, _, ok = last.permit() {
+		w.run(simTick, 2)
+		last.validEnd = w.now.Add(simValidity)
+		w.store.down = true
+	}
+	w.run(time.Second, 2)
+	w.store.down, w.store.backup = false, backup
+	w.restore()
+	w.vacantUntil = time.Time{}
+	w.run(40*time.Second, 2)
+	w.check(0, -1)
+	if last.former.token == 0 && last.held.token == 0 {
+		t.Error("no instance held the duty without the record")
+	}
+}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -114,8 +114,8 @@
 	Ended []Process
 	Sent  []SentReport
 	// HeldToken is the token under which the process last held the duty, and HeldAgo the time since
-	// it last did; 0 if it never did. HolderFloor is the last window up to which it then reported nothing that
-	// is not in Sent.
+	// it last did; 0 if it never did, or did not read the record of the reports of earlier holders then.
+	// HolderFloor is the last window up to which it then reported nothing that is not in Sent.
 	HeldToken   int64
 	HeldAgo     time.Duration
 	HolderFloor int64
