--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -138,12 +138,13 @@
 	held, former holding
 }
 
-// holding tells until when a process held the duty under a token. floor is the last window up to which it
-// reported nothing that it does not remember.
+// holding tells until when a process held the duty under a token. Once it has read the row, it knows all reports of
+// earlier holders: floor is the last window up to which it reported nothing that it does not remember.
 type holding struct {
-	token int64
-	at    time.Time
-	floor int64
+	token   int64
+	at      time.Time
+	hasRead bool
+	floor   int64
 }
 
 // Status tells operators what the reporter does. Delays count from the end of a window.
@@ -191,6 +192,7 @@
 	edge           int64
 	recoveryRounds int
 	storeAfter     time.Time
+	recordAfter    time.Time
 	windows        map[int64]*collection
 	// recorded holds the windows that were recorded, also if the row does not hold them any more.
 	recorded map[int64]bool
@@ -342,7 +344,7 @@
 	if q.Sent {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if r.held.token != 0 {
+		if r.held.hasRead {
 			a.HeldToken, a.HeldAgo, a.HolderFloor = r.held.token, r.Now().Sub(r.held.at), r.held.floor
 		}
 	}
@@ -507,7 +509,9 @@
 	maps.DeleteFunc(t.accepted, func(window int64, _ bool) bool { return !t.row.waits(window) })
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.held.floor = max(r.held.floor, t.row.Floor)
+	if r.held.token == t.fence.Token {
+		r.held.hasRead, r.held.floor = true, max(r.held.floor, t.row.Floor)
+	}
 	r.status.Recorded = 0
 	for _, report := range t.row.Reports {
 		if !report.Accepted && !t.accepted[report.Window] {
@@ -516,16 +520,12 @@
 	}
 }
 
-// commitRow writes the row if it and the duty have not changed hands since it was read, and reports
+// commitRow writes the row, of which value is the encoded form, if it and the duty have not changed hands since it was read, and reports
 // whether the store acknowledged that.
-func (r *Reporter) commitRow(ctx context.Context, t *term, row Row) bool {
+func (r *Reporter) commitRow(ctx context.Context, t *term, row Row, value []byte) bool {
 	if r.Now().Before(t.storeAfter) || !r.permitted(t, 0) {
 		return false
 	}
-	value, ok := row.encode()
-	if !ok {
-		return false
-	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	ok, revision, err := r.Store.Commit(ctx,
@@ -554,7 +554,11 @@
 	}
 	recovery := recovery{token: t.fence.Token, lineage: t.lineage, row: t.row, settled: t.settled, length: r.Config.Window, memories: memories}
 	row := recovery.resolve()
-	if !r.commitRow(ctx, t, row) {
+	value, ok := row.encode()
+	for !ok && row.dropOldest() {
+		value, ok = row.encode()
+	}
+	if !ok || !r.commitRow(ctx, t, row, value) {
 		return false
 	}
 	if t.lineage == lineageMissing && t.edge == 0 {
@@ -574,6 +578,9 @@
 	r.mu.Lock()
 	former := r.former
 	r.mu.Unlock()
+	if !former.hasRead {
+		former = holding{}
+	}
 	memories = append(memories, memory{
 		sent: r.Ledger.Answer(Query{Sent: true}, r.date(), asked).Sent, floor: former.floor,
 		heldToken: former.token, heldBeforeClaim: claimed.Sub(former.at),
@@ -810,11 +817,15 @@
 // record adds the reports whose counts are final to the row. The duty API gets none before.
 func (r *Reporter) record(ctx context.Context, t *term) {
 	now := r.Now()
+	if now.Before(t.storeAfter) || now.Before(t.recordAfter) {
+		return
+	}
 	date := r.Clock.Date(now)
 	givenUp := windowOf(date.Add(-giveUpAfter), r.Config.Window)
 	row := t.row.clone()
 	row.accept(func(window int64) bool { return t.accepted[window] })
 	before := row
+	var value []byte
 	var added []*SentReport
 	for _, window := range r.openWindows(t, date) {
 		c := t.windows[window]
@@ -825,12 +836,15 @@
 		if !ok {
 			continue
 		}
-		if _, fits := next.encode(); !fits {
-			continue
+		encoded, fits := next.encode()
+		if !fits {
+			// There is room once a report was accepted. Rows of many accounts take long to encode.
+			t.recordAfter = now.Add(storeRetry)
+			break
 		}
-		row, added = next, append(added, c.report)
+		row, value, added = next, encoded, append(added, c.report)
 	}
-	if len(added) == 0 || !r.commitRow(ctx, t, row) {
+	if len(added) == 0 || !r.commitRow(ctx, t, row, value) {
 		return
 	}
 	for _, report := range before.Reports {
