Bound the time of a round of the autoscaler while the API is slow

With an API that takes 0.9 s for an order, a round over 30 failure domains could take 18 s, during which no load was seen, and after which the utilization counted as unknown, so that callers waited for upstreams that nobody ordered. The gap after which the utilization is unknown is raised from 3 s to 5 s, above the longest round.

--- a/internal/autoscale/autoscaler.go
+++ b/internal/autoscale/autoscaler.go
@@ -33,6 +33,8 @@
 	// maxCallsPerRound bounds the orders between two decisions. The API accepts 50 calls a second, also from the holder
 	// of the other duty.
 	maxCallsPerRound = 20
+	// sendTime is the time after which a round sends no further order, so that a slow API delays no decision for long.
+	sendTime = 2 * time.Second
 )
 
 // CollectFunc asks the instances of all regions for the load of services. It returns when all have responded or ctx ends.
@@ -180,12 +182,13 @@
 
 // send sends the orders that are due. Nothing is queued: what cannot be sent now is decided anew in the next round.
 func (a *Autoscaler) send(ctx context.Context, orders []Order) {
-	if a.Now().Before(a.pausedUntil) {
+	started := a.Now()
+	if started.Before(a.pausedUntil) {
 		return
 	}
-	for _, o := range a.due(a.Now(), orders) {
+	for _, o := range a.due(started, orders) {
 		fence, until, ok := a.Permit()
-		if !ok || fence.Token != a.token || until.Sub(a.Now()) < callTimeout || ctx.Err() != nil {
+		if !ok || a.Now().Sub(started) >= sendTime || fence.Token != a.token || until.Sub(a.Now()) < callTimeout || ctx.Err() != nil {
 			return
 		}
 		if !a.call(ctx, fence, o) {
--- a/internal/autoscale/decide.go
+++ b/internal/autoscale/decide.go
@@ -49,8 +49,9 @@
 	maxRejectedFactor = 4
 	// deliverySlack is the time that an order and the rows of the new upstreams take on their way.
 	deliverySlack = 5 * time.Second
-	// maxSampleGap is the time without a sample after which the utilization in between is not known.
-	maxSampleGap = 3 * time.Second
+	// maxSampleGap is the time without a sample after which the utilization in between is not known. Rounds take up to
+	// 3.7 s while the API is slow.
+	maxSampleGap = 5 * time.Second
 	// assumedReadRate is the number of prompt tokens a second that an upstream is assumed to read until it is
 	// observed. One that decodes nothing reads 56,600.
 	assumedReadRate = 45_000
