Take the read rate of upstreams from times without queues

The rate at which an upstream reads prompts is derived from the time to the first byte, in which prompts of other instances may be queued ahead that this instance does not know yet. The moving average took such samples with the same weight as others, so that a loaded upstream looked slow and more were ordered than the utilization of 0.75 asks for. Lower samples now have a quarter of the weight of higher ones. How much fewer are ordered was not measured: the plays of the tests have a fixed rate.

--- a/internal/autoscale/decide.go
+++ b/internal/autoscale/decide.go
@@ -59,8 +59,10 @@
 	// nothing, nor short prompts like one that reads without limit.
 	minReadRate = assumedReadRate / 3
 	maxReadRate = 56_600
-	// readRateGain is the weight of a sample in the moving average of the observed rate.
-	readRateGain = 0.2
+	// readRateRise and readRateFall are the weights of a higher and a lower sample in the moving average of the observed
+	// rate. A sample is too low while prompts of other instances, which are known a second late, are queued ahead.
+	readRateRise = 0.2
+	readRateFall = 0.05
 )
 
 // Bounds are the limits of a service.
@@ -238,9 +240,14 @@
 	if s.readRate == 0 {
 		s.readRate = assumedReadRate
 	}
-	if rate > 0 {
-		s.readRate += readRateGain * (min(max(rate, minReadRate), maxReadRate) - s.readRate)
+	if rate <= 0 {
+		return
+	}
+	gain := readRateRise
+	if rate < s.readRate {
+		gain = readRateFall
 	}
+	s.readRate += gain * (min(max(rate, minReadRate), maxReadRate) - s.readRate)
 }
 
 // usage is the use of a pool at one time.
--- a/internal/autoscale/decide_test.go
+++ b/internal/autoscale/decide_test.go
@@ -320,6 +320,17 @@
 	return levels[(int(now/(15*time.Second))+region*3)%len(levels)]
 }
 
+// randomLevels is the demand of a region at random levels that last 10 to 20 s.
+func randomLevels(region int, now time.Duration) float64 {
+	levels := rand.New(rand.NewPCG(uint64(region), 7))
+	for at := time.Duration(0); ; {
+		level := .23 * math.Pow(2.5/.23, levels.Float64())
+		if at += 10*time.Second + time.Duration(levels.Int64N(int64(10*time.Second))); at > now {
+			return level
+		}
+	}
+}
+
 // Guards against upstreams that come too late for callers, a number that oscillates, and orders out of bounds, under
 // demand in steps, bursts, an API that is away, changes of the holder, and a region that takes another's peak.
 func TestPlaysOfDemand(t *testing.T) {
@@ -337,6 +348,8 @@
 	}{
 		{"steps", 5, 10 * time.Minute, func(p *play) { p.demand = demandSteps }, .005, 4},
 		{"steps with spill", 5, 10 * time.Minute, func(p *play) { p.demand, p.spill = demandSteps, true }, .001, 4},
+		{"random levels", 5, 20 * time.Minute, func(p *play) { p.demand = randomLevels }, .01, 12},
+		{"random levels with spill", 5, 20 * time.Minute, func(p *play) { p.demand, p.spill = randomLevels, true }, .005, 12},
 		{"constant", 5, 5 * time.Minute, func(p *play) { p.demand = func(int, time.Duration) float64 { return 1 } }, 0, 0},
 		// No order can serve a burst that is over before a new upstream serves: it loses the same with any number.
 		{"few upstreams, constant", 2, 5 * time.Minute, func(p *play) { p.demand = func(int, time.Duration) float64 { return .4 } }, .002, 1},
