Leave out windows of which no running instance has counts

After all instances had restarted, the holder reported the windows before that as empty, although they had requests, because every instance that it knew had answered. A window is now reported only if a process that ran when it began has stated its counts, directly or by a copy; otherwise operators see it as left out. A simulated restart of all instances checks this; go test of internal/usage passes.

--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -236,6 +236,17 @@
 	return c.resolved[p] || (part != nil && part.complete())
 }
 
+// coversFrom reports whether a process that ran from the given time on has stated its counts. Without one, all instances
+// have started since, and what is known of the window may be anything.
+func (c *collection) coversFrom(start time.Time) bool {
+	for p := range c.parts {
+		if p.Started <= start.UnixNano() {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *collection) counts() map[string]int64 {
 	counts := map[string]int64{}
 	for _, part := range c.parts {
@@ -864,6 +875,9 @@
 	if c.report != nil {
 		return true
 	}
+	if !c.coversFrom(windowStart(window, r.Config.Window)) {
+		return false
+	}
 	p := r.progress(c, window, now, date)
 	next := p.next(r.Config.Window, r.Config.Due)
 	switch next {
--- a/internal/usage/sim_test.go
+++ b/internal/usage/sim_test.go
@@ -98,10 +98,10 @@
 	m := &simMember{w: w, up: true}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	w.nextTag++
+	w.nextTag++ // Each process has a start time of its own.
 	m.Reporter = &Reporter{
 		Config: Config{Window: testWindow, Due: simDue, Lease: simLease},
-		Ledger: NewLedger(Process{Instance: id, Started: w.nextTag}, testWindow), Clock: NewClock(),
+		Ledger: NewLedger(Process{Instance: id, Started: w.now.UnixNano() + w.nextTag}, testWindow), Clock: NewClock(),
 		Permit: m.permit, Store: m, API: m, Peers: m, Log: logrus.NewEntry(log),
 		Now: func() time.Time { return w.now.Add(m.ahead) },
 	}
@@ -606,6 +606,24 @@
 	t.Logf("around three restores: %d exact, %d within 5%%, %d late or wrong, %d left out", exact, near, other, none)
 }
 
+// Guards against windows that are reported as empty because all instances lost their counts.
+func TestAllInstancesRestart(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.run(33*time.Second, 2)
+	for i, m := range w.members {
+		m.kill()
+		w.members[i] = w.newMember(m.Ledger.Self().Instance)
+	}
+	lost := w.window()
+	w.run(60*time.Second, 2)
+	if exact, _, _, _ := w.check(lost+1, w.window()-3); exact != int(w.window()-3-lost) {
+		t.Errorf("%d windows after the restart are exact, want all", exact)
+	}
+	if _, _, wrong, none := w.check(lost-2, lost); wrong > 0 || none == 0 {
+		t.Errorf("%d windows before the restart are wrong, %d are left out", wrong, none)
+	}
+}
+
 // Guards against waiting for instances of an earlier release, which count nothing.
 func TestInstancesOfAnEarlierRelease(t *testing.T) {
 	w := newWorld(t, 2, 6)
