--- a/internal/peer/usage_test.go
+++ b/internal/peer/usage_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"reflect"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -214,3 +215,66 @@
 		}
 	}
 }
+
+// countingConn counts the bytes of a connection in both directions.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkUsageCalls measures the bytes on the wire, in both directions, and the time of a copy and of a query on an open
+// connection, at 67,000 requests a second of a fleet.
+func BenchmarkUsageCalls(b *testing.B) {
+	for _, c := range []struct{ instances, accounts int }{{66, 16}, {66, 44_000}, {295, 16}, {295, 44_000}, {920, 16}, {920, 44_000}} {
+		a, to := usage.Process{Instance: "edge-hobart-a-1", Started: 1765000000000000000}, usage.Process{Instance: "edge-hobart-a-2", Started: 1765000000000000000}
+		reporter := newUsageReporter(to)
+		member := usage.Member{Process: to, Address: serve(b, (&Server{Secret: "secret", Usage: reporter}).Handler())}
+		window := clock.Now().UnixNano() / int64(testWindow)
+		for account, count := range usageCounts(67_000*5/c.instances, c.accounts) {
+			for range count {
+				reporter.Ledger.Record(account, clock.Now())
+			}
+		}
+		second := usageCounts(67_000/c.instances, c.accounts)
+		copied := usage.Copy{From: a, Parts: []usage.Part{{Process: a, Window: window - 2}, {Process: a, Window: window - 1}, {Process: a, Window: window, Counts: second}}}
+		var wire atomic.Int64
+		client := NewClient("edge-hobart-a-1", "secret")
+		client.SetDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			return countingConn{conn, &wire}, err
+		})
+		peers := &UsagePeers{Client: client}
+		for name, call := range map[string]func() error{
+			"copy": func() error { return peers.Copy(b.Context(), member, copied) },
+			"collect": func() error {
+				_, err := peers.Collect(b.Context(), member, usage.Query{Windows: []int64{window}})
+				return err
+			},
+		} {
+			b.Run(fmt.Sprintf("%s/%dx%d", name, c.instances, c.accounts), func(b *testing.B) {
+				if err := call(); err != nil {
+					b.Fatal(err)
+				}
+				wire.Store(0)
+				for b.Loop() {
+					if err := call(); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric(float64(wire.Load())/float64(b.N), "wire-B/op")
+			})
+		}
+	}
+}
