--- a/internal/usage/sim_test.go
+++ b/internal/usage/sim_test.go
@@ -98,10 +98,10 @@
 	m := &simMember{w: w, up: true}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	w.nextTag++
+	w.nextTag++ // Each process has a start time of its own.
 	m.Reporter = &Reporter{
 		Config: Config{Window: testWindow, Due: simDue, Lease: simLease},
-		Ledger: NewLedger(Process{Instance: id, Started: w.nextTag}, testWindow), Clock: NewClock(),
+		Ledger: NewLedger(Process{Instance: id, Started: w.now.UnixNano() + w.nextTag}, testWindow), Clock: NewClock(),
 		Permit: m.permit, Store: m, API: m, Peers: m, Log: logrus.NewEntry(log),
 		Now: func() time.Time { return w.now.Add(m.ahead) },
 	}
@@ -606,6 +606,24 @@
 	t.Logf("around three restores: %d exact, %d within 5%%, %d late or wrong, %d left out", exact, near, other, none)
 }
 
+// Guards against windows that are reported as empty because all instances lost their counts.
+func TestAllInstancesRestart(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.run(33*time.Second, 2)
+	for i, m := range w.members {
+		m.kill()
+		w.members[i] = w.newMember(m.Ledger.Self().Instance)
+	}
+	lost := w.window()
+	w.run(60*time.Second, 2)
+	if exact, _, _, _ := w.check(lost+1, w.window()-3); exact != int(w.window()-3-lost) {
+		t.Errorf("%d windows after the restart are exact, want all", exact)
+	}
+	if _, _, wrong, none := w.check(lost-2, lost); wrong > 0 || none == 0 {
+		t.Errorf("%d windows before the restart are wrong, %d are left out", wrong, none)
+	}
+}
+
 // Guards against waiting for instances of an earlier release, which count nothing.
 func TestInstancesOfAnEarlierRelease(t *testing.T) {
 	w := newWorld(t, 2, 6)
@@ -615,3 +633,39 @@
 		t.Errorf("%d exact, %d near, %d other, %d not reported", exact, near, other, none)
 	}
 }
+
+// Guards against a former holder that is trusted to know all reports although it never read the record of them (R1).
+func TestALastHolderThatNeverReadTheRecord(t *testing.T) {
+	w := newWorld(t, 3, 4)
+	w.noise = true
+	w.run(40*time.Second, 2)
+	w.store.backup = maps.Clone(w.store.rows)
+	backup := w.store.backup
+	w.run(12*time.Second, 2)
+	sender := w.store.holder
+	sender.kill()
+	for _, m := range w.members {
+		m.Ledger.sent = map[int64][]SentReport{} // Nobody remembers.
+	}
+	w.run(3*time.Second, 2)
+	last := w.store.holder
+	for last == sender {
+		w.run(simTick, 2)
+		last = w.store.holder
+	}
+	// The new holder settles, and cannot read the store from then on.
+	for _, _, ok := last.permit(); !ok; _, _, ok = last.permit() {
+		w.run(simTick, 2)
+		last.validEnd = w.now.Add(simValidity)
+		w.store.down = true
+	}
+	w.run(time.Second, 2)
+	w.store.down, w.store.backup = false, backup
+	w.restore()
+	w.vacantUntil = time.Time{}
+	w.run(40*time.Second, 2)
+	w.check(0, -1)
+	if last.former.token == 0 && last.held.token == 0 {
+		t.Error("no instance held the duty without the record")
+	}
+}
