Measure the timeouts of health checks in time in which the instance runs

It kept the upstream limited or paused, since only a check ends that, told the region that the upstream had ended, so that all others limited it as well, or took it for one that is too busy to have just started and sent without a limit.

The timeouts now count the time in which the process runs, from a step of 50 ms, and last at most four times as long. A check that has no result by then tells nothing: it pauses nothing, ends no suspicion and is not reported. On time they are as before.

A check that is not answered within 2 s still fails, as for an upstream that is silent.

--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -11,8 +11,9 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -38,11 +39,13 @@
 	// silenceToCheck is how long an upstream in service owes a first byte and sends nothing before it
 	// is checked.
 	silenceToCheck = 700 * time.Millisecond
-	// checkTimeout is the timeout of a check. A healthy upstream responds within a few
-	// milliseconds, unless the check waits for a slot.
+	// checkTimeout is the timeout of a check, in time in which this process runs. A healthy upstream responds within a
+	// few milliseconds, unless the check waits for a slot.
 	checkTimeout = 500 * time.Millisecond
 	// dialTimeout is shorter, so that an upstream that cannot be reached differs from one that is busy.
 	dialTimeout = 300 * time.Millisecond
+	// maxDialTime ends the dial of a check that was canceled.
+	maxDialTime = 2 * time.Second
 	// linksCheckedFor is how long the check of this instance's own links holds.
 	linksCheckedFor = time.Second
 	// maxBodyBytes limits how much of a response body is read.
@@ -121,9 +124,9 @@
 
 func newClient() *http.Client {
 	transport := &http.Transport{
-		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes,
+		DialContext: (&net.Dialer{Timeout: maxDialTime}).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	return &http.Client{Transport: transport, Timeout: checkTimeout}
+	return &http.Client{Transport: transport}
 }
 
 // scan starts the checks that are due and removes upstreams that recovered or no longer
@@ -200,7 +203,7 @@
 		}
 		return
 	}
-	if ctx.Err() == nil && u.Counters.SilentFor(clock.Now()) >= silenceToCheck {
+	if ctx.Err() == nil && !errors.Is(err, errRanLate) && u.Counters.SilentFor(clock.Now()) >= silenceToCheck {
 		p.logFailed(u.ID, err.Error())
 		u.Counters.RecordUnreachable()
 	}
@@ -217,13 +220,14 @@
 	switch {
 	case ctx.Err() != nil:
 		return
-	case errors.As(err, &operation) && operation.Op == "dial":
+	case errors.Is(err, errDialTimeout), errors.As(err, &operation) && operation.Op == "dial":
 		p.logFailed(u.ID, err.Error())
 		u.Counters.RecordUnreachable()
 		p.reportEnd(ctx, u, sent)
 		return
-	case err != nil && !os.IsTimeout(err):
-		// The connection broke: the upstream may be ending just now, or have too many connections.
+	case err != nil && !errors.Is(err, errCheckTimeout):
+		// The connection broke: the upstream may be ending just now, or have too many connections. If this process
+		// ran late, the check tells nothing.
 		p.logFailed(u.ID, err.Error())
 		return
 	case err != nil:
@@ -312,11 +316,68 @@
 }
 
 func (p *Prober) get(ctx context.Context, url string) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	ctx, cancel := context.WithCancelCause(ctx)
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	req, err := http.NewRequestWithContext(traced, http.MethodGet, url, nil)
 	if err != nil {
+		cancel(nil)
 		return nil, err
 	}
-	return p.client.Do(req)
+	go watchCheck(ctx, cancel, &connected)
+	resp, err := p.client.Do(req)
+	if cause := context.Cause(ctx); err != nil && cause != nil {
+		err = cause
+	}
+	if err != nil {
+		cancel(nil)
+		return nil, err
+	}
+	resp.Body = checkBody{ReadCloser: resp.Body, end: func() { cancel(nil) }}
+	return resp, nil
+}
+
+// The reasons for which a check is canceled. errRanLate tells nothing of the upstream.
+var (
+	errDialTimeout  = errors.New("no connection within the timeout")
+	errCheckTimeout = errors.New("no response within the timeout")
+	errRanLate      = errors.New("this process ran so late that it cannot tell whether the upstream responds")
+)
+
+// watchCheck cancels a check after its timeout, or that of its connection.
+func watchCheck(ctx context.Context, cancel context.CancelCauseFunc, connected *atomic.Bool) {
+	ticker := time.NewTicker(scanInterval)
+	defer ticker.Stop()
+	for timer := clock.StartRunTimer(clock.Now()); ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			timer.Observe(clock.Now())
+			cancel := func(timeout time.Duration, cause error) {
+				if expired, late := timer.Expired(timeout); late {
+					cancel(errRanLate)
+				} else if expired {
+					cancel(cause)
+				}
+			}
+			if !connected.Load() {
+				cancel(dialTimeout, errDialTimeout)
+			}
+			cancel(checkTimeout, errCheckTimeout)
+		}
+	}
+}
+
+// checkBody ends a check when the body of its response is closed.
+type checkBody struct {
+	io.ReadCloser
+	end func()
+}
+
+func (b checkBody) Close() error {
+	defer b.end()
+	return b.ReadCloser.Close()
 }
 
 // checkUpstream makes one health check and posts a HealthCheckPassedEvent if the upstream
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -248,3 +249,43 @@
 		}
 	}
 }
+
+// checkError makes each health check fail with an error.
+type checkError struct{ err error }
+
+// RoundTrip implements http.RoundTripper.
+func (e checkError) RoundTrip(*http.Request) (*http.Response, error) { return nil, e.err }
+
+// Guards against an instance that runs late, takes its own delay for the end of an upstream or for an upstream that is too
+// busy to have just started, and tells the others of its region.
+func TestAHealthCheckOfALateInstanceTellsNothing(t *testing.T) {
+	for _, c := range []struct {
+		err                         error
+		paused, reported, suspected bool
+	}{
+		{errRanLate, false, false, true},
+		{errDialTimeout, true, true, true},
+		{errCheckTimeout, false, false, false},
+	} {
+		u := &routing.Upstream{ID: "u", Targets: []string{"s"}, Counters: &routing.Counters{}}
+		u.Counters.SuspectRestart(time.Now().Add(-time.Second))
+		reported := false
+		p := &Prober{
+			Loop: control.NewLoop(control.Identity{ID: "i", Region: "r"}), Log: logrus.NewEntry(logrus.New()),
+			ReportRestart: func(context.Context, control.RestartReport) { reported = true },
+			client:        &http.Client{Transport: checkError{c.err}},
+		}
+		p.Log.Logger.SetOutput(io.Discard)
+		p.checkRestarted(t.Context(), u, "http://u/h")
+		paused := u.Counters.ConsecutiveFailures.Load() >= routing.FailuresToPause
+		if paused != c.paused || reported != c.reported || u.Counters.RestartSuspected() != c.suspected {
+			t.Errorf("%v: paused %t, reported %t, suspected %t, want %t, %t, %t", c.err, paused, reported, u.Counters.RestartSuspected(), c.paused, c.reported, c.suspected)
+		}
+		u.Counters.ConsecutiveFailures.Store(0)
+		u.Counters.Begin(time.Now().Add(-2*silenceToCheck), 0, 0)
+		p.checkSilent(t.Context(), u, "http://u/h")
+		if paused := u.Counters.ConsecutiveFailures.Load() > 0; paused == errors.Is(c.err, errRanLate) {
+			t.Errorf("%v: a silent upstream is paused: %t", c.err, paused)
+		}
+	}
+}
--- a/internal/routing/cold.go
+++ b/internal/routing/cold.go
@@ -91,6 +91,16 @@
 	return u.ColdRateLimit, u.Cold || (u.MayBecomeCold && (w.unchecked || now < w.coldUntil || w.coldTimeUnconfirmed(now) || w.checkedAt < u.UninformedSince))
 }
 
+// CountsAsCold reports whether the upstream gets no more requests than a cold one at a time, according to this snapshot and
+// the latest health check.
+func (u *Upstream) CountsAsCold(now time.Time) bool {
+	w := u.Counters.coldSends()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, limited := w.limited(u, now.UnixNano())
+	return limited
+}
+
 // allowsSend reports whether reserveSend would succeed.
 func (u *Upstream) allowsSend(now int64, outdated bool) bool {
 	w := u.Counters.coldSends()
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -511,7 +511,7 @@
 		return "silent"
 	case u.Cold:
 		return "cold"
-	case u.MayBecomeCold && u.Counters.CheckWanted(time.Unix(0, r.Now)):
+	case u.CountsAsCold(time.Unix(0, r.Now)):
 		return "waiting for a health check after a lost connection"
 	case !s.ServiceSplits[r.Target].allows(r.ID, u.Version):
 		return "of another version"
