Tell the region of a sign of a restart whose health check is slow

A cold upstream got 8 requests in a second, 6 are allowed, from instances that did not know of its restart.

An instance that noticed a sign itself now tells the region of it when its health check has no result after 50 ms. The others suspect the upstream from then on and check it themselves. Checks are usually answered within a few ms, and cost no additional message then. What another instance reported is not reported again, and the rule for instances that have probably lost their own links holds for this report too.

TestASignOfARestartIsReportedBeforeASlowHealthCheckEnds fails without it.

--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -46,6 +46,9 @@
 	dialTimeout = 300 * time.Millisecond
 	// maxDialTime ends the dial of a check that was canceled.
 	maxDialTime = 2 * time.Second
+	// maxUnreported is how long the health check after a sign of a restart may take before the others of the region are
+	// told of the sign. Most checks are answered sooner, and tell the cold time.
+	maxUnreported = 50 * time.Millisecond
 	// linksCheckedFor is how long the check of this instance's own links holds.
 	linksCheckedFor = time.Second
 	// maxBodyBytes limits how much of a response body is read.
@@ -81,6 +84,8 @@
 	// checks are indexed by upstream id.
 	checks map[string]*check
 	links  links
+	// maxUnreported is the constant of that name while Run runs, and 0 to report no signs.
+	maxUnreported time.Duration
 }
 
 // links is whether this instance reached an upstream at a time.
@@ -106,7 +111,7 @@
 
 // Run checks paused upstreams until ctx ends.
 func (p *Prober) Run(ctx context.Context) {
-	p.client = newClient()
+	p.client, p.maxUnreported = newClient(), maxUnreported
 	p.checks = map[string]*check{}
 	ticker := time.NewTicker(scanInterval)
 	defer ticker.Stop()
@@ -214,6 +219,9 @@
 // check has not just started.
 func (p *Prober) checkRestarted(ctx context.Context, u *routing.Upstream, url string) {
 	sent := clock.Now()
+	if p.maxUnreported > 0 && u.Counters.SignNoticed() {
+		defer time.AfterFunc(p.maxUnreported, func() { p.reportEnd(ctx, u, sent) }).Stop()
+	}
 	resp, err := p.get(ctx, url)
 	var operation *net.OpError
 	var health Health
--- a/internal/probe/probe_test.go
+++ b/internal/probe/probe_test.go
@@ -289,3 +289,43 @@
 		}
 	}
 }
+
+// Guards against a sign of a restart that the others of the region learn only after a slow health check, and against
+// reports of what another instance reported.
+func TestASignOfARestartIsReportedBeforeASlowHealthCheckEnds(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		delay    time.Duration
+		reported bool
+		want     []time.Duration
+	}{
+		{"slow", 4 * maxUnreported, false, []time.Duration{0, 3 * time.Second}},
+		{"slow, and reported by another instance", 4 * maxUnreported, true, []time.Duration{3 * time.Second}},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(c.delay) }))
+		u := &routing.Upstream{ID: "u", Targets: []string{"s"}, Counters: &routing.Counters{}}
+		if suspected := clock.Now().Add(-time.Second); c.reported {
+			u.Counters.SuspectReportedRestart(suspected)
+		} else {
+			u.Counters.SuspectRestart(suspected)
+		}
+		reports := make(chan time.Duration, 4)
+		p := &Prober{
+			Loop: control.NewLoop(control.Identity{ID: "i", Region: "r"}), Log: logrus.NewEntry(logrus.New()), client: newClient(),
+			ParseHeader:   func(http.Header) Health { return Health{ColdFor: 3 * time.Second} },
+			ReportRestart: func(_ context.Context, r control.RestartReport) { reports <- r.ColdFor },
+			maxUnreported: maxUnreported,
+		}
+		p.Log.Logger.SetOutput(io.Discard)
+		p.checkRestarted(t.Context(), u, server.URL)
+		close(reports)
+		var got []time.Duration
+		for r := range reports {
+			got = append(got, r)
+		}
+		if !slices.Equal(got, c.want) {
+			t.Errorf("%s: reported %v, want %v", c.name, got, c.want)
+		}
+		server.Close()
+	}
+}
--- a/internal/routing/cold.go
+++ b/internal/routing/cold.go
@@ -227,6 +227,14 @@
 	return w.unchecked
 }
 
+// SignNoticed reports whether this instance itself noticed a sign of a restart since the last health check.
+func (c *Counters) SignNoticed() bool {
+	w := c.coldSends()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.unchecked && !w.reported
+}
+
 // CheckedSince reports whether the result of a health check is known that was sent at a time or later.
 func (c *Counters) CheckedSince(sent time.Time) bool {
 	w := c.coldSends()
