Leave the limit of a restarted upstream to those that do not know of it

A cold upstream got 8 requests in a second, 6 are allowed: seven instances without a connection to it had not heard of its restart, and one that had heard used its part of the limit 968 ms after the start. A third of the limit was left for the former, and the others used the rest within the same second.

Where the limit is lower than the number of instances, an instance that knows of a restart now sends nothing for 1.4 s from the start of the process, or from the sign of it: the window of the limit and the time of a report. Afterwards it uses its part as before. Such an upstream gets up to five requests fewer while it is cold; smaller regions are not affected.

The schedule of late instances now closes 70% of the connections where messages are on time, as in the path test.

--- a/internal/control/cold_late_test.go
+++ b/internal/control/cold_late_test.go
@@ -1,12 +1,18 @@
 package control
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
 	"time"
 )
 
+var (
+	coldFleetClose     = flag.Float64("cold.fleet.close", 0.7, "share of the responses that close their connections in TestColdLimitHoldsAndEndsWhileInstancesRunLate")
+	coldFleetLateClose = flag.Float64("cold.fleet.close.late", 0, "the same in plays with late messages")
+)
+
 const (
 	// minLateness and maxLateness bound how late the ticks, the messages or all steps of an instance are.
 	minLateness = 50 * time.Millisecond
@@ -128,7 +134,10 @@
 				for seed := *coldFleetFirst; seed < *coldFleetFirst+*coldFleetSeeds; seed++ {
 					w := newColdFleet(seed, instances)
 					w.slowMessages = c.messages
-					w.rate = max(w.rate, 0.3)
+					w.rate, w.closeShare = 0.6, *coldFleetClose
+					if c.messages {
+						w.closeShare = *coldFleetLateClose
+					}
 					w.setLate = func() {
 						for i, s := range w.senders {
 							if i%c.share == 0 {
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -196,6 +196,7 @@
 			OwnColdUntil:   row.ownColdUntil,
 			ColdRateLimit:  budget.coldLimit(row, cold),
 			MayBecomeCold:  t.mayBecomeCold(row),
+			ColdTime:       budget.coldTime(row),
 
 			UninformedSince: uninformedSince,
 
--- a/internal/control/reports_test.go
+++ b/internal/control/reports_test.go
@@ -189,3 +189,32 @@
 		t.Error("a health check is wanted after one told that the upstream is warm")
 	}
 }
+
+// Guards against instances that know of a restart and add their parts of the limit to the requests of those that do not,
+// against a limit that nobody uses, and against a pause where each instance has a part.
+func TestInstancesThatKnowOfARestartLeaveTheLimitToOthersAtFirst(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		instances int
+		after     time.Duration
+		allowed   bool
+	}{
+		{24, 500 * time.Millisecond, false}, {24, 1500 * time.Millisecond, true}, {3, 500 * time.Millisecond, true},
+	} {
+		sent := 0
+		for i := range c.instances {
+			x := newServiceTables(fmt.Sprint("e", i), c.instances)
+			listedUpstream(nil).apply(x, start)
+			x.coldSendsFrom = start
+			RestartCheckedEvent{Upstream: "u", Sent: start, ColdFor: scheduleCold}.apply(x, start)
+			now := start.Add(c.after)
+			request := &routing.Request{ID: "r", Target: "s", Now: now.UnixNano(), Service: &routing.ServiceRequest{Remaining: time.Second}}
+			if _, err := (routing.ServicePolicy{Index: routing.NewPrefixIndex()}).Pick(buildSnapshot(x, now), request, routing.NewScratch(1)); err == nil {
+				sent++
+			}
+		}
+		if (sent > 0) != c.allowed || sent > scheduleLimit {
+			t.Errorf("%d of %d instances send %s after the start", sent, c.instances, c.after)
+		}
+	}
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -301,6 +301,14 @@
 	return c.partOfColdLimit(row)
 }
 
+// coldTime returns for how long the upstream is cold after a start, 0 if each instance has a part of its limit.
+func (c *regionBudget) coldTime(row *upstreamRow) time.Duration {
+	if c.totalColdLimit(row) >= float64(c.instances()) {
+		return 0
+	}
+	return c.tables.config.Services[row.instance.Service].ColdFor
+}
+
 // totalColdLimit returns how many requests per second all instances may send to a cold upstream.
 func (c *regionBudget) totalColdLimit(row *upstreamRow) float64 {
 	t := c.tables
--- a/internal/routing/cold.go
+++ b/internal/routing/cold.go
@@ -16,6 +16,9 @@
 	// MaxReportTime is how long a report of a restart from another instance may take. An instance that did not run
 	// for longer may have missed one.
 	MaxReportTime = time.Second
+	// restartGrace is how long an instance that knows of a restart sends nothing to the upstream. The limit is left for
+	// the requests of instances that do not know of it yet, and for those that they sent before they learned of it.
+	restartGrace = coldWindowLength + 300*time.Millisecond
 	// prunedSends is the number of recorded sends from which old ones are removed on each send.
 	prunedSends = 256
 )
@@ -88,7 +91,11 @@
 // limited returns how many requests may be sent within coldWindowLength; ok is false if any number may. The
 // mutex must be held.
 func (w *coldWindow) limited(u *Upstream, now int64) (limit int, ok bool) {
-	return u.ColdRateLimit, u.Cold || (u.MayBecomeCold && (w.unchecked || now < w.coldUntil || w.coldTimeUnconfirmed(now) || w.checkedAt < u.UninformedSince))
+	limit = u.ColdRateLimit
+	if w.restartedLately(u, now) {
+		limit = 0
+	}
+	return limit, u.Cold || (u.MayBecomeCold && (w.unchecked || now < w.coldUntil || w.coldTimeUnconfirmed(now) || w.checkedAt < u.UninformedSince))
 }
 
 // CountsAsCold reports whether the upstream gets no more requests than a cold one at a time, according to this snapshot and
@@ -101,6 +108,16 @@
 	return limited
 }
 
+// restartedLately reports whether the upstream started, or may have started again, within restartGrace. The mutex must be
+// held.
+func (w *coldWindow) restartedLately(u *Upstream, now int64) bool {
+	if !u.MayBecomeCold || u.ColdTime == 0 {
+		return false
+	}
+	started := w.coldUntil - int64(u.ColdTime)
+	return (w.unchecked && now-w.suspectedAt < int64(restartGrace)) || (started <= now && now-started < int64(restartGrace))
+}
+
 // allowsSend reports whether reserveSend would succeed.
 func (u *Upstream) allowsSend(now int64, outdated bool) bool {
 	w := u.Counters.coldSends()
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -58,8 +58,10 @@
 	// from this instance.
 	Cold          bool
 	ColdRateLimit int
-	// MayBecomeCold is true for the upstreams of services that are cold after a start.
+	// MayBecomeCold is true for the upstreams of services that are cold after a start. ColdTime is for how long, 0 if each
+	// instance of the region has a part of the limit.
 	MayBecomeCold bool
+	ColdTime      time.Duration
 	// UninformedSince is since when this instance may have missed that an upstream which may become cold started again,
 	// in Unix nanoseconds; 0 if it would know. Such an upstream counts as cold until a later health check.
 	UninformedSince int64
@@ -88,7 +90,7 @@
 		u.Draining == v.Draining && u.ListedDraining == v.ListedDraining && u.Down == v.Down &&
 		u.Load == v.Load && u.Counters == v.Counters && u.StartedAt == v.StartedAt && u.Version == v.Version &&
 		u.MaxConcurrency == v.MaxConcurrency && u.CachesPrompts == v.CachesPrompts && u.Evacuated == v.Evacuated &&
-		u.Cold == v.Cold && u.ColdRateLimit == v.ColdRateLimit && u.MayBecomeCold == v.MayBecomeCold && u.UninformedSince == v.UninformedSince && u.ColdUntil.Equal(v.ColdUntil) && u.OwnColdUntil.Equal(v.OwnColdUntil) &&
+		u.Cold == v.Cold && u.ColdRateLimit == v.ColdRateLimit && u.MayBecomeCold == v.MayBecomeCold && u.ColdTime == v.ColdTime && u.UninformedSince == v.UninformedSince && u.ColdUntil.Equal(v.ColdUntil) && u.OwnColdUntil.Equal(v.OwnColdUntil) &&
 		u.Brittle == v.Brittle && u.Places == v.Places && u.PlaceSharers == v.PlaceSharers &&
 		u.RateLimited == v.RateLimited && u.RequestRate == v.RequestRate
 }
