--- a/internal/routing/cold.go
+++ b/internal/routing/cold.go
@@ -16,6 +16,9 @@
 	// MaxReportTime is how long a report of a restart from another instance may take. An instance that did not run
 	// for longer may have missed one.
 	MaxReportTime = time.Second
+	// restartGrace is how long an instance that knows of a restart sends nothing to the upstream. The limit is left for
+	// the requests of instances that do not know of it yet, and for those that they sent before they learned of it.
+	restartGrace = coldWindowLength + 300*time.Millisecond
 	// prunedSends is the number of recorded sends from which old ones are removed on each send.
 	prunedSends = 256
 )
@@ -88,7 +91,31 @@
 // limited returns how many requests may be sent within coldWindowLength; ok is false if any number may. The
 // mutex must be held.
 func (w *coldWindow) limited(u *Upstream, now int64) (limit int, ok bool) {
-	return u.ColdRateLimit, u.Cold || (u.MayBecomeCold && (w.unchecked || now < w.coldUntil || w.coldTimeUnconfirmed(now) || w.checkedAt < u.UninformedSince))
+	limit = u.ColdRateLimit
+	if w.restartedLately(u, now) {
+		limit = 0
+	}
+	return limit, u.Cold || (u.MayBecomeCold && (w.unchecked || now < w.coldUntil || w.coldTimeUnconfirmed(now) || w.checkedAt < u.UninformedSince))
+}
+
+// CountsAsCold reports whether the upstream gets no more requests than a cold one at a time, according to this snapshot and
+// the latest health check.
+func (u *Upstream) CountsAsCold(now time.Time) bool {
+	w := u.Counters.coldSends()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, limited := w.limited(u, now.UnixNano())
+	return limited
+}
+
+// restartedLately reports whether the upstream started, or may have started again, within restartGrace. The mutex must be
+// held.
+func (w *coldWindow) restartedLately(u *Upstream, now int64) bool {
+	if !u.MayBecomeCold || u.ColdTime == 0 {
+		return false
+	}
+	started := w.coldUntil - int64(u.ColdTime)
+	return (w.unchecked && now-w.suspectedAt < int64(restartGrace)) || (started <= now && now-started < int64(restartGrace))
 }
 
 // allowsSend reports whether reserveSend would succeed.
@@ -218,6 +245,14 @@
 	return w.unchecked
 }
 
+// SignNoticed reports whether this instance itself noticed a sign of a restart since the last health check.
+func (c *Counters) SignNoticed() bool {
+	w := c.coldSends()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.unchecked && !w.reported
+}
+
 // CheckedSince reports whether the result of a health check is known that was sent at a time or later.
 func (c *Counters) CheckedSince(sent time.Time) bool {
 	w := c.coldSends()
