Compare deadlines of duty calls by the clock of permits

A holder gave each call a deadline by the clock of package time, which does not count suspensions, and the API client compared it with package clock, which does. After a machine had been suspended for a second in total, each call ended before it was sent. A call without such a deadline instead waited for its timeout plus all suspensions, longer than its permit. A suspension between the check of the permit and the start of the call was not detected. The autoscaler also set its deadline after the check instead of by it.

--- a/internal/autoscale/autoscaler.go
+++ b/internal/autoscale/autoscaler.go
@@ -188,18 +188,19 @@
 	}
 	for _, o := range a.due(started, orders) {
 		fence, until, ok := a.Permit()
-		if !ok || a.Now().Sub(started) >= sendTime || fence.Token != a.token || until.Sub(a.Now()) < callTimeout || ctx.Err() != nil {
+		checked := a.Now()
+		if !ok || checked.Sub(started) >= sendTime || fence.Token != a.token || until.Sub(checked) < callTimeout || ctx.Err() != nil {
 			return
 		}
-		if !a.call(ctx, fence, o) {
+		if !a.call(ctx, fence, o, checked.Add(callTimeout)) {
 			return
 		}
 	}
 }
 
-// call sends an order, and reports whether another one may follow at once.
-func (a *Autoscaler) call(ctx context.Context, fence external.Fence, o Order) bool {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+// call sends an order before a deadline by the clock of Permit, and reports whether another one may follow at once.
+func (a *Autoscaler) call(ctx context.Context, fence external.Fence, o Order, deadline time.Time) bool {
+	callCtx, cancel := context.WithDeadline(ctx, deadline)
 	err := a.API.OrderCapacity(callCtx, fence, external.CapacityOrder{Service: o.Service, FailureDomain: o.FailureDomain, Desired: o.Desired})
 	cancel()
 	if a.ReportOutcome != nil {
--- a/internal/autoscale/autoscaler_test.go
+++ b/internal/autoscale/autoscaler_test.go
@@ -26,6 +26,7 @@
 // rig is an Autoscaler on a clock of its own, with one service in one region.
 type rig struct {
 	*Autoscaler
+	t        *testing.T
 	now      time.Time
 	held     bool
 	token    int64
@@ -46,16 +47,20 @@
 
 func (r *rig) ReportUsage(context.Context, external.Fence, external.UsageReport) error { return nil }
 
-func (r *rig) OrderCapacity(_ context.Context, f external.Fence, o external.CapacityOrder) error {
+func (r *rig) OrderCapacity(ctx context.Context, f external.Fence, o external.CapacityOrder) error {
+	// A deadline by another clock than that of the permit is wrong by the time for which the machine was suspended.
+	if deadline, ok := ctx.Deadline(); !ok || !deadline.Equal(r.now.Add(callTimeout)) {
+		r.t.Errorf("the deadline of a call is %v, want %v", deadline, r.now.Add(callTimeout))
+	}
 	r.calls = append(r.calls, apiCall{at: r.now.Sub(testStart), token: f.Token, CapacityOrder: o})
 	r.now = r.now.Add(r.callTime)
 	return r.fail
 }
 
-func newRig() *rig {
+func newRig(t *testing.T) *rig {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	r := &rig{now: testStart, held: true, token: 7, validFor: 2 * time.Second, serving: 6, share: .5, domains: []string{"r-a", "r-b"}}
+	r := &rig{t: t, now: testStart, held: true, token: 7, validFor: 2 * time.Second, serving: 6, share: .5, domains: []string{"r-a", "r-b"}}
 	r.service = opconfig.Service{ColdFor: testBounds.Cold, Autoscale: &opconfig.Autoscale{Min: 2, Max: 15, Startup: testBounds.Startup}}
 	r.Autoscaler = &Autoscaler{
 		Permit: func() (external.Fence, time.Time, bool) {
@@ -119,7 +124,7 @@
 		{"the service is no longer scaled", func(r *rig) { r.share, r.service.Autoscale = .95, nil }, 60, 0, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			r := newRig()
+			r := newRig(t)
 			if calls := r.run(18); len(calls) != 2 {
 				t.Fatalf("the calls after the start are %+v, want one for each failure domain", calls)
 			}
@@ -136,7 +141,7 @@
 
 // Guards against orders that wait while the API is away and are sent when another number is correct.
 func TestTheFirstOrderAfterTheAPIWasAwayIsCorrectThen(t *testing.T) {
-	r := newRig()
+	r := newRig(t)
 	r.run(18)
 	r.share, r.fail = .95, external.ErrUnavailable
 	r.run(5)
@@ -156,7 +161,7 @@
 // Guards against a slow API that keeps the load from being seen, and against orders of more upstreams that wait behind
 // repeated ones.
 func TestASlowAPIDelaysNoOrderOfMore(t *testing.T) {
-	r := newRig()
+	r := newRig(t)
 	for i := range 28 {
 		r.domains = append(r.domains, fmt.Sprintf("r-c%02d", i))
 	}
@@ -178,7 +183,7 @@
 
 // Guards against a holder that acts on the loads and orders of an earlier term.
 func TestANewTokenForgetsEarlierOrders(t *testing.T) {
-	r := newRig()
+	r := newRig(t)
 	r.run(18)
 	r.token, r.serving = 8, 4
 	if calls := r.run(16); len(calls) > 0 {
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -957,14 +957,15 @@
 	if counts == nil {
 		counts = map[string]int64{}
 	}
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	// The deadline is by the clock of the permit, so that the API client detects a suspension after the check.
+	callCtx, cancel := context.WithDeadline(ctx, r.Now().Add(sendTimeout))
 	defer cancel()
 	// The clock is read last: a pause before this line is detected.
 	if !r.permitted(t, sendTimeout) {
 		t.apiAfter = r.Now().Add(stepInterval)
 		return
 	}
-	err := r.API.ReportUsage(ctx, t.fence, external.UsageReport{Window: report.Window, Counts: counts})
+	err := r.API.ReportUsage(callCtx, t.fence, external.UsageReport{Window: report.Window, Counts: counts})
 	if r.Outcome != nil {
 		r.Outcome(err)
 	}
--- a/internal/usage/sim_test.go
+++ b/internal/usage/sim_test.go
@@ -236,11 +236,14 @@
 }
 
 // ReportUsage implements API. It checks rule R1, that tokens never decrease and that permits last for the calls.
-func (m *simMember) ReportUsage(_ context.Context, f external.Fence, r external.UsageReport) error {
+func (m *simMember) ReportUsage(ctx context.Context, f external.Fence, r external.UsageReport) error {
 	a := &m.w.api
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.calls++
+	if deadline, ok := ctx.Deadline(); !ok || !deadline.Equal(m.Now().Add(sendTimeout)) {
+		a.problems = append(a.problems, "a call whose deadline is not by the clock of the permit")
+	}
 	if m.validEnd.Sub(m.w.now) < sendTimeout {
 		a.problems = append(a.problems, "a call whose permit may end before it")
 	}
