Leave out more windows after a restore if the clock was not compared

A holder that finds no complete record of reports, and no former holder that knows them, excludes the windows that ended before it settled, by its own clock. An instance that is cut off from all others has not corrected its clock, and clocks of machines may differ by 10 s (maxSkewMs): it took windows that the former holder had reported for later ones and reported them with other counts, which violates R1. It now adds 10 s unless it compared its clock with that of another instance lately.

The simulated instances compare their clocks in all tests now, as heartbeats do, and TestReportersRunAtTheSameTime does so too: without it, the windows of the first 10 s are left out there on purpose.

--- a/internal/usage/clock.go
+++ b/internal/usage/clock.go
@@ -55,6 +55,19 @@
 	return d.ahead, ok
 }
 
+// Compared reports whether the clock was compared with that of another instance lately. Without that, Date may differ
+// from the dates of others by maxSkew.
+func (c *Clock) Compared(local time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, d := range c.differences {
+		if local.Sub(d.at) <= differenceAge {
+			return true
+		}
+	}
+	return false
+}
+
 // Observe records the uncorrected clock reading of another instance in a response that arrived at a
 // local time, after a round trip of the given length.
 func (c *Clock) Observe(instance string, reading, local time.Time, roundTrip time.Duration) {
--- a/internal/usage/plan.go
+++ b/internal/usage/plan.go
@@ -25,6 +25,8 @@
 	// other instance can have acted in between: a holder acts until 2.5 s after its last renewal and
 	// from 3 s after its claim. The rest of the 0.5 s allows for clocks that run at different rates.
 	succession = 400 * time.Millisecond
+	// maxSkew is by how much the clocks of two machines may differ.
+	maxSkew = 10 * time.Second
 )
 
 func eraOf(token int64) int64 { return token >> eraShift }
@@ -114,7 +116,9 @@
 	lineage lineage
 	row     Row
 	// settled is the end of the settling time, in true time.
-	settled  time.Time
+	settled time.Time
+	// skew is by how much the clock of a former holder may have been ahead of the own one.
+	skew     time.Duration
 	length   time.Duration
 	memories []memory
 }
@@ -182,8 +186,9 @@
 
 // excludedThrough returns the last window that is reported only if a report of it is remembered.
 func (r *recovery) excludedThrough() int64 {
-	ended := lastWindowEndedBy(r.settled, r.length)
-	if r.lineage == lineageMissing && windowStart(ended+1, r.length).Before(r.settled) {
+	settled := r.settled.Add(r.skew)
+	ended := lastWindowEndedBy(settled, r.length)
+	if r.lineage == lineageMissing && windowStart(ended+1, r.length).Before(settled) {
 		// The window in which the fleet started is not reported: some instances ran in a part of it only.
 		return ended + 1
 	}
--- a/internal/usage/plan_test.go
+++ b/internal/usage/plan_test.go
@@ -75,6 +75,15 @@
 		{"a holder of an earlier era was not the last one", lineageRestored, row, []memory{{heldToken: 7}}, 100, map[int64]int64{95: 5}},
 	} {
 		r := recovery{token: era2 + 9, lineage: c.lineage, row: c.row, settled: settled, length: testWindow, memories: c.memories}
+		skewed := r
+		skewed.skew = maxSkew
+		floor := c.floor
+		if r.lastHolder() == nil {
+			floor += int64(maxSkew / testWindow)
+		}
+		if got := skewed.resolve(); got.Floor != floor {
+			t.Errorf("%s: floor %d with a clock that was not compared, want %d", c.name, got.Floor, floor)
+		}
 		got := r.resolve()
 		reports := map[int64]int64{}
 		for _, report := range got.Reports {
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -564,6 +564,10 @@
 		return false
 	}
 	recovery := recovery{token: t.fence.Token, lineage: t.lineage, row: t.row, settled: t.settled, length: r.Config.Window, memories: memories}
+	if !r.Clock.Compared(r.Now()) {
+		// By a slow clock, windows that a former holder has reported may not have ended yet.
+		recovery.skew = maxSkew
+	}
 	row := recovery.resolve()
 	value, ok := row.encode()
 	for !ok && row.dropOldest() {
--- a/internal/usage/run_test.go
+++ b/internal/usage/run_test.go
@@ -84,6 +84,8 @@
 			},
 		}
 		r.Peers = fleetPeers{fleet: f, self: r}
+		// Without a comparison, the windows of the first maxSkew are left out.
+		r.Clock.Observe("other", clock.Now(), clock.Now(), 0)
 		f.members = append(f.members, r)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/usage/sim_test.go
+++ b/internal/usage/sim_test.go
@@ -45,8 +45,6 @@
 	nextTag int64
 	// noise makes each holder collect other counts, so that only records keep reports from differing.
 	noise bool
-	// wrongClocks makes instances compare their clocks.
-	wrongClocks bool
 	// vacantUntil is until when no instance claims the duty.
 	vacantUntil time.Time
 }
@@ -287,7 +285,7 @@
 			if w.now.UnixMilli()%1000 < simTick.Milliseconds() {
 				m.copyCounts(context.Background())
 				for _, o := range w.members {
-					if w.wrongClocks && o != m && !w.unheard(m, o) {
+					if o != m && !w.unheard(m, o) {
 						m.Clock.Observe(o.Ledger.Self().Instance, o.Now(), m.Now(), 0)
 					}
 				}
@@ -427,7 +425,6 @@
 func TestCountsOfInstancesWithWrongClocks(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, 3, 7)
-	w.wrongClocks = true
 	for i, ahead := range []time.Duration{0, 50 * time.Millisecond, -60 * time.Millisecond, 10 * time.Second, -8 * time.Second, 20 * time.Millisecond, 0} {
 		w.members[i].ahead = ahead
 	}
@@ -690,3 +687,31 @@
 		t.Error("no instance held the duty without the record")
 	}
 }
+
+// Guards against a holder with a slow clock that takes windows which a former holder may have reported for ones that
+// have not ended yet, and reports them with other counts after the store was restored (R1).
+func TestARestoredStoreAndAHolderWithASlowClock(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(10) {
+		w := newWorld(t, seed, 4)
+		w.noise = true
+		slow := w.members[3]
+		slow.ahead, slow.drains = -10*time.Second, true
+		w.cut = func(a, b *simMember) bool { return a == slow || b == slow }
+		w.run(40*time.Second, 2)
+		backup := maps.Clone(w.store.rows)
+		w.run(12*time.Second+time.Duration(w.rng.IntN(50))*simTick, 2)
+		w.store.backup = backup
+		w.restore()
+		w.vacantUntil = time.Time{}
+		for _, m := range w.members {
+			m.drains = m != slow
+		}
+		before := w.api.calls
+		w.run(90*time.Second, 2)
+		w.check(0, -1)
+		if w.api.calls == before {
+			t.Errorf("seed %d: the new holder reports nothing", seed)
+		}
+	}
+}
