Let the mean load of a service end without reports

After a burst an instance could reject all prompts of a service for good: the mean of its load reports, which replaces old reports, did not age. With all requests rejected, no response reported that the load had passed.

The mean now counts in full until the latest report is 2 s old, and no more when it is 4 s old. Where reports arrive all the time nothing changes.

TestServicePickDoesNotRejectForABurstThatPassed fails before: a minute after the last report of three upstreams the request is rejected.

Ran: go test ./internal/estimate ./internal/routing

--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -32,7 +32,9 @@
 	maxObserved = 4.0
 	// loadMemory is the time in which the mean load of a service forgets most reports.
 	loadMemory = time.Second
-	// reportLife is the age at which a report of one upstream says no more about it than those of the others.
+	// reportLife is the age at which a report of one upstream says no more about it than those of the others. The mean of
+	// the service counts in full until its latest report is that old, and no more when that is twice as old: while all
+	// requests are rejected for a load that has passed, no response reports that it has.
 	reportLife = 2 * time.Second
 )
 
@@ -109,7 +111,7 @@
 type View struct {
 	// TimeFactor is what the service takes now relative to the fixed estimates; 1 if nothing is known.
 	TimeFactor float64
-	// Running and Waiting are the mean numbers of requests at an upstream; 0 if nothing is known.
+	// Running and Waiting are the mean numbers of requests at an upstream; 0 if nothing is known or all reports are old.
 	Running, Waiting float64
 	// learned is true for the view of a Service.
 	learned bool
@@ -124,7 +126,8 @@
 	defer s.mu.Unlock()
 	v := View{TimeFactor: s.time.factor(now, servicePrior, serviceMemory), learned: true}
 	if s.load.weight > 0 {
-		v.Running, v.Waiting = s.load.running/s.load.weight, s.load.waiting/s.load.weight
+		remaining := min(max(2-float64(now-s.load.at)/float64(reportLife), 0), 1)
+		v.Running, v.Waiting = remaining*s.load.running/s.load.weight, remaining*s.load.waiting/s.load.weight
 	}
 	return v
 }
--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -94,3 +94,17 @@
 		t.Errorf("the fixed view is %+v", v)
 	}
 }
+
+// Guards against a load that counts for good because nothing is sent, and so nothing reported, on account of it.
+func TestTheMeanLoadEndsWithoutReports(t *testing.T) {
+	var s Service
+	s.ObserveLoad(start, 40, 8)
+	for _, c := range []struct {
+		after            time.Duration
+		running, waiting float64
+	}{{0, 40, 8}, {reportLife, 40, 8}, {reportLife * 3 / 2, 20, 4}, {2 * reportLife, 0, 0}, {24 * time.Hour, 0, 0}} {
+		if v := s.View(at(c.after)); math.Abs(v.Running-c.running) > 0.01 || math.Abs(v.Waiting-c.waiting) > 0.01 {
+			t.Errorf("%s after the last report: %.1f running and %.1f waiting, want %.1f and %.1f", c.after, v.Running, v.Waiting, c.running, c.waiting)
+		}
+	}
+}
--- a/internal/routing/service_test.go
+++ b/internal/routing/service_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"heatherloom/internal/estimate"
 	"heatherloom/internal/external"
 )
 
@@ -416,3 +417,31 @@
 		t.Errorf("rejected although a slot is free")
 	}
 }
+
+// Guards against a service that rejects all requests for good after a burst: without requests no response reports that
+// the load has passed.
+func TestServicePickDoesNotRejectForABurstThatPassed(t *testing.T) {
+	service := &estimate.Service{}
+	var upstreams []Upstream
+	for _, id := range []string{"u1", "u2", "u3"} {
+		upstreams = append(upstreams, serviceUpstream(id, func(u *Upstream) {
+			u.Counters.LearnFrom(service)
+			u.Counters.Begin(testNow, 2000, 0).End(testNow)
+			u.Counters.RecordSign(testNow)
+			u.Counters.RecordLoad(testNow, external.Load{Running: 64, Waiting: 40, Slots: 64})
+		}))
+	}
+	s := serviceSnapshot(upstreams...)
+	for _, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{100 * time.Millisecond, false}, {5 * time.Second, true}, {time.Minute, true}} {
+		r := serviceRequest()
+		r.Now = testNow.Add(c.after).UnixNano()
+		s.Published = testNow.Add(c.after)
+		r.Service.Parts = []PromptPart{{ID: 1, Tokens: 2000}}
+		if got := pickService(s, r) != ""; got != c.want {
+			t.Errorf("%s after the last report of a burst: served %t, want %t", c.after, got, c.want)
+		}
+	}
+}
