--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -195,7 +195,7 @@
 			ColdUntil:      row.coldUntil,
 			OwnColdUntil:   row.ownColdUntil,
 			ColdRateLimit:  budget.coldLimit(row, cold),
-			MayBecomeCold:  t.mayBecomeCold(row),
+			MayBecomeCold:  budget.mayBecomeCold(row),
 			ColdTime:       budget.coldTime(row),
 
 			UninformedSince: uninformedSince,
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"heatherloom/internal/opconfig"
 	"heatherloom/internal/rollout"
 	"heatherloom/internal/routing"
 )
@@ -29,7 +30,7 @@
 
 // setCold records until when the upstream is cold, as this instance learned from the store or from the upstream itself.
 func (row *upstreamRow) setCold(until time.Time) {
-	row.ownColdUntil = latest(row.ownColdUntil, until)
+	row.ownColdUntil = max(row.ownColdUntil, until.UnixNano())
 	row.setReportedCold(until)
 }
 
@@ -187,7 +188,11 @@
 // mayBecomeCold reports whether the upstream is cold after a start, which health checks can tell.
 func (t *tables) mayBecomeCold(row *upstreamRow) bool {
 	service := t.config.Services[row.instance.Service]
-	return service.ColdFor > 0 && service.ColdRateLimit > 0 && service.HealthPath != ""
+	return mayBecomeCold(&service)
+}
+
+func mayBecomeCold(s *opconfig.Service) bool {
+	return s.ColdFor > 0 && s.ColdRateLimit > 0 && s.HealthPath != ""
 }
 
 func evacuated(t *tables, row *upstreamRow) bool {
@@ -219,8 +224,22 @@
 type regionBudget struct {
 	tables *tables
 	now    time.Time
+	// latest is the service that was last looked up, which is that of the next upstream in most cases.
+	latest opconfig.Service
+}
+
+// service returns the service of an upstream, until the next call.
+func (c *regionBudget) service(row *upstreamRow) *opconfig.Service {
+	if name := row.instance.Service; c.latest.Name != name {
+		c.latest = c.tables.config.Services[name]
+		c.latest.Name = name
+	}
+	return &c.latest
 }
 
+// mayBecomeCold is tables.mayBecomeCold.
+func (c *regionBudget) mayBecomeCold(row *upstreamRow) bool { return mayBecomeCold(c.service(row)) }
+
 // coldRequests returns how many requests per second this instance may send to a cold
 // upstream; 0 if the upstream is not cold, or shortly after the start of this instance.
 func (c *regionBudget) coldRequests(row *upstreamRow, cold bool) int {
@@ -295,7 +314,7 @@
 	if cold {
 		return c.coldRequests(row, true)
 	}
-	if !c.tables.mayBecomeCold(row) {
+	if !c.mayBecomeCold(row) {
 		return 0
 	}
 	return c.partOfColdLimit(row)
@@ -303,16 +322,16 @@
 
 // coldTime returns for how long the upstream is cold after a start, 0 if each instance has a part of its limit.
 func (c *regionBudget) coldTime(row *upstreamRow) time.Duration {
-	if c.totalColdLimit(row) >= float64(c.instances()) {
+	if !c.mayBecomeCold(row) || c.totalColdLimit(row) >= float64(c.instances()) {
 		return 0
 	}
-	return c.tables.config.Services[row.instance.Service].ColdFor
+	return c.service(row).ColdFor
 }
 
 // totalColdLimit returns how many requests per second all instances may send to a cold upstream.
 func (c *regionBudget) totalColdLimit(row *upstreamRow) float64 {
 	t := c.tables
-	return math.Floor(t.config.Services[row.instance.Service].ColdRateLimit*t.identity.ColdExcess + t.identity.ColdSlack)
+	return math.Floor(c.service(row).ColdRateLimit*t.identity.ColdExcess + t.identity.ColdSlack)
 }
 
 // instances returns the number of entry instances of the region.
--- a/internal/control/tables.go
+++ b/internal/control/tables.go
@@ -70,8 +70,9 @@
 	// paused is true from the start of a pause until a tick finds that it has ended.
 	paused bool
 	// coldUntil is the time until which the upstream can handle only few requests. ownColdUntil is the same without
-	// what other instances told.
-	coldUntil, ownColdUntil time.Time
+	// what other instances told, in Unix nanoseconds; 0 for never.
+	coldUntil    time.Time
+	ownColdUntil int64
 	// firstListedAt is when the row of this process was first applied.
 	firstListedAt time.Time
 	// restarted is true if the upstream is or was cold although its row was known before.
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -74,8 +74,10 @@
 	// requests a second.
 	RateLimited bool
 	RequestRate float64
-	// ColdUntil is when the upstream is warm, and OwnColdUntil the same without what other instances told.
-	ColdUntil, OwnColdUntil time.Time
+	// ColdUntil is when the upstream is warm, and OwnColdUntil the same without what other instances told, in Unix
+	// nanoseconds.
+	ColdUntil    time.Time
+	OwnColdUntil int64
 	// idHash is a hash of ID, set by BuildIndexes.
 	idHash uint64
 	// PreferencePenalty is set by BuildIndexes. It is 0 for the upstream that this instance prefers most and rises to
@@ -90,7 +92,7 @@
 		u.Draining == v.Draining && u.ListedDraining == v.ListedDraining && u.Down == v.Down &&
 		u.Load == v.Load && u.Counters == v.Counters && u.StartedAt == v.StartedAt && u.Version == v.Version &&
 		u.MaxConcurrency == v.MaxConcurrency && u.CachesPrompts == v.CachesPrompts && u.Evacuated == v.Evacuated &&
-		u.Cold == v.Cold && u.ColdRateLimit == v.ColdRateLimit && u.MayBecomeCold == v.MayBecomeCold && u.ColdTime == v.ColdTime && u.UninformedSince == v.UninformedSince && u.ColdUntil.Equal(v.ColdUntil) && u.OwnColdUntil.Equal(v.OwnColdUntil) &&
+		u.Cold == v.Cold && u.ColdRateLimit == v.ColdRateLimit && u.MayBecomeCold == v.MayBecomeCold && u.ColdTime == v.ColdTime && u.UninformedSince == v.UninformedSince && u.ColdUntil.Equal(v.ColdUntil) && u.OwnColdUntil == v.OwnColdUntil &&
 		u.Brittle == v.Brittle && u.Places == v.Places && u.PlaceSharers == v.PlaceSharers &&
 		u.RateLimited == v.RateLimited && u.RequestRate == v.RequestRate
 }
@@ -155,7 +157,7 @@
 
 // ColdFor returns how long peers have to treat the upstream as cold, without what other instances told.
 func (u *Upstream) ColdFor(now time.Time) time.Duration {
-	cold := u.OwnColdUntil.Sub(now)
+	cold := time.Duration(max(u.OwnColdUntil-now.UnixNano(), 0))
 	if u.Evacuated {
 		return max(cold, evacuatedColdFor)
 	}
