Keep the share of the objective that a request may wait in small fleets

With learned estimates a request could wait for 0.15 of its objective, whatever the number of instances. A small share pays where reports are old because many instances share the requests; eight of them know most of a queue themselves. The share is now 0.4 up to 8 instances and falls to 0.15 with their number.

--- a/internal/routing/fleet_test.go
+++ b/internal/routing/fleet_test.go
@@ -112,6 +112,10 @@
 
 func newFleetOf(regions []fleetRegion, pick func(*fleetInstance, *Request) (Choice, error)) *fleet {
 	f := &fleet{now: testNow, rng: rand.New(rand.NewPCG(1, 1)), engines: map[string]*fleetEngine{}, pick: pick}
+	instances := 0
+	for _, region := range regions {
+		instances += region.instances
+	}
 	for r, region := range regions {
 		for k := range region.engines {
 			f.engines[fmt.Sprint(region.name, k)] = &fleetEngine{slowness: 1, cached: map[uint64]time.Time{}}
@@ -122,6 +126,7 @@
 				upstreams = append(upstreams, serviceUpstream(fmt.Sprint(region.name, e), func(u *Upstream) { u.Region = region.name }))
 			}
 			s := serviceSnapshot(upstreams...)
+			s.InstanceCount = instances
 			s.Region, s.SelfID = region.name, fmt.Sprint("entry-", region.name, k)
 			f.instances = append(f.instances, &fleetInstance{s, ServicePolicy{Index: NewPrefixIndex()}, NewScratch(uint64(1000*r + k))})
 		}
--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -149,9 +149,11 @@
 	// take. Estimates ignore the tokens that are decoded between the chunks of a prompt,
 	// which delay the first byte by a factor of up to 2.5.
 	maxWaitShare = 0.4
-	// maxLearnedWaitShare is the same for learned estimates. Queues go on growing for as long as reports are old:
-	// at 1.4 and 2.3 times what the engines can do, a share of 0.4 leaves far fewer responses in time.
-	maxLearnedWaitShare = 0.15
+	// fewInstances is up to how many instances know most of a queue from their own requests. With more of them and
+	// learned estimates, the share is smaller, down to minWaitShare: queues go on growing for as long as reports
+	// are old, and with 64 instances a share of 0.4 halves what is in time at 1.4 times what the engines can do.
+	fewInstances = 8
+	minWaitShare = 0.15
 	// maxRetryAfter limits the retry delay that a rejected caller is told.
 	maxRetryAfter = 2 * time.Second
 )
@@ -179,7 +181,7 @@
 	}
 	limit := maxWaitShare * r.Service.FirstByteObjective.Seconds()
 	if best.index != none && s.Upstreams[best.index].Counters.learns() {
-		limit = maxLearnedWaitShare * r.Service.FirstByteObjective.Seconds()
+		limit = learnedWaitShare(s.InstanceCount) * r.Service.FirstByteObjective.Seconds()
 	}
 	if wait <= limit {
 		return nil
@@ -190,6 +192,11 @@
 	return err
 }
 
+// learnedWaitShare is maxWaitShare for learned estimates of the given number of instances.
+func learnedWaitShare(instances int) float64 {
+	return max(maxWaitShare*fewInstances/float64(max(instances, fewInstances)), minWaitShare)
+}
+
 // retryAfterMargin is added to the time in which the queue is expected to drain to the limit.
 const retryAfterMargin = 100 * time.Millisecond
 
