Use leases whose TTL the store shortens

The store names the TTL that applies to a lease. One that was shorter than requested was discarded as if the call had failed, so with such a store no instance ever got a duty, and each attempt left a lease behind. The holder now counts its validity from the TTL that applies and renews in proportion. A longer TTL is not used, as before. A TTL that a response to a renewal names is still not read; the settling time covers a lease that ends early.

--- a/internal/lease/era.go
+++ b/internal/lease/era.go
@@ -15,7 +15,8 @@
 type EraCalls interface {
 	GetInEra(ctx context.Context, key string) (e external.Entry, era int64, err error)
 	CommitInEra(ctx context.Context, conditions []external.Condition, writes []external.Write) (ok bool, revision, era int64, err error)
-	GrantLeaseInEra(ctx context.Context, ttl time.Duration) (lease, era int64, err error)
+	// GrantLeaseInEra also returns the TTL that applies, which may be another one than was requested.
+	GrantLeaseInEra(ctx context.Context, ttl time.Duration) (lease int64, applied time.Duration, era int64, err error)
 	RenewLeaseInEra(ctx context.Context, lease int64) (era int64, err error)
 	RevokeLeaseInEra(ctx context.Context, lease int64) error
 }
@@ -32,6 +33,8 @@
 	// the own ones, oldest first.
 	ids     map[int64]int64
 	granted []int64
+	// ttls holds the TTL that applies to each lease of ids.
+	ttls map[int64]time.Duration
 	// last is the number of the latest grant.
 	last int64
 }
@@ -40,7 +43,7 @@
 
 // NewEraStore returns a Store that makes the given calls.
 func NewEraStore(calls EraCalls) *EraStore {
-	return &EraStore{calls: calls, ids: map[int64]int64{}}
+	return &EraStore{calls: calls, ids: map[int64]int64{}, ttls: map[int64]time.Duration{}}
 }
 
 // maxKnownLeases is how many leases are known at once. A holder has one, and leases that were granted
@@ -51,7 +54,7 @@
 const foreignLease = -1
 
 // learn returns the own ID of a lease that the store has granted.
-func (s *EraStore) learn(era, id int64) (int64, error) {
+func (s *EraStore) learn(era, id int64, ttl time.Duration) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.last++
@@ -59,10 +62,11 @@
 	if err != nil {
 		return 0, err
 	}
-	s.ids[own] = id
+	s.ids[own], s.ttls[own] = id, ttl
 	s.granted = append(s.granted, own)
 	if len(s.granted) > maxKnownLeases {
 		delete(s.ids, s.granted[0])
+		delete(s.ttls, s.granted[0])
 		s.granted = s.granted[1:]
 	}
 	return own, nil
@@ -172,11 +176,18 @@
 
 // GrantLease implements Store.
 func (s *EraStore) GrantLease(ctx context.Context, ttl time.Duration) (int64, error) {
-	id, era, err := s.calls.GrantLeaseInEra(ctx, ttl)
+	id, applied, era, err := s.calls.GrantLeaseInEra(ctx, ttl)
 	if err != nil {
 		return 0, err
 	}
-	return s.learn(era, id)
+	return s.learn(era, id, applied)
+}
+
+// AppliedTTL returns the TTL that applies to a lease; 0 if it is not known.
+func (s *EraStore) AppliedTTL(own int64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ttls[own]
 }
 
 // RenewLease implements Store. A response of another era than that of the grant is
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -26,6 +26,12 @@
 	RevokeLease(ctx context.Context, lease int64) error
 }
 
+// ttlStore is a Store that tells the TTL that applies to a lease, 0 if it is not known. Those of other stores have the
+// TTL that was requested.
+type ttlStore interface {
+	AppliedTTL(lease int64) time.Duration
+}
+
 // Config holds the dependencies and times of a Holder.
 type Config struct {
 	Store Store
@@ -169,7 +175,11 @@
 	switch a {
 	case actGrant:
 		leaseID, err := h.config.Store.GrantLease(ctx, h.config.Timing.TTL)
-		return callResult{status: statusOf(err), leaseID: leaseID}
+		r := callResult{status: statusOf(err), leaseID: leaseID}
+		if s, ok := h.config.Store.(ttlStore); ok && err == nil {
+			r.ttl = s.AppliedTTL(leaseID)
+		}
+		return r
 	case actClaim:
 		return h.claim(ctx, s)
 	case actRenew:
--- a/internal/lease/state.go
+++ b/internal/lease/state.go
@@ -39,6 +39,17 @@
 	return started.Add(t.TTL - t.TTL*marginPercent/100)
 }
 
+// of returns the times of a lease whose TTL in the store is ttl, 0 for the requested one. A longer one is not used.
+func (t Timing) of(ttl time.Duration) Timing {
+	if ttl <= 0 || ttl >= t.TTL {
+		return t
+	}
+	share := float64(ttl) / float64(t.TTL)
+	return Timing{
+		TTL: ttl, RenewInterval: time.Duration(share * float64(t.RenewInterval)), RetryInterval: time.Duration(share * float64(t.RetryInterval)),
+	}
+}
+
 type phase int
 
 const (
@@ -89,6 +100,8 @@
 	phase phase
 	// leaseID is the id of the lease in the store; 0 if there is none.
 	leaseID int64
+	// ttl is the TTL of the lease in the store; 0 for the requested one.
+	ttl time.Duration
 	// replaces is the key's mod revision before the claim; 0 if the key did not exist.
 	replaces int64
 	// token is the key's mod revision in the store; it grows with each new holder.
@@ -132,6 +145,8 @@
 	status  callStatus
 	leaseID int64
 	token   int64
+	// ttl is the TTL of a granted lease; 0 for the requested one.
+	ttl time.Duration
 	// replaces is the mod revision of a key that may be claimed although it exists.
 	replaces int64
 }
@@ -141,6 +156,7 @@
 
 // after returns the state after a call.
 func (s state) after(a action, at callTime, t Timing, r callResult) state {
+	t = t.of(s.ttl)
 	switch a {
 	case actCheck:
 		return s.afterCheck(at.started, t, r)
@@ -172,7 +188,7 @@
 	if r.status != statusOK {
 		return idleUntil(started.Add(t.RetryInterval))
 	}
-	return state{phase: granted, leaseID: r.leaseID, replaces: s.replaces, validUntil: t.validity(started), due: started}
+	return state{phase: granted, leaseID: r.leaseID, ttl: r.ttl, replaces: s.replaces, validUntil: t.of(r.ttl).validity(started), due: started}
 }
 
 // afterClaim also has the key read back after a rejected claim, because an earlier claim
