Give duty calls the timeout of the lease also in the checks of permits

For lease times below 3 s, duty.CallTimeout and the permits are shorter, but the reporter and the autoscaler asked for a permit of a second. With a lease time of 1 to 1.2 s, which the settings accept, an instance held the duty and never made a call.

Before (without the new settings of the timeout): 'go test -run ShortLease' of internal/usage fails with 8 of 8 windows not reported, and of internal/autoscale with no order. After: internal/usage and internal/autoscale pass.

--- a/internal/autoscale/autoscaler.go
+++ b/internal/autoscale/autoscaler.go
@@ -22,7 +22,7 @@
 	// instance that does not respond delays no decision.
 	collectInterval = time.Second
 	collectTimeout  = 700 * time.Millisecond
-	// callTimeout is the time limit of an order. The permit has to be valid for as long.
+	// callTimeout is the time limit of an order unless Autoscaler has another one. The permit has to be valid for as long.
 	callTimeout = time.Second
 	// repeatInterval is the time after which an order is repeated: a call without a response may have had no effect.
 	repeatInterval = 30 * time.Second
@@ -45,6 +45,8 @@
 	// Permit returns the fence of the duty and until when this instance may use it; ok is false if it may not.
 	Permit func() (fence external.Fence, until time.Time, ok bool)
 	API    external.DutyAPI
+	// CallTimeout is the time limit of an order, which is shorter than a permit; 0 for callTimeout.
+	CallTimeout time.Duration
 	// ReportOutcome, if it is not nil, is called with the outcome of each call.
 	ReportOutcome func(error)
 	Collect       CollectFunc
@@ -188,11 +190,11 @@
 	}
 	for _, o := range a.due(started, orders) {
 		fence, until, ok := a.Permit()
-		checked := a.Now()
-		if !ok || checked.Sub(started) >= sendTime || fence.Token != a.token || until.Sub(checked) < callTimeout || ctx.Err() != nil {
+		checked, timeout := a.Now(), cmp.Or(a.CallTimeout, callTimeout)
+		if !ok || checked.Sub(started) >= sendTime || fence.Token != a.token || until.Sub(checked) < timeout || ctx.Err() != nil {
 			return
 		}
-		if !a.call(ctx, fence, o, checked.Add(callTimeout)) {
+		if !a.call(ctx, fence, o, checked.Add(timeout)) {
 			return
 		}
 	}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -93,7 +93,7 @@
 	if holder := d.holders[external.DutyUsageReport]; holder != nil {
 		d.recentPeers = &peer.RecentPeers{}
 		d.usage = &usage.Reporter{
-			Config: usage.Config{Window: s.Duties.UsageWindow, Due: s.Duties.UsageDue, Lease: s.Duties.Lease},
+			Config: usage.Config{Window: s.Duties.UsageWindow, Due: s.Duties.UsageDue, Lease: s.Duties.Lease, CallTimeout: duty.CallTimeout(s.Duties.Lease)},
 			Ledger: usage.NewLedger(usage.Process{Instance: identity.ID, Started: identity.Incarnation}, s.Duties.UsageWindow),
 			Clock:  usageClock,
 			Permit: holder.Permit, Outcome: holder.ReportOutcome,
@@ -106,7 +106,7 @@
 		d.rejections = &routing.Rejections{}
 		collector := &peer.LoadCollector{Identity: identity, Loop: n.loop, Client: peers, Rejections: d.rejections}
 		d.autoscaler = &autoscale.Autoscaler{
-			Permit: holder.Permit, API: d.tracker, ReportOutcome: holder.ReportOutcome, Collect: collector.Collect,
+			Permit: holder.Permit, API: d.tracker, CallTimeout: holder.CallTimeout(), ReportOutcome: holder.ReportOutcome, Collect: collector.Collect,
 			Services: func() map[string]opconfig.Service { return n.loop.Snapshot().Config.Services },
 			Now:      clock.Now, Log: log,
 		}
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -21,8 +22,8 @@
 	askInterval = time.Second
 	// stepInterval is the time between two looks at the permit, which makes no call.
 	stepInterval = 100 * time.Millisecond
-	// callTimeout is that of a call to an instance or to the store; sendTimeout that of one to the duty API. The
-	// permit must last for sendTimeout when the call begins.
+	// callTimeout is that of a call to an instance or to the store; sendTimeout that of one to the duty API unless
+	// Config has another one. The permit must last for as long when the call begins.
 	callTimeout = time.Second
 	sendTimeout = time.Second
 	// informTimeout bounds how long a report waits for two instances to remember it.
@@ -101,8 +102,12 @@
 	Window, Due time.Duration
 	// Lease is the settling time of a new holder.
 	Lease time.Duration
+	// CallTimeout is that of a call to the duty API, which is shorter than a permit; 0 for sendTimeout.
+	CallTimeout time.Duration
 }
 
+func (c *Config) sendTimeout() time.Duration { return cmp.Or(c.CallTimeout, sendTimeout) }
+
 // Reporter copies the counts of this process to other instances and, while it has a permit, reports
 // the usage of all. Its fields must be set before Run. It is safe for concurrent use.
 type Reporter struct {
@@ -962,10 +967,10 @@
 		counts = map[string]int64{}
 	}
 	// The deadline is by the clock of the permit, so that the API client detects a suspension after the check.
-	callCtx, cancel := context.WithDeadline(ctx, r.Now().Add(sendTimeout))
+	callCtx, cancel := context.WithDeadline(ctx, r.Now().Add(r.Config.sendTimeout()))
 	defer cancel()
 	// The clock is read last: a pause before this line is detected.
-	if !r.permitted(t, sendTimeout) {
+	if !r.permitted(t, r.Config.sendTimeout()) {
 		t.apiAfter = r.Now().Add(stepInterval)
 		return
 	}
