Date the last look at a permit by the clock before it

A reporter noted that it held the duty at a time that it read after the permit. If it was frozen in between, it counted as the holder until it was unfrozen, although another instance may have held the duty, reported and ended meanwhile. After a restore of the store, the next holder would trust it to know all reports (lineage of the last holder) and could report a window with other counts (R1).

Before: 'go test ./internal/usage -run TestAFrozenHolderDoesNot' fails: held until 7.6 s after the end of the permit. After: 'go test ./internal/usage' passes.

--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -388,10 +388,11 @@
 
 // permitted reports whether the permit of the term lasts for so long.
 func (r *Reporter) permitted(t *term, lasting time.Duration) bool {
+	before := r.Now()
 	fence, until, ok := r.Permit()
-	now := r.Now()
-	r.noteHeld(fence, now, ok)
-	return ok && fence == t.fence && until.Sub(now) >= lasting
+	// The duty may have changed hands in a pause after the permit was read.
+	r.noteHeld(fence, before, ok)
+	return ok && fence == t.fence && until.Sub(r.Now()) >= lasting
 }
 
 // step does what is due.
--- a/internal/usage/sim_test.go
+++ b/internal/usage/sim_test.go
@@ -732,3 +732,21 @@
 		t.Errorf("%d exact, %d near, %d other, %d not reported", exact, near, other, none)
 	}
 }
+
+// Guards against a holder that is frozen right after a look at its permit and then counts as one that held the duty until
+// it was unfrozen: after a restore of the store it would be trusted to know all reports (R1).
+func TestAFrozenHolderDoesNotCountAsTheLastOne(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 4, 1)
+	w.run(10*time.Second, 2)
+	m := w.members[0]
+	var until time.Time
+	m.Permit = func() (external.Fence, time.Time, bool) {
+		fence, end, ok := m.permit()
+		until, w.now = end, w.now.Add(10*time.Second)
+		return fence, end, ok
+	}
+	if m.permitted(m.term, 0) || m.held.token == 0 || m.held.at.After(until) {
+		t.Errorf("it held token %d until %v, and its permit ended at %v", m.held.token, m.held.at, until)
+	}
+}
