--- a/internal/duty/decide.go
+++ b/internal/duty/decide.go
@@ -1,6 +1,6 @@
 // Package duty lets one instance at a time make the calls of a duty, such as usage reports, to an
 // API of the platform. The holder of a lease in the key-value service has the duty; the instances
-// run no consensus protocol of their own. docs/design/duties.md describes the design.
+// run no consensus protocol of their own. docs/work-plan.md section B.1 describes the design.
 //
 // The decisions in this file are pure functions; Holder makes the store calls.
 package duty
