Give the model of duties the TTL that a store grants

The review made the calls of a store name the TTL that applies to a lease, which may be another one than was asked for; the model test of holders, store and API did not build with it. Its store grants what is asked for. go test ./internal/duty passes (300 sequences).

--- a/internal/duty/model_parts_test.go
+++ b/internal/duty/model_parts_test.go
@@ -213,14 +213,14 @@
 	return ok && err == nil, revision, era, err
 }
 
-func (s storeCalls) GrantLeaseInEra(_ context.Context, ttl time.Duration) (id, era int64, err error) {
+func (s storeCalls) GrantLeaseInEra(_ context.Context, ttl time.Duration) (id int64, applied time.Duration, era int64, err error) {
 	err = s.call(func(store *modelStore) error {
 		store.lastLease++
 		id, era = store.lastLease, store.era
 		store.leases[id] = modelLease{ttl, store.now + ttl}
 		return nil
 	})
-	return id, era, err
+	return id, ttl, era, err
 }
 
 func (s storeCalls) RenewLeaseInEra(_ context.Context, id int64) (era int64, err error) {
