Pass reports of restarts on at most three times

In a region of more than 33 instances, each passes on the reports that are new to it. The times of a report count from its arrival, so that each hop adds its delay, and an end after the last health check or a cold time that is 0.3 s longer counts as new. Where messages take 0.4 to 1 s, instances passed the report of one restart round without end: each time, all suspect the upstream or hold it for cold again, and check it.

Reports now carry how many instances passed them on. Instances of the former version read and send 0.

TestLateReportsAreNotPassedRoundWithoutEnd plays 50 instances.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -71,6 +71,8 @@
 	NoticedAt time.Time
 	// ColdFor is how long the upstream remains cold after NoticedAt; 0 if it has not responded since it ended.
 	ColdFor time.Duration
+	// Hops is how many instances passed the report on.
+	Hops uint32
 }
 
 // RestartsReportedEvent delivers what another instance of the region reported. The reporter has also recorded it in the
--- a/internal/peer/restarts.go
+++ b/internal/peer/restarts.go
@@ -25,6 +25,9 @@
 	// between every two instances.
 	maxReportTargets = 32
 	passedOnTo       = 4
+	// maxHops is how often a report is passed on at most. Each hop adds its delay to the times of a report, so that one
+	// that is late counts as new again where the restart is known.
+	maxHops = 3
 	// reportedFor is how long a reported restart is not reported again. The cold times that two instances learn of
 	// one process differ by less than reportedColdSlack.
 	reportedFor       = 2 * time.Second
@@ -159,11 +162,23 @@
 	default:
 	}
 	r.Loop.Post(ctx, control.RestartsReportedEvent{Reports: fresh})
-	if addresses := regionAddresses(snapshot, r.Identity); len(addresses) > maxReportTargets {
-		r.sendTo(context.WithoutCancel(ctx), sample(addresses, passedOnTo), fresh)
+	addresses, passed := regionAddresses(snapshot, r.Identity), passedOn(fresh)
+	if len(addresses) > maxReportTargets && len(passed) > 0 {
+		r.sendTo(context.WithoutCancel(ctx), sample(addresses, passedOnTo), passed)
 	}
 }
 
+// passedOn returns the reports that an instance passes on of those that are new to it.
+func passedOn(fresh []control.RestartReport) (passed []control.RestartReport) {
+	for _, report := range fresh {
+		if report.Hops < maxHops {
+			report.Hops++
+			passed = append(passed, report)
+		}
+	}
+	return passed
+}
+
 func applyRestart(c *routing.Counters, report control.RestartReport) {
 	if report.ColdFor > 0 {
 		c.RecordColdUntil(report.NoticedAt.Add(report.ColdFor))
@@ -232,24 +247,28 @@
 	for _, report := range reports {
 		req.Reports = append(req.Reports, &peerv1.RestartReport{
 			Upstream: report.Upstream, AgeMs: max(now.Sub(report.NoticedAt).Milliseconds(), 0), ColdMs: report.ColdFor.Milliseconds(),
+			Hops: report.Hops,
 		})
 	}
 	return req
 }
 
-// ReportRestarts applies reports of another instance of the region.
-func (s *Server) ReportRestarts(ctx context.Context, req *connect.Request[peerv1.ReportRestartsRequest]) (*connect.Response[peerv1.ReportRestartsResponse], error) {
-	now := clock.Now()
-	var reports []control.RestartReport
-	for _, report := range req.Msg.GetReports() {
+func decodeRestarts(req *peerv1.ReportRestartsRequest, now time.Time) (reports []control.RestartReport) {
+	for _, report := range req.GetReports() {
 		reports = append(reports, control.RestartReport{
 			Upstream:  report.GetUpstream(),
 			NoticedAt: now.Add(-time.Duration(report.GetAgeMs()) * time.Millisecond),
 			ColdFor:   time.Duration(report.GetColdMs()) * time.Millisecond,
+			Hops:      report.GetHops(),
 		})
 	}
+	return reports
+}
+
+// ReportRestarts applies reports of another instance of the region.
+func (s *Server) ReportRestarts(ctx context.Context, req *connect.Request[peerv1.ReportRestartsRequest]) (*connect.Response[peerv1.ReportRestartsResponse], error) {
 	if s.Restarts != nil {
-		s.Restarts.receive(ctx, reports)
+		s.Restarts.receive(ctx, decodeRestarts(req.Msg, clock.Now()))
 	}
 	return connect.NewResponse(&peerv1.ReportRestartsResponse{}), nil
 }
--- a/internal/peer/restarts_test.go
+++ b/internal/peer/restarts_test.go
@@ -1,8 +1,11 @@
 package peer
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -112,3 +115,54 @@
 		t.Errorf("reports go to %s", got)
 	}
 }
+
+// Guards against reports that late instances of a large region pass round without end: the times of a report are later with
+// each hop, so that it counts as new where the restart is known and checked.
+func TestLateReportsAreNotPassedRoundWithoutEnd(t *testing.T) {
+	const instances, minDelay, maxDelay, settled, maxMessages = 50, 400 * time.Millisecond, time.Second, 6 * time.Second, 3000
+	type message struct {
+		at  time.Duration
+		to  int
+		req *peerv1.ReportRestartsRequest
+	}
+	start := time.Unix(1000, 0)
+	for _, coldFor := range []time.Duration{0, 3 * time.Second} {
+		rng := rand.New(rand.NewPCG(1, 2))
+		reporters := make([]RestartReporter, instances)
+		var messages []message
+		send := func(now time.Duration, to int, reports []control.RestartReport) {
+			at := now + minDelay + time.Duration(rng.Int64N(int64(maxDelay-minDelay)))
+			messages = append(messages, message{at, to, encodeRestarts(reports, start.Add(now))})
+		}
+		for to := 1; to <= maxReportTargets; to++ {
+			send(0, to, []control.RestartReport{{Upstream: "u", NoticedAt: start, ColdFor: coldFor}})
+		}
+		for len(messages) > 0 {
+			slices.SortFunc(messages, func(a, b message) int { return cmp.Compare(a.at, b.at) })
+			m := messages[0]
+			messages = messages[1:]
+			if m.at > settled || len(messages) > maxMessages {
+				t.Errorf("cold for %s: a report arrives %s after the restart, %d more are on their way", coldFor, m.at, len(messages))
+				break
+			}
+			var fresh []control.RestartReport
+			for _, report := range decodeRestarts(m.req, start.Add(m.at)) {
+				if reporters[m.to].isNew(report, true) {
+					fresh = append(fresh, report)
+				}
+			}
+			if passed := passedOn(fresh); len(passed) > 0 {
+				for range passedOnTo {
+					send(m.at, rng.IntN(instances), passed)
+				}
+			}
+		}
+		told := 0
+		for i := range reporters {
+			told += min(len(reporters[i].known), 1)
+		}
+		if told < instances*9/10 {
+			t.Errorf("cold for %s: %d of %d instances are told", coldFor, told, instances)
+		}
+	}
+}
