Keep one stalled response from deciding how fast an upstream is

After a freeze of the process, or one response that stalled for 4 s where 50 ms were expected, an instance took an upstream for five times as slow as the fixed estimate for more than two minutes: the observation outweighs the prior, and is remembered for a minute. Requests that wait behind any other are then rejected, and the upstream gets few that would correct the factor.

For the factor of an upstream an observation now counts as at most 5 times what was expected, which is the largest factor. The service, which forgets within 5 s, learns as before.

TestOneStalledResponseDoesNotDecide fails before, with factors of 5.00 and 2.03 15 s later.

--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -28,7 +28,9 @@
 	// another reason is avoided.
 	minFactor = 0.2
 	maxFactor = 5.0
-	// maxObserved caps one observation in seconds, so that one stalled response does not outweigh all others.
+	// maxObserved caps one observation in seconds, so that one stalled response does not outweigh all others. For the
+	// factor of an upstream, which is remembered for longer, an observation counts as at most maxFactor times what was
+	// expected.
 	maxObserved = 4.0
 	// loadMemory is the time in which the mean load of a service forgets most reports.
 	loadMemory = time.Second
@@ -92,7 +94,7 @@
 	s.mu.Unlock()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.time.add(now, observed, expected*factor, upstreamMemory)
+	u.time.add(now, min(observed, maxFactor*expected*factor), expected*factor, upstreamMemory)
 	u.factor.Store(math.Float64bits(u.time.factor(now, upstreamPrior, upstreamMemory)))
 }
 
--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -108,3 +108,21 @@
 		}
 	}
 }
+
+// Guards against one stalled response, or the responses that are read after a freeze of this process, that make an
+// upstream look slow for minutes.
+func TestOneStalledResponseDoesNotDecide(t *testing.T) {
+	for _, known := range []int{0, 100} {
+		var s Service
+		var u Upstream
+		now := time.Duration(0)
+		for range known {
+			s.ObserveTime(at(now), &u, 0.05, 0.05)
+			now += 50 * time.Millisecond
+		}
+		s.ObserveTime(at(now), &u, 4, 0.05)
+		if got := s.View(at(now + 15*time.Second)).TimeFactorOf(&u); got > 1.7 {
+			t.Errorf("15 s after a response of 4 s that followed %d of 50 ms the factor is %.2f", known, got)
+		}
+	}
+}
