Learn how long prompts take from streams only

The factors of the learned estimates followed every response that reached the caller: a request that the upstream rejects as invalid is answered within a millisecond whatever its prompt, and a response that is not streamed is delivered once its whole body has arrived. A caller that repeats invalid requests with long prompts set the factor to 0.2, so that overload was not noticed; whole responses set it to 5, so that requests were rejected.

Only the time to the head of an event stream is learned now.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -549,7 +549,11 @@
 
 func (s *firstByteSink) Head(status int, header http.Header) error {
 	s.head, s.status = clock.Now(), status
-	s.tracked.FirstByte(s.head)
+	if relay.IsEventStream(status, header) {
+		s.tracked.FirstByte(s.head)
+	} else {
+		s.tracked.WholeResponse(s.head)
+	}
 	s.recordProgress()
 	return s.Sink.Head(status, header)
 }
--- a/internal/routing/counters.go
+++ b/internal/routing/counters.go
@@ -136,13 +136,21 @@
 
 // FirstByte records the arrival of the first byte of the response. Later calls only restart
 // the period that Stalled measures.
-func (a *TrackedAttempt) FirstByte(now time.Time) {
+func (a *TrackedAttempt) FirstByte(now time.Time) { a.respond(now, true) }
+
+// WholeResponse is FirstByte for an error, or a response that is read as a whole before its head is known. Its time says
+// nothing about how long the upstream takes for a prompt.
+func (a *TrackedAttempt) WholeResponse(now time.Time) { a.respond(now, false) }
+
+func (a *TrackedAttempt) respond(now time.Time, learn bool) {
 	a.counters.waitingSince.Store(now.UnixNano())
 	a.counters.RecordSign(now)
 	a.responded.Store(true)
 	if a.release(now) {
 		a.counters.ObservePrefill(a.tokens+a.queued, now.Sub(a.started))
-		a.counters.observeTime(now, a.tokens+a.queued, now.Sub(a.started))
+		if learn {
+			a.counters.observeTime(now, a.tokens+a.queued, now.Sub(a.started))
+		}
 		a.counters.rates.firstByte(now, a.tokens+a.queued, now.Sub(a.started))
 	}
 }
