Let an unanswered health check end no cold time that is known too early

The end of a cold time counts from the earliest time at which it can have been told, up to 1 s too early, and the limit holds until a health check that was sent after it. A check that the upstream accepted and did not answer counted as such, since one that is too busy has not just started: the limit ended while the upstream was cold.

Such a check now counts only if it was sent 1 s after the known end or later. A busy upstream may be limited for as much longer.

TestABusyCheckEndsNoColdTimeThatMayBeKnownTooEarly fails before.

Ran: go test ./internal/routing ./internal/probe, and the tests named Cold, Report and Restart of ./internal/control (with its schedules)

--- a/internal/routing/cold.go
+++ b/internal/routing/cold.go
@@ -59,9 +59,11 @@
 	return sent.Add(maxCheckLatency + remaining)
 }
 
-// coldTimeUnconfirmed reports whether no health check has been sent since the end of the cold time. The mutex must be held.
+// coldTimeUnconfirmed reports whether no health check has been sent since the end of the cold time. As that may be known
+// too early by the time of a message, one that the upstream did not answer counts only if sent later by as much. The mutex
+// must be held.
 func (w *coldWindow) coldTimeUnconfirmed(now int64) bool {
-	return now >= w.coldUntil && max(w.checkedAt, w.busyAt) < w.coldUntil
+	return now >= w.coldUntil && max(w.checkedAt, w.busyAt-int64(MaxReportTime)) < w.coldUntil
 }
 
 // used returns the number of requests that count at the given time. The mutex must be held.
--- a/internal/routing/service_test.go
+++ b/internal/routing/service_test.go
@@ -445,3 +445,21 @@
 		}
 	}
 }
+
+// Guards against a limit that ends while the upstream is cold, because its cold time is known too early by the time of a
+// message and a health check at its end is not answered.
+func TestABusyCheckEndsNoColdTimeThatMayBeKnownTooEarly(t *testing.T) {
+	u := serviceUpstream("u", func(u *Upstream) { u.MayBecomeCold, u.ColdRateLimit = true, 1 })
+	end := testNow.Add(3 * time.Second)
+	u.Counters.RecordColdTime(testNow, 0)
+	u.Counters.RecordColdUntil(end.Add(-MaxReportTime))
+	for _, c := range []struct {
+		sent time.Duration
+		want bool
+	}{{-MaxReportTime + 50*time.Millisecond, true}, {-50 * time.Millisecond, true}, {50 * time.Millisecond, false}} {
+		u.Counters.RecordBusyCheck(end.Add(c.sent))
+		if got := u.CountsAsCold(end.Add(c.sent + 500*time.Millisecond)); got != c.want {
+			t.Errorf("after a check sent %s after the cold time: limited %t, want %t", c.sent, got, c.want)
+		}
+	}
+}
