Count the cold time of a heartbeat response from its request after a freeze

A response to a heartbeat that waited while the process was frozen prolonged the cold time that it told: it counted from 1 s before it was read, however long ago the request was sent. After a freeze of 10 s an instance limited an upstream for 2 s that had been warm for 7 s.

The cold time now counts from the request, which is known for responses.

TestAColdTimeIsNotProlongedByAFreeze fails before.

--- a/internal/control/reports_test.go
+++ b/internal/control/reports_test.go
@@ -218,3 +218,19 @@
 		}
 	}
 }
+
+// Guards against an instance that does not use a warm upstream after a freeze, because a response to a heartbeat waited
+// for it that told of a cold time.
+func TestAColdTimeIsNotProlongedByAFreeze(t *testing.T) {
+	start := time.Unix(1000, 0)
+	x := newServiceTables("e0", 3)
+	listedUpstream(nil).apply(x, start)
+	thawed := start.Add(10 * time.Second)
+	HeartbeatEvent{
+		Peer: routing.Peer{ID: "e1", Region: "a"}, Incarnation: 1, RequestSentAt: start, ReceivedAt: thawed,
+		ColdFor: map[string]time.Duration{"u": scheduleCold},
+	}.apply(x, thawed)
+	if end := testUpstream(x).coldUntil; end.After(start.Add(scheduleCold)) {
+		t.Errorf("the cold time ends %s after the request, the peer said %s in response", end.Sub(start), scheduleCold)
+	}
+}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -40,7 +40,7 @@
 	row.counters.RecordColdUntil(until)
 }
 
-// maxMessageAge is how long ago a peer may have sent a message that has arrived: the timeout of a heartbeat.
+// maxMessageAge is how long ago a peer is assumed to have sent a message at most: the timeout of a heartbeat.
 const maxMessageAge = time.Second
 
 // mergeCold applies the remaining cold times that a peer reported between two times; the first is zero if it is not
@@ -58,7 +58,10 @@
 		row.restarted = row.restarted || !received.Before(row.coldUntil)
 		told := received
 		if t.mayBecomeCold(row) {
-			told = latest(from, received.Add(-maxMessageAge))
+			told = from
+			if from.IsZero() {
+				told = received.Add(-maxMessageAge)
+			}
 		}
 		row.setReportedCold(told.Add(remaining))
 	}
