Forward requests under overload also where estimates are learned

With learned estimates a request was rejected while another region was idle: the limit of 0.15 of the objective held for the queue of the region and for the time at a peer alike, and the way to another region alone takes longer (110 ms at an objective of 520 ms).

For peers, the limit of learned estimates now applies to their queue, and the former one of 0.4 to queue and way together. A request that may not wait in its region and has room in another one is forwarded. Fixed estimates decide as before.

TestServicePickSpillsUnderOverloadWithLearnedEstimates fails before: two of six requests are rejected.

Ran: go test ./internal/routing

--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -127,7 +127,7 @@
 	if err := rejectOverload(s, r, &best, peer); err != nil {
 		return Choice{}, err
 	}
-	if peer != none && (best.index == none || shouldSpill(best.cost, remote, r.Service.FirstByteObjective) || x.shared.shouldForward(s, &s.Peers[peer], &best, remote)) {
+	if peer != none && (best.index == none || best.overloaded || shouldSpill(best.cost, remote, r.Service.FirstByteObjective) || x.shared.shouldForward(s, &s.Peers[peer], &best, remote)) {
 		return Choice{Upstream: none, Peer: peer, PrefillTokens: r.PromptTokens}, nil
 	}
 	if best.index == none {
@@ -150,7 +150,8 @@
 	// which delay the first byte by a factor of up to 2.5.
 	maxWaitShare = 0.4
 	// maxLearnedWaitShare is the same for learned estimates. Queues go on growing for as long as reports are old:
-	// at 1.4 and 2.3 times what the engines can do, a share of 0.4 leaves far fewer responses in time.
+	// at 1.4 and 2.3 times what the engines can do, a share of 0.4 leaves far fewer responses in time. At peers it
+	// applies to the queue only: the way to another region may take longer.
 	maxLearnedWaitShare = 0.15
 	// maxRetryAfter limits the retry delay that a rejected caller is told.
 	maxRetryAfter = 2 * time.Second
@@ -163,24 +164,34 @@
 // An instance that reaches no upstream leaves the decision to the peer, which decides as for its own callers:
 // what peers reported is older than what they see, and a request would have to pass both. What a first peer
 // rejected has had that chance, and goes to a second one only if this has reported room.
+//
+// It sets best.overloaded if the request may not be queued at the best upstream, but at that of the peer.
 func rejectOverload(s *Snapshot, r *Request, best *scoredUpstream, peer int32) error {
 	if r.Service.FirstByteObjective == 0 || len(r.Service.Parts) == 0 || (!reachesUpstream(s, r) && !triedPeer(s, r)) {
 		return nil
 	}
-	wait := -1.0
+	objective := r.Service.FirstByteObjective.Seconds()
+	wait, limit := -1.0, maxWaitShare*objective
 	if best.index != none {
 		wait = best.queueSeconds
+		if s.Upstreams[best.index].Counters.learns() {
+			limit = maxLearnedWaitShare * objective
+		}
+	}
+	if best.index != none && wait <= limit {
+		return nil
 	}
 	if peer != none {
-		remoteWait := forwardSeconds(&s.Peers[peer], r) + s.Peers[peer].Services[r.Target].QueueSeconds
+		remoteQueue := s.Peers[peer].Services[r.Target].QueueSeconds
+		remoteWait := forwardSeconds(&s.Peers[peer], r) + remoteQueue
+		if remoteWait <= maxWaitShare*objective && remoteQueue <= limit {
+			best.overloaded = limit < maxWaitShare*objective
+			return nil
+		}
 		if wait < 0 || remoteWait < wait {
 			wait = remoteWait
 		}
 	}
-	limit := maxWaitShare * r.Service.FirstByteObjective.Seconds()
-	if best.index != none && s.Upstreams[best.index].Counters.learns() {
-		limit = maxLearnedWaitShare * r.Service.FirstByteObjective.Seconds()
-	}
 	if wait <= limit {
 		return nil
 	}
--- a/internal/routing/service_test.go
+++ b/internal/routing/service_test.go
@@ -463,3 +463,37 @@
 		}
 	}
 }
+
+// Guards against requests that are rejected under overload while another region is idle, because the limit of the queue of
+// learned estimates is shorter than the way there.
+func TestServicePickSpillsUnderOverloadWithLearnedEstimates(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		learn  bool
+		queued int64
+		remote time.Duration
+		want   string
+	}{
+		{"fixed, idle region", false, 45000, 0, "peer"},
+		{"learned, idle region", true, 45000, 0, "peer"},
+		{"learned, short queue", true, 6000, 0, "peer"},
+		{"learned, no queue", true, 0, 0, "own"},
+		{"learned, region that would reject it", true, 45000, 90 * time.Millisecond, ""},
+		{"learned, busy region", true, 45000, 400 * time.Millisecond, ""},
+	} {
+		s := serviceSnapshot(serviceUpstream("own", func(u *Upstream) {
+			if c.learn {
+				u.Counters.LearnFrom(&estimate.Service{})
+			}
+			u.Counters.RecordSign(testNow)
+			u.Counters.PendingTokens.Store(c.queued)
+		}))
+		s.Peers = []Peer{servicePeer("peer", "b", c.remote)}
+		r := serviceRequest()
+		r.Service.FirstByteObjective = 520 * time.Millisecond
+		r.Service.Parts = []PromptPart{{ID: 1, Tokens: 2000}}
+		if got := pickService(s, r); got != c.want {
+			t.Errorf("%s: picked %q, want %q", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/routing/weighted.go
+++ b/internal/routing/weighted.go
@@ -19,6 +19,8 @@
 	queued int64
 	// queueSeconds is the estimated time in the queue of the upstream; set for services of host routes.
 	queueSeconds float64
+	// overloaded is true if the request would wait there for longer than a learned estimate may be; see rejectOverload.
+	overloaded bool
 	// assumedCached is the number of prompt tokens that are assumed to be cached because the
 	// upstream owns them, without a request in the index that shows it.
 	assumedCached int64
