Let the factor of an upstream without responses return to that of its service

The factor of an upstream aged only when a response of it was observed. One that was slow for a while was avoided as long as others were cheaper, and so got no request that would have told that it is fast again.

The factor now returns to 1 in 2 min after the latest response.

TestTheFactorOfAnUpstreamWithoutResponsesReturnsToThatOfItsService fails before, with 1.77 after 3 min.

Ran: go test ./internal/estimate ./internal/routing

--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -53,8 +53,9 @@
 type Upstream struct {
 	mu   sync.Mutex
 	time ratio
-	// factor holds the bits of the factor of time; 0 for none, which is 1.
-	factor atomic.Uint64
+	// factor holds the bits of the factor of time; 0 for none, which is 1. learnedAt is when it was stored.
+	factor    atomic.Uint64
+	learnedAt atomic.Int64
 }
 
 // ratio is a moving quotient of observed and expected seconds.
@@ -95,6 +96,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.time.add(now, min(observed, maxFactor*expected*factor), expected*factor, upstreamMemory)
+	u.learnedAt.Store(now)
 	u.factor.Store(math.Float64bits(u.time.factor(now, upstreamPrior, upstreamMemory)))
 }
 
@@ -115,8 +117,9 @@
 	TimeFactor float64
 	// Running and Waiting are the mean numbers of requests at an upstream; 0 if nothing is known or all reports are old.
 	Running, Waiting float64
-	// learned is true for the view of a Service.
+	// learned is true for the view of a Service, and at is its time.
 	learned bool
+	at      int64
 }
 
 // Fixed is the view of a service about which nothing is learned.
@@ -126,7 +129,7 @@
 func (s *Service) View(now int64) View {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := View{TimeFactor: s.time.factor(now, servicePrior, serviceMemory), learned: true}
+	v := View{TimeFactor: s.time.factor(now, servicePrior, serviceMemory), learned: true, at: now}
 	if s.load.weight > 0 {
 		remaining := min(max(2-float64(now-s.load.at)/float64(reportLife), 0), 1)
 		v.Running, v.Waiting = remaining*s.load.running/s.load.weight, remaining*s.load.waiting/s.load.weight
@@ -137,11 +140,13 @@
 // Learned reports whether the view is that of a Service.
 func (v View) Learned() bool { return v.learned }
 
-// TimeFactorOf returns by how much to multiply a fixed estimate of the time that an upstream takes.
+// TimeFactorOf returns by how much to multiply a fixed estimate of the time that an upstream takes. The factor of the
+// upstream returns to 1 in twice upstreamMemory: one that gets no requests because it was slow teaches nothing.
 func (v View) TimeFactorOf(u *Upstream) float64 {
 	factor := v.TimeFactor
 	if bits := u.factor.Load(); bits != 0 && v.learned {
-		factor *= math.Float64frombits(bits)
+		remaining := 1 - min(max(float64(v.at-u.learnedAt.Load()), 0)/float64(2*upstreamMemory), 1)
+		factor *= 1 + remaining*(math.Float64frombits(bits)-1)
 	}
 	return min(max(factor, minFactor), maxFactor)
 }
--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -126,3 +126,23 @@
 		}
 	}
 }
+
+// Guards against an upstream that is avoided for good because it was slow once, and gets no request that would tell
+// otherwise.
+func TestTheFactorOfAnUpstreamWithoutResponsesReturnsToThatOfItsService(t *testing.T) {
+	var s Service
+	var slow, other Upstream
+	for i := range 100 {
+		s.ObserveTime(at(time.Duration(i)*50*time.Millisecond), &slow, 0.4, 0.1)
+		s.ObserveTime(at(time.Duration(i)*50*time.Millisecond), &other, 0.1, 0.1)
+	}
+	if got := s.View(at(5 * time.Second)).TimeFactorOf(&slow); got < 3 {
+		t.Fatalf("the factor of the slow upstream is %.2f", got)
+	}
+	for now := 5 * time.Second; now < 3*time.Minute; now += 50 * time.Millisecond {
+		s.ObserveTime(at(now), &other, 0.1, 0.1)
+	}
+	if got := s.View(at(3 * time.Minute)).TimeFactorOf(&slow); got > 1.1 {
+		t.Errorf("3 min after its last response the factor is %.2f", got)
+	}
+}
