--- a/internal/routing/service.go
+++ b/internal/routing/service.go
@@ -149,10 +149,12 @@
 	// take. Estimates ignore the tokens that are decoded between the chunks of a prompt,
 	// which delay the first byte by a factor of up to 2.5.
 	maxWaitShare = 0.4
-	// maxLearnedWaitShare is the same for learned estimates. Queues go on growing for as long as reports are old:
-	// at 1.4 and 2.3 times what the engines can do, a share of 0.4 leaves far fewer responses in time. At peers it
-	// applies to the queue only: the way to another region may take longer.
-	maxLearnedWaitShare = 0.15
+	// fewInstances is up to how many instances know most of a queue from their own requests. With more of them and
+	// learned estimates, the share is smaller, down to minWaitShare: queues go on growing for as long as reports
+	// are old, and with 64 instances a share of 0.4 halves what is in time at 1.4 times what the engines can do.
+	// At peers it applies to the queue only: the way to another region may take longer.
+	fewInstances = 8
+	minWaitShare = 0.15
 	// maxRetryAfter limits the retry delay that a rejected caller is told.
 	maxRetryAfter = 2 * time.Second
 )
@@ -175,7 +177,7 @@
 	if best.index != none {
 		wait = best.queueSeconds
 		if s.Upstreams[best.index].Counters.learns() {
-			limit = maxLearnedWaitShare * objective
+			limit = learnedWaitShare(s.InstanceCount) * objective
 		}
 	}
 	if best.index != none && wait <= limit {
@@ -201,6 +203,11 @@
 	return err
 }
 
+// learnedWaitShare is maxWaitShare for learned estimates of the given number of instances.
+func learnedWaitShare(instances int) float64 {
+	return max(maxWaitShare*fewInstances/float64(max(instances, fewInstances)), minWaitShare)
+}
+
 // retryAfterMargin is added to the time in which the queue is expected to drain to the limit.
 const retryAfterMargin = 100 * time.Millisecond
 
--- a/internal/routing/service_test.go
+++ b/internal/routing/service_test.go
@@ -488,6 +488,7 @@
 			u.Counters.RecordSign(testNow)
 			u.Counters.PendingTokens.Store(c.queued)
 		}))
+		s.InstanceCount = 64
 		s.Peers = []Peer{servicePeer("peer", "b", c.remote)}
 		r := serviceRequest()
 		r.Service.FirstByteObjective = 520 * time.Millisecond
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -21,8 +22,8 @@
 	askInterval = time.Second
 	// stepInterval is the time between two looks at the permit, which makes no call.
 	stepInterval = 100 * time.Millisecond
-	// callTimeout is that of a call to an instance or to the store; sendTimeout that of one to the duty API. The
-	// permit must last for sendTimeout when the call begins.
+	// callTimeout is that of a call to an instance or to the store; sendTimeout that of one to the duty API unless
+	// Config has another one. The permit must last for as long when the call begins.
 	callTimeout = time.Second
 	sendTimeout = time.Second
 	// informTimeout bounds how long a report waits for two instances to remember it.
@@ -101,8 +102,12 @@
 	Window, Due time.Duration
 	// Lease is the settling time of a new holder.
 	Lease time.Duration
+	// CallTimeout is that of a call to the duty API, which is shorter than a permit; 0 for sendTimeout.
+	CallTimeout time.Duration
 }
 
+func (c *Config) sendTimeout() time.Duration { return cmp.Or(c.CallTimeout, sendTimeout) }
+
 // Reporter copies the counts of this process to other instances and, while it has a permit, reports
 // the usage of all. Its fields must be set before Run. It is safe for concurrent use.
 type Reporter struct {
@@ -383,10 +388,11 @@
 
 // permitted reports whether the permit of the term lasts for so long.
 func (r *Reporter) permitted(t *term, lasting time.Duration) bool {
+	before := r.Now()
 	fence, until, ok := r.Permit()
-	now := r.Now()
-	r.noteHeld(fence, now, ok)
-	return ok && fence == t.fence && until.Sub(now) >= lasting
+	// The duty may have changed hands in a pause after the permit was read.
+	r.noteHeld(fence, before, ok)
+	return ok && fence == t.fence && until.Sub(r.Now()) >= lasting
 }
 
 // step does what is due.
@@ -564,6 +570,10 @@
 		return false
 	}
 	recovery := recovery{token: t.fence.Token, lineage: t.lineage, row: t.row, settled: t.settled, length: r.Config.Window, memories: memories}
+	if !r.Clock.Compared(r.Now()) {
+		// By a slow clock, windows that a former holder has reported may not have ended yet.
+		recovery.skew = maxSkew
+	}
 	row := recovery.resolve()
 	value, ok := row.encode()
 	for !ok && row.dropOldest() {
@@ -957,14 +967,15 @@
 	if counts == nil {
 		counts = map[string]int64{}
 	}
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	// The deadline is by the clock of the permit, so that the API client detects a suspension after the check.
+	callCtx, cancel := context.WithDeadline(ctx, r.Now().Add(r.Config.sendTimeout()))
 	defer cancel()
 	// The clock is read last: a pause before this line is detected.
-	if !r.permitted(t, sendTimeout) {
+	if !r.permitted(t, r.Config.sendTimeout()) {
 		t.apiAfter = r.Now().Add(stepInterval)
 		return
 	}
-	err := r.API.ReportUsage(ctx, t.fence, external.UsageReport{Window: report.Window, Counts: counts})
+	err := r.API.ReportUsage(callCtx, t.fence, external.UsageReport{Window: report.Window, Counts: counts})
 	if r.Outcome != nil {
 		r.Outcome(err)
 	}
