--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -108,3 +108,41 @@
 		}
 	}
 }
+
+// Guards against one stalled response, or the responses that are read after a freeze of this process, that make an
+// upstream look slow for minutes.
+func TestOneStalledResponseDoesNotDecide(t *testing.T) {
+	for _, known := range []int{0, 100} {
+		var s Service
+		var u Upstream
+		now := time.Duration(0)
+		for range known {
+			s.ObserveTime(at(now), &u, 0.05, 0.05)
+			now += 50 * time.Millisecond
+		}
+		s.ObserveTime(at(now), &u, 4, 0.05)
+		if got := s.View(at(now + 15*time.Second)).TimeFactorOf(&u); got > 1.7 {
+			t.Errorf("15 s after a response of 4 s that followed %d of 50 ms the factor is %.2f", known, got)
+		}
+	}
+}
+
+// Guards against an upstream that is avoided for good because it was slow once, and gets no request that would tell
+// otherwise.
+func TestTheFactorOfAnUpstreamWithoutResponsesReturnsToThatOfItsService(t *testing.T) {
+	var s Service
+	var slow, other Upstream
+	for i := range 100 {
+		s.ObserveTime(at(time.Duration(i)*50*time.Millisecond), &slow, 0.4, 0.1)
+		s.ObserveTime(at(time.Duration(i)*50*time.Millisecond), &other, 0.1, 0.1)
+	}
+	if got := s.View(at(5 * time.Second)).TimeFactorOf(&slow); got < 3 {
+		t.Fatalf("the factor of the slow upstream is %.2f", got)
+	}
+	for now := 5 * time.Second; now < 3*time.Minute; now += 50 * time.Millisecond {
+		s.ObserveTime(at(now), &other, 0.1, 0.1)
+	}
+	if got := s.View(at(3 * time.Minute)).TimeFactorOf(&slow); got > 1.1 {
+		t.Errorf("3 min after its last response the factor is %.2f", got)
+	}
+}
