Tell others in heartbeats only of restarts that the sender noticed itself

Instances that missed reports suspected upstreams without end: beside ten busy loops all 24 instances suspected one, and limited it, 8 s after its start.

Cause: heartbeats told an instance that missed reports of each upstream that their sender suspected, also where the sender had only been told. An instance that is told suspects the upstream from then on, whatever its own health check said before, and tells the next one. Late instances count as ones that missed reports, so they renewed each other's suspicion.

Heartbeats now name the upstreams that the sender has paused, or of which it has had a sign itself since its last health check; a report of another instance does not hide such a sign.

--- a/internal/control/cold_fleet_test.go
+++ b/internal/control/cold_fleet_test.go
@@ -348,7 +348,7 @@
 		if cold := u.ColdFor(w.now); cold > 0 {
 			e.ColdFor[u.ID] = cold
 		}
-		if u.Down || u.Counters.RestartSuspected() {
+		if u.Down || u.Counters.SignNoticed() {
 			e.Ended = append(e.Ended, u.ID)
 		}
 	}
--- a/internal/peer/host.go
+++ b/internal/peer/host.go
@@ -70,7 +70,8 @@
 	}
 	for i := range s.Upstreams {
 		u := &s.Upstreams[i]
-		ended := u.MayBecomeCold && (u.Down || u.Counters.RestartSuspected())
+		// What only others reported is left out, so that instances do not renew each other's suspicion.
+		ended := u.MayBecomeCold && (u.Down || u.Counters.SignNoticed())
 		if cold := u.ColdFor(now); cold > 0 || ended {
 			status.Cold = append(status.Cold, &peerv1.ColdUpstream{Upstream: u.ID, ColdMs: max(cold.Milliseconds(), 0), Ended: ended})
 		}
--- a/internal/peer/restarts_test.go
+++ b/internal/peer/restarts_test.go
@@ -112,3 +112,26 @@
 		t.Errorf("reports go to %s", got)
 	}
 }
+
+// Guards against instances that missed reports and renew each other's suspicion of a restart with heartbeats, and against
+// one that keeps to itself what it noticed.
+func TestHeartbeatsTellOnlyOfSignsThatTheirSenderNoticed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name    string
+		suspect func(c *routing.Counters)
+		want    bool
+	}{
+		{"noticed", func(c *routing.Counters) { c.SuspectRestart(now) }, true},
+		{"reported by another instance", func(c *routing.Counters) { c.SuspectReportedRestart(now) }, false},
+		{"noticed, then reported", func(c *routing.Counters) { c.SuspectRestart(now); c.SuspectReportedRestart(now) }, true},
+		{"noticed, then checked", func(c *routing.Counters) { c.SuspectRestart(now); c.RecordColdTime(now, 0) }, false},
+	} {
+		u := routing.Upstream{ID: "u", MayBecomeCold: true, Counters: &routing.Counters{}}
+		c.suspect(u.Counters)
+		_, ended := decodeColdUpstreams(newHostReport(&routing.Snapshot{Config: opconfig.New(), Upstreams: []routing.Upstream{u}}, nil, now, nil).status)
+		if got := len(ended) == 1; got != c.want {
+			t.Errorf("%s: told %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/routing/cold.go
+++ b/internal/routing/cold.go
@@ -33,8 +33,9 @@
 	// that was last noticed.
 	unchecked   bool
 	suspectedAt int64
-	// reported is true if another instance reported that since the last health check.
-	reported bool
+	// reported is true if another instance reported that since the last health check, and noticed if this one has had a
+	// sign of it.
+	reported, noticed bool
 	// endedAt is when the upstream gave the first sign of its end, in Unix nanoseconds; 0 for none since its row
 	// was first read.
 	endedAt int64
@@ -175,7 +176,7 @@
 
 // suspect records that the upstream may have started again. The mutex must be held.
 func (w *coldWindow) suspect(now time.Time) {
-	w.unchecked, w.suspectedAt = true, now.UnixNano()
+	w.unchecked, w.noticed, w.suspectedAt = true, true, now.UnixNano()
 	w.noticeEnd(now.UnixNano())
 }
 
@@ -200,7 +201,7 @@
 	w.checkedAt = max(w.checkedAt, sent.UnixNano())
 	w.checkWanted = false
 	if w.suspectedAt <= sent.UnixNano() {
-		w.unchecked, w.reported = false, false
+		w.unchecked, w.reported, w.noticed = false, false, false
 	}
 }
 
@@ -212,7 +213,7 @@
 	defer w.mu.Unlock()
 	w.busyAt = max(w.busyAt, sent.UnixNano())
 	if !w.reported && w.suspectedAt <= sent.UnixNano() {
-		w.unchecked = false
+		w.unchecked, w.noticed = false, false
 	}
 }
 
@@ -249,7 +250,7 @@
 	w := c.coldSends()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.unchecked && !w.reported
+	return w.noticed
 }
 
 // CheckedSince reports whether the result of a health check is known that was sent at a time or later.
