Keep a request unchanged while an attempt at it runs

The count of usage marked the request as counted in the middle of an attempt, while the decision whether to give the attempt up for a retry copies the request on another goroutine. Now the mark is set after the attempt; callers see no change. The test of counted requests passes under the race detector; no short test reproduced the race, so the soak remains the one that shows it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -647,14 +647,22 @@
 	if ctx.detached {
 		attempt.Caller = ctx.caller
 	}
+	// The request must not change during the attempt: reserveRetry reads it on another goroutine.
+	counted := r.Counted
 	if d.CountUsage != nil && !r.Counted && r.Account != "" && !r.Probe {
-		attempt.OnExecution = func() { d.countUsage(r) }
+		attempt.OnExecution = func() {
+			if !counted {
+				counted = true
+				d.CountUsage(r.Account)
+			}
+		}
 	}
 	d.applyRouteParams(&attempt, r, u, choice)
 	if r.Repeatable || r.RouteParams != nil {
 		attempt.ReserveRetry = func() bool { return d.reserveRetry(r) }
 	}
 	result := d.Relay.Do(ctx, attempt, timed)
+	r.Counted = counted
 	if r.RouteParams != nil {
 		d.updateUpstreamState(u, result)
 	}
@@ -676,13 +684,6 @@
 	return result
 }
 
-func (d *Dispatcher) countUsage(r *Request) {
-	if !r.Counted {
-		r.Counted = true
-		d.CountUsage(r.Account)
-	}
-}
-
 const (
 	// minIdleTimeout is the shortest time after which upstreams that state no idle timeout close idle connections.
 	minIdleTimeout = time.Second
