--- a/internal/control/service_test.go
+++ b/internal/control/service_test.go
@@ -438,3 +438,34 @@
 		t.Errorf("the demand is %v when all reports are too old, want 0", got)
 	}
 }
+
+// Guards against instances that leave out an upstream for good because it named a request rate of which they have no part:
+// they send it nothing, and so get no response that tells that the rate ended.
+func TestAnInstanceWithoutAPartOfANamedRateLearnsOfItsEnd(t *testing.T) {
+	const instances = 24
+	start := time.Unix(1000, 0)
+	silent := 0
+	for i := range instances {
+		x := newServiceTables(fmt.Sprint("e", i), instances)
+		listedUpstream(nil).apply(x, start)
+		testUpstream(x).counters.RecordNamedRate(start, start.Add(-time.Millisecond), 2, true)
+		sends := false
+		for now := start; now.Before(start.Add(10 * time.Minute)); now = now.Add(time.Second) {
+			for k := range instances {
+				if k != i {
+					x.members.RecordHeartbeat(now, membership.Member{ID: fmt.Sprint("e", k), Region: "a"})
+				}
+			}
+			for _, step := range tickSteps {
+				step(x, now)
+			}
+			sends = sends || buildSnapshot(x, now).Upstreams[0].TakeRequest(now.UnixNano())
+		}
+		if !sends {
+			silent++
+		}
+	}
+	if silent > 0 {
+		t.Errorf("%d of %d instances send neither a request nor a health check within 10 min", silent, instances)
+	}
+}
