--- a/review/rig2/idle.go
+++ b/review/rig2/idle.go
@@ -20,9 +20,10 @@
 	// maxFds are the descriptors of an entry instance of the small sites, and idleTimeout their idleTimeoutMs.
 	maxFds      = 4100
 	idleTimeout = 15 * time.Second
-	// usersPerSecond is how many users come a second. Each opens a connection and keeps it.
-	usersPerSecond = 60
-	usersFor       = 85 * time.Second
+	// usersPerSecond is how many users come a second: the peak of the sheet at one of three machines of a region. Each
+	// opens a connection to the directory and one for its request.
+	usersPerSecond = 35
+	usersFor       = 75 * time.Second
 	// newConnectionTime is contactMs.
 	newConnectionTime = 5 * time.Second
 	// abandonAfter is how long a client waits for its request to be read.
@@ -91,7 +92,40 @@
 	var tries []try
 	var wg sync.WaitGroup
 	open := 0
+	// keep leaves a connection open and idle: within the limit, or until the other side closes it.
+	keep := func(conn net.Conn) {
+		mu.Lock()
+		open++
+		mu.Unlock()
+		end := func() {
+			mu.Lock()
+			open--
+			mu.Unlock()
+			_ = conn.Close()
+		}
+		if !trouble {
+			time.AfterFunc(idleTimeout*4/5, end)
+			return
+		}
+		go func() {
+			_, _ = conn.Read(make([]byte, 1))
+			end()
+		}()
+	}
 	user := func(n int) {
+		directory, err := net.DialTimeout("tcp", i.directory, time.Second)
+		if err == nil {
+			_ = directory.SetDeadline(time.Now().Add(abandonAfter))
+			_, _ = fmt.Fprintf(directory, "GET /v1/resolve?name=%s&region=a&zone=a-1 HTTP/1.1\r\nHost: d\r\n\r\n", standin.Host)
+			if resp, err := http.ReadResponse(bufio.NewReader(directory), nil); err == nil {
+				_ = resp.Body.Close()
+				_ = directory.SetDeadline(time.Time{})
+				keep(directory)
+			} else {
+				// Clients keep an older answer of the directory if they get no new one.
+				_ = directory.Close()
+			}
+		}
 		at := time.Now()
 		status := 0
 		conn, err := net.DialTimeout("tcp", i.caller, time.Second)
@@ -114,27 +148,8 @@
 			_ = conn.Close()
 			return
 		}
-		mu.Lock()
-		open++
-		mu.Unlock()
 		_ = conn.SetDeadline(time.Time{})
-		if trouble {
-			// The user stays idle until the other side closes the connection.
-			go func() {
-				_, _ = conn.Read(make([]byte, 1))
-				mu.Lock()
-				open--
-				mu.Unlock()
-				_ = conn.Close()
-			}()
-			return
-		}
-		time.AfterFunc(idleTimeout*4/5, func() {
-			mu.Lock()
-			open--
-			mu.Unlock()
-			_ = conn.Close()
-		})
+		keep(conn)
 	}
 	began := time.Now()
 	for n := 0; time.Since(began) < usersFor; n++ {
