Bound the memory that the bodies of all requests hold together

What callers saw: callers that sent large bodies at the same time, most of them a byte short, ended the instance, and the requests of all others ended with it.

The cause: both paths of callers read each body with io.ReadAll and kept it until the request ended. Each body had a limit, their sum had none, and a buffer that grows leaves as much again to the garbage collector. The belief that was wrong: what each caller may send is bounded, so the process is. On the host routes, a length over the limit was read up to the limit before it was refused.

The change: package intake counts the memory of all bodies. It is taken as a body arrives, in blocks that are used again, not as a length announces it. If it is used up, an unfinished body that has been without progress for longest yields and is rejected with 503, not run; a body that has arrived whole never does. An eighth is left to small requests. What has no room is rejected at once. An announced length over the limit is rejected at the head. The API has the limits of the Go runtime and of buffered responses that the host routes had. process.request_memory_mb sets the bound.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -16,7 +16,11 @@
 // NewContext returns a context for the requests that arrive over a connection. It has the signature of
 // http.Server.ConnContext.
 func NewContext(ctx context.Context, c net.Conn) context.Context {
-	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+	for {
+		wrapped, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
 		c = wrapped.NetConn()
 	}
 	if raw, ok := c.(syscall.Conn); ok {
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -3,13 +3,12 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
-	"net/http"
 	"os"
 	"strings"
 	"time"
 
 	"heatherloom/internal/errkind"
+	"heatherloom/internal/intake"
 )
 
 const (
@@ -20,26 +19,21 @@
 )
 
 // readBody reads the body up to maxBodyBytes.
-func readBody(c *call) *errkind.Error {
-	if c.r.ContentLength > maxBodyBytes {
-		return bodyTooLarge()
-	}
-	_ = c.sink.control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, maxBodyBytes))
-	// A read deadline left set would cancel the request context when it expires.
-	_ = c.sink.control.SetReadDeadline(time.Time{})
-	var maxBytesErr *http.MaxBytesError
+func (s *server) readBody(c *call) *errkind.Error {
+	body, err := readRequestBody(s.Budget, c.sink, c.r, maxBodyBytes, bodyTimeout)
 	switch {
-	case errors.As(err, &maxBytesErr):
+	case err == nil:
+		c.body, c.bodyRead = body, true
+		return nil
+	case isTooLarge(err):
 		return bodyTooLarge()
+	case errors.Is(err, intake.ErrNoMemory):
+		return noMemoryError()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errkind.Wrap(err, errkind.MalformedRequest, errkind.NotExecuted, "the body did not arrive within %s", bodyTimeout)
-	case err != nil:
+	default:
 		return errkind.Wrap(err, errkind.MalformedRequest, errkind.NotExecuted, "the body could not be read in full")
 	}
-	c.body = body
-	c.bodyRead = true
-	return nil
 }
 
 func bodyTooLarge() *errkind.Error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"heatherloom/internal/dispatch"
 	"heatherloom/internal/drain"
 	"heatherloom/internal/errkind"
+	"heatherloom/internal/intake"
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/routing"
@@ -48,7 +49,9 @@
 	Writes *writes.Service
 	// Limiter limits concurrent requests; nil for a limiter with the default limits.
 	Limiter *admission.Limiter
-	Log     *logrus.Entry
+	// Budget bounds the memory for bodies; nil for no bound.
+	Budget *intake.Budget
+	Log    *logrus.Entry
 	// Drain, Timeline and Metrics may be nil.
 	Drain    *drain.Controller
 	Timeline *timeline.Recorder
@@ -146,7 +149,7 @@
 	// apiKey is the API key in plain text. It is never logged or sent upstream.
 	apiKey   string
 	keyHash  string
-	body     []byte
+	body     requestBody
 	bodyRead bool
 	// dispatched is true once an upstream may have received the request.
 	dispatched bool
@@ -173,6 +176,7 @@
 		sink:     newCallerSink(w, raw, s.WriteTimeout, s.Drain),
 	}
 	w.Header().Set(relay.HeaderRequestID, c.id)
+	defer func() { c.body.release() }()
 	err := s.recoverPanic(c, fn)
 	s.logCall(c, err, s.Now().Sub(started))
 	if err != nil {
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -21,6 +20,7 @@
 	"heatherloom/internal/dispatch"
 	"heatherloom/internal/drain"
 	"heatherloom/internal/errkind"
+	"heatherloom/internal/intake"
 	"heatherloom/internal/opconfig"
 	"heatherloom/internal/quota"
 	"heatherloom/internal/relay"
@@ -63,10 +63,12 @@
 	Dispatcher   *dispatch.Dispatcher
 	ShareLimiter *quota.ShareLimiter
 	Protocol     HostProtocol
-	Log          *logrus.Entry
-	Drain        *drain.Controller
-	Metrics      *telemetry.Metrics
-	Now          func() time.Time
+	// Budget bounds the memory for bodies; nil for no bound.
+	Budget  *intake.Budget
+	Log     *logrus.Entry
+	Drain   *drain.Controller
+	Metrics *telemetry.Metrics
+	Now     func() time.Time
 }
 
 const (
@@ -98,9 +100,11 @@
 	headers  RequestHeaders
 	route    opconfig.HostRoute
 	account  opconfig.Account
-	body     []byte
-	sink     *callerSink
-	started  time.Time
+	body     requestBody
+	// bodyUnread is true if reading the body failed.
+	bodyUnread bool
+	sink       *callerSink
+	started    time.Time
 	// rateWait is how long the request waited for its client account's rate limit.
 	rateWait time.Duration
 	// dispatched is the request passed to the dispatcher; nil before.
@@ -170,6 +174,7 @@
 	if err := s.readBody(c); err != nil {
 		return err
 	}
+	defer c.body.release()
 	if err := s.admit(c); err != nil {
 		return err
 	}
@@ -234,33 +239,26 @@
 
 // readBody buffers the body, since a retry sends it again.
 func (s *hostServer) readBody(c *hostCall) *errkind.Error {
-	if c.r.ContentLength == 0 {
-		return nil
-	}
 	limit := c.snapshot.Config.Limits[opconfig.LimitsID].BodyBytes
 	if limit <= 0 {
 		limit = defaultHostBodyBytes
 	}
-	_ = c.sink.control.SetReadDeadline(time.Now().Add(hostBodyTimeout))
-	stop := context.AfterFunc(c.r.Context(), func() { _ = c.sink.control.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	// A read deadline left set would cancel the request context when it expires.
-	if stop() {
-		_ = c.sink.control.SetReadDeadline(time.Time{})
-	}
-	var maxBytesErr *http.MaxBytesError
+	body, err := readRequestBody(s.Budget, c.sink, c.r, limit, hostBodyTimeout)
+	c.body, c.bodyUnread = body, err != nil
 	switch {
-	case errors.As(err, &maxBytesErr):
+	case err == nil:
+		return nil
+	case isTooLarge(err):
 		return errkind.New(errkind.BodyTooLarge, "the body exceeds the limit of %d bytes", limit)
-	case err != nil && interrupted(c.r.Context()):
+	case errors.Is(err, intake.ErrNoMemory):
+		return noMemoryError()
+	case interrupted(c.r.Context()):
 		return relay.RequestCanceled(c.r.Context(), err, errkind.NotExecuted, false).Err
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errkind.Wrap(err, errkind.RequestTimeout, errkind.NotExecuted, "the body did not arrive within %s", hostBodyTimeout)
-	case err != nil:
+	default:
 		return errkind.Wrap(err, errkind.MalformedRequest, errkind.NotExecuted, "the body could not be read in full")
 	}
-	c.body = body
-	return nil
 }
 
 // admit charges the request to its client account's rate. A request that could be retried
@@ -328,7 +326,7 @@
 		Method:     c.r.Method,
 		Path:       c.r.RequestURI,
 		Header:     s.Protocol.UpstreamHeaders(relay.EndToEndHeaders(c.r.Header)),
-		Body:       c.body,
+		Body:       c.body.bytes,
 		Target:     chooseService(c.route.Services, c.headers.RequestID),
 		Stream:     c.route.Kind == opconfig.KindStream,
 		Repeatable: c.route.Repeatable(),
--- a/internal/gateway/hostresponse.go
+++ b/internal/gateway/hostresponse.go
@@ -50,6 +50,9 @@
 	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", strconv.FormatFloat(hostRetryDelay(err).Seconds(), 'f', 3, 64))
 	}
+	if c.bodyUnread {
+		c.sink.leaveBodyUnread(c.r)
+	}
 	c.sink.announceClose()
 	c.w.WriteHeader(status)
 	_ = c.sink.write(raw)
--- a/internal/gateway/inference.go
+++ b/internal/gateway/inference.go
@@ -18,10 +18,15 @@
 	if err != nil {
 		return err
 	}
-	if err := readBody(c); err != nil {
+	if err := s.readBody(c); err != nil {
 		return err
 	}
-	body, err := parseInference(c.body, promptprefix.ContentField(c.r.URL.Path))
+	// The parsed fields are a copy.
+	copied := int64(len(c.body.bytes))
+	if !c.body.share.Grow(copied) {
+		return noMemoryError()
+	}
+	body, err := parseInference(c.body.bytes, promptprefix.ContentField(c.r.URL.Path))
 	if err != nil {
 		return err
 	}
@@ -33,20 +38,22 @@
 		return err
 	}
 	c.sink.stream = body.Stream
-	return s.dispatch(c, &dispatch.Request{
+	request := &dispatch.Request{
 		ID:          c.id,
 		Account:     account.Name,
 		Method:      http.MethodPost,
 		Path:        c.r.URL.Path,
 		Header:      upstreamHeader(c),
-		Body:        c.body,
+		Body:        c.body.bytes,
 		Target:      target,
 		Prompt:      promptprefix.HashContent(target, body.Content),
 		Stream:      body.Stream,
 		Repeatable:  true,
 		BoundRegion: account.HomeRegion,
 		Deadline:    deadline,
-	})
+	}
+	c.body.share.Shrink(copied)
+	return s.dispatch(c, request)
 }
 
 // modelTarget returns the model@version that serves the request.
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -50,11 +49,8 @@
 		return
 	}
 	c.w.Header().Set("Content-Type", "application/json")
-	if !c.bodyRead && c.r.ContentLength != 0 && c.r.ProtoMajor == 1 {
-		// Otherwise net/http delays the rejection until it has read up to 256 KB of the
-		// body, however slowly that arrives.
-		c.w.Header().Set("Connection", "close")
-		_ = c.sink.control.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	if !c.bodyRead && c.r.ContentLength != 0 {
+		c.sink.leaveBodyUnread(c.r)
 	}
 	if wait := ceilSeconds(err.RetryDelay()); wait > 0 {
 		c.w.Header().Set("Retry-After", strconv.FormatInt(wait, 10))
@@ -100,6 +96,16 @@
 	return &callerSink{w: w, control: control, timeout: timeout, drain: d}
 }
 
+// leaveBodyUnread makes a rejection end the connection of an HTTP/1 request whose body was not read. Otherwise net/http
+// delays the rejection until it has read up to 256 KB of the body, however slowly that arrives.
+func (s *callerSink) leaveBodyUnread(r *http.Request) {
+	if r.ProtoMajor != 1 {
+		return
+	}
+	s.w.Header().Set("Connection", "close")
+	_ = s.control.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+}
+
 // announceClose makes the caller of a draining instance open its next connection, which can go to
 // another instance.
 func (s *callerSink) announceClose() {
@@ -143,14 +149,17 @@
 	panic(http.ErrAbortHandler)
 }
 
+// netConn is a connection that wraps another one, as a tls.Conn does.
+type netConn interface{ NetConn() net.Conn }
+
 // reset resets the connection to the caller.
 func (s *callerSink) reset() {
 	c, _, err := s.control.Hijack()
 	if err != nil {
 		return
 	}
-	if secured, ok := c.(*tls.Conn); ok {
-		c = secured.NetConn()
+	for wrapped, ok := c.(netConn); ok; wrapped, ok = c.(netConn) {
+		c = wrapped.NetConn()
 	}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	if err := readBody(c); err != nil {
+	if err := s.readBody(c); err != nil {
 		return err
 	}
 	if !route.Public {
@@ -60,7 +60,7 @@
 		Method:      c.r.Method,
 		Path:        upstreamPath(c),
 		Header:      upstreamHeader(c),
-		Body:        c.body,
+		Body:        c.body.bytes,
 		Target:      route.Service,
 		Repeatable:  repeatable(route, c.r.Method),
 		BoundRegion: boundRegion(account, route),
--- /dev/null
+++ b/internal/intake/listener_test.go
@@ -0,0 +1,158 @@
+package intake
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// testServer is a server whose listener has limits. Requests for /wait wait for the end of the test.
+type testServer struct {
+	*Budget
+	*Listener
+}
+
+func startServer(t *testing.T, o ListenerOptions) *testServer {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &testServer{Budget: NewBudget(8 << 20)}
+	s.Listener = s.Listen(inner, o)
+	ended := make(chan struct{})
+	server := &http.Server{ConnState: s.ConnState, ConnContext: NewContext, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-ended
+		}
+	})}
+	go func() { _ = server.Serve(s.Listener) }()
+	t.Cleanup(func() {
+		close(ended)
+		_ = server.Close()
+	})
+	return s
+}
+
+// dial opens a connection, sends text and waits for the response if there is to be one.
+func (s *testServer) dial(t *testing.T, text string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_, _ = io.WriteString(c, text)
+	if text == served {
+		if _, err := c.Read(make([]byte, 1<<10)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return c
+}
+
+func isClosed(c net.Conn) bool {
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err := c.Read(make([]byte, 1<<10))
+	return err != nil && !strings.Contains(err.Error(), "timeout")
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+	}
+}
+
+const (
+	served  = "GET /now HTTP/1.1\r\nHost: h\r\n\r\n"
+	head    = "GET /now HTTP/1.1\r\nHost:"
+	waiting = "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+)
+
+// Guards against a new caller that finds no room while others wait with nothing to do.
+func TestIdleConnectionsYieldToNewOnes(t *testing.T) {
+	for name, text := range map[string]string{"never used": "", "used": served, "with half a head": head} {
+		t.Run(name, func(t *testing.T) {
+			s := startServer(t, ListenerOptions{MaxConnections: 16})
+			var conns []net.Conn
+			for range 16 {
+				conns = append(conns, s.dial(t, text))
+				eventually(t, "the connections are not open", func() bool { return s.Open() == len(conns) })
+			}
+			s.dial(t, served)
+			if !isClosed(conns[0]) {
+				t.Error("the connection that is idle for longest is open")
+			}
+			eventually(t, "a connection too many is open", func() bool { return s.Open() == 16 })
+		})
+	}
+}
+
+// Guards against running requests that are cut for a new caller.
+func TestRunningRequestsKeepTheirConnections(t *testing.T) {
+	s := startServer(t, ListenerOptions{MaxConnections: 16})
+	for range 16 {
+		s.dial(t, waiting)
+	}
+	eventually(t, "the requests do not run", func() bool { return s.Open() == 16 && s.idleCount() == 0 })
+	if !isClosed(s.dial(t, "")) {
+		t.Error("a connection too many is open")
+	}
+	if counts := s.Counts(); counts.ConnectionsRefused != 1 || counts.ConnectionsYielded != 0 {
+		t.Errorf("%+v", counts)
+	}
+}
+
+func (s *testServer) idleCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.idle.Len() + s.unfinished.Len()
+}
+
+// Guards against connections that stay open for longer than the operators allow, and against those that are closed
+// earlier.
+func TestExpiredConnectionsAreClosed(t *testing.T) {
+	timeout := func() time.Duration { return time.Minute }
+	for name, c := range map[string]struct {
+		text    string
+		options ListenerOptions
+	}{
+		"idle":             {text: served, options: ListenerOptions{MaxConnections: 16, IdleTimeout: timeout}},
+		"with half a head": {text: head, options: ListenerOptions{MaxConnections: 16, HeadTimeout: timeout}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startServer(t, c.options)
+			conn := s.dial(t, c.text)
+			eventually(t, "the connection does not wait", func() bool { return s.idleCount() == 1 })
+			time.Sleep(20 * time.Millisecond)
+			s.CloseExpired()
+			if s.Counts().ConnectionsExpired != 0 {
+				t.Error("a connection was closed early")
+			}
+			s.mu.Lock()
+			s.now = func() time.Time { return time.Now().Add(time.Minute) }
+			s.mu.Unlock()
+			s.CloseExpired()
+			if !isClosed(conn) {
+				t.Error("the connection is open")
+			}
+			eventually(t, "memory is held for a closed connection", func() bool { return s.Used() == 0 && s.Open() == 0 })
+		})
+	}
+}
+
+// Guards against heads that hold memory which is not counted, or count after their request.
+func TestHeadsCount(t *testing.T) {
+	s := startServer(t, ListenerOptions{MaxConnections: 16})
+	c := s.dial(t, fmt.Sprintf("GET /now HTTP/1.1\r\nHost: h\r\nX-Filler: %s", strings.Repeat("x", 100<<10)))
+	eventually(t, "the head is not counted", func() bool { return s.Used() >= connectionBytes+64<<10 })
+	_, _ = io.WriteString(c, "\r\n\r\n")
+	eventually(t, "the head still counts after its request", func() bool { return s.Used() == connectionBytes })
+}
--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -4,10 +4,8 @@
 // with the platform protocol ProtocolMetadata; node.go contains the other one, wireInference.
 
 import (
-	"math"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -42,12 +40,6 @@
 	peerDialTimeout = 600 * time.Millisecond
 	// hostIdleTimeout is longer than callers keep idle connections.
 	hostIdleTimeout = 2 * time.Minute
-	// memoryLimitFraction is the soft memory limit of the Go runtime as a fraction of the
-	// memory granted to the process. Near it the garbage collector runs continuously.
-	memoryLimitFraction = 0.7
-	// gcPercent is the GOGC value. It trades CPU time for memory: collecting a small heap
-	// takes little CPU time, and memory is the more expensive of the two.
-	gcPercent = 50
 )
 
 // wireHostRoutes wires an instance that serves host routes from a metadata store. startOn
@@ -55,7 +47,6 @@
 // needs no slots, leases or delta logs: the store holds the entire configuration in one
 // value, and rates are divided by demand.
 func (n *Node) wireHostRoutes(s settings.Settings, log *logrus.Logger, o Options, l listeners) {
-	limitMemory(s.Process)
 	entry := log.WithField(telemetry.FieldInstance, s.Instance.ID)
 	identity := n.identity(s)
 	n.operatorLinger = 0
@@ -87,6 +78,7 @@
 		Dispatcher:   n.dispatcher,
 		ShareLimiter: shareLimiter,
 		Protocol:     platform.HeaderCodec{},
+		Budget:       n.requests,
 		Log:          entry,
 		Drain:        n.drain,
 		Metrics:      metrics,
@@ -113,18 +105,10 @@
 	n.startHostControl(s, entry, identity, store, peers, heartbeats, readers, server.Changes, restarts)
 }
 
-func limitMemory(p settings.Process) {
-	if p.MemoryMB <= 0 {
-		return
-	}
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(math.Round(memoryLimitFraction * p.MemoryMB * 1e6)))
-}
-
 // hostDispatcher returns the dispatcher for host routes.
 func (n *Node) hostDispatcher(s settings.Settings, log *logrus.Entry, peers *peer.Client, metrics *telemetry.Metrics) *dispatch.Dispatcher {
 	prefixes := routing.NewPrefixIndex()
-	limits := relay.DefaultLimits().ForMemory(int64(s.Process.MemoryMB * 1e6))
+	limits := relay.DefaultLimits().ForMemory(memoryBytes(s.Process))
 	limits.DialTimeout = hostDialTimeout
 	d := &dispatch.Dispatcher{
 		Snapshot:            n.loop.Snapshot,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"heatherloom/internal/external/scim"
 	"heatherloom/internal/gateway"
 	"heatherloom/internal/idempotency"
+	"heatherloom/internal/intake"
 	"heatherloom/internal/lease"
 	"heatherloom/internal/operator"
 	"heatherloom/internal/peer"
@@ -70,6 +71,8 @@
 	slots      *slotclaim.Holder
 	drain      *drain.Controller
 	writes     *writes.Service
+	// requests is the memory for requests that arrive or are at work.
+	requests *intake.Budget
 	// duties is nil unless the settings name an API for them.
 	duties      *duties
 	timeline    *timeline.Recorder
@@ -177,8 +180,8 @@
 func startOn(l listeners, s settings.Settings, log *logrus.Logger, o Options) (*Node, error) {
 	n := &Node{
 		id:              s.Instance.ID,
-		callerListener:  l.caller,
 		CallerAddress:   l.caller.Addr().String(),
+		callerListener:  l.caller,
 		PeerAddress:     l.peer.Addr().String(),
 		OperatorAddress: l.operator.Addr().String(),
 		drain:           drain.NewController(),
@@ -189,6 +192,8 @@
 		memberCache:     peer.NewMemberCache(),
 		timeline:        newTimeline(s),
 	}
+	n.requests = intake.NewBudget(requestMemoryBytes(s.Process))
+	limitMemory(s.Process)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	err := n.loadTLS(s.TLS)
 	if err == nil && s.Platform.Protocol == settings.ProtocolMetadata {
@@ -241,7 +246,7 @@
 	}
 	n.dispatcher = &dispatch.Dispatcher{
 		Snapshot:    n.loop.Snapshot,
-		Relay:       relay.New(relay.DefaultLimits()),
+		Relay:       relay.New(relay.DefaultLimits().ForMemory(memoryBytes(s.Process))),
 		Forwarder:   peers,
 		ReportCrash: n.crashReporter(entry, metrics),
 		Policy:      policy,
@@ -268,6 +273,7 @@
 		Dispatcher: n.dispatcher,
 		Writes:     n.writes,
 		Admitter:   admission.NewAdmitter(ledger, peers, time.Now),
+		Budget:     n.requests,
 		Log:        entry,
 		Drain:      n.drain,
 		Timeline:   n.timeline,
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"heatherloom/internal/blocks"
 	"heatherloom/internal/errkind"
 	"heatherloom/internal/retry"
 )
@@ -41,12 +42,12 @@
 	if err != nil {
 		return classifyBodyError(w, err, false)
 	}
-	if a.Completion && resp.StatusCode == http.StatusOK && !belongsTo(body.bytes(), a.RequestID) {
+	if a.Completion && resp.StatusCode == http.StatusOK && !belongsTo(body.Bytes(), a.RequestID) {
 		return upstreamFault(errkind.ResponseMismatched, errkind.ExecutionUnknown, retry.Failed, nil, "the upstream returned the completion of another request")
 	}
 	header := filterHeader(resp.Header)
-	setContentLength(header, resp, a.Method, body.length)
-	return DeliverBuffered(sink, resp.StatusCode, header, body.blocks...)
+	setContentLength(header, resp, a.Method, body.Len())
+	return DeliverBuffered(sink, resp.StatusCode, header, body.Blocks()...)
 }
 
 // DeliverBuffered writes a complete response, whose body is the concatenation of blocks, to sink.
@@ -78,9 +79,9 @@
 // readBody reads the whole body. allowUnframed allows a body that is delimited by the close
 // of its connection; a connection reset is always an error. share counts the bytes that are
 // held, and sent those that arrive on the connection.
-func (r *Relay) readBody(w *watchdog, sent *sendTracker, share *bufferShare, resp *http.Response, method string, allowUnframed bool) (*blockBuffer, error) {
+func (r *Relay) readBody(w *watchdog, sent *sendTracker, share *bufferShare, resp *http.Response, method string, allowUnframed bool) (*blocks.Buffer, error) {
 	if method == http.MethodHead {
-		return &blockBuffer{}, nil
+		return &blocks.Buffer{}, nil
 	}
 	chunked := len(resp.TransferEncoding) > 0
 	if resp.ContentLength < 0 && !chunked && !allowUnframed {
@@ -89,20 +90,20 @@
 	if resp.ContentLength > int64(r.limits.MaxBufferedBytes) {
 		return nil, errResponseTooLarge
 	}
-	body := &blockBuffer{}
+	body := &blocks.Buffer{}
 	for {
-		size := body.next(resp.ContentLength)
+		size := body.Next(resp.ContentLength)
 		if !share.grow(size) {
 			return nil, errNoMemory
 		}
-		n, err := body.readFrom(resp.Body, size)
+		n, err := body.ReadSome(resp.Body, size)
 		if n > 0 {
 			w.extend(r.limits.ReadIdleTimeout)
 		}
-		if body.length > r.limits.MaxBufferedBytes {
+		if body.Len() > r.limits.MaxBufferedBytes {
 			return nil, errEndlessBody
 		}
-		if sent.received()-2*int64(body.length) > maxFramingBytes {
+		if sent.received()-2*int64(body.Len()) > maxFramingBytes {
 			return nil, errFraming
 		}
 		if errors.Is(err, io.EOF) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -175,12 +175,12 @@
 		return classifyBodyError(w, err, false)
 	}
 	header := EndToEndHeaders(resp.Header)
-	setContentLength(header, resp, a.Method, body.length)
+	setContentLength(header, resp, a.Method, body.Len())
 	if resp.StatusCode < http.StatusInternalServerError {
-		return DeliverBuffered(sink, resp.StatusCode, header, body.blocks...)
+		return DeliverBuffered(sink, resp.StatusCode, header, body.Blocks()...)
 	}
 	result := upstreamFault(errkind.UpstreamFailed, errkind.Executed, retry.Failed, nil, "the upstream failed with status %d", resp.StatusCode)
-	result.ErrorResponse = &BufferedResponse{Status: resp.StatusCode, Header: header, Body: body.bytes()}
+	result.ErrorResponse = &BufferedResponse{Status: resp.StatusCode, Header: header, Body: body.Bytes()}
 	return result
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -164,6 +164,9 @@
 	// MemoryMB is the memory limit that the platform sets for the process. Default 0, which sets
 	// no limit for the Go runtime.
 	MemoryMB float64
+	// RequestMemoryMB is the memory for requests that arrive or are at work: connections, heads and bodies. Default
+	// 0, which takes half of what MemoryMB exceeds 40 MB by, at least a quarter of it, or 256 MB without one.
+	RequestMemoryMB float64
 }
 
 // Operator is the section [operator].
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -210,3 +210,17 @@
 		return value, nil
 	}
 }
+
+// zeroOr accepts 0, which selects a default, and what parse accepts.
+func zeroOr(parse func(string) (float64, error)) func(string) (float64, error) {
+	return func(text string) (float64, error) {
+		if value, err := strconv.ParseFloat(text, 64); err == nil && value == 0 {
+			return 0, nil
+		}
+		value, err := parse(text)
+		if err != nil {
+			return 0, fmt.Errorf("%w, or 0 for the default", err)
+		}
+		return value, nil
+	}
+}
