Bound connections, heads and bytes that are received and not read

What callers saw: an instance that answered no new connection while idle ones, or ones with half a head, held all its descriptors; and a process over its memory although the bodies were bounded, for what the kernel held for it.

The cause: nothing bounded the connections of a listener; the idle and head timeouts of the operators' configuration were decoded and never used; a receive buffer grows to several MB, all of which count as memory of the process; and a body that no handler reads was awaited without a limit of time. The belief that was wrong: what is not read is not held.

The change: each listener (callers, peers, list of instances, readiness, operators) has a number of connections, from process.max_descriptors; above it, the connection that has been idle, or without progress, for longest is closed for the new one. Connections and heads take memory from the budget of requests. The timeouts of the configuration hold. Receive buffers have 64 KB, HTTP/2 streams 128 KB, HTTP/2 heads count. A body that a listener does not use ends its connection.

--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -98,10 +98,11 @@
 	n.servers = append(n.servers,
 		n.serve(l.caller, &http.Server{Handler: handler, TLSConfig: n.callerTLS(), IdleTimeout: hostIdleTimeout}, entry),
 		n.serve(l.peer, &http.Server{Handler: server.Handler(), Protocols: n.peerProtocols(), TLSConfig: n.peerTLS()}, entry),
-		n.serve(l.entries, &http.Server{Handler: gateway.NewEntriesHandler(platform.EntryProtocol{}, n.loop.Snapshot, clock.Now, self, entry)}, entry),
-		n.serve(l.ready, &http.Server{Handler: gateway.NewReadinessHandler(platform.EntryProtocol{}, n.loop.Snapshot, clock.Now)}, entry))
-	n.operator = n.serve(l.operator, &http.Server{Handler: n.operatorHandler(s, metrics), TLSConfig: n.callerTLS()}, entry)
+		n.serve(l.entries, &http.Server{Handler: withoutBodies(gateway.NewEntriesHandler(platform.EntryProtocol{}, n.loop.Snapshot, clock.Now, self, entry))}, entry),
+		n.serve(l.ready, &http.Server{Handler: withoutBodies(gateway.NewReadinessHandler(platform.EntryProtocol{}, n.loop.Snapshot, clock.Now))}, entry))
+	n.operator = n.serve(l.operator, &http.Server{Handler: withoutBodies(n.operatorHandler(s, metrics)), TLSConfig: n.callerTLS()}, entry)
 	n.watchTLSFiles(entry)
+	n.wg.Go(func() { n.watchIntake(n.ctx, entry) })
 	n.startHostControl(s, entry, identity, store, peers, heartbeats, readers, server.Changes, restarts)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,6 +73,8 @@
 	writes     *writes.Service
 	// requests is the memory for requests that arrive or are at work.
 	requests *intake.Budget
+	// listeners are those whose connections are limited, by their names in the settings.
+	listeners map[string]*intake.Listener
 	// duties is nil unless the settings name an API for them.
 	duties      *duties
 	timeline    *timeline.Recorder
@@ -131,20 +133,22 @@
 
 func openListeners(s settings.Listeners) (listeners, error) {
 	var l listeners
+	strangers := net.ListenConfig{Control: limitReceiveBuffer}
 	for _, open := range []struct {
 		name, address string
 		listener      *net.Listener
+		config        net.ListenConfig
 	}{
-		{"caller", s.Caller, &l.caller},
-		{"peer", s.Peer, &l.peer},
-		{"operator", s.Operator, &l.operator},
-		{"entries", s.Entries, &l.entries},
-		{"ready", s.Ready, &l.ready},
+		{"caller", s.Caller, &l.caller, strangers},
+		{"peer", s.Peer, &l.peer, net.ListenConfig{}},
+		{"operator", s.Operator, &l.operator, strangers},
+		{"entries", s.Entries, &l.entries, strangers},
+		{"ready", s.Ready, &l.ready, strangers},
 	} {
 		if open.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", open.address)
+		listener, err := open.config.Listen(context.Background(), "tcp", open.address)
 		if err != nil {
 			l.close()
 			return listeners{}, eris.Wrapf(err, "open the %s listener", open.name)
@@ -181,7 +185,6 @@
 	n := &Node{
 		id:              s.Instance.ID,
 		CallerAddress:   l.caller.Addr().String(),
-		callerListener:  l.caller,
 		PeerAddress:     l.peer.Addr().String(),
 		OperatorAddress: l.operator.Addr().String(),
 		drain:           drain.NewController(),
@@ -196,6 +199,7 @@
 	limitMemory(s.Process)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	err := n.loadTLS(s.TLS)
+	n.limitConnections(s, &l)
 	if err == nil && s.Platform.Protocol == settings.ProtocolMetadata {
 		n.wireHostRoutes(s, log, o, l)
 	} else if err == nil {
@@ -292,8 +296,9 @@
 	n.servers = append(n.servers,
 		n.serve(l.caller, &http.Server{Handler: handler, TLSConfig: n.callerTLS()}, entry),
 		n.serve(l.peer, &http.Server{Handler: server.Handler(), Protocols: n.peerProtocols(), TLSConfig: n.peerTLS()}, entry))
-	n.operator = n.serve(l.operator, &http.Server{Handler: n.operatorHandler(s, metrics), TLSConfig: n.callerTLS()}, entry)
+	n.operator = n.serve(l.operator, &http.Server{Handler: withoutBodies(n.operatorHandler(s, metrics)), TLSConfig: n.callerTLS()}, entry)
 	n.watchTLSFiles(entry)
+	n.wg.Go(func() { n.watchIntake(n.ctx, entry) })
 	n.startControl(s, o, entry, identity, peers, prefixes)
 	return nil
 }
@@ -362,6 +367,11 @@
 		Peers:          func() float64 { return float64(len(n.loop.Snapshot().Peers)) },
 		Quarantined:    func() float64 { return float64(len(n.loop.Snapshot().Quarantined)) },
 		Drain:          n.drainOutcomes(),
+
+		RequestMemory:      func() float64 { return float64(n.requests.Used()) },
+		RequestMemoryLimit: func() float64 { return float64(n.requests.Limit()) },
+		Connections:        n.openConnections(),
+		LetGo:              n.callersLetGo(),
 	})
 }
 
@@ -422,6 +432,7 @@
 		server.ConnContext = callerconn.NewContext
 		n.callerConns.track(server)
 	}
+	trackConnections(server, listener)
 	n.wg.Go(func() {
 		if err := serveOn(server, listener); !errors.Is(err, http.ErrServerClosed) && !n.closed(err) {
 			log.WithField(telemetry.FieldEvent, "listener_closed").WithError(err).Error("listener failed; the instance keeps running without it")
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -28,6 +28,7 @@
 	maxDutyRate        = 1e6
 	// minRequestMemoryMB holds one body of the largest size and a copy of it.
 	minRequestMemoryMB = 20
+	minDescriptors     = 256
 )
 
 // key is one key of the settings file.
@@ -95,6 +96,7 @@
 	{"duties.usage_due", "10s", bind(duration(minUsageDue, maxUsageTime), func(s *Settings) *time.Duration { return &s.Duties.UsageDue })},
 	{"process.memory_mb", "0", bind(number(0, maxBound), func(s *Settings) *float64 { return &s.Process.MemoryMB })},
 	{"process.request_memory_mb", "0", bind(zeroOr(number(minRequestMemoryMB, maxBound)), func(s *Settings) *float64 { return &s.Process.RequestMemoryMB })},
+	{"process.max_descriptors", "0", bind(zeroOr(number(minDescriptors, maxBound)), func(s *Settings) *float64 { return &s.Process.MaxDescriptors })},
 	{"policy.name", routing.NameDefault, bind(oneOf(routing.PolicyNames()...), func(s *Settings) *string { return &s.Policy.Name })},
 	{"policy.preset", routing.PresetDerwent, bind(oneOf(routing.PresetDerwent, routing.PresetGuild), func(s *Settings) *string { return &s.Policy.Preset })},
 	{"policy.prefill_weight", "0", bind(number(0, maxPolicyWeight), func(s *Settings) *float64 { return &s.Policy.PrefillWeight })},
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -62,6 +62,12 @@
 	Quarantined func() float64
 	// Drain holds functions that return how many requests a drain affected, by outcome.
 	Drain map[string]func() float64
+	// RequestMemory returns the bytes that requests hold, and RequestMemoryLimit those that they may hold.
+	RequestMemory, RequestMemoryLimit func() float64
+	// Connections holds functions that return the number of open connections, by listener.
+	Connections map[string]func() float64
+	// LetGo holds functions that return how many callers were let go, by what they held.
+	LetGo map[string]func() float64
 }
 
 // Metrics holds the metrics of one instance. A nil *Metrics records nothing.
@@ -118,6 +124,7 @@
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerGauges(s)
 	m.registerDrain(s)
+	m.registerIntake(s)
 	m.registerInvariants()
 	return m
 }
@@ -144,6 +151,8 @@
 	gauge("config_revision", "Revision of the configuration in force.", s.ConfigRevision)
 	gauge("config_age_seconds", "Time since the configuration was last known to be the latest one.", s.ConfigAge)
 	gauge("peers", "Live peers.", s.Peers)
+	gauge("request_memory_bytes", "Memory that connections, heads and bodies of requests hold.", s.RequestMemory)
+	gauge("request_memory_limit_bytes", "Memory that connections, heads and bodies of requests may hold.", s.RequestMemoryLimit)
 	gauge("quarantined_requests", "Fingerprints of requests, their contents and prompt parts that are rejected because upstreams crashed under them.", s.Quarantined)
 }
 
@@ -156,6 +165,21 @@
 	}
 }
 
+func (m *Metrics) registerIntake(s Sources) {
+	for listener, read := range s.Connections {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "connections", Help: "Open connections that a listener has accepted.",
+			ConstLabels: prometheus.Labels{"listener": listener},
+		}, read))
+	}
+	for reason, read := range s.LetGo {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "callers_let_go_total", Help: "Requests and connections that were let go to keep the process within its memory and descriptors.",
+			ConstLabels: prometheus.Labels{"reason": reason},
+		}, read))
+	}
+}
+
 func (m *Metrics) registerInvariants() {
 	for _, name := range invariant.Names() {
 		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
