Bound what peers and strangers at the peer listener make an instance hold

What callers saw: an instance that passed large bodies on to another region, and the one that it passed them on to, went over their memory; and anybody who reached the peer listener could end an instance with one kind of call.

The cause: a forward is copied into a message, which is held as it arrives and again decoded, and none of these copies counted. Most calls read their message before the interceptor checks the secret, without a limit. The belief that was wrong: a body that was let in once is held once, and whoever calls a peer is one.

The change: the copy that is sent, and what arrives for Forward and RunWrite, take memory from the budget of requests. Without memory a peer rejects a forward before it decodes it; the sender knows this error as one of a request that was not processed. A call without the secret is passed on without its body.

--- a/internal/node/hostroutes.go
+++ b/internal/node/hostroutes.go
@@ -57,6 +57,7 @@
 	n.loop.SetObserver(control.Observer{Timeline: n.timeline, Tick: metrics.RecordTick, Log: entry})
 	peers := peer.NewClient(identity.ID, s.Peer.Secret)
 	peers.SetClock(n.timeline.Clock())
+	peers.SetBudget(n.requests)
 	if n.tls != nil {
 		peers.SetTLSDialer(n.tls.Dial)
 	}
@@ -90,7 +91,7 @@
 		Identity: identity, Loop: n.loop, Dispatcher: n.dispatcher, Secret: s.Peer.Secret,
 		Config: &configsync.PeerSource{Loop: n.loop},
 		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Drain: n.drain,
-		Log: entry, MemberCache: n.memberCache, SentReports: reports, HostReport: hostReport, Changes: &storefeed.ChangeLog{},
+		Budget: n.requests, Log: entry, MemberCache: n.memberCache, SentReports: reports, HostReport: hostReport, Changes: &storefeed.ChangeLog{},
 	}
 	n.duties.connect(n.dispatcher, heartbeats, server)
 	readers := &peer.StoreReaders{Self: identity.PeerAddress, Snapshot: n.loop.Snapshot, Report: hostReport, Client: peers}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -237,6 +237,7 @@
 	n.loop.SetObserver(control.Observer{Timeline: n.timeline, Tick: metrics.RecordTick})
 	peers := peer.NewClient(identity.ID, s.Peer.Secret)
 	peers.SetClock(n.timeline.Clock())
+	peers.SetBudget(n.requests)
 	if n.tls != nil {
 		peers.SetTLSDialer(n.tls.Dial)
 	}
@@ -291,7 +292,7 @@
 		Identity: identity, Loop: n.loop, Dispatcher: n.dispatcher, Secret: s.Peer.Secret,
 		Config: &configsync.PeerSource{Loop: n.loop},
 		Events: timeline.JSONSource{Recorder: n.timeline}, Timeline: n.timeline, Drain: n.drain,
-		Log: entry, Ledger: ledger, MemberCache: n.memberCache, Writes: n.writes,
+		Budget: n.requests, Log: entry, Ledger: ledger, MemberCache: n.memberCache, Writes: n.writes,
 	}
 	n.servers = append(n.servers,
 		n.serve(l.caller, &http.Server{Handler: handler, TLSConfig: n.callerTLS()}, entry),
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 
 	"heatherloom/internal/abortive"
+	"heatherloom/internal/intake"
 	"heatherloom/internal/peer/peerv1"
 	"heatherloom/internal/peer/peerv1/peerv1connect"
 	"heatherloom/internal/relay"
@@ -38,6 +39,9 @@
 	// clock supplies the reading that each message carries; nil for none.
 	clock *timeline.Clock
 
+	// budget bounds the memory for requests that are being sent; nil for no bound.
+	budget *intake.Budget
+
 	mu      sync.Mutex
 	clients map[string]peerv1connect.PeerServiceClient
 }
@@ -69,6 +73,9 @@
 // the readings it receives. It must be called before the first message.
 func (c *Client) SetClock(clock *timeline.Clock) { c.clock = clock }
 
+// SetBudget sets the memory for requests that are being sent. It must be called before the first message.
+func (c *Client) SetBudget(budget *intake.Budget) { c.budget = budget }
+
 // SetTLSDialer makes the client use the TLS connections that dial returns. It must be called
 // before the first message.
 func (c *Client) SetTLSDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -11,6 +11,7 @@
 
 	"heatherloom/internal/dispatch"
 	"heatherloom/internal/errkind"
+	"heatherloom/internal/intake"
 	"heatherloom/internal/peer/peerv1"
 	"heatherloom/internal/relay"
 	"heatherloom/internal/retry"
@@ -32,7 +33,12 @@
 	ctx, cancel := context.WithCancel(tracker.newContext(ctx))
 	defer cancel()
 	f := &forwardedResponse{request: r, sink: sink, limits: c.limits, clock: c.clock}
+	release, ok := c.holdCopy(r.Body)
+	if !ok {
+		return f.failureResult(intake.ErrNoMemory, errkind.Overloaded, errkind.NotExecuted, retry.NotSent)
+	}
 	stream, err := c.ServiceClient(p.PeerAddress).Forward(ctx, connect.NewRequest(c.forwardRequest(r)))
+	release()
 	if err != nil {
 		return f.classifyFailure(ctx, tracker, err)
 	}
@@ -247,7 +253,12 @@
 // rejectedByPeer reports whether the peer rejected the call before it processed the request.
 func rejectedByPeer(err error) bool {
 	code := connect.CodeOf(err)
-	return connect.IsWireError(err) && (code == connect.CodeUnauthenticated || code == connect.CodeUnimplemented)
+	switch code {
+	case connect.CodeUnauthenticated, connect.CodeUnimplemented, connect.CodeResourceExhausted:
+		return connect.IsWireError(err)
+	default:
+		return false
+	}
 }
 
 func (f *forwardedResponse) failureResult(err error, kind errkind.Kind, execution errkind.Execution, outcome retry.Outcome) relay.Result {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -20,6 +20,7 @@
 	"heatherloom/internal/dispatch"
 	"heatherloom/internal/drain"
 	"heatherloom/internal/errkind"
+	"heatherloom/internal/intake"
 	"heatherloom/internal/peer/peerv1"
 	"heatherloom/internal/peer/peerv1/peerv1connect"
 	"heatherloom/internal/promptprefix"
@@ -79,6 +80,8 @@
 	Changes *storefeed.ChangeLog
 	// Usage keeps counts of usage and answers questions about them; nil if the instance counts none.
 	Usage *usage.Reporter
+	// Budget bounds the memory for requests that peers pass on; nil for no bound.
+	Budget *intake.Budget
 	// Timeline and Drain may be nil.
 	Timeline *timeline.Recorder
 	Drain    *drain.Controller
@@ -100,7 +103,7 @@
 	mux := http.NewServeMux()
 	path, handler := peerv1connect.NewPeerServiceHandler(s, handlerOptions(s.Secret)...)
 	mux.Handle(path, handler)
-	return mux
+	return withIntake(mux, authInterceptor{secret: s.Secret}, s.Budget)
 }
 
 // Heartbeat records the sender and responds with this instance's own member message. It
@@ -163,6 +166,9 @@
 
 // Forward serves a request that another entry instance forwards.
 func (s *Server) Forward(ctx context.Context, req *connect.Request[peerv1.ForwardRequest], stream *connect.ServerStream[peerv1.ForwardResponse]) error {
+	if err := arrivedWhole(ctx); err != nil {
+		return err
+	}
 	s.Timeline.Clock().Observe(timeline.Stamp(req.Msg.GetClock()))
 	request := decodeRequest(req.Msg)
 	if deadline, ok := ctx.Deadline(); ok {
--- a/internal/peer/writes.go
+++ b/internal/peer/writes.go
@@ -14,6 +14,7 @@
 	"heatherloom/internal/drain"
 	"heatherloom/internal/errkind"
 	"heatherloom/internal/idempotency"
+	"heatherloom/internal/intake"
 	"heatherloom/internal/peer/peerv1"
 	"heatherloom/internal/quota"
 	"heatherloom/internal/relay"
@@ -28,6 +29,11 @@
 // lost, the outcome is unknown.
 func (c *Client) RunWrite(ctx context.Context, p routing.Peer, w *writes.Write) (writes.Result, *errkind.Error) {
 	tracker := &sendTracker{}
+	release, ok := c.holdCopy(w.Request.Body)
+	if !ok {
+		return writes.Result{}, errkind.Wrap(intake.ErrNoMemory, errkind.Overloaded, errkind.NotExecuted, "this instance has no memory to pass the request on to the instance that owns the key")
+	}
+	defer release()
 	resp, err := c.ServiceClient(p.PeerAddress).RunWrite(tracker.newContext(ctx), connect.NewRequest(&peerv1.RunWriteRequest{
 		Request:        c.forwardRequest(w.Request),
 		IdempotencyKey: w.Key,
