Serve as many large bodies as before the bound

The cause: half of what the machine has beyond 40 MB was the budget, an eighth of that was left to small requests, and bodies that were copied into one slice at the same time were all held twice.

The change: the budget is seven tenths of what the machine has beyond 60 MB, a sixteenth is left to small requests, and one body at a time is copied.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -56,6 +56,7 @@
 		return buffer.Bytes(), nil
 	}
 	defer buffer.Release()
+	defer s.lockCopies()()
 	if !s.Grow(int64(buffer.Len())) || !s.Complete() {
 		return nil, ErrNoMemory
 	}
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -19,7 +19,7 @@
 	// yield to it whether they progress or not.
 	SmallBytes = 128 << 10
 	// reserveDivisor is the fraction of the budget, as a divisor, that only small requests may use.
-	reserveDivisor = 8
+	reserveDivisor = 16
 	// yieldTimeout bounds the wait for memory of requests that yield. They do so as soon as they run.
 	yieldTimeout = time.Second
 )
@@ -27,6 +27,8 @@
 // Budget is the memory for requests that arrive. A nil *Budget has no bound.
 type Budget struct {
 	limit int64
+	// copying is held while a body is copied, so that no more than one is held twice.
+	copying sync.Mutex
 
 	mu   sync.Mutex
 	used int64
@@ -276,6 +278,15 @@
 	return s.yielded
 }
 
+// lockCopies waits until no other body is copied, and returns the function that ends the copy of this one.
+func (s *Share) lockCopies() func() {
+	if s == nil {
+		return func() {}
+	}
+	s.budget.copying.Lock()
+	return s.budget.copying.Unlock
+}
+
 // Shrink returns n bytes of the share.
 func (s *Share) Shrink(n int64) {
 	if s == nil || n == 0 {
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -18,8 +18,8 @@
 	// tableMemoryMB is the memory for the program and the tables of the instance. Requests may take requestMemoryFraction
 	// of the rest, and minRequestMemoryFraction of the whole in a small process. What is left is for buffered responses
 	// (relay.Limits), bytes that the kernel has received, and the garbage collector.
-	tableMemoryMB            = 40
-	requestMemoryFraction    = 0.5
+	tableMemoryMB            = 60
+	requestMemoryFraction    = 0.7
 	minRequestMemoryFraction = 0.25
 	// defaultRequestMemoryMB applies to a process whose memory is not limited.
 	defaultRequestMemoryMB = 256
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -165,7 +165,7 @@
 	// no limit for the Go runtime.
 	MemoryMB float64
 	// RequestMemoryMB is the memory for requests that arrive or are at work: connections, heads and bodies. Default
-	// 0, which takes half of what MemoryMB exceeds 40 MB by, at least a quarter of it, or 256 MB without one.
+	// 0, which takes seven tenths of what MemoryMB exceeds 60 MB by, at least a quarter of it, or 256 MB without one.
 	RequestMemoryMB float64
 	// MaxDescriptors is the number of file descriptors that the process may open. Default 0, which takes the limit that
 	// the operating system has set.
