Close a connection without memory for its head instead of answering 400

What callers saw: a caller whose head found no memory, because requests at work held it all, would get 400, after which no caller repeats a request, although it was sound.

The cause: the connection failed with an error that net/http does not know as one of the connection, and which it answers as a malformed request.

The change: the connection fails as one that broke does, so that net/http closes it unanswered; the caller knows that the request was not read.

--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -213,11 +213,12 @@
 	_ = c.Conn.SetReadDeadline(time.Now())
 }
 
-// Read implements net.Conn. It fails if there is no memory for the head of a request.
+// Read implements net.Conn. It fails if there is no memory for the head of a request; net/http then closes the
+// connection without a response, as after other errors of the connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && c.phase.Load() != phaseServing && !c.multiplexed.Load() && !c.listener.options.Multiplexed && !c.countHead(int64(n)) {
-		return 0, ErrNoMemory
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: ErrNoMemory}
 	}
 	return n, err
 }
--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -84,7 +84,7 @@
 			var conns []net.Conn
 			for range 16 {
 				conns = append(conns, s.dial(t, text))
-				eventually(t, "the connections are not open", func() bool { return s.Open() == len(conns) })
+				eventually(t, "the connection does not wait", func() bool { return s.idleCount() == len(conns) && s.hasHeads(len(conns)) == (text == head) })
 			}
 			s.dial(t, served)
 			if !isClosed(conns[0]) {
@@ -110,6 +110,13 @@
 	}
 }
 
+// hasHeads reports whether n connections have sent a part of a head.
+func (s *testServer) hasHeads(n int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unfinished.Len() == n
+}
+
 func (s *testServer) idleCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -148,6 +155,19 @@
 	}
 }
 
+// Guards against a caller that is told that its request is malformed when there is no memory for the head.
+func TestAHeadWithoutMemoryIsNotAnswered(t *testing.T) {
+	s := startServer(t, ListenerOptions{MaxConnections: 16})
+	whole := s.NewShare(nil, func() {})
+	if !whole.Grow(SmallBytes) || !whole.Complete() || !whole.Grow(s.Budget.Limit()*(reserveDivisor-1)/reserveDivisor-SmallBytes) {
+		t.Fatal("an empty budget refused")
+	}
+	c := s.dial(t, head+strings.Repeat("x", int(s.Budget.Limit())))
+	if raw, _ := io.ReadAll(c); len(raw) > 0 {
+		t.Errorf("the caller got %q", raw)
+	}
+}
+
 // Guards against heads that hold memory which is not counted, or count after their request.
 func TestHeadsCount(t *testing.T) {
 	s := startServer(t, ListenerOptions{MaxConnections: 16})
@@ -156,3 +176,44 @@
 	_, _ = io.WriteString(c, "\r\n\r\n")
 	eventually(t, "the head still counts after its request", func() bool { return s.Used() == connectionBytes })
 }
+
+// BenchmarkRequest measures requests on kept connections, with and without limits.
+func BenchmarkRequest(b *testing.B) {
+	for _, size := range []int{800, 64 << 10} {
+		body := strings.Repeat("x", size)
+		for _, limited := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%dB/limited=%v", size, limited), func(b *testing.B) {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					b.Fatal(err)
+				}
+				var budget *Budget
+				server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					if !limited {
+						_, _ = io.ReadAll(r.Body)
+						return
+					}
+					share := budget.NewShare(RequestConn(r), func() {})
+					_, _ = ReadBody(share, r.Body, r.ContentLength)
+					share.Release()
+				})}
+				if limited {
+					budget = NewBudget(64 << 20)
+					l := budget.Listen(listener, ListenerOptions{MaxConnections: 100})
+					server.ConnState, server.ConnContext, listener = l.ConnState, NewContext, l
+				}
+				go func() { _ = server.Serve(listener) }()
+				defer server.Close()
+				url := "http://" + listener.Addr().String()
+				b.ReportAllocs()
+				for b.Loop() {
+					resp, err := http.Post(url, "text/plain", strings.NewReader(body))
+					if err != nil {
+						b.Fatal(err)
+					}
+					_ = resp.Body.Close()
+				}
+			})
+		}
+	}
+}
