Keep the connections and the HTTP/2 windows of peers

What callers saw: nothing yet; found by reading. A crowd at the listener of callers could end the idle connections of peers, for their 16 KB each, and a forward that crossed the end would have an unknown outcome: a write could not be repeated. Forwards between regions had a quarter of the window that they had before, and 100 streams a connection.

The cause: the limits of callers held for peers as well. The belief that was wrong: whoever is connected is a stranger.

The change: a connection over which a call with the secret came does not yield while it is idle, though it counts; the HTTP/2 limits are those of the caller listener alone. If the limit of descriptors cannot be read, 1,024 are assumed instead of none.

--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -179,6 +179,8 @@
 	ended atomic.Bool
 	// multiplexed is set while the connection carries HTTP/2.
 	multiplexed atomic.Bool
+	// kept is set if the connection does not yield while it is idle.
+	kept atomic.Bool
 	// head is the number of bytes of the head that have arrived, and counted that of those in the share. Only the
 	// goroutine that reads uses them.
 	head, counted int64
@@ -293,7 +295,9 @@
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
 	s.shrink(head)
-	s.enqueue(&s.budget.idle)
+	if !s.conn.kept.Load() {
+		s.enqueue(&s.budget.idle)
+	}
 }
 
 // setYielding records whether the connection is about to close. Budget.mu must be held.
@@ -348,6 +352,13 @@
 	return ctx
 }
 
+// KeepConn makes the connection of a request one that does not yield while it is idle. It still counts.
+func KeepConn(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+		c.kept.Store(true)
+	}
+}
+
 // RequestConn returns the connection that a request has for itself; nil if it shares one, as in HTTP/2.
 func RequestConn(r *http.Request) *Conn {
 	c, _ := r.Context().Value(connKey{}).(*Conn)
--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -26,8 +26,11 @@
 	s.Listener = s.Listen(inner, o)
 	ended := make(chan struct{})
 	server := &http.Server{ConnState: s.ConnState, ConnContext: NewContext, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/wait" {
+		switch r.URL.Path {
+		case "/wait":
 			<-ended
+		case "/now/kept":
+			KeepConn(r)
 		}
 	})}
 	go func() { _ = server.Serve(s.Listener) }()
@@ -47,7 +50,7 @@
 	}
 	t.Cleanup(func() { _ = c.Close() })
 	_, _ = io.WriteString(c, text)
-	if text == served {
+	if text == served || text == kept {
 		if _, err := c.Read(make([]byte, 1<<10)); err != nil {
 			t.Fatal(err)
 		}
@@ -73,6 +76,7 @@
 const (
 	served  = "GET /now HTTP/1.1\r\nHost: h\r\n\r\n"
 	head    = "GET /now HTTP/1.1\r\nHost:"
+	kept    = "GET /now/kept HTTP/1.1\r\nHost: h\r\n\r\n"
 	waiting = "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
 )
 
@@ -117,6 +121,23 @@
 	return s.unfinished.Len() == n
 }
 
+// Guards against peers whose connections end, with forwards on them, for callers that only connect.
+func TestKeptConnectionsDoNotYield(t *testing.T) {
+	s := startServer(t, ListenerOptions{MaxConnections: 16})
+	c := s.dial(t, kept)
+	eventually(t, "the connection yields", func() bool { return s.Open() == 1 && s.idleCount() == 0 })
+	for range 40 {
+		s.dial(t, "")
+	}
+	eventually(t, "no connection yields", func() bool { return s.Counts().ConnectionsYielded > 0 })
+	if _, err := io.WriteString(c, served); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1<<10)); err != nil {
+		t.Errorf("the connection that is to be kept: %v", err)
+	}
+}
+
 func (s *testServer) idleCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -24,6 +24,9 @@
 	// reservedDescriptors are those that are not for sockets, up to a fraction of all given by its divisor.
 	reservedDescriptors       = 200
 	reservedDescriptorDivisor = 4
+	// defaultDescriptors applies if the limit of the process is not known, and maxDescriptors if there is none.
+	defaultDescriptors = 1 << 10
+	maxDescriptors     = 1 << 20
 	// Divisors of the number of sockets for the connections of each listener. The rest is for those to upstreams, the
 	// platform and other instances.
 	callerConnectionDivisor   = 2
@@ -54,18 +57,15 @@
 func maxSockets(p settings.Process) int {
 	limit := int(p.MaxDescriptors)
 	if limit == 0 {
+		limit = defaultDescriptors
 		var r unix.Rlimit
-		if unix.Getrlimit(unix.RLIMIT_NOFILE, &r) != nil {
-			return 0
+		if unix.Getrlimit(unix.RLIMIT_NOFILE, &r) == nil {
+			limit = int(min(r.Cur, maxDescriptors))
 		}
-		limit = int(min(r.Cur, maxDescriptors))
 	}
 	return limit - min(reservedDescriptors, limit/reservedDescriptorDivisor)
 }
 
-// maxDescriptors bounds an unlimited number of descriptors.
-const maxDescriptors = 1 << 20
-
 // limitConnections bounds the connections of all listeners.
 func (n *Node) limitConnections(s settings.Settings, l *listeners) {
 	sockets := maxSockets(s.Process)
@@ -134,6 +134,16 @@
 // unreadBodyTimeout bounds the reading of a body that no handler uses.
 const unreadBodyTimeout = time.Second
 
+// callerHTTP2 limits what a caller may send over one HTTP/2 connection. Peers, which are trusted and far away, have the
+// defaults.
+func callerHTTP2() *http.HTTP2Config {
+	return &http.HTTP2Config{
+		MaxConcurrentStreams:          maxStreamsPerConnection,
+		MaxReceiveBufferPerStream:     streamReceiveBytes,
+		MaxReceiveBufferPerConnection: connectionReceiveBytes,
+	}
+}
+
 // trackConnections makes a server report its connections to the listener that accepts them.
 func trackConnections(server *http.Server, listener net.Listener) {
 	limited, ok := listener.(*intake.Listener)
@@ -153,11 +163,6 @@
 		}
 		return intake.NewContext(ctx, c)
 	}
-	server.HTTP2 = &http.HTTP2Config{
-		MaxConcurrentStreams:          maxStreamsPerConnection,
-		MaxReceiveBufferPerStream:     streamReceiveBytes,
-		MaxReceiveBufferPerConnection: connectionReceiveBytes,
-	}
 }
 
 // watchIntake closes connections that are idle for too long, and logs how many callers were let go, until ctx is done.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -431,6 +431,7 @@
 	server.BaseContext = func(net.Listener) context.Context { return n.drain.Context() }
 	if listener == n.callerListener {
 		server.ConnContext = callerconn.NewContext
+		server.HTTP2 = callerHTTP2()
 		n.callerConns.track(server)
 	}
 	trackConnections(server, listener)
--- a/internal/peer/intake.go
+++ b/internal/peer/intake.go
@@ -41,6 +41,8 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		// A peer may be about to send a forward, whose outcome would be unknown.
+		intake.KeepConn(r)
 		if !carriesBody[r.URL.Path] {
 			next.ServeHTTP(w, r)
 			return
