Accept a limit of 64 descriptors

What operators would see: an instance that does not start, because the platform grants it fewer than 256 descriptors and the template passes their number on.

The cause: the lowest value of process.max_descriptors was chosen for comfort. Down to 64 an instance has at least one connection at each listener and some to upstreams, and says so by callers_let_go.

Evidence: the tests of settings pass; no deployment at hand has fewer than 3,075.

--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -28,7 +28,7 @@
 	maxDutyRate        = 1e6
 	// minRequestMemoryMB holds one body of the largest size and a copy of it.
 	minRequestMemoryMB = 20
-	minDescriptors     = 256
+	minDescriptors     = 64
 )
 
 // key is one key of the settings file.
