Count the receive buffers of connections

What callers saw: with the descriptors of the smallest machine (3,075), a thousand callers whose bodies stop short still took an instance of 144 MB over its memory, for what the kernel held.

The cause: a receive buffer of 64 KB uses twice that, each connection has one, also in the half second in which a rejected one closes, and none counted. The belief that was wrong: a small buffer times the connections is small.

The change: a connection counts with a receive buffer of 16 KB. Bodies over 32 KB, and HTTP/2 connections, get 64 KB if the budget has the memory, and pay for it until the connection is idle again.

Evidence: TestCrowdOfAThousandBodiesThatStopShort, new, by itself: 184 and 186 MB of 144 before (73 and 82 of them in the kernel), 130 and 125 MB with the change.

--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -118,15 +118,15 @@
 	}
 	i.usage.stop()
 	memory, unread, sockets := i.usage.peak()
-	t.Logf("%d MB of %d (%.1f MB unread), %d sockets of %d", memory/1e6, memoryMB, float64(unread)/1e6, sockets, descriptors-reservedDescriptors)
+	t.Logf("%d MB of %d (%.1f MB unread), %d sockets of %d", memory/1e6, memoryMB, float64(unread)/1e6, sockets, i.maxSockets)
 	if !i.running() {
 		t.Fatalf("the process ended: %s", i.output)
 	}
 	if memory > memoryMB*1e6 {
 		t.Errorf("the process used %d MB, its machine has %d", memory/1e6, memoryMB)
 	}
-	if sockets > descriptors-reservedDescriptors {
-		t.Errorf("the process had %d sockets, it may have %d", sockets, descriptors-reservedDescriptors)
+	if sockets > i.maxSockets {
+		t.Errorf("the process had %d sockets, it may have %d", sockets, i.maxSockets)
 	}
 	if !answered {
 		t.Error("an ordinary request was not answered beside the crowd")
@@ -200,16 +200,18 @@
 	againstCallers(t, func(w wiring) member { return member{send: wholeBody(w), neverReads: true} })
 }
 
+func bodyThatStopsShort(w wiring) func(net.Conn) error {
+	return func(c net.Conn) error {
+		if err := write(c, w.requestHead(), withLength(w.maxBodyBytes())); err != nil {
+			return err
+		}
+		return writeFiller(c, w.maxBodyBytes()-1, len(filler))
+	}
+}
+
 // Guards against memory that bodies hold whose last byte never comes.
 func TestCrowdOfBodiesThatStopShort(t *testing.T) {
-	againstCallers(t, func(w wiring) member {
-		return member{send: func(c net.Conn) error {
-			if err := write(c, w.requestHead(), withLength(w.maxBodyBytes())); err != nil {
-				return err
-			}
-			return writeFiller(c, w.maxBodyBytes()-1, len(filler))
-		}}
-	})
+	againstCallers(t, func(w wiring) member { return member{send: bodyThatStopsShort(w)} })
 }
 
 // Guards against memory that bodies hold which come in small pieces and stop short.
@@ -414,9 +416,9 @@
 	w := wirings[0]
 	store := startHostPlatform(t, "b")
 	platformSection := fmt.Sprintf("protocol=metadata\nstore=%s\ndomains=a:a,b:b\nmax_isolation=60s\n", store.URL())
-	at := launch(t, w, "b", platformSection, "")
+	at := launch(t, w, "b", platformSection, "", descriptors)
 	at.waitReady(t)
-	from := launch(t, w, "a", platformSection, "seeds="+at.peer+"\n")
+	from := launch(t, w, "a", platformSection, "seeds="+at.peer+"\n", descriptors)
 	from.waitReady(t)
 	defer gather(from, crowdSize, member{listener: from.caller, send: wholeBody(w)}).leave()
 	t.Log("the instance that forwards")
@@ -425,6 +427,18 @@
 	check(t, at)
 }
 
+// Guards against what the kernel holds for many connections at a time, with the descriptors of the smallest machine.
+func TestCrowdOfAThousandBodiesThatStopShort(t *testing.T) {
+	const size, machineDescriptors = 1000, 3075
+	for _, w := range []wiring{wirings[0], wirings[2]} {
+		t.Run(w.name, func(t *testing.T) {
+			i := startInstanceWith(t, w, machineDescriptors)
+			defer gather(i, size, member{listener: i.caller, send: bodyThatStopsShort(w)}).leave()
+			check(t, i)
+		})
+	}
+}
+
 // Guards against a limit that a single request of the largest size meets.
 func TestTheLargestBodyIsServedInCalm(t *testing.T) {
 	for _, w := range wirings {
--- a/e2e/crowd/instance_test.go
+++ b/e2e/crowd/instance_test.go
@@ -110,15 +110,23 @@
 type instance struct {
 	wiring
 	listeners
-	cmd    *exec.Cmd
-	exited chan struct{}
-	client *http.Client
-	output *bytes.Buffer
-	usage  *usageWatch
+	// maxSockets is the number of sockets that the process may have.
+	maxSockets int
+	cmd        *exec.Cmd
+	exited     chan struct{}
+	client     *http.Client
+	output     *bytes.Buffer
+	usage      *usageWatch
 }
 
 // startInstance starts the outside parts and one entry instance, and waits until that serves requests.
 func startInstance(t *testing.T, w wiring) *instance {
+	t.Helper()
+	return startInstanceWith(t, w, descriptors)
+}
+
+// startInstanceWith is startInstance for a process with a number of descriptors.
+func startInstanceWith(t *testing.T, w wiring, descriptors int) *instance {
 	t.Helper()
 	platformSection := ""
 	if w.hostRoutes {
@@ -128,19 +136,19 @@
 		store, instances := startAPIPlatform(t)
 		platformSection = fmt.Sprintf("store=%s\ninstances=%s/instances\n", store, instances)
 	}
-	i := launch(t, w, "a", platformSection, "")
+	i := launch(t, w, "a", platformSection, "", descriptors)
 	i.waitReady(t)
 	return i
 }
 
 // launch starts an entry instance in region with the given content of [platform] and [peer].
-func launch(t *testing.T, w wiring, region, platformSection, peerSection string) *instance {
+func launch(t *testing.T, w wiring, region, platformSection, peerSection string, descriptors int) *instance {
 	t.Helper()
 	binary, err := buildBinary()
 	if err != nil {
 		t.Fatal(err)
 	}
-	i := &instance{wiring: w, exited: make(chan struct{}), output: &bytes.Buffer{}}
+	i := &instance{wiring: w, maxSockets: descriptors - reservedDescriptors, exited: make(chan struct{}), output: &bytes.Buffer{}}
 	dir := t.TempDir()
 	i.listeners = listeners{caller: address(t), peer: address(t), operator: address(t), entries: address(t), ready: address(t)}
 	text := fmt.Sprintf("[instance]\nid=e-%s\nregion=%s\nfailure_domain=%s\n[listeners]\ncaller=%s\npeer=%s\noperator=%s\n", region, region, w.failureDomain(region), i.caller, i.peer, i.operator)
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -19,6 +19,7 @@
 	buffer := &blocks.Buffer{}
 	if err := fill(buffer, s, r, declared); err != nil {
 		buffer.Release()
+		s.connection().narrow()
 		return nil, err
 	}
 	return join(buffer, s)
@@ -26,11 +27,16 @@
 
 // fill reads r to its end.
 func fill(buffer *blocks.Buffer, s *Share, r io.Reader, declared int64) error {
+	large := false
 	for unreported := 0; ; {
 		size := buffer.Next(declared)
 		if !s.Grow(int64(size)) {
 			return ErrNoMemory
 		}
+		if !large && buffer.Len() > blocks.MaxBytes/2 {
+			large = true
+			s.connection().widen()
+		}
 		n, err := buffer.ReadSome(r, size)
 		if unreported += n; unreported >= progressBytes {
 			s.Progress()
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -256,6 +256,14 @@
 	}
 }
 
+// connection returns the connection that the request has for itself; nil for none.
+func (s *Share) connection() *Conn {
+	if s == nil {
+		return nil
+	}
+	return s.conn
+}
+
 // Complete records that the request has arrived whole, and reports whether it keeps its memory. From then on it does
 // not yield.
 func (s *Share) Complete() bool {
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -10,10 +10,16 @@
 )
 
 const (
-	// connectionBytes is what an idle connection holds: the stack of its goroutine, the buffers of net/http and
-	// headBytes of a head. With TLS it also holds the keys and the buffers of the records.
-	connectionBytes    = 16 << 10
-	tlsConnectionBytes = 48 << 10
+	// connectionBytes is what a connection holds: the stack of its goroutine, the buffers of net/http, headBytes of a head
+	// and a full receive buffer. With TLS it also holds the keys and the buffers of the records.
+	connectionBytes    = 16<<10 + bufferOverhead*ReceiveBufferBytes
+	tlsConnectionBytes = 32<<10 + connectionBytes
+	// ReceiveBufferBytes is the receive buffer that a listener is to give its connections. Those that carry a large body
+	// or HTTP/2 get bulkBufferBytes while there is memory.
+	ReceiveBufferBytes = 16 << 10
+	bulkBufferBytes    = 64 << 10
+	// bufferOverhead is how much of a receive buffer the kernel uses for each byte of its size.
+	bufferOverhead = 2
 	// headBytes is the part of a head that counts as held by each connection, and the step in which more is taken.
 	headBytes = 4 << 10
 	// hardLimitDivisor is the fraction of the connections of a listener, as a divisor, that may be open beyond its
@@ -81,16 +87,21 @@
 	}
 	c := &Conn{Conn: inner, listener: l}
 	c.share = &Share{budget: b, conn: c, yield: c.endReads}
-	c.share.held = connectionBytes
-	if l.options.TLS {
-		c.share.held = tlsConnectionBytes
-	}
+	c.share.held = l.connectionBytes()
 	b.used += c.share.held
 	c.share.enqueue(&b.idle)
 	l.open++
 	return c
 }
 
+// connectionBytes returns what an idle connection of the listener holds.
+func (l *Listener) connectionBytes() int64 {
+	if l.options.TLS {
+		return tlsConnectionBytes
+	}
+	return connectionBytes
+}
+
 // makeRoom makes connections yield for a new one, and reports whether there is room for it. The new connection does not
 // wait for them.
 func (l *Listener) makeRoom() bool {
@@ -101,7 +112,8 @@
 	if l.open-l.yielding >= l.options.MaxConnections && !l.makeConnectionYield() {
 		return false
 	}
-	return b.used-b.yielding+connectionBytes <= b.limit || b.makeYield(&Share{budget: b}, connectionBytes)
+	n := l.connectionBytes()
+	return b.used-b.yielding+n <= b.limit || b.makeYield(&Share{budget: b}, n)
 }
 
 // makeConnectionYield ends the connection of this listener that has been idle or without progress for longest.
@@ -184,8 +196,51 @@
 	// head is the number of bytes of the head that have arrived, and counted that of those in the share. Only the
 	// goroutine that reads uses them.
 	head, counted int64
-	// yielding and closed are guarded by Budget.mu.
+	// yielding and closed, and bulk, the bytes of the share for a larger receive buffer, are guarded by Budget.mu.
 	yielding, closed bool
+	bulk             int64
+}
+
+// widen gives the connection a receive buffer for a large body if there is memory for it.
+func (c *Conn) widen() {
+	const more = bufferOverhead * (bulkBufferBytes - ReceiveBufferBytes)
+	if c == nil || !c.share.take(more) {
+		return
+	}
+	c.setReceiveBuffer(bulkBufferBytes)
+}
+
+// narrow makes the kernel keep no more for the connection than for others. What it has kept still counts.
+func (c *Conn) narrow() {
+	if c != nil && c.share.holdsBulk() {
+		c.setReceiveBuffer(ReceiveBufferBytes)
+	}
+}
+
+func (c *Conn) setReceiveBuffer(size int) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(size)
+	}
+}
+
+// take adds n bytes for a receive buffer to the share of a connection if they are free.
+func (s *Share) take(n int64) bool {
+	b := s.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s.conn.bulk > 0 || s.conn.closed || b.used+n > b.limitOf(s.held+n) {
+		return false
+	}
+	s.conn.bulk = n
+	s.held += n
+	b.used += n
+	return true
+}
+
+func (s *Share) holdsBulk() bool {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	return s.conn.bulk > 0
 }
 
 // NetConn returns the connection that c wraps.
@@ -251,6 +306,7 @@
 	case http.StateActive:
 		if secured, ok := conn.(*tls.Conn); ok && secured.ConnectionState().NegotiatedProtocol == "h2" {
 			c.multiplexed.Store(true)
+			c.widen()
 		}
 		c.phase.Store(phaseServing)
 		if c.share.serve() {
@@ -259,7 +315,9 @@
 		}
 	case http.StateIdle:
 		c.phase.Store(phaseIdle)
-		c.share.rest(max(c.counted-headBytes, 0))
+		if c.share.rest(max(c.counted-headBytes, 0)) {
+			c.setReceiveBuffer(ReceiveBufferBytes)
+		}
 		c.head, c.counted = 0, 0
 	case http.StateClosed, http.StateHijacked:
 		c.close()
@@ -290,14 +348,20 @@
 	return true
 }
 
-// rest records that a connection is idle, and returns the bytes of the head.
-func (s *Share) rest(head int64) {
+// rest records that a connection is idle, and returns the bytes of the head and of a larger receive buffer to the budget.
+// It reports whether there was such a buffer.
+func (s *Share) rest(head int64) (hadBulk bool) {
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
+	if s.conn.bulk > 0 && !s.conn.multiplexed.Load() {
+		head += s.conn.bulk
+		s.conn.bulk, hadBulk = 0, true
+	}
 	s.shrink(head)
 	if !s.conn.kept.Load() {
 		s.enqueue(&s.budget.idle)
 	}
+	return hadBulk
 }
 
 // setYielding records whether the connection is about to close. Budget.mu must be held.
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -18,9 +18,6 @@
 )
 
 const (
-	// receiveBufferBytes is the receive buffer of the connections of strangers. Bytes that were received and not yet
-	// read count as memory of the process.
-	receiveBufferBytes = 64 << 10
 	// reservedDescriptors are those that are not for sockets, up to a fraction of all given by its divisor.
 	reservedDescriptors       = 200
 	reservedDescriptorDivisor = 4
@@ -50,7 +47,9 @@
 // net.ListenConfig.Control.
 func limitReceiveBuffer(_, _ string, c syscall.RawConn) error {
 	// Without the limit the listener still works.
-	return c.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes) })
+	return c.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, intake.ReceiveBufferBytes)
+	})
 }
 
 // maxSockets returns the number of sockets that the process may have.
