Count the larger buffer of an HTTP/2 connection after it is kept

What callers saw: nothing yet; found by reading. An HTTP/2 connection that was told to close, and got a request at that moment, took memory for its buffer before it was known to be kept. The sum of what is about to be released then stayed too low for good, by 96 KB each time, and later requests would have been rejected for want of memory that was there.

The cause: the protocol was looked up before the state of the connection was recorded, and at each request.

The change: the state comes first, a share that was told to yield takes nothing more, and the protocol is looked up at the first request only.

No test makes that moment happen.

--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -193,6 +193,8 @@
 	multiplexed atomic.Bool
 	// kept is set if the connection does not yield while it is idle.
 	kept atomic.Bool
+	// served is true once a request has arrived. Only ConnState uses it.
+	served bool
 	// head is the number of bytes of the head that have arrived, and counted that of those in the share. Only the
 	// goroutine that reads uses them.
 	head, counted int64
@@ -228,7 +230,7 @@
 	b := s.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s.conn.bulk > 0 || s.conn.closed || b.used+n > b.limitOf(s.held+n) {
+	if s.yielded || s.conn.bulk > 0 || s.conn.closed || b.used+n > b.limitOf(s.held+n) {
 		return false
 	}
 	s.conn.bulk = n
@@ -304,15 +306,12 @@
 	}
 	switch state {
 	case http.StateActive:
-		if secured, ok := conn.(*tls.Conn); ok && secured.ConnectionState().NegotiatedProtocol == "h2" {
-			c.multiplexed.Store(true)
-			c.widen()
-		}
 		c.phase.Store(phaseServing)
 		if c.share.serve() {
 			c.ended.Store(false)
 			_ = c.Conn.SetReadDeadline(time.Time{})
 		}
+		c.recordProtocol(conn)
 	case http.StateIdle:
 		c.phase.Store(phaseIdle)
 		if c.share.rest(max(c.counted-headBytes, 0)) {
@@ -324,6 +323,18 @@
 	}
 }
 
+// recordProtocol finds out, at the first request of a connection, whether it carries HTTP/2.
+func (c *Conn) recordProtocol(conn net.Conn) {
+	if c.served {
+		return
+	}
+	c.served = true
+	if secured, ok := conn.(*tls.Conn); ok && secured.ConnectionState().NegotiatedProtocol == "h2" {
+		c.multiplexed.Store(true)
+		c.widen()
+	}
+}
+
 // arrive records that a request begins to arrive on an idle connection.
 func (s *Share) arrive() {
 	s.budget.mu.Lock()
