Answer 401 to calls without the secret, whatever their body

What callers saw: a call to the peer listener without the secret was answered 400 if its message could not be decoded without a body, as JSON cannot; the operators of another fleet would look for a malformed message instead of a secret.

The change: the rejection is written before anything is read.

--- a/internal/peer/intake.go
+++ b/internal/peer/intake.go
@@ -26,19 +26,20 @@
 	peerv1connect.PeerServiceRunWriteProcedure: true,
 }
 
-// withIntake passes calls on without their body if they do not have the secret, and counts the bodies of requests that
-// peers pass on for the budget.
+// withIntake rejects calls without the secret before their body is read, and counts the bodies of requests that peers
+// pass on for the budget.
 func withIntake(next http.Handler, auth authInterceptor, budget *intake.Budget) http.Handler {
+	rejections := connect.NewErrorWriter()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		control := http.NewResponseController(w)
 		if !auth.matches(r.Header.Get(headerSecret)) {
-			// The interceptor rejects the call, for most calls after it has read a message.
+			// The interceptor would reject most calls only after it has read a message.
 			if r.ProtoMajor == 1 {
 				w.Header().Set("Connection", "close")
 				_ = control.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 			}
 			r.Body, r.ContentLength = http.NoBody, 0
-			next.ServeHTTP(w, r)
+			_ = rejections.Write(w, r, connect.NewError(connect.CodeUnauthenticated, errUnauthenticated))
 			return
 		}
 		// A peer may be about to send a forward, whose outcome would be unknown.
