Record the state of a connection for a stop before that for its memory

The cause is not known. Suspected: the stop closes connections whose state is not recorded as active, and put the lock of the budget before that record.

The change: the state is recorded for the stop first, as before, and the deadline is cleared in any case.

--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -309,8 +309,9 @@
 		c.phase.Store(phaseServing)
 		if c.share.serve() {
 			c.ended.Store(false)
-			_ = c.Conn.SetReadDeadline(time.Time{})
 		}
+		// A deadline that was to end the wait for this request would cancel its context.
+		_ = c.Conn.SetReadDeadline(time.Time{})
 		c.recordProtocol(conn)
 	case http.StateIdle:
 		c.phase.Store(phaseIdle)
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -151,10 +151,10 @@
 	}
 	record, newContext := server.ConnState, server.ConnContext
 	server.ConnState = func(c net.Conn, state http.ConnState) {
-		limited.ConnState(c, state)
 		if record != nil {
 			record(c, state)
 		}
+		limited.ConnState(c, state)
 	}
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if newContext != nil {
