Guard requests against the deadline of the wait for them

TestADeadlineForTheWaitDoesNotEndTheRequest sets a deadline at the moment at which a stop may, before the state of the connection is recorded.

--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -238,3 +238,37 @@
 		}
 	}
 }
+
+// Guards against a request that is canceled by the deadline that was to end the wait for it.
+func TestADeadlineForTheWaitDoesNotEndTheRequest(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := NewBudget(8<<20).Listen(inner, ListenerOptions{MaxConnections: 16})
+	server := &http.Server{
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateActive {
+				_ = c.SetReadDeadline(time.Now())
+			}
+			l.ConnState(c, state)
+		},
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-r.Context().Done():
+				w.WriteHeader(http.StatusInternalServerError)
+			case <-time.After(100 * time.Millisecond):
+			}
+		}),
+	}
+	go func() { _ = server.Serve(l) }()
+	defer server.Close()
+	resp, err := http.Get("http://" + l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Error("the request was canceled")
+	}
+}
